Skeleton: events and effects, settled writes, manifest types, contracts

The seams come first so that the parts can be built side by side: closed sums of events and effects, a reducer of parts that raise internal events, a client that settles writes whose answer was lost, manifest and settings types, the codec, and the contract with outside systems.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,33 @@
+# Targets for developers and operators; `make demo` and `make test` need no other set-up.
+TOOLS := $(shell go env GOPATH)/bin
+GOLANGCI_VERSION := v2.15.0
+GOLANGCI := $(TOOLS)/golangci-lint
+BIN := bin
+
+.PHONY: all build test unit lint fmt demo serve tools clean
+
+all: build
+
+build:
+	go build -o $(BIN)/ ./cmd/...
+
+$(GOLANGCI):
+	GOBIN=$(TOOLS) go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_VERSION)
+
+tools: $(GOLANGCI)
+
+fmt: tools
+	$(GOLANGCI) fmt ./...
+
+lint: tools
+	$(GOLANGCI) fmt --diff ./...
+	$(GOLANGCI) run ./...
+
+unit:
+	go vet ./...
+	go test -timeout 9m ./...
+
+test: build lint unit
+
+clean:
+	rm -rf $(BIN)
--- /dev/null
+++ b/cmd/verbenaspur-standin/main.go
@@ -0,0 +1,4 @@
+// Command verbenaspur-standin is described in README.md.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/verbenaspurctl/main.go
@@ -0,0 +1,4 @@
+// Command verbenaspurctl is described in README.md.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/verbenaspurd/main.go
@@ -0,0 +1,4 @@
+// Command verbenaspurd is described in README.md.
+package main
+
+func main() {}
--- /dev/null
+++ b/internal/core/msg/event.go
@@ -0,0 +1,107 @@
+package msg
+
+import (
+	"time"
+
+	"github.com/verbenaspur/verbenaspur/internal/manifest"
+)
+
+// Event is something that happened. The implementations are in this package.
+type Event interface{ event() }
+
+// Effect is something that the daemon is to do. The implementations are in
+// this package.
+type Effect interface{ effect() }
+
+// Raise hands an internal event to every part of the same reducer. It is
+// consumed by the reducer and never reaches a driver.
+type Raise struct{ Event Event }
+
+// Started is the first event of a process.
+type Started struct {
+	Self        Self
+	Incarnation Incarnation
+	// Seed seeds every random choice of the reducer.
+	Seed uint64
+	// Wall is the wall clock, which is used for usage windows and retention only.
+	Wall time.Time
+}
+
+// Self describes the process to itself, as its settings have it.
+type Self struct {
+	Host   HostID
+	Domain FailureDomain
+	Region Region
+	Kind   HostKind
+	// Target is set for side daemons only.
+	Target *TargetIdentity `cbor:",omitempty"`
+}
+
+// TargetIdentity describes the target beside a side daemon.
+type TargetIdentity struct {
+	Target TargetID
+	Pool   PoolID
+	Kind   TargetKind
+	// ChecksFencing says that the target itself refuses old epochs.
+	ChecksFencing bool
+}
+
+// Tick advances time. The driver delivers one every [TickInterval].
+type Tick struct{ Wall time.Time }
+
+// TickInterval is the interval between two ticks.
+const TickInterval = 20 * time.Millisecond
+
+// StopRequested begins a graceful shutdown.
+type StopRequested struct{}
+
+// StopReady tells the driver that a graceful shutdown has finished its work.
+type StopReady struct{}
+
+// ConfigChanged is raised when a newer configuration took effect here.
+type ConfigChanged struct {
+	Generation Generation
+	Index      *manifest.Index `cbor:"-"`
+}
+
+// ConfigFresh is raised when the configuration's freshness was confirmed. Up
+// to the given time no newer configuration can have been accepted for longer
+// than the staleness limit.
+type ConfigFresh struct {
+	Generation Generation
+	Until      Time
+}
+
+// LogLine writes one line to the log.
+type LogLine struct {
+	// Part is the fixed prefix, for example "route".
+	Part  string
+	Level LogLevel
+	// Text is a short sentence without a full stop.
+	Text  string
+	Attrs []Attr
+}
+
+// Attr is one named value of a log line.
+type Attr struct{ Key, Value string }
+
+// LogLevel is the severity of a log line.
+type LogLevel uint8
+
+// Levels of log lines.
+const (
+	LogInfo LogLevel = iota
+	LogDebug
+	LogWarn
+	LogError
+)
+
+func (Started) event()       {}
+func (Tick) event()          {}
+func (StopRequested) event() {}
+func (ConfigChanged) event() {}
+func (ConfigFresh) event()   {}
+
+func (Raise) effect()     {}
+func (StopReady) effect() {}
+func (LogLine) effect()   {}
--- /dev/null
+++ b/internal/core/msg/peer.go
@@ -0,0 +1,81 @@
+package msg
+
+// PeerMessage is a message between two daemons. The implementations are in
+// this package; each has a number in the codec.
+type PeerMessage interface{ peerMessage() }
+
+// SendPeer sends a message to another daemon. Delivery is not guaranteed.
+type SendPeer struct {
+	To      HostID
+	Message PeerMessage
+}
+
+// PeerReceived is a message from another daemon, whose identity the transport
+// has checked.
+type PeerReceived struct {
+	From    HostID
+	Message PeerMessage
+}
+
+// Section names a part of the state that daemons exchange.
+type Section uint8
+
+// Sections of the exchange.
+const (
+	// SectionDemand carries per-pool demand; sums over entries.
+	SectionDemand Section = iota + 1
+	// SectionService carries tokens of service per client account; sums over entries.
+	SectionService
+	// SectionLoad carries load per target.
+	SectionLoad
+	// SectionStrikes carries crash strikes per request fingerprint.
+	SectionStrikes
+)
+
+// ShareState is raised by a part to have the value spread to the other entry
+// daemons. A later value of the same section replaces an earlier one.
+type ShareState struct {
+	Section Section
+	Value   SharedValue
+}
+
+// SharedState is raised when the exchange brings news of a section: the
+// combined value over the other entry daemons. Age is how old the oldest
+// contribution is.
+type SharedState struct {
+	Section Section
+	Value   SharedValue
+	Age     Time
+	// Hosts is the number of daemons that contributed.
+	Hosts int
+}
+
+// SharedValue is a value that the exchange can combine: keyed numbers, which
+// are summed or of which the maximum is taken, as the section says.
+type SharedValue struct {
+	Entries []SharedEntry
+}
+
+// SharedEntry is one keyed vector of a shared value.
+type SharedEntry struct {
+	Key    string    `cbor:"1,keyasint"`
+	Values []float32 `cbor:"2,keyasint"`
+}
+
+// MembersChanged is raised when the set of daemons known to be reachable
+// changes.
+type MembersChanged struct {
+	// Entries are the live entry daemons, self included, in order of host id.
+	Entries []Host
+	// Leaving are the hosts that take no new work.
+	Leaving []HostID
+	// Targets are the hosts of targets, live or leaving.
+	Targets []Host
+}
+
+func (SendPeer) effect() {}
+
+func (PeerReceived) event()   {}
+func (ShareState) event()     {}
+func (SharedState) event()    {}
+func (MembersChanged) event() {}
--- /dev/null
+++ b/internal/manifest/decode.go
@@ -0,0 +1,23 @@
+package manifest
+
+import (
+	"github.com/cockroachdb/errors"
+	"github.com/goccy/go-yaml"
+)
+
+// ErrTooLarge is returned for a manifest over [MaxSize].
+var ErrTooLarge = errors.Newf("manifest is larger than %d bytes", MaxSize)
+
+// Decode reads and checks a manifest. Unknown fields, duplicate names,
+// dangling references and values out of range are errors that give the line
+// and the path.
+func Decode(b []byte) (*Manifest, error) {
+	if len(b) > MaxSize {
+		return nil, ErrTooLarge
+	}
+	var m Manifest
+	if err := yaml.UnmarshalWithOptions(b, &m, yaml.Strict()); err != nil {
+		return nil, errors.Wrap(err, "manifest")
+	}
+	return &m, nil
+}
--- /dev/null
+++ b/internal/prefix/prefix.go
@@ -0,0 +1,44 @@
+// Package prefix computes the identities of prompt prefixes, by which cached
+// prefixes of engines are recognized.
+package prefix
+
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/verbenaspur/verbenaspur/internal/core/msg"
+)
+
+// PieceBytes is the length of one cache piece of prompt text in bytes, about
+// 2,000 tokens.
+const PieceBytes = 8000
+
+// BytesPerToken is the average length of a token, used for estimates.
+const BytesPerToken = 4
+
+// Pieces returns the hash of each whole piece of a prompt. Each hash covers
+// all text before its end. The scope (a model's name and adapter) keeps
+// prompts for different models apart.
+func Pieces(scope, prompt string) []msg.PieceHash {
+	out := make([]msg.PieceHash, 0, len(prompt)/PieceBytes)
+	last := xxhash.Sum64String(scope)
+	for len(prompt) >= PieceBytes {
+		last = next(last, prompt[:PieceBytes])
+		out = append(out, msg.PieceHash(last))
+		prompt = prompt[PieceBytes:]
+	}
+	return out
+}
+
+func next(last uint64, piece string) uint64 {
+	var b [8]byte
+	binary.LittleEndian.PutUint64(b[:], last)
+	d := xxhash.New()
+	_, _ = d.Write(b[:])
+	_, _ = d.WriteString(piece)
+	return d.Sum64()
+}
+
+// Tokens estimates the number of tokens of a text of n bytes.
+func Tokens(n int) int { return (n + BytesPerToken - 1) / BytesPerToken }
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,128 @@
+// Package settings reads the YAML settings of one process.
+package settings
+
+import (
+	"os"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-playground/validator/v10"
+	"github.com/goccy/go-yaml"
+
+	"github.com/verbenaspur/verbenaspur/internal/manifest"
+)
+
+// Role selects what a daemon does.
+type Role string
+
+// Roles of a daemon.
+const (
+	RoleEntry Role = "entry"
+	RoleSide  Role = "side"
+)
+
+// Settings configures one daemon.
+type Settings struct {
+	Role          Role     `yaml:"role" validate:"required,oneof=entry side"`
+	Host          string   `yaml:"host" validate:"required"`
+	FailureDomain string   `yaml:"failureDomain" validate:"required"`
+	Region        string   `yaml:"region" validate:"required"`
+	Listen        Listen   `yaml:"listen"`
+	Platform      Platform `yaml:"platform"`
+	TLS           TLS      `yaml:"tls"`
+	Log           Log      `yaml:"log"`
+	// Target is the target beside a side daemon.
+	Target *Target `yaml:"target,omitempty" validate:"required_if=Role side"`
+	// Trace is a file to which the events are recorded; empty for none.
+	Trace string `yaml:"trace,omitempty"`
+	// Operators lists the SHA-256 hashes (hex) of operator tokens, by name.
+	Operators []Operator `yaml:"operators,omitempty" validate:"dive"`
+}
+
+// Operator is a person or pipeline that may change the configuration.
+type Operator struct {
+	Name      string `yaml:"name" validate:"required"`
+	TokenHash string `yaml:"tokenHash" validate:"required,len=64,hexadecimal"`
+}
+
+// Listen holds the addresses of a process, each an IP address and a port.
+type Listen struct {
+	// HTTP serves callers and operators (entry only).
+	HTTP string `yaml:"http,omitempty" validate:"omitempty,hostport"`
+	// Link is the UDP address for the other daemons. The port is the same on
+	// all hosts of a deployment.
+	Link string `yaml:"link" validate:"required,hostport"`
+	// Ops serves health checks and metrics.
+	Ops string `yaml:"ops,omitempty" validate:"omitempty,hostport"`
+}
+
+// Platform holds the addresses of the platform's interfaces.
+type Platform struct {
+	Objects string `yaml:"objects" validate:"required,url"`
+	Targets string `yaml:"targets" validate:"omitempty,url"`
+	Usage   string `yaml:"usage" validate:"omitempty,url"`
+	Hosts   string `yaml:"hosts" validate:"required,url"`
+	// TokenFile holds the bearer token for the platform.
+	TokenFile string `yaml:"tokenFile,omitempty"`
+	// TargetsCheckFencing says that the target interface refuses old epochs.
+	TargetsCheckFencing bool `yaml:"targetsCheckFencing,omitempty"`
+}
+
+// TLS names the files of a process's identity.
+type TLS struct {
+	CA   string `yaml:"ca" validate:"required"`
+	Cert string `yaml:"cert" validate:"required"`
+	Key  string `yaml:"key" validate:"required"`
+	// HTTPCert and HTTPKey serve callers; empty for plain HTTP behind the
+	// platform's balancer.
+	HTTPCert string `yaml:"httpCert,omitempty"`
+	HTTPKey  string `yaml:"httpKey,omitempty"`
+}
+
+// Log selects the form of log lines.
+type Log struct {
+	Format string `yaml:"format,omitempty" validate:"omitempty,oneof=text json"`
+	Level  string `yaml:"level,omitempty" validate:"omitempty,oneof=debug info warn error"`
+}
+
+// TargetKind says what the target is.
+type TargetKind string
+
+// Kinds of targets.
+const (
+	TargetEngine  TargetKind = "engine"
+	TargetService TargetKind = "service"
+)
+
+// Target describes the target beside a side daemon.
+type Target struct {
+	ID   string     `yaml:"id" validate:"required"`
+	Kind TargetKind `yaml:"kind" validate:"required,oneof=engine service"`
+	Pool string     `yaml:"pool" validate:"required"`
+	// URL is the base address of the target.
+	URL string `yaml:"url" validate:"required,url"`
+	// ChecksFencing says that the target refuses old epochs itself.
+	ChecksFencing bool `yaml:"checksFencing,omitempty"`
+	// Poll is the interval between two reads of load and cache events.
+	Poll manifest.Duration `yaml:"poll,omitempty"`
+}
+
+// Load reads and checks a settings file.
+func Load(path string) (*Settings, error) {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "settings")
+	}
+	return Decode(b)
+}
+
+// Decode reads and checks settings.
+func Decode(b []byte) (*Settings, error) {
+	s := Settings{Log: Log{Format: "text", Level: "info"}}
+	if err := yaml.UnmarshalWithOptions(b, &s, yaml.Strict()); err != nil {
+		return nil, errors.Wrap(err, "settings")
+	}
+	if err := validator.New(validator.WithRequiredStructEnabled()).Struct(&s); err != nil {
+		return nil, errors.Wrap(err, "settings")
+	}
+	return &s, nil
+}
--- /dev/null
+++ b/internal/wire/codec.go
@@ -0,0 +1,107 @@
+// Package wire encodes the messages between daemons and the recorded events
+// as CBOR. Each concrete type of a sum has a tag number of its own.
+package wire
+
+import (
+	"reflect"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/verbenaspur/verbenaspur/internal/core/msg"
+)
+
+// Tag numbers of the sums start here; each sum has a range of its own. A
+// number is never given to another type.
+const (
+	tagPeer   = 40_000
+	tagEvent  = 41_000
+	tagEffect = 42_000
+)
+
+// MaxMessage is the largest encoded message in bytes.
+const MaxMessage = 4 << 20
+
+// ErrTooLarge is returned for a message over [MaxMessage].
+var ErrTooLarge = errors.Newf("message is larger than %d bytes", MaxMessage)
+
+var (
+	enc cbor.EncMode
+	dec cbor.DecMode
+)
+
+func init() {
+	tags := cbor.NewTagSet()
+	register(tags, tagPeer, msg.PeerTypes())
+	register(tags, tagEvent, msg.EventTypes())
+	register(tags, tagEffect, msg.EffectTypes())
+	enc = must(encOptions().EncModeWithTags(tags))
+	dec = must(cbor.DecOptions{
+		MaxArrayElements: 1 << 20,
+		MaxMapPairs:      1 << 16,
+		MaxNestedLevels:  32,
+	}.DecModeWithTags(tags))
+}
+
+func encOptions() cbor.EncOptions {
+	o := cbor.CoreDetEncOptions()
+	o.Time = cbor.TimeRFC3339NanoUTC
+	return o
+}
+
+func register(tags cbor.TagSet, first uint64, types []reflect.Type) {
+	opts := cbor.TagOptions{DecTag: cbor.DecTagRequired, EncTag: cbor.EncTagRequired}
+	for i, t := range types {
+		if err := tags.Add(opts, t, first+uint64(i)); err != nil {
+			panic("wire: " + err.Error())
+		}
+	}
+}
+
+func must[T any](v T, err error) T {
+	if err != nil {
+		panic("wire: " + err.Error())
+	}
+	return v
+}
+
+// Marshal encodes a value. The encoding is deterministic.
+func Marshal(v any) ([]byte, error) { return enc.Marshal(v) }
+
+// Unmarshal decodes a value of at most [MaxMessage] bytes.
+func Unmarshal(b []byte, v any) error {
+	if len(b) > MaxMessage {
+		return ErrTooLarge
+	}
+	return dec.Unmarshal(b, v)
+}
+
+// UnmarshalPeer decodes a message from another daemon.
+func UnmarshalPeer(b []byte) (msg.PeerMessage, error) { return unmarshalSum[msg.PeerMessage](b) }
+
+// UnmarshalEffect decodes a recorded effect.
+func UnmarshalEffect(b []byte) (msg.Effect, error) { return unmarshalSum[msg.Effect](b) }
+
+// UnmarshalEvent decodes a recorded event.
+func UnmarshalEvent(b []byte) (msg.Event, error) {
+	ev, err := unmarshalSum[msg.Event](b)
+	if p, ok := ev.(msg.PeerReceived); ok && p.Message != nil {
+		// A nested sum decodes to a pointer to its concrete type.
+		p.Message = reflect.ValueOf(p.Message).Elem().Interface().(msg.PeerMessage)
+		ev = p
+	}
+	return ev, err
+}
+
+func unmarshalSum[T any](b []byte) (T, error) {
+	var v any
+	var zero T
+	if err := Unmarshal(b, &v); err != nil {
+		return zero, err
+	}
+	t, ok := v.(T)
+	if !ok {
+		return zero, errors.Newf("a %T can't stand here", v)
+	}
+	return t, nil
+}
