--- a/internal/core/msg/peer.go
+++ b/internal/core/msg/peer.go
@@ -79,3 +79,27 @@
 func (ShareState) event()     {}
 func (SharedState) event()    {}
 func (MembersChanged) event() {}
+
+// Connect keeps a connection to another daemon open, with its control stream.
+// [PeerUp] and [PeerDown] tell its state. Messages and attempts to a host
+// that is not connected open a connection on demand.
+type Connect struct {
+	Host HostID
+	Addr string
+	Kind HostKind
+}
+
+// Disconnect gives up a connection that Connect asked for.
+type Disconnect struct{ Host HostID }
+
+// PeerUp tells that a host's control stream is open.
+type PeerUp struct{ Host HostID }
+
+// PeerDown tells that a host's control stream broke or went silent.
+type PeerDown struct{ Host HostID }
+
+func (Connect) effect()    {}
+func (Disconnect) effect() {}
+
+func (PeerUp) event()   {}
+func (PeerDown) event() {}
--- a/internal/core/msg/types.go
+++ b/internal/core/msg/types.go
@@ -27,6 +27,8 @@
 		reflect.TypeFor[AttemptOffered](), reflect.TypeFor[AttemptClosed](), reflect.TypeFor[EntryLost](),
 		reflect.TypeFor[OrderReceived](), reflect.TypeFor[OrderApplied](), reflect.TypeFor[TargetRead](),
 		reflect.TypeFor[TargetCrashed](), reflect.TypeFor[UsageReported](),
+		reflect.TypeFor[PeerUp](), reflect.TypeFor[PeerDown](),
+		reflect.TypeFor[ConfigProposed](), reflect.TypeFor[DrainRequested](),
 	}
 }
 
@@ -45,5 +47,7 @@
 		reflect.TypeFor[RunAttempt](), reflect.TypeFor[RefuseAttempt](), reflect.TypeFor[StopAttempt](),
 		reflect.TypeFor[AnswerOrder](), reflect.TypeFor[ApplyOrder](), reflect.TypeFor[ReadTarget](),
 		reflect.TypeFor[PublishReport](), reflect.TypeFor[ReportUsage](),
+		reflect.TypeFor[Connect](), reflect.TypeFor[Disconnect](),
+		reflect.TypeFor[ConfigAnswered](), reflect.TypeFor[DrainAnswered](),
 	}
 }
