Thin request path: route, key, claim, attempts, retries, end

Tests in virtual time cover refusals, claims, resends, resume, timeouts, callers that leave and withdrawn keys.

--- /dev/null
+++ b/internal/core/request/arrive.go
@@ -0,0 +1,176 @@
+package request
+
+import (
+	"crypto/subtle"
+	"encoding/hex"
+	"time"
+
+	"github.com/verbenaspur/verbenaspur/internal/core/msg"
+	"github.com/verbenaspur/verbenaspur/internal/manifest"
+)
+
+// Advice to callers on when to come back.
+const (
+	retrySoon  = time.Second
+	retryClaim = 2 * time.Second
+)
+
+// refusal is the final answer to a request that does not begin.
+type refusal struct {
+	status     int
+	code       Code
+	reason     string
+	outcome    msg.Outcome
+	retryAfter time.Duration
+}
+
+func (s *step) onArrived(ev msg.RequestArrived) {
+	r := &request{arrived: ev}
+	if ref := s.accept(r); ref != nil {
+		s.refuseNew(ev.Req, *ref)
+		return
+	}
+	s.requests[ev.Req] = r
+	s.order = append(s.order, r)
+	if r.idempotent {
+		s.enqueue(r)
+		return
+	}
+	r.state = stateClaiming
+	s.raise(msg.ClaimWanted{
+		Req: ev.Req, Account: r.accountID(), Route: msg.RouteID(r.route.Name),
+		Key: ev.IdempotencyKey, Body: ev.BodyHash,
+	})
+}
+
+// accept resolves the route, checks the caller and fills in the request. It
+// returns a refusal where the request must not go on.
+func (s *step) accept(r *request) *refusal {
+	if s.stopping {
+		return &refusal{statusServiceUnavailable, CodeStopping, "this entry is stopping", msg.OutcomeNotRun, retrySoon}
+	}
+	if s.index == nil {
+		return &refusal{statusServiceUnavailable, CodeNotReady, "no configuration yet", msg.OutcomeNotRun, retrySoon}
+	}
+	if ref := s.resolve(r); ref != nil {
+		return ref
+	}
+	if ref := s.authorize(r); ref != nil {
+		return ref
+	}
+	if !r.idempotent && r.arrived.IdempotencyKey == "" {
+		return &refusal{statusBadRequest, CodeKeyRequired, "this operation needs an Idempotency-Key", msg.OutcomeNotRun, 0}
+	}
+	s.setLimits(r)
+	return nil
+}
+
+func (s *step) resolve(r *request) *refusal {
+	ev := &r.arrived
+	kind := manifest.PoolEngines
+	name := ev.Model
+	if ev.Service != "" {
+		kind = manifest.PoolService
+		name = ev.Service
+	}
+	r.route = s.index.Route(name)
+	if r.route != nil {
+		r.pool = s.index.Pool(r.route.Pool)
+	}
+	if r.pool == nil || r.pool.Kind != kind {
+		return &refusal{statusNotFound, CodeUnknownRoute, "no such model or service", msg.OutcomeNotRun, 0}
+	}
+	r.class = classOf(r.route.Class)
+	r.idempotent = true
+	if kind == manifest.PoolEngines {
+		return nil
+	}
+	op := r.route.Operation(ev.Method, ev.Path)
+	if op == nil {
+		return &refusal{statusNotFound, CodeUnknownOperation, "the service has no such operation", msg.OutcomeNotRun, 0}
+	}
+	r.idempotent = op.Idempotent
+	return nil
+}
+
+func (s *step) authorize(r *request) *refusal {
+	if r.route.Access == manifest.AccessPublic {
+		return nil
+	}
+	if s.now >= s.freshUntil {
+		return &refusal{statusServiceUnavailable, CodeStaleConfig, "the configuration can't be confirmed", msg.OutcomeNotRun, retrySoon}
+	}
+	account, ok := s.checkKey(&r.arrived)
+	if !ok {
+		return &refusal{statusUnauthorized, CodeUnauthorized, "the key is not valid", msg.OutcomeNotRun, 0}
+	}
+	if !r.route.Allows(account.Name) {
+		return &refusal{statusForbidden, CodeForbidden, "the client account may not use this route", msg.OutcomeNotRun, 0}
+	}
+	r.account = account
+	return nil
+}
+
+// checkKey returns the client account of a valid key.
+func (s *step) checkKey(ev *msg.RequestArrived) (*manifest.Account, bool) {
+	ref, ok := s.index.Key(ev.KeyID)
+	if !ok {
+		return nil, false
+	}
+	want, err := hex.DecodeString(ref.Key.Hash)
+	if err != nil || subtle.ConstantTimeCompare(want, ev.KeyDigest[:]) != 1 {
+		return nil, false
+	}
+	if !ref.Key.NotAfter.IsZero() && s.wall.After(ref.Key.NotAfter) {
+		return nil, false
+	}
+	return ref.Account, true
+}
+
+func (s *step) setLimits(r *request) {
+	timeout := r.route.Timeout.D()
+	if t := r.arrived.Timeout; t > 0 {
+		timeout = min(timeout, t)
+	}
+	r.deadline = s.now + timeout
+	r.startBy = min(r.deadline, s.now+queueTimeout(r.route))
+	limit := r.route.MaxTokens
+	if limit > 0 && (r.arrived.MaxTokens == 0 || r.arrived.MaxTokens > limit) {
+		r.arrived.MaxTokens = limit
+	}
+}
+
+func (s *step) onClaim(ev msg.ClaimSettled) {
+	r := s.requests[ev.Req]
+	if r == nil || r.state != stateClaiming {
+		if ev.Status == msg.ClaimGranted {
+			// The request ended while its claim was under way.
+			s.raise(msg.RequestEnded{Req: ev.Req, Outcome: msg.OutcomeNotRun})
+		}
+		return
+	}
+	switch ev.Status {
+	case msg.ClaimGranted:
+		r.claimed = true
+		s.enqueue(r)
+	case msg.ClaimDone:
+		s.replay(r, ev.Answer)
+	case msg.ClaimRunning:
+		s.refuse(r, refusal{statusConflict, CodeStillRunning, "an earlier request with this key is not yet finished", msg.OutcomeUnknown, retryClaim})
+	case msg.ClaimMismatch:
+		s.refuse(r, refusal{statusUnprocessableEntity, CodeKeyReused, "the Idempotency-Key was used with another body", msg.OutcomeNotRun, 0})
+	case msg.ClaimUnknown:
+		s.refuse(r, refusal{statusConflict, CodeOutcomeUnknown, "an earlier request with this key may have run", msg.OutcomeUnknown, 0})
+	case msg.ClaimUnavailable:
+		s.refuse(r, refusal{statusServiceUnavailable, CodeStoreUnavailable, "the request could not be claimed", msg.OutcomeNotRun, retryClaim})
+	}
+}
+
+func (s *step) replay(r *request, answer *msg.KeptAnswer) {
+	if answer == nil {
+		s.refuse(r, refusal{statusConflict, CodeOutcomeUnknown, "the request ran; its answer is no longer kept", msg.OutcomeRun, 0})
+		return
+	}
+	s.emit(msg.ReplayAnswer{Req: r.arrived.Req, Answer: *answer})
+	s.forget(r)
+}
--- /dev/null
+++ b/internal/core/request/codes.go
@@ -0,0 +1,38 @@
+package request
+
+// Code names the reason of a refusal for programs.
+type Code string
+
+// Codes of refusals.
+const (
+	CodeNotReady         Code = "not_ready"
+	CodeStopping         Code = "stopping"
+	CodeUnknownRoute     Code = "unknown_route"
+	CodeUnknownOperation Code = "unknown_operation"
+	CodeUnauthorized     Code = "unauthorized"
+	CodeForbidden        Code = "forbidden"
+	CodeStaleConfig      Code = "stale_configuration"
+	CodeKeyRequired      Code = "idempotency_key_required"
+	CodeKeyReused        Code = "idempotency_key_reused"
+	CodeStillRunning     Code = "still_running"
+	CodeOutcomeUnknown   Code = "outcome_unknown"
+	CodeStoreUnavailable Code = "store_unavailable"
+	CodeNoTarget         Code = "no_target"
+	CodeOverloaded       Code = "overloaded"
+	CodeTimeout          Code = "timeout"
+	CodeTargetFailed     Code = "target_failed"
+	CodeKeyWithdrawn     Code = "key_withdrawn"
+)
+
+// HTTP statuses of refusals. The reducers do not import net/http.
+const (
+	statusBadRequest          = 400
+	statusUnauthorized        = 401
+	statusForbidden           = 403
+	statusNotFound            = 404
+	statusConflict            = 409
+	statusUnprocessableEntity = 422
+	statusBadGateway          = 502
+	statusServiceUnavailable  = 503
+	statusGatewayTimeout      = 504
+)
--- /dev/null
+++ b/internal/core/request/end.go
@@ -0,0 +1,123 @@
+package request
+
+import (
+	"slices"
+
+	"github.com/verbenaspur/verbenaspur/internal/core/msg"
+	"github.com/verbenaspur/verbenaspur/internal/manifest"
+)
+
+// refuseNew refuses a request that was not taken on.
+func (s *step) refuseNew(id msg.RequestID, ref refusal) {
+	s.emit(msg.RefuseRequest{
+		Req: id, Status: ref.status, Code: string(ref.code), Reason: ref.reason,
+		Outcome: ref.outcome, RetryAfter: ref.retryAfter,
+	})
+	s.log("request", "request refused",
+		msg.Attr{Key: "request", Value: string(id)},
+		msg.Attr{Key: "code", Value: string(ref.code)},
+		msg.Attr{Key: "outcome", Value: ref.outcome.String()},
+	)
+}
+
+// answer tells the caller that its request ends without a whole answer.
+func (s *step) answer(r *request, ref refusal) {
+	if !r.began() {
+		s.refuseNew(r.arrived.Req, ref)
+		return
+	}
+	s.emit(msg.AbortRequest{Req: r.arrived.Req, Code: string(ref.code), Reason: ref.reason, Outcome: ref.outcome})
+}
+
+// refuse ends a request that has no attempt.
+func (s *step) refuse(r *request, ref refusal) {
+	s.answer(r, ref)
+	s.end(r, nil)
+}
+
+// stop ends a request at any point of its life.
+func (s *step) stop(r *request, ref refusal) {
+	if r.state == stateAnswered {
+		return
+	}
+	if r.state == stateRunning {
+		ref.outcome = max(ref.outcome, msg.OutcomeUnknown)
+		s.answer(r, ref)
+		s.detach(r, ref.reason)
+		return
+	}
+	s.answer(r, ref)
+	s.end(r, nil)
+}
+
+// end closes the books on a request.
+func (s *step) end(r *request, answer *msg.KeptAnswer) {
+	if r.idempotent || r.claimed {
+		s.raise(msg.RequestEnded{Req: r.arrived.Req, Account: r.accountID(), Outcome: r.outcome, Answer: answer})
+	}
+	s.forget(r)
+}
+
+func (s *step) forget(r *request) {
+	delete(s.requests, r.arrived.Req)
+	if i := slices.Index(s.order, r); i >= 0 {
+		s.order = slices.Delete(s.order, i, i+1)
+	}
+}
+
+func (s *step) onCallerGone(ev msg.CallerGone) {
+	r := s.requests[ev.Req]
+	if r == nil || r.state == stateAnswered {
+		return
+	}
+	if r.state == stateRunning {
+		s.detach(r, "the caller left")
+		return
+	}
+	s.end(r, nil)
+}
+
+func (s *step) onTick(ev msg.Tick) {
+	s.wall = ev.Wall
+	for _, r := range slices.Clone(s.order) {
+		s.expire(r)
+	}
+	s.dispatch()
+}
+
+func (s *step) expire(r *request) {
+	switch {
+	case r.state == stateAnswered:
+		if s.now >= r.forgetAt {
+			delete(s.attempts, r.attempt)
+			s.router.End(r.attempt)
+			s.end(r, nil)
+		}
+	case s.now >= r.deadline:
+		s.stop(r, refusal{statusGatewayTimeout, CodeTimeout, "the request timed out", r.outcome, retrySoon})
+	case r.state == stateQueued && s.now >= r.startBy:
+		s.stop(r, refusal{statusServiceUnavailable, CodeNoTarget, "no target became free in time", r.outcome, retrySoon})
+	}
+}
+
+// recheckKeys ends the requests whose key no longer holds.
+func (s *step) recheckKeys() {
+	for _, r := range slices.Clone(s.order) {
+		if r.route.Access == manifest.AccessPublic {
+			continue
+		}
+		account, ok := s.checkKey(&r.arrived)
+		if ok && account.Name == r.account.Name && s.stillAllowed(r) {
+			r.account = account
+			continue
+		}
+		s.stop(r, refusal{statusUnauthorized, CodeKeyWithdrawn, "the key was withdrawn", r.outcome, 0})
+	}
+}
+
+// stillAllowed reports whether the current configuration lets the request's
+// account use its route.
+func (s *step) stillAllowed(r *request) bool {
+	rt := s.index.Route(r.route.Name)
+	return rt != nil && rt.Allows(r.account.Name)
+}
--- /dev/null
+++ b/internal/core/request/manager_test.go
@@ -0,0 +1,321 @@
+package request
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/verbenaspur/verbenaspur/internal/core/msg"
+	"github.com/verbenaspur/verbenaspur/internal/manifest"
+)
+
+// fixture drives a manager with virtual time and keeps what it emits.
+type fixture struct {
+	*Manager
+	now     msg.Time
+	effects []msg.Effect
+	raised  []msg.Event
+}
+
+func digest(id, secret string) msg.KeyDigest { return sha256.Sum256([]byte(id + ":" + secret)) }
+
+func testManifest() *manifest.Manifest {
+	d := digest("k1", "s")
+	return &manifest.Manifest{
+		Models: []manifest.Model{{Name: "m", Version: "1"}},
+		Pools: []manifest.Pool{
+			{Name: "engines", Kind: manifest.PoolEngines, Model: "m"},
+			{Name: "booking", Kind: manifest.PoolService},
+		},
+		Routes: []manifest.Route{
+			{Name: "chat", Pool: "engines", Access: manifest.AccessKeyed, Class: manifest.ClassUrgent, Timeout: manifest.Duration(20 * time.Second), MaxTokens: 100},
+			{Name: "open", Pool: "engines", Access: manifest.AccessPublic, Class: manifest.ClassOrdinary, Timeout: manifest.Duration(20 * time.Second)},
+			{
+				Name: "orders", Pool: "booking", Access: manifest.AccessKeyed, Class: manifest.ClassOrdinary, Timeout: manifest.Duration(10 * time.Second),
+				Operations: []manifest.Operation{{Method: "POST", PathPrefix: "/orders"}, {Method: "GET", PathPrefix: "/", Idempotent: true}},
+			},
+		},
+		Accounts: []manifest.Account{{Name: "north", Weight: 1, Keys: []manifest.Key{{ID: "k1", Hash: hex.EncodeToString(d[:])}}}},
+	}
+}
+
+func newFixture(targets ...msg.TargetID) *fixture {
+	f := &fixture{Manager: New(Config{}), now: time.Second}
+	f.do(msg.Started{Self: msg.Self{Host: "e1"}, Incarnation: "i1", Seed: 1})
+	f.do(msg.ConfigChanged{Generation: 1, Index: manifest.NewIndex(testManifest())})
+	f.do(msg.ConfigFresh{Generation: 1, Until: time.Hour})
+	for _, t := range targets {
+		f.report(t, "engines", msg.TargetEngine)
+	}
+	return f
+}
+
+func (f *fixture) report(t msg.TargetID, pool msg.PoolID, kind msg.TargetKind) {
+	f.do(msg.TargetReported{
+		Target: msg.TargetIdentity{Target: t, Pool: pool, Kind: kind}, Host: msg.HostID("h-" + t),
+		Report: msg.LoadReport{
+			Models: []msg.LoadedModel{{Model: "m", Version: "1"}}, KVTotal: 100_000, MaxBatch: 32,
+			PrefillRate: 10_000, StepTime: 20 * time.Millisecond,
+		},
+	})
+}
+
+// do takes one event and keeps only its own effects.
+func (f *fixture) do(ev msg.Event) {
+	f.effects, f.raised = nil, nil
+	for _, e := range f.Step(f.now, ev) {
+		if r, ok := e.(msg.Raise); ok {
+			f.raised = append(f.raised, r.Event)
+			continue
+		}
+		f.effects = append(f.effects, e)
+	}
+}
+
+func (f *fixture) tick(d time.Duration) {
+	f.now += d
+	f.do(msg.Tick{})
+}
+
+func (f *fixture) chat(id msg.RequestID) {
+	f.do(msg.RequestArrived{Req: id, Model: "chat", KeyID: "k1", KeyDigest: digest("k1", "s"), PromptTokens: 100, MaxTokens: 50})
+}
+
+func (f *fixture) order(id msg.RequestID, key string) {
+	f.do(msg.RequestArrived{
+		Req: id, Service: "orders", Method: "POST", Path: "/orders/1", KeyID: "k1",
+		KeyDigest: digest("k1", "s"), IdempotencyKey: key,
+	})
+}
+
+// find returns the only effect or raised event of a type.
+func find[T any](t *testing.T, f *fixture) T {
+	t.Helper()
+	var found []T
+	for _, e := range f.effects {
+		if v, ok := e.(T); ok {
+			found = append(found, v)
+		}
+	}
+	for _, e := range f.raised {
+		if v, ok := e.(T); ok {
+			found = append(found, v)
+		}
+	}
+	if len(found) != 1 {
+		t.Fatalf("%d of %T in %v %v", len(found), *new(T), f.effects, f.raised)
+	}
+	return found[0]
+}
+
+func TestAnswerArrivesWhole(t *testing.T) {
+	is := is.New(t)
+	f := newFixture("t1")
+	f.chat("r1")
+	start := find[msg.StartAttempt](t, f)
+	is.Equal(start.Target, msg.TargetID("t1"))
+	is.Equal(start.Spec.Account, msg.AccountID("north"))
+	f.do(msg.AttemptAccepted{Attempt: start.Attempt})
+	usage := msg.TokenUsage{Prompt: 100, Generated: 50}
+	f.do(msg.AttemptEnded{Attempt: start.Attempt, Result: msg.AttemptDone, Usage: usage})
+	is.Equal(find[msg.FinishRequest](t, f).Req, msg.RequestID("r1"))
+	is.Equal(find[msg.UsageCounted](t, f), msg.UsageCounted{Account: "north", Attempt: start.Attempt, Usage: usage})
+	is.Equal(find[msg.RequestEnded](t, f).Outcome, msg.OutcomeRun)
+	is.True(f.Idle())
+}
+
+func TestRefusalsBeforeAnyAttempt(t *testing.T) {
+	valid := msg.RequestArrived{Req: "r", Model: "chat", KeyID: "k1", KeyDigest: digest("k1", "s")}
+	service := valid
+	service.Model = ""
+	service.Service = "orders"
+	cases := []struct {
+		name   string
+		change func(f *fixture, ev *msg.RequestArrived)
+		status int
+		code   Code
+	}{
+		{"wrong secret", func(_ *fixture, ev *msg.RequestArrived) { ev.KeyDigest = digest("k1", "x") }, http.StatusUnauthorized, CodeUnauthorized},
+		{"no key", func(_ *fixture, ev *msg.RequestArrived) { ev.KeyID = "" }, http.StatusUnauthorized, CodeUnauthorized},
+		{"unknown model", func(_ *fixture, ev *msg.RequestArrived) { ev.Model = "x" }, http.StatusNotFound, CodeUnknownRoute},
+		{"service as model", func(_ *fixture, ev *msg.RequestArrived) { ev.Model = "orders" }, http.StatusNotFound, CodeUnknownRoute},
+		{"unknown operation", func(_ *fixture, ev *msg.RequestArrived) {
+			*ev = service
+			ev.Method = "PUT"
+		}, http.StatusNotFound, CodeUnknownOperation},
+		{"no idempotency key", func(_ *fixture, ev *msg.RequestArrived) {
+			*ev = service
+			ev.Method, ev.Path = "POST", "/orders"
+		}, http.StatusBadRequest, CodeKeyRequired},
+		{"stale configuration", func(f *fixture, _ *msg.RequestArrived) { f.now = 2 * time.Hour }, http.StatusServiceUnavailable, CodeStaleConfig},
+		{"stopping", func(f *fixture, _ *msg.RequestArrived) { f.do(msg.StopRequested{}) }, http.StatusServiceUnavailable, CodeStopping},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture("t1")
+			ev := valid
+			c.change(f, &ev)
+			f.do(ev)
+			ref := find[msg.RefuseRequest](t, f)
+			is.Equal(ref.Status, c.status)
+			is.Equal(Code(ref.Code), c.code)
+			is.Equal(ref.Outcome, msg.OutcomeNotRun)
+			is.True(f.Idle())
+		})
+	}
+}
+
+func TestClaimDecidesNonIdempotentRequest(t *testing.T) {
+	cases := []struct {
+		status  msg.ClaimStatus
+		http    int
+		outcome msg.Outcome
+	}{
+		{msg.ClaimRunning, http.StatusConflict, msg.OutcomeUnknown},
+		{msg.ClaimMismatch, http.StatusUnprocessableEntity, msg.OutcomeNotRun},
+		{msg.ClaimUnknown, http.StatusConflict, msg.OutcomeUnknown},
+		{msg.ClaimUnavailable, http.StatusServiceUnavailable, msg.OutcomeNotRun},
+	}
+	for _, c := range cases {
+		is := is.New(t)
+		f := newFixture()
+		f.report("b1", "booking", msg.TargetService)
+		f.order("r1", "key")
+		is.Equal(find[msg.ClaimWanted](t, f).Key, "key")
+		is.Equal(len(f.effects), 0) // nothing starts before the claim
+		f.do(msg.ClaimSettled{Req: "r1", Status: c.status})
+		ref := find[msg.RefuseRequest](t, f)
+		is.Equal(ref.Status, c.http)
+		is.Equal(ref.Outcome, c.outcome)
+		is.True(f.Idle())
+	}
+}
+
+func TestKeptAnswerIsReplayed(t *testing.T) {
+	is := is.New(t)
+	f := newFixture()
+	f.report("b1", "booking", msg.TargetService)
+	f.order("r1", "key")
+	answer := msg.KeptAnswer{Status: 201, Body: []byte("x")}
+	f.do(msg.ClaimSettled{Req: "r1", Status: msg.ClaimDone, Answer: &answer})
+	is.Equal(find[msg.ReplayAnswer](t, f).Answer, answer)
+	is.True(f.Idle())
+}
+
+// A claimed request that may have run is never started a second time.
+func TestLostClaimedRequestIsNotRetried(t *testing.T) {
+	is := is.New(t)
+	f := newFixture()
+	f.report("b1", "booking", msg.TargetService)
+	f.report("b2", "booking", msg.TargetService)
+	f.order("r1", "key")
+	f.do(msg.ClaimSettled{Req: "r1", Status: msg.ClaimGranted})
+	start := find[msg.StartAttempt](t, f)
+	f.do(msg.AttemptEnded{Attempt: start.Attempt, Result: msg.AttemptNotRun})
+	start = find[msg.StartAttempt](t, f) // certainly not run: may start elsewhere
+	f.do(msg.AttemptEnded{Attempt: start.Attempt, Result: msg.AttemptLost})
+	is.Equal(find[msg.RefuseRequest](t, f).Outcome, msg.OutcomeUnknown)
+	is.Equal(find[msg.RequestEnded](t, f).Outcome, msg.OutcomeUnknown)
+}
+
+// A claimed request runs on without its caller, so that its answer is kept.
+func TestClaimedRequestSurvivesItsCaller(t *testing.T) {
+	is := is.New(t)
+	f := newFixture()
+	f.report("b1", "booking", msg.TargetService)
+	f.order("r1", "key")
+	f.do(msg.ClaimSettled{Req: "r1", Status: msg.ClaimGranted})
+	start := find[msg.StartAttempt](t, f)
+	f.do(msg.CallerGone{Req: "r1"})
+	is.Equal(len(f.effects), 0)
+	answer := &msg.KeptAnswer{Status: 200}
+	f.do(msg.AttemptEnded{Attempt: start.Attempt, Result: msg.AttemptDone, Answer: answer})
+	is.Equal(find[msg.RequestEnded](t, f), msg.RequestEnded{Req: "r1", Account: "north", Outcome: msg.OutcomeRun, Answer: answer})
+}
+
+// A claim that is granted after its request ended is given back as not run.
+func TestLateClaimIsReleased(t *testing.T) {
+	is := is.New(t)
+	f := newFixture()
+	f.order("r1", "key")
+	f.do(msg.CallerGone{Req: "r1"})
+	f.do(msg.ClaimSettled{Req: "r1", Status: msg.ClaimGranted})
+	is.Equal(find[msg.RequestEnded](t, f).Outcome, msg.OutcomeNotRun)
+}
+
+func TestStreamResumesOnAnotherTarget(t *testing.T) {
+	for _, result := range []msg.AttemptResult{msg.AttemptMoved, msg.AttemptCrashed, msg.AttemptLost} {
+		is := is.New(t)
+		f := newFixture("t1", "t2")
+		f.chat("r1")
+		first := find[msg.StartAttempt](t, f)
+		f.do(msg.AttemptProgress{Attempt: first.Attempt, Tokens: 7})
+		f.do(msg.AttemptEnded{Attempt: first.Attempt, Result: result})
+		second := find[msg.StartAttempt](t, f)
+		is.True(second.Target != first.Target)
+		is.True(second.Attempt != first.Attempt)
+		f.do(msg.AttemptEnded{Attempt: first.Attempt, Result: msg.AttemptDone}) // late and crossed
+		is.Equal(len(f.effects), 0)
+	}
+}
+
+func TestCallerGoneCancelsAttempt(t *testing.T) {
+	is := is.New(t)
+	f := newFixture("t1")
+	f.chat("r1")
+	start := find[msg.StartAttempt](t, f)
+	f.do(msg.CallerGone{Req: "r1"})
+	is.Equal(find[msg.CancelAttempt](t, f).Attempt, start.Attempt)
+	f.do(msg.AttemptEnded{Attempt: start.Attempt, Result: msg.AttemptCancelled, Usage: msg.TokenUsage{Generated: 3}})
+	is.Equal(find[msg.UsageCounted](t, f).Usage.Generated, int64(3))
+	is.True(f.Idle())
+}
+
+func TestTimeoutOfRunningRequestIsNotCalledNotRun(t *testing.T) {
+	is := is.New(t)
+	f := newFixture("t1")
+	f.chat("r1")
+	start := find[msg.StartAttempt](t, f)
+	f.tick(20 * time.Second)
+	ref := find[msg.RefuseRequest](t, f)
+	is.Equal(ref.Status, http.StatusGatewayTimeout)
+	is.Equal(ref.Outcome, msg.OutcomeUnknown)
+	is.Equal(find[msg.CancelAttempt](t, f).Attempt, start.Attempt)
+}
+
+func TestQueuedRequestStartsWhenTargetAppears(t *testing.T) {
+	is := is.New(t)
+	f := newFixture()
+	f.chat("r1")
+	is.Equal(len(f.effects), 0)
+	f.report("t1", "engines", msg.TargetEngine)
+	is.Equal(find[msg.StartAttempt](t, f).Req, msg.RequestID("r1"))
+}
+
+func TestQueuedRequestIsRefusedInTime(t *testing.T) {
+	is := is.New(t)
+	f := newFixture()
+	f.chat("r1")
+	f.tick(urgentWait)
+	ref := find[msg.RefuseRequest](t, f)
+	is.Equal(ref.Outcome, msg.OutcomeNotRun)
+	is.True(ref.RetryAfter > 0)
+}
+
+func TestWithdrawnKeyEndsStream(t *testing.T) {
+	is := is.New(t)
+	f := newFixture("t1")
+	f.chat("r1")
+	start := find[msg.StartAttempt](t, f)
+	f.do(msg.AttemptProgress{Attempt: start.Attempt, Tokens: 2})
+	m := testManifest()
+	m.Accounts[0].Keys = nil
+	f.do(msg.ConfigChanged{Generation: 2, Index: manifest.NewIndex(m)})
+	is.Equal(Code(find[msg.AbortRequest](t, f).Code), CodeKeyWithdrawn)
+	is.Equal(find[msg.CancelAttempt](t, f).Attempt, start.Attempt)
+}
