--- /dev/null
+++ b/internal/manifest/decode_test.go
@@ -0,0 +1,99 @@
+package manifest
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// zeros stands for the hash of a key.
+const zeros = "0000000000000000000000000000000000000000000000000000000000000000"
+
+const valid = `apiVersion: verbenaspur/v1
+deployment: test
+models:
+  - {name: m, version: v1, adapters: [a]}
+pools:
+  - name: p
+    kind: engines
+    model: m
+    shape:
+      - {failureDomain: fd-a, min: 1, max: 2}
+routes:
+  - {name: r, pool: p, access: keyed, class: urgent, timeout: 10s}
+accounts:
+  - name: acc
+    weight: 1
+    keys:
+      - {id: k1, hash: "` + zeros + `"}
+`
+
+func TestDecodeValid(t *testing.T) {
+	is := is.New(t)
+	m, err := Decode([]byte(valid))
+	is.NoErr(err)
+	is.Equal(m.Routes[0].Timeout.String(), "10s")
+	is.Equal(m.Accounts[0].Keys[0].ID, "k1")
+}
+
+func TestDecodeFaults(t *testing.T) {
+	tests := []struct{ name, old, new, want string }{
+		{"unknown field", "kind: engines", "kind: engines\n    colour: red", `line 8, column 5: $.pools[0].colour: unknown field "colour"`},
+		{"repeated field", "    model: m", "    model: m\n    model: m", "line 9, column 5"},
+		{"bad name", "deployment: test", "deployment: Te_st", `line 2, column 1: $.deployment: "Te_st" is not a name`},
+		{"missing field", "    weight: 1\n", "", "line 14, column 5: $.accounts[0].weight: 0 must be more than 0"},
+		{"missing list", "access: keyed, ", "", "$.routes[0].access: is missing"},
+		{"wrong unit", "timeout: 10s", "timeout: 10", "a duration with a unit"},
+		{"wrong type", "min: 1", "min: one", "line 10, column 36: $.pools[0].shape[0].min"},
+		{"out of range", "max: 2", "max: 0", "$.pools[0].shape[0].max: 0 must be at least the field Min"},
+		{"wrong value", "class: urgent", "class: soon", `"soon" is none of: urgent ordinary may-wait`},
+		{"dangling pool", "pool: p", "pool: q", `line 12, column 15: $.routes[0].pool: no pool is called "q"`},
+		{"dangling model", "    model: m", "    model: n", `line 8, column 5: $.pools[0].model: no model is called "n"`},
+		{"dangling adapter", "timeout: 10s", "timeout: 10s, adapter: z", `model "m" has no adapter "z"`},
+		{"dangling account", "timeout: 10s", "timeout: 10s, accounts: [x]", `$.routes[0].accounts[0]: no account is called "x"`},
+		{"duplicate model", "  - {name: m,", "  - {name: m, version: v0}\n  - {name: m,", `$.models[1].name: model "m" stands twice`},
+		{"duplicate key", "      - {id: k1", "      - {id: k1, hash: '" + zeros + "'}\n      - {id: k1", `key "k1" stands twice`},
+		{"public with accounts", "access: keyed", "access: public, accounts: [acc]", "it lists no accounts"},
+		{"alias", "adapters: [a]", "adapters: &x [a]", "anchors and aliases are not taken"},
+		{"second document", "apiVersion", "a: b\n---\napiVersion", "more than one YAML document"},
+		{"other version", "verbenaspur/v1", "verbenaspur/v2", `"verbenaspur/v2" must be verbenaspur/v1`},
+		{"syntax", "deployment: test", "deployment: [", "line "},
+		{"empty", valid, "", "is missing"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			m, err := Decode([]byte(strings.Replace(valid, tt.old, tt.new, 1)))
+			is.True(m == nil)
+			is.True(err != nil)
+			if !strings.Contains(err.Error(), tt.want) {
+				t.Fatalf("got  %v\nwant %s", err, tt.want)
+			}
+		})
+	}
+}
+
+func TestDecodeTooLarge(t *testing.T) {
+	is := is.New(t)
+	_, err := Decode([]byte(valid + strings.Repeat("#", MaxSize)))
+	is.Equal(err, ErrTooLarge)
+}
+
+func TestExamplesAreValid(t *testing.T) {
+	files, err := filepath.Glob("../../examples/*.yaml")
+	if err != nil || len(files) == 0 {
+		t.Fatalf("no examples: %v", err)
+	}
+	for _, f := range files {
+		t.Run(filepath.Base(f), func(t *testing.T) {
+			is := is.New(t)
+			b, err := os.ReadFile(f)
+			is.NoErr(err)
+			_, err = Decode(b)
+			is.NoErr(err)
+		})
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -5,10 +5,9 @@
 	"os"
 
 	"github.com/cockroachdb/errors"
-	"github.com/go-playground/validator/v10"
-	"github.com/goccy/go-yaml"
 
 	"github.com/verbenaspur/verbenaspur/internal/manifest"
+	"github.com/verbenaspur/verbenaspur/internal/strictyaml"
 )
 
 // Role selects what a daemon does.
@@ -118,11 +117,22 @@
 // Decode reads and checks settings.
 func Decode(b []byte) (*Settings, error) {
 	s := Settings{Log: Log{Format: "text", Level: "info"}}
-	if err := yaml.UnmarshalWithOptions(b, &s, yaml.Strict()); err != nil {
-		return nil, errors.Wrap(err, "settings")
-	}
-	if err := validator.New(validator.WithRequiredStructEnabled()).Struct(&s); err != nil {
+	if err := strictyaml.Decode(b, &s, check); err != nil {
 		return nil, errors.Wrap(err, "settings")
 	}
 	return &s, nil
 }
+
+func check(s *Settings) []strictyaml.Fault {
+	var faults []strictyaml.Fault
+	if s.Role == RoleEntry && s.Listen.HTTP == "" {
+		faults = append(faults, strictyaml.Fault{Path: "$.listen.http", Message: "is missing; an entry serves callers there"})
+	}
+	if s.Role == RoleEntry && s.Target != nil {
+		faults = append(faults, strictyaml.Fault{Path: "$.target", Message: "an entry has no target"})
+	}
+	if (s.TLS.HTTPCert == "") != (s.TLS.HTTPKey == "") {
+		faults = append(faults, strictyaml.Fault{Path: "$.tls", Message: "httpCert and httpKey are given together or not at all"})
+	}
+	return faults
+}
