claim: at-most-once claims by group commit

A claim on (account, route, key) is committed to one of 16 ledger objects before the first attempt; one conditional write in flight per object carries all claims and completions that queued up. Late writes of claims that were refused are fenced and released. Expired keys stay known by fingerprint; version 7 UUID keys are refused by their age.

--- /dev/null
+++ b/internal/core/claim/claim.go
@@ -0,0 +1,354 @@
+// Package claim is the part of an entry's reducer that makes a non-idempotent
+// request run at most once.
+//
+// Before the first attempt of such a request, a claim on its idempotency key
+// is committed to the platform. Claims are spread over [Shards] ledger
+// objects by the hash of account, route and key. Each object has one
+// conditional write in flight at a time, which carries all claims and
+// completions that have queued up meanwhile (group commit).
+//
+// A claim is granted only after the write that holds it took effect. A request
+// whose claim is not settled in time is told that nothing ran; if its write
+// takes effect later, the record is released by its holder, and until then it
+// only blocks resends.
+package claim
+
+import (
+	"fmt"
+	"strconv"
+	"time"
+
+	"github.com/verbenaspur/verbenaspur/internal/core/msg"
+	"github.com/verbenaspur/verbenaspur/internal/core/store"
+)
+
+const (
+	// Shards is the number of ledger objects. A key is found by this number,
+	// so it is fixed for the life of a deployment.
+	Shards = 16
+
+	claimTimeout = 2 * time.Second
+	retryMin     = 50 * time.Millisecond
+	retryMax     = 2 * time.Second
+	maxQueued    = 4096
+	logPart      = "claim"
+)
+
+// Mutation switches a safeguard off. Only the proof of the safeguards uses it.
+type Mutation uint8
+
+// Mutations.
+const (
+	// MutateNothing keeps all safeguards.
+	MutateNothing Mutation = iota
+	// MutateGrantEarly grants a claim before its write took effect.
+	MutateGrantEarly
+	// MutateIgnoreRecords grants a claim that an earlier request holds.
+	MutateIgnoreRecords
+	// MutateReleaseUnknown releases claims of requests that may have run.
+	MutateReleaseUnknown
+)
+
+// Config configures the part.
+type Config struct {
+	Mutation Mutation
+}
+
+// Part keeps the claims of one entry.
+type Part struct {
+	cfg    Config
+	self   holder
+	wall   time.Time
+	store  *store.Client
+	shards [Shards]*shard
+	// held has the claims of this process that are not yet completed at the
+	// platform.
+	held    map[msg.RequestID]*claim
+	byKey   map[keyID]*claim
+	entries map[msg.HostID]bool
+	counts  Counts
+}
+
+// Counts are totals since the process started.
+type Counts struct {
+	Granted     uint64 `json:"granted"`
+	Refused     uint64 `json:"refused"`
+	Unavailable uint64 `json:"unavailable"`
+	Reads       uint64 `json:"reads"`
+	Writes      uint64 `json:"writes"`
+	Conflicts   uint64 `json:"conflicts"`
+}
+
+// Status is what operators see of the claims.
+type Status struct {
+	Queued int    `json:"queued"`
+	Held   int    `json:"held"`
+	Counts Counts `json:"counts"`
+}
+
+// phase is how far a claim of this process has come.
+type phase uint8
+
+const (
+	// phaseQueued waits for a write.
+	phaseQueued phase = iota
+	// phaseWriting is in the write in flight.
+	phaseWriting
+	// phaseGranted may run.
+	phaseGranted
+	// phaseEnding waits for its completion to be written.
+	phaseEnding
+)
+
+// claim is a claim that this process makes or holds.
+type claim struct {
+	want     msg.ClaimWanted
+	key      keyID
+	mark     fingerprint
+	body     string
+	phase    phase
+	deadline msg.Time
+	// reread is set once the ledger was read after the claim was queued.
+	reread bool
+	// settled is set once the request was told.
+	settled bool
+	ending  *ending
+}
+
+// ending is a completion that has to be written.
+type ending struct {
+	state   state
+	release bool
+	answer  *msg.KeptAnswer
+	// fence is the version that the ledger must have left before a record that
+	// is not there can no longer appear.
+	fence msg.Version
+}
+
+// New returns the part.
+func New(cfg Config) *Part {
+	p := &Part{cfg: cfg, held: make(map[msg.RequestID]*claim), byKey: make(map[keyID]*claim)}
+	for i := range p.shards {
+		p.shards[i] = newShard(uint64(i))
+	}
+	return p
+}
+
+// Step takes one event.
+func (p *Part) Step(now msg.Time, ev msg.Event) []msg.Effect {
+	if started, ok := ev.(msg.Started); ok {
+		return p.start(now, started)
+	}
+	if p.store == nil {
+		return nil
+	}
+	results, effs := p.store.Step(now, ev)
+	for _, r := range results {
+		effs = append(effs, p.onResult(now, r)...)
+	}
+	switch ev := ev.(type) {
+	case msg.Tick:
+		p.wall = ev.Wall
+		effs = append(effs, p.onTick(now)...)
+	case msg.MembersChanged:
+		p.onMembers(ev)
+	case msg.ClaimWanted:
+		effs = append(effs, p.onWanted(now, ev)...)
+	case msg.RequestEnded:
+		effs = append(effs, p.onEnded(now, ev)...)
+	}
+	return effs
+}
+
+// Status returns the part's state for operators.
+func (p *Part) Status(msg.Time) Status {
+	st := Status{Held: len(p.held), Counts: p.counts}
+	for _, s := range p.shards {
+		st.Queued += len(s.queue)
+	}
+	return st
+}
+
+// start reads every ledger, so that claims of earlier processes of this host
+// are marked as lost and the first request finds the ledger at hand.
+func (p *Part) start(now msg.Time, ev msg.Started) []msg.Effect {
+	p.self = holder{Host: ev.Self.Host, Incarnation: ev.Incarnation}
+	p.wall = ev.Wall
+	p.store = store.New(store.PartClaim, string(p.self.Host)+"/"+string(p.self.Incarnation))
+	var effs []msg.Effect
+	for _, s := range p.shards {
+		s.wantRead = true
+		effs = append(effs, p.advance(now, s)...)
+	}
+	return effs
+}
+
+func (p *Part) onMembers(ev msg.MembersChanged) {
+	p.entries = make(map[msg.HostID]bool, len(ev.Entries))
+	for _, h := range ev.Entries {
+		p.entries[h.Host] = true
+	}
+}
+
+func (p *Part) onWanted(now msg.Time, w msg.ClaimWanted) []msg.Effect {
+	key, mark := newKeyID(w)
+	c := &claim{want: w, key: key, mark: mark, body: bodyID(w.Body), deadline: now + claimTimeout}
+	if at, ok := keyTime(w.Key); ok && p.wall.Sub(at) > retention {
+		return p.settle(c, msg.ClaimExpired, nil)
+	}
+	s := p.shardOf(c)
+	if len(s.queue) >= maxQueued {
+		return p.settle(c, msg.ClaimUnavailable, nil)
+	}
+	p.held[w.Req] = c
+	s.queue = append(s.queue, c)
+	if p.cfg.Mutation == MutateGrantEarly {
+		return append(p.settle(c, msg.ClaimGranted, nil), p.advance(now, s)...)
+	}
+	return p.advance(now, s)
+}
+
+func (p *Part) onEnded(now msg.Time, ev msg.RequestEnded) []msg.Effect {
+	c := p.held[ev.Req]
+	if c == nil || c.ending != nil {
+		return nil
+	}
+	s := p.shardOf(c)
+	c.settled = true
+	if c.phase == phaseQueued {
+		s.remove(c)
+		p.forget(c)
+		return nil
+	}
+	c.ending = p.endingOf(ev)
+	if c.phase == phaseWriting {
+		return nil
+	}
+	c.phase = phaseEnding
+	s.endings = append(s.endings, c)
+	return p.advance(now, s)
+}
+
+func (p *Part) endingOf(ev msg.RequestEnded) *ending {
+	switch ev.Outcome {
+	case msg.OutcomeNotRun:
+		return &ending{release: true}
+	case msg.OutcomeRun:
+		return &ending{state: stateDone, answer: boundedAnswer(ev.Answer)}
+	}
+	if p.cfg.Mutation == MutateReleaseUnknown {
+		return &ending{release: true}
+	}
+	return &ending{state: stateUnknown}
+}
+
+// boundedAnswer returns the answer if it is small enough to be kept.
+func boundedAnswer(a *msg.KeptAnswer) *msg.KeptAnswer {
+	if a == nil || len(a.Body)+len(a.ContentType) > maxAnswerBytes {
+		return nil
+	}
+	return a
+}
+
+func (p *Part) onTick(now msg.Time) []msg.Effect {
+	var effs []msg.Effect
+	for _, s := range p.shards {
+		effs = append(effs, p.expireQueued(now, s)...)
+		effs = append(effs, p.advance(now, s)...)
+	}
+	return effs
+}
+
+// expireQueued settles the claims whose time is up. A claim that is not yet in
+// a write is forgotten; one in a write is released once the write is settled.
+func (p *Part) expireQueued(now msg.Time, s *shard) []msg.Effect {
+	var effs []msg.Effect
+	keep := s.queue[:0]
+	for _, c := range s.queue {
+		if now < c.deadline {
+			keep = append(keep, c)
+			continue
+		}
+		status, answer := p.lastKnown(s, c)
+		effs = append(effs, p.settle(c, status, answer)...)
+		p.forget(c)
+	}
+	s.queue = keep
+	for _, c := range s.writing {
+		if now >= c.deadline && !c.settled {
+			effs = append(effs, p.settle(c, msg.ClaimUnavailable, nil)...)
+			c.ending = &ending{release: true}
+		}
+	}
+	return effs
+}
+
+// lastKnown is the status of a claim that could not be made in time. A key that
+// was in use when the ledger was last seen may belong to a request that ran.
+func (p *Part) lastKnown(s *shard, c *claim) (msg.ClaimStatus, *msg.KeptAnswer) {
+	r, found := s.ledger.records[c.key]
+	switch {
+	case !found:
+		return msg.ClaimUnavailable, nil
+	case r.Body != c.body:
+		return msg.ClaimMismatch, nil
+	case r.State == stateDone:
+		return msg.ClaimDone, r.Answer
+	}
+	return msg.ClaimUnknown, nil
+}
+
+// settle tells the request what became of its claim, once.
+func (p *Part) settle(c *claim, status msg.ClaimStatus, answer *msg.KeptAnswer) []msg.Effect {
+	if c.settled {
+		return nil
+	}
+	c.settled = true
+	p.count(status)
+	effs := []msg.Effect{msg.Raise{Event: msg.ClaimSettled{Req: c.want.Req, Status: status, Answer: answer}}}
+	if status == msg.ClaimUnavailable {
+		effs = append(effs, logLine(msg.LogWarn, "no claim could be made in time", c))
+	}
+	return effs
+}
+
+func (p *Part) count(status msg.ClaimStatus) {
+	switch status {
+	case msg.ClaimGranted:
+		p.counts.Granted++
+	case msg.ClaimUnavailable:
+		p.counts.Unavailable++
+	default:
+		p.counts.Refused++
+	}
+}
+
+// forget drops a claim that has nothing left to be written.
+func (p *Part) forget(c *claim) {
+	if p.held[c.want.Req] == c {
+		delete(p.held, c.want.Req)
+	}
+	if p.byKey[c.key] == c {
+		delete(p.byKey, c.key)
+	}
+}
+
+func (p *Part) shardOf(c *claim) *shard { return p.shards[c.mark%Shards] }
+
+// lost reports whether a claim's holder is known to be gone.
+func (p *Part) lost(r record) bool {
+	if r.Holder.Host == p.self.Host {
+		return r.Holder != p.self || p.held[r.Req] == nil
+	}
+	return p.entries != nil && !p.entries[r.Holder.Host]
+}
+
+func logLine(level msg.LogLevel, text string, c *claim) msg.LogLine {
+	return msg.LogLine{Part: logPart, Level: level, Text: text, Attrs: []msg.Attr{
+		{Key: "request", Value: string(c.want.Req)},
+		{Key: "account", Value: string(c.want.Account)},
+		{Key: "shard", Value: strconv.Itoa(int(c.mark % Shards))},
+	}}
+}
+
+func objectName(shard uint64) string { return fmt.Sprintf("claims/%03d", shard) }
--- /dev/null
+++ b/internal/core/claim/claim_test.go
@@ -0,0 +1,255 @@
+package claim
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/verbenaspur/verbenaspur/internal/core/coretest"
+	"github.com/verbenaspur/verbenaspur/internal/core/msg"
+)
+
+var testWall = time.Date(2026, 1, 10, 0, 0, 0, 0, time.UTC)
+
+// node is one entry with a claim part. Calls to the platform are answered at
+// once, unless intercept answers them.
+type node struct {
+	part      *Part
+	objects   *coretest.Objects
+	now       msg.Time
+	wall      time.Time
+	settled   map[msg.RequestID]msg.ClaimSettled
+	intercept func(msg.Effect) (msg.Event, bool)
+}
+
+func newNode(objects *coretest.Objects, host, incarnation string) *node {
+	n := &node{part: New(Config{}), objects: objects, wall: testWall, settled: make(map[msg.RequestID]msg.ClaimSettled)}
+	n.step(msg.Started{Self: msg.Self{Host: msg.HostID(host)}, Incarnation: msg.Incarnation(incarnation), Wall: testWall})
+	return n
+}
+
+func (n *node) step(ev msg.Event) {
+	queue := []msg.Event{ev}
+	for ; len(queue) > 0; queue = queue[1:] {
+		for _, eff := range n.part.Step(n.now, queue[0]) {
+			if done, ok := n.carryOut(eff); ok {
+				queue = append(queue, done)
+			}
+		}
+	}
+}
+
+func (n *node) carryOut(eff msg.Effect) (msg.Event, bool) {
+	if raise, ok := eff.(msg.Raise); ok {
+		if s, ok := raise.Event.(msg.ClaimSettled); ok {
+			n.settled[s.Req] = s
+		}
+		return nil, false
+	}
+	if n.intercept != nil {
+		if ev, ok := n.intercept(eff); ok {
+			return ev, ev != nil
+		}
+	}
+	return n.objects.Do(eff)
+}
+
+func (n *node) advance(d time.Duration) {
+	for end := n.now + d; n.now < end; {
+		n.now += msg.TickInterval
+		n.wall = n.wall.Add(msg.TickInterval)
+		n.step(msg.Tick{Wall: n.wall})
+	}
+}
+
+func (n *node) claim(req, key string, body byte) msg.ClaimSettled {
+	n.step(msg.ClaimWanted{Req: msg.RequestID(req), Account: "a", Route: "r", Key: key, Body: msg.BodyHash{body}})
+	return n.settled[msg.RequestID(req)]
+}
+
+func (n *node) end(req string, o msg.Outcome, answer *msg.KeptAnswer) {
+	n.step(msg.RequestEnded{Req: msg.RequestID(req), Account: "a", Outcome: o, Answer: answer})
+}
+
+// out makes the platform unreachable; calls have no effect.
+func (n *node) out() {
+	n.intercept = func(eff msg.Effect) (msg.Event, bool) { return coretest.Failed(eff, msg.CallUnavailable) }
+}
+
+func TestResendFindsTheClaim(t *testing.T) {
+	is := is.New(t)
+	objects := coretest.NewObjects()
+	a, b := newNode(objects, "a", "1"), newNode(objects, "b", "1")
+
+	is.Equal(a.claim("r1", "k", 1).Status, msg.ClaimGranted)
+	is.Equal(a.claim("r2", "k", 1).Status, msg.ClaimRunning)
+	is.Equal(b.claim("r3", "k", 1).Status, msg.ClaimRunning)
+	is.Equal(b.claim("r4", "k", 2).Status, msg.ClaimMismatch)
+
+	a.end("r1", msg.OutcomeRun, &msg.KeptAnswer{Status: 201, Body: []byte("ok")})
+	got := b.claim("r5", "k", 1)
+	is.Equal(got.Status, msg.ClaimDone)
+	is.Equal(string(got.Answer.Body), "ok")
+	is.Equal(b.claim("r6", "k", 2).Status, msg.ClaimMismatch)
+}
+
+func TestNotRunReleasesTheClaimAndUnknownKeepsIt(t *testing.T) {
+	is := is.New(t)
+	objects := coretest.NewObjects()
+	a, b := newNode(objects, "a", "1"), newNode(objects, "b", "1")
+
+	is.Equal(a.claim("r1", "k", 1).Status, msg.ClaimGranted)
+	a.end("r1", msg.OutcomeNotRun, nil)
+	is.Equal(b.claim("r2", "k", 1).Status, msg.ClaimGranted)
+	b.end("r2", msg.OutcomeUnknown, nil)
+	is.Equal(a.claim("r3", "k", 1).Status, msg.ClaimUnknown)
+}
+
+func TestClaimOfLostHolderIsUnknown(t *testing.T) {
+	is := is.New(t)
+	objects := coretest.NewObjects()
+	a, b := newNode(objects, "a", "1"), newNode(objects, "b", "1")
+	is.Equal(a.claim("r1", "k", 1).Status, msg.ClaimGranted)
+
+	b.step(msg.MembersChanged{Entries: []msg.Host{{Host: "b"}}})
+	is.Equal(b.claim("r2", "k", 1).Status, msg.ClaimUnknown)
+
+	successor := newNode(objects, "a", "2")
+	is.Equal(successor.claim("r3", "k", 1).Status, msg.ClaimUnknown)
+}
+
+func TestStoreOutIsUnavailableInBoundedTime(t *testing.T) {
+	is := is.New(t)
+	objects := coretest.NewObjects()
+	a := newNode(objects, "a", "1")
+	a.out()
+	is.Equal(len(a.settled), 0)
+	a.claim("r1", "k", 1)
+	a.advance(claimTimeout + msg.TickInterval)
+	is.Equal(a.settled["r1"].Status, msg.ClaimUnavailable)
+
+	a.intercept = nil
+	a.advance(retryMax)
+	is.Equal(a.claim("r2", "k", 1).Status, msg.ClaimGranted)
+}
+
+// A write whose answer is lost may take effect after its request was told that
+// nothing ran. The key has to become free again.
+func TestWriteThatTakesEffectAfterTheDeadlineIsReleased(t *testing.T) {
+	is := is.New(t)
+	objects := coretest.NewObjects()
+	a := newNode(objects, "a", "1")
+	var late msg.Effect
+	a.intercept = func(eff msg.Effect) (msg.Event, bool) {
+		if _, ok := eff.(msg.PutObject); ok && late == nil {
+			late = eff
+			return coretest.Failed(eff, msg.CallUnknown)
+		}
+		return coretest.Failed(eff, msg.CallUnavailable)
+	}
+	a.claim("r1", "k", 1)
+	a.advance(claimTimeout + msg.TickInterval)
+	is.Equal(a.settled["r1"].Status, msg.ClaimUnavailable)
+	a.advance(time.Minute)
+	_, ok := objects.Do(late)
+	is.True(ok)
+
+	a.intercept = nil
+	a.advance(2 * retryMax)
+	is.Equal(a.part.Status(a.now).Held, 0)
+	b := newNode(objects, "b", "1")
+	is.Equal(b.claim("r2", "k", 1).Status, msg.ClaimGranted)
+}
+
+func TestLostAnswerToACommitStillGrants(t *testing.T) {
+	is := is.New(t)
+	objects := coretest.NewObjects()
+	a := newNode(objects, "a", "1")
+	lost := false
+	a.intercept = func(eff msg.Effect) (msg.Event, bool) {
+		if _, ok := eff.(msg.PutObject); ok && !lost {
+			lost = true
+			objects.Do(eff)
+			return coretest.Failed(eff, msg.CallUnknown)
+		}
+		return nil, false
+	}
+	a.claim("r1", "k", 1)
+	a.advance(time.Second)
+	is.Equal(a.settled["r1"].Status, msg.ClaimGranted)
+	is.Equal(newNode(objects, "b", "1").claim("r2", "k", 1).Status, msg.ClaimRunning)
+}
+
+func TestOneWriteCarriesManyClaims(t *testing.T) {
+	is := is.New(t)
+	objects := coretest.NewObjects()
+	a := newNode(objects, "a", "1")
+	var held []msg.Event
+	a.intercept = func(eff msg.Effect) (msg.Event, bool) {
+		ev, ok := objects.Do(eff)
+		if ok {
+			held = append(held, ev)
+		}
+		return nil, ok
+	}
+	const claims = 1000
+	for i := range claims {
+		a.claim(fmt.Sprint("r", i), fmt.Sprint("k", i), 1)
+	}
+	for len(held) > 0 {
+		ev := held[0]
+		held = held[1:]
+		a.step(ev)
+	}
+	is.Equal(a.part.counts.Granted, uint64(claims))
+	is.True(objects.Writes <= 2*Shards) // the first claim of a shard, then the rest
+}
+
+func TestExpiredKeyNeverRunsAgainUnnoticed(t *testing.T) {
+	is := is.New(t)
+	objects := coretest.NewObjects()
+	a := newNode(objects, "a", "1")
+	is.Equal(a.claim("r1", "k", 1).Status, msg.ClaimGranted)
+	a.end("r1", msg.OutcomeRun, nil)
+
+	a.wall = a.wall.Add(retention + time.Hour)
+	a.advance(msg.TickInterval)
+	mark := a.part.shards
+	for i := range mark { // a claim on every shard expires the old ones
+		a.claim(fmt.Sprint("x", i), keyOnShard(uint64(i)), 1)
+	}
+	is.Equal(a.claim("r2", "k", 1).Status, msg.ClaimExpired)
+}
+
+func TestOldTimedKeyIsRefused(t *testing.T) {
+	is := is.New(t)
+	a := newNode(coretest.NewObjects(), "a", "1")
+	is.Equal(a.claim("r1", "018bcfe5-6800-7000-8000-000000000001", 1).Status, msg.ClaimExpired) // November 2023
+	is.Equal(a.claim("r2", "018bcfe5-6800-4000-8000-000000000001", 1).Status, msg.ClaimGranted) // version 4
+}
+
+func TestLedgerStaysWithinItsBound(t *testing.T) {
+	is := is.New(t)
+	l := newLedger()
+	answer := &msg.KeptAnswer{Body: make([]byte, maxAnswerBytes)}
+	for i := range 200 {
+		k := keyID(fmt.Sprint(i))
+		l.records[k] = record{Key: k, State: stateDone, At: int64(i), Answer: answer}
+	}
+	l.shrink()
+	is.True(l.size() <= maxLedgerBytes)
+	is.Equal(len(l.records), 200)
+	is.Equal(l.records["0"].Answer, nil)
+	is.True(l.records["199"].Answer != nil)
+}
+
+func keyOnShard(shard uint64) string {
+	for i := 0; ; i++ {
+		key := fmt.Sprint("shard-", i)
+		if _, mark := newKeyID(msg.ClaimWanted{Account: "a", Route: "r", Key: key}); uint64(mark)%Shards == shard {
+			return key
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/claim/key.go
@@ -0,0 +1,62 @@
+package claim
+
+import (
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/binary"
+	"encoding/hex"
+	"strings"
+	"time"
+
+	"github.com/verbenaspur/verbenaspur/internal/core/msg"
+)
+
+const (
+	keyIDBytes  = 16
+	bodyIDBytes = 16
+)
+
+// keyID identifies the idempotency key of one account on one route.
+type keyID string
+
+// fingerprint is a short form of a keyID, kept after its claim has expired.
+type fingerprint uint64
+
+func newKeyID(w msg.ClaimWanted) (keyID, fingerprint) {
+	h := sha256.New()
+	for _, part := range []string{string(w.Account), string(w.Route), w.Key} {
+		var size [8]byte
+		binary.BigEndian.PutUint64(size[:], uint64(len(part)))
+		h.Write(size[:])
+		h.Write([]byte(part))
+	}
+	sum := h.Sum(nil)
+	return keyID(base64.RawURLEncoding.EncodeToString(sum[:keyIDBytes])), fingerprint(binary.BigEndian.Uint64(sum))
+}
+
+func (k keyID) fingerprint() fingerprint {
+	b, err := base64.RawURLEncoding.DecodeString(string(k))
+	if err != nil || len(b) < 8 {
+		return 0
+	}
+	return fingerprint(binary.BigEndian.Uint64(b))
+}
+
+func bodyID(b msg.BodyHash) string {
+	return base64.RawURLEncoding.EncodeToString(b[:bodyIDBytes])
+}
+
+// keyTime returns the time inside a version 7 UUID. Keys of other forms
+// carry none.
+func keyTime(key string) (time.Time, bool) {
+	const uuidBytes, versionByte, variantByte = 16, 6, 8
+	if len(key) != 36 || key[8] != '-' || key[13] != '-' || key[18] != '-' || key[23] != '-' {
+		return time.Time{}, false
+	}
+	b, err := hex.DecodeString(strings.ReplaceAll(key, "-", ""))
+	if err != nil || len(b) != uuidBytes || b[versionByte]>>4 != 7 || b[variantByte]>>6 != 2 {
+		return time.Time{}, false
+	}
+	ms := int64(binary.BigEndian.Uint64(append([]byte{0, 0}, b[:6]...)))
+	return time.UnixMilli(ms).UTC(), true
+}
--- a/internal/core/msg/request.go
+++ b/internal/core/msg/request.go
@@ -193,12 +193,16 @@
 	ClaimUnknown
 	// ClaimUnavailable means that no claim could be made; nothing ran.
 	ClaimUnavailable
+	// ClaimExpired means that the key is too old. This request did not run; an
+	// earlier one with the key may have, and its answer is no longer kept.
+	ClaimExpired
 )
 
 // ClaimSettled is raised when a claim is settled.
 type ClaimSettled struct {
 	Req    RequestID
 	Status ClaimStatus
+	// Answer is set with ClaimDone, unless it was too large to be kept.
 	Answer *KeptAnswer
 }
 
