--- a/internal/core/claim/claim_test.go
+++ b/internal/core/claim/claim_test.go
@@ -216,8 +216,7 @@
 
 	a.wall = a.wall.Add(retention + time.Hour)
 	a.advance(msg.TickInterval)
-	mark := a.part.shards
-	for i := range mark { // a claim on every shard expires the old ones
+	for i := range Shards { // a claim on every shard expires the old ones
 		a.claim(fmt.Sprint("x", i), keyOnShard(uint64(i)), 1)
 	}
 	is.Equal(a.claim("r2", "k", 1).Status, msg.ClaimExpired)
