--- a/internal/core/msg/request.go
+++ b/internal/core/msg/request.go
@@ -99,6 +99,9 @@
 	Timeout time.Duration `cbor:"12,keyasint"`
 	// Fingerprint identifies the request for crash strikes.
 	Fingerprint uint64 `cbor:"13,keyasint"`
+	// Continued says that the attempt carries on the answer of an earlier one,
+	// to which the request and its prompt are charged.
+	Continued bool `cbor:"14,keyasint,omitempty"`
 }
 
 // CancelAttempt stops an attempt.
@@ -222,6 +225,8 @@
 	Account AccountID
 	Attempt AttemptID
 	Usage   TokenUsage
+	// Continued is that of the attempt's spec.
+	Continued bool
 }
 
 func (RequestArrived) event()  {}
--- a/internal/core/store/store.go
+++ b/internal/core/store/store.go
@@ -29,6 +29,7 @@
 	PartFleet
 	PartPoison
 	PartOperator
+	PartUsageReport
 )
 
 const (
