--- /dev/null
+++ b/internal/daemon/attempt_side.go
@@ -0,0 +1,260 @@
+package daemon
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/verbenaspur/verbenaspur/internal/core/msg"
+	"github.com/verbenaspur/verbenaspur/internal/link"
+)
+
+const (
+	// attemptGrace is how long an attempt runs on without a stream to its
+	// entry daemon, and how long an ended one is kept for a resumption.
+	attemptGrace = 10 * time.Second
+	// maxUnread is the number of frames that an attempt may be ahead of its
+	// reader before it waits.
+	maxUnread = 1024
+	// voidFor is how long an attempt id that was asked for and not known is
+	// refused.
+	voidFor = 10 * time.Minute
+)
+
+// attemptRun is one attempt on a side daemon. Its frames are kept until it is
+// forgotten, so that a new stream can continue where a lost one ended.
+type attemptRun struct {
+	spec    msg.AttemptSpec
+	from    msg.HostID
+	payload link.Payload
+	decided chan struct{} // closed when the reducer has taken or refused it
+	ctx     context.Context
+	cancel  context.CancelCauseFunc
+
+	mu       sync.Mutex
+	changed  chan struct{} // closed and replaced whenever a field below changes
+	refused  *link.Refused
+	taken    bool
+	frames   []*link.Frame
+	sum      *xxhash.Digest
+	end      *link.End
+	readers  int
+	reached  uint64 // the next sequence number that no reader has taken
+	detached time.Time
+}
+
+func newAttemptRun(from msg.HostID, open *link.AttemptOpen) *attemptRun {
+	ctx, cancel := context.WithCancelCause(context.Background())
+	return &attemptRun{
+		spec: open.Spec, from: from, payload: open.Payload,
+		decided: make(chan struct{}), changed: make(chan struct{}),
+		ctx: ctx, cancel: cancel, sum: xxhash.New(), detached: time.Now(),
+	}
+}
+
+func (a *attemptRun) notify() {
+	close(a.changed)
+	a.changed = make(chan struct{})
+}
+
+// decide records the reducer's decision. A nil refusal takes the attempt on.
+func (a *attemptRun) decide(r *link.Refused) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	select {
+	case <-a.decided:
+		return
+	default:
+	}
+	a.refused, a.taken = r, r == nil
+	close(a.decided)
+	a.notify()
+}
+
+// add appends a head or chunk and waits while the reader is far behind.
+func (a *attemptRun) add(f *link.Frame) error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	seq := uint64(len(a.frames))
+	if f.Head != nil {
+		f.Head.Seq = seq
+	} else {
+		f.Chunk.Seq = seq
+		addChecksum(a.sum, f.Chunk)
+	}
+	a.frames = append(a.frames, f)
+	a.notify()
+	for uint64(len(a.frames)) > a.reached+maxUnread {
+		wait := a.changed
+		a.mu.Unlock()
+		select {
+		case <-wait:
+		case <-a.ctx.Done():
+		}
+		a.mu.Lock()
+		if err := context.Cause(a.ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// addChecksum adds a chunk to the running checksum of an answer.
+func addChecksum(sum *xxhash.Digest, c *link.Chunk) {
+	_, _ = sum.WriteString(c.Text)
+	_, _ = sum.Write(c.Data)
+}
+
+// finish closes the answer.
+func (a *attemptRun) finish(result msg.AttemptResult, reason string, usage msg.TokenUsage) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.end != nil {
+		return
+	}
+	a.end = &link.End{
+		Result: result, Reason: reason, Usage: usage,
+		Frames: uint64(len(a.frames)), Checksum: a.sum.Sum64(),
+	}
+	a.notify()
+}
+
+// attach and release count the streams that read the attempt.
+func (a *attemptRun) attach() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.readers++
+}
+
+func (a *attemptRun) release() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.readers--
+	a.detached = time.Now()
+}
+
+// idle reports how long the attempt has been without a reader, and whether it
+// has ended.
+func (a *attemptRun) idle(now time.Time) (time.Duration, bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.readers > 0 {
+		return 0, a.end != nil
+	}
+	return now.Sub(a.detached), a.end != nil
+}
+
+// send writes the attempt's frames from next on to a stream until the end or
+// until the stream fails.
+func (a *attemptRun) send(s *link.Stream, next uint64) error {
+	select {
+	case <-a.decided:
+	case <-a.ctx.Done():
+	}
+	if a.refused != nil {
+		return s.Write(&link.Frame{Refused: a.refused}, 0)
+	}
+	if err := s.Write(&link.Frame{Accepted: &link.Accepted{}}, 0); err != nil {
+		return err
+	}
+	for {
+		frames, end, changed := a.after(next)
+		for _, f := range frames {
+			if err := s.Write(f, 0); err != nil {
+				return err
+			}
+		}
+		next += uint64(len(frames))
+		if end != nil {
+			return s.Write(&link.Frame{End: end}, 0)
+		}
+		if len(frames) == 0 {
+			<-changed
+		}
+	}
+}
+
+// after returns the frames from next on. With none left it returns the end,
+// or the channel that tells of a change.
+func (a *attemptRun) after(next uint64) ([]*link.Frame, *link.End, <-chan struct{}) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if next > a.reached {
+		a.reached = next
+		a.notify()
+	}
+	if next < uint64(len(a.frames)) {
+		return a.frames[next:len(a.frames):len(a.frames)], nil, nil
+	}
+	return nil, a.end, a.changed
+}
+
+// attemptTable holds a side daemon's attempts.
+type attemptTable struct {
+	mu   sync.Mutex
+	runs map[msg.AttemptID]*attemptRun
+	void map[msg.AttemptID]time.Time
+}
+
+func newAttemptTable() *attemptTable {
+	return &attemptTable{runs: make(map[msg.AttemptID]*attemptRun), void: make(map[msg.AttemptID]time.Time)}
+}
+
+// open records a new attempt. It returns the known one where the id is known,
+// and nil where the id is void.
+func (t *attemptTable) open(from msg.HostID, o *link.AttemptOpen) (run *attemptRun, isNew bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if _, ok := t.void[o.Spec.Attempt]; ok {
+		return nil, false
+	}
+	if run := t.runs[o.Spec.Attempt]; run != nil {
+		return run, false
+	}
+	run = newAttemptRun(from, o)
+	t.runs[o.Spec.Attempt] = run
+	return run, true
+}
+
+// resume returns a known attempt. An unknown id becomes void.
+func (t *attemptTable) resume(id msg.AttemptID) *attemptRun {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	run := t.runs[id]
+	if run == nil {
+		t.void[id] = time.Now()
+	}
+	return run
+}
+
+func (t *attemptTable) get(id msg.AttemptID) *attemptRun {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.runs[id]
+}
+
+// sweep forgets ended attempts and void ids after their time, and returns the
+// running idempotent ones whose entry daemon has been away for too long.
+func (t *attemptTable) sweep(now time.Time) []*attemptRun {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var orphans []*attemptRun
+	for id, run := range t.runs {
+		idle, ended := run.idle(now)
+		switch {
+		case idle < attemptGrace:
+		case ended:
+			delete(t.runs, id)
+		case run.spec.Idempotent:
+			orphans = append(orphans, run)
+		}
+	}
+	for id, at := range t.void {
+		if now.Sub(at) > voidFor {
+			delete(t.void, id)
+		}
+	}
+	return orphans
+}
--- /dev/null
+++ b/internal/daemon/drive.go
@@ -0,0 +1,45 @@
+package daemon
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+
+	"github.com/verbenaspur/verbenaspur/internal/core/msg"
+	"github.com/verbenaspur/verbenaspur/internal/link"
+	"github.com/verbenaspur/verbenaspur/internal/platform"
+)
+
+// executePlatform carries out an effect that calls the platform. Other
+// effects are a programming error.
+func executePlatform(ctx context.Context, wg *sync.WaitGroup, p *platform.Client, l *Loop, eff msg.Effect) {
+	wg.Go(func() {
+		if ev := p.Do(ctx, eff, l.Now); ev != nil {
+			l.Post(ev)
+		}
+	})
+}
+
+func postPeer(l *Loop, log *slog.Logger, p link.Peer, f *link.Frame) {
+	m, err := link.DecodePeer(f)
+	if err != nil {
+		log.Warn("link: dropped a message", "host", string(p.Host), "reason", err.Error())
+		return
+	}
+	l.Post(msg.PeerReceived{From: p.Host, Message: m})
+}
+
+var logLevels = map[msg.LogLevel]slog.Level{
+	msg.LogDebug: slog.LevelDebug,
+	msg.LogInfo:  slog.LevelInfo,
+	msg.LogWarn:  slog.LevelWarn,
+	msg.LogError: slog.LevelError,
+}
+
+func writeLog(log *slog.Logger, line msg.LogLine) {
+	attrs := make([]slog.Attr, 0, len(line.Attrs))
+	for _, a := range line.Attrs {
+		attrs = append(attrs, slog.String(a.Key, a.Value))
+	}
+	log.LogAttrs(context.Background(), logLevels[line.Level], line.Part+": "+line.Text, attrs...)
+}
--- /dev/null
+++ b/internal/daemon/entry.go
@@ -0,0 +1,223 @@
+package daemon
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+
+	"github.com/verbenaspur/verbenaspur/internal/core"
+	"github.com/verbenaspur/verbenaspur/internal/core/msg"
+	"github.com/verbenaspur/verbenaspur/internal/link"
+	"github.com/verbenaspur/verbenaspur/internal/platform"
+)
+
+// entry drives the reducer of an entry daemon.
+type entry struct {
+	self     msg.Self
+	loop     *Loop
+	reducer  *core.Entry
+	node     *link.Node
+	platform *platform.Client
+	log      *slog.Logger
+	ctx      context.Context
+	wg       sync.WaitGroup
+	ready    func()
+	seen     func(msg.Effect)
+
+	mu        sync.Mutex
+	exchanges map[msg.RequestID]*exchange
+	attempts  map[msg.AttemptID]context.CancelCauseFunc
+	waiting   map[msg.CallID]chan msg.Effect
+	lastCall  msg.CallID
+	stopping  bool
+}
+
+// execute carries out one effect of the reducer.
+func (e *entry) execute(now msg.Time, eff msg.Effect) {
+	e.seen(eff)
+	switch eff := eff.(type) {
+	case msg.StartAttempt:
+		e.startAttempt(eff)
+	case msg.CancelAttempt:
+		e.cancelAttempt(eff)
+	case msg.RefuseRequest:
+		e.endRequest(eff.Req, eff)
+	case msg.AbortRequest:
+		e.endRequest(eff.Req, eff)
+	case msg.ReplayAnswer:
+		e.endRequest(eff.Req, eff)
+	case msg.FinishRequest:
+		e.endRequest(eff.Req, eff)
+	case msg.ConfigAnswered:
+		e.answerCall(eff.Call, eff)
+	case msg.DrainAnswered:
+		e.answerCall(eff.Call, eff)
+	default:
+		e.executeShared(now, eff)
+	}
+}
+
+// executeShared carries out the effects that concern other daemons and the
+// platform.
+func (e *entry) executeShared(_ msg.Time, eff msg.Effect) {
+	switch eff := eff.(type) {
+	case msg.Connect:
+		e.node.SetAddr(link.Peer{Kind: eff.Kind, Host: eff.Host}, eff.Addr)
+		e.node.Keep(eff.Host)
+	case msg.Disconnect:
+		e.node.Drop(eff.Host)
+	case msg.SendPeer:
+		e.wg.Go(func() { _ = e.node.SendPeer(e.ctx, eff.To, eff.Message) })
+	case msg.SendOrder:
+		e.wg.Go(func() { e.sendOrder(eff) })
+	case msg.LogLine:
+		writeLog(e.log, eff)
+	case msg.StopReady:
+		e.ready()
+	default:
+		executePlatform(e.ctx, &e.wg, e.platform, e.loop, eff)
+	}
+}
+
+// sendOrder sends an order while the lease that it is given under still holds.
+func (e *entry) sendOrder(eff msg.SendOrder) {
+	err := e.node.SendBefore(e.ctx, eff.Host, &link.Frame{Order: &eff.Order}, func() bool {
+		return e.loop.Now() < eff.NotAfter
+	})
+	if err == nil {
+		return
+	}
+	status := msg.OrderUnknown
+	if errors.Is(err, link.ErrTooLate) || errors.Is(err, link.ErrNotSent) {
+		status = msg.OrderUnready
+	}
+	e.loop.Post(msg.OrderAnswered{Target: eff.Target, Order: eff.Order.ID, Status: status, Reason: err.Error()})
+}
+
+func (e *entry) startAttempt(eff msg.StartAttempt) {
+	e.mu.Lock()
+	x := e.exchanges[eff.Req]
+	ctx, cancel := context.WithCancelCause(e.ctx)
+	e.attempts[eff.Attempt] = cancel
+	e.mu.Unlock()
+	if x == nil {
+		// The caller's handler has gone; the reducer hears of it by itself.
+		x = newExchange(e.ctx, eff.Req, true, link.Payload{})
+		cancel(errCallerGone)
+	}
+	payload := x.payload
+	if !eff.Spec.PrefillOnly {
+		payload = x.begin(eff.Attempt)
+	}
+	r := &attemptRead{e: e, x: x, spec: eff.Spec, host: eff.Host, ctx: ctx, sum: xxhash.New()}
+	e.wg.Go(func() {
+		end := r.run(&link.AttemptOpen{Spec: eff.Spec, Payload: payload})
+		e.endAttempt(x, eff, end)
+	})
+}
+
+func (e *entry) endAttempt(x *exchange, eff msg.StartAttempt, end attemptEnd) {
+	e.mu.Lock()
+	delete(e.attempts, eff.Attempt)
+	e.mu.Unlock()
+	x.addUsage(end.usage)
+	ended := msg.AttemptEnded{
+		Attempt: eff.Attempt, Result: end.result, Reason: end.reason,
+		Usage: end.usage, RetryAfter: end.retryAfter,
+	}
+	if end.result == msg.AttemptDone && !eff.Spec.Idempotent {
+		ended.Answer = x.answer()
+	}
+	e.loop.Post(ended)
+}
+
+func (e *entry) cancelAttempt(eff msg.CancelAttempt) {
+	e.mu.Lock()
+	cancel := e.attempts[eff.Attempt]
+	e.mu.Unlock()
+	if cancel != nil {
+		cancel(errors.WithDetail(errCancelled, eff.Reason))
+	}
+}
+
+func (e *entry) endRequest(id msg.RequestID, eff msg.Effect) {
+	e.mu.Lock()
+	x := e.exchanges[id]
+	e.mu.Unlock()
+	if x != nil {
+		x.end(eff)
+	}
+}
+
+// open records a caller's request.
+func (e *entry) open(x *exchange) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.exchanges[x.id] = x
+}
+
+func (e *entry) close(id msg.RequestID) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.exchanges, id)
+}
+
+// call opens an operator's call and returns its id and its answers.
+func (e *entry) call() (msg.CallID, chan msg.Effect) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.lastCall++
+	ch := make(chan msg.Effect, 4)
+	e.waiting[e.lastCall] = ch
+	return e.lastCall, ch
+}
+
+func (e *entry) endCall(id msg.CallID) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.waiting, id)
+}
+
+func (e *entry) answerCall(id msg.CallID, eff msg.Effect) {
+	e.mu.Lock()
+	ch := e.waiting[id]
+	e.mu.Unlock()
+	if ch == nil {
+		return
+	}
+	select {
+	case ch <- eff:
+	default:
+	}
+}
+
+// PeerUp implements [link.Handler].
+func (e *entry) PeerUp(p link.Peer, _ *link.Hello) { e.loop.Post(msg.PeerUp{Host: p.Host}) }
+
+// PeerDown implements [link.Handler].
+func (e *entry) PeerDown(p link.Peer) {
+	e.loop.Post(msg.PeerDown{Host: p.Host})
+}
+
+// Control implements [link.Handler].
+func (e *entry) Control(p link.Peer, h *link.Hello, f *link.Frame) {
+	switch {
+	case f.Peer != nil:
+		postPeer(e.loop, e.log, p, f)
+	case h.Target == nil:
+		e.log.Warn("link: dropped a frame of a target", "host", string(p.Host))
+	case f.Report != nil:
+		e.loop.Post(msg.TargetReported{Target: *h.Target, Host: p.Host, Domain: h.Domain, Report: *f.Report})
+	case f.Cache != nil:
+		e.loop.Post(msg.CacheReported{Target: h.Target.Target, Events: f.Cache.Events})
+	case f.Answer != nil:
+		a := f.Answer
+		e.loop.Post(msg.OrderAnswered{Target: h.Target.Target, Order: a.Order, Status: a.Status, Reason: a.Reason, Report: a.Report})
+	}
+}
+
+// Attempt implements [link.Handler]. An entry daemon runs no attempts.
+func (e *entry) Attempt(_ link.Peer, s *link.Stream, _ *link.Frame) { s.Abandon() }
--- /dev/null
+++ b/internal/daemon/exchange.go
@@ -0,0 +1,146 @@
+package daemon
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/verbenaspur/verbenaspur/internal/core/msg"
+	"github.com/verbenaspur/verbenaspur/internal/link"
+)
+
+const (
+	// answerBuffer is the number of chunks that may wait for a slow caller.
+	answerBuffer = 64
+	// maxServiceAnswer bounds the answer of a plain service in bytes.
+	maxServiceAnswer = 16 << 20
+)
+
+// Errors of an exchange.
+var (
+	errSuperseded   = errors.New("another attempt has taken over")
+	errCallerGone   = errors.New("caller has left")
+	errAnswerTooBig = errors.Newf("answer is larger than %d bytes", maxServiceAnswer)
+)
+
+// exchange is one caller's request on an entry daemon and the answer so far.
+type exchange struct {
+	id      msg.RequestID
+	payload link.Payload
+	engine  bool
+	ctx     context.Context
+	chunks  chan *link.Chunk
+	ended   chan msg.Effect
+	arrived time.Time
+
+	mu      sync.Mutex
+	attempt msg.AttemptID
+	text    strings.Builder
+	tokens  int
+	head    *link.Head
+	body    []byte
+	usage   msg.TokenUsage
+}
+
+func newExchange(ctx context.Context, id msg.RequestID, engine bool, p link.Payload) *exchange {
+	return &exchange{
+		id: id, payload: p, engine: engine, ctx: ctx, arrived: time.Now(),
+		chunks: make(chan *link.Chunk, answerBuffer),
+		ended:  make(chan msg.Effect, 1),
+	}
+}
+
+// begin makes an attempt the current one and returns the payload that
+// continues the answer.
+func (x *exchange) begin(id msg.AttemptID) link.Payload {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.attempt = id
+	x.head, x.body = nil, nil
+	p := x.payload
+	if x.engine {
+		p.ResumeText, p.ResumeTokens = x.text.String(), x.tokens
+	}
+	return p
+}
+
+// deliver takes one frame of the answer. Frames of another than the current
+// attempt are refused.
+func (x *exchange) deliver(id msg.AttemptID, f *link.Frame) error {
+	x.mu.Lock()
+	if x.attempt != id {
+		x.mu.Unlock()
+		return errSuperseded
+	}
+	if !x.engine {
+		defer x.mu.Unlock()
+		return x.keep(f)
+	}
+	if f.Chunk == nil {
+		x.mu.Unlock()
+		return nil
+	}
+	x.text.WriteString(f.Chunk.Text)
+	x.tokens += f.Chunk.Tokens
+	x.mu.Unlock()
+	select {
+	case x.chunks <- f.Chunk:
+		return nil
+	case <-x.ctx.Done():
+		return errCallerGone
+	}
+}
+
+// keep collects a plain service's answer, which is passed on when it is whole.
+func (x *exchange) keep(f *link.Frame) error {
+	if f.Head != nil {
+		x.head = f.Head
+		return nil
+	}
+	x.body = append(x.body, f.Chunk.Data...)
+	if len(x.body) > maxServiceAnswer {
+		return errAnswerTooBig
+	}
+	return nil
+}
+
+// answer returns a plain service's whole answer, or nil.
+func (x *exchange) answer() *msg.KeptAnswer {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.head == nil {
+		return nil
+	}
+	return &msg.KeptAnswer{Status: x.head.Status, ContentType: x.head.ContentType, Body: x.body}
+}
+
+func (x *exchange) addUsage(u msg.TokenUsage) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.usage.Prompt = max(x.usage.Prompt, u.Prompt)
+	x.usage.Cached = max(x.usage.Cached, u.Cached)
+	x.usage.Generated += u.Generated
+}
+
+func (x *exchange) totalUsage() msg.TokenUsage {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.usage
+}
+
+func (x *exchange) progress() int {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.tokens
+}
+
+// end hands the final effect to the caller's handler.
+func (x *exchange) end(eff msg.Effect) {
+	select {
+	case x.ended <- eff:
+	default:
+	}
+}
--- /dev/null
+++ b/internal/daemon/respond.go
@@ -0,0 +1,217 @@
+package daemon
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/verbenaspur/verbenaspur/internal/core/msg"
+	"github.com/verbenaspur/verbenaspur/internal/link"
+)
+
+const (
+	// callerWriteLimit bounds one write to a caller that takes nothing.
+	callerWriteLimit = 15 * time.Second
+	// keepAliveInterval is the time between two comments on a stream that has
+	// nothing to say.
+	keepAliveInterval = 5 * time.Second
+)
+
+// responder writes the answer of an engine in the OpenAI form.
+type responder struct {
+	w       http.ResponseWriter
+	ctl     *http.ResponseController
+	x       *exchange
+	chat    bool
+	stream  bool
+	usage   bool
+	answer  openAIAnswer
+	text    strings.Builder
+	finish  string
+	started bool
+}
+
+// serve writes chunks as they come and ends with the final effect.
+func (r *responder) serve() {
+	keepAlive := time.NewTicker(keepAliveInterval)
+	defer keepAlive.Stop()
+	for {
+		select {
+		case c := <-r.x.chunks:
+			r.chunk(c)
+		case eff := <-r.x.ended:
+			r.drain()
+			r.end(eff)
+			return
+		case <-keepAlive.C:
+			if r.started {
+				r.write(": keep-alive\n\n")
+			}
+		case <-r.x.ctx.Done():
+			return
+		}
+	}
+}
+
+func (r *responder) drain() {
+	for {
+		select {
+		case c := <-r.x.chunks:
+			r.chunk(c)
+		default:
+			return
+		}
+	}
+}
+
+func (r *responder) chunk(c *link.Chunk) {
+	if c.Finish != "" {
+		r.finish = c.Finish
+	}
+	if !r.stream {
+		r.text.WriteString(c.Text)
+		return
+	}
+	r.begin()
+	if c.Text != "" {
+		r.event(r.choice(c.Text, nil))
+	}
+}
+
+func (r *responder) begin() {
+	if r.started {
+		return
+	}
+	r.started = true
+	h := r.w.Header()
+	h.Set("Content-Type", "text/event-stream")
+	h.Set("Cache-Control", "no-store")
+	r.w.WriteHeader(http.StatusOK)
+	if r.chat {
+		first := r.choice("", nil)
+		first[0].Delta.Role = "assistant"
+		r.event(first)
+	}
+}
+
+func (r *responder) choice(text string, finish *string) []openAIChoice {
+	c := openAIChoice{FinishReason: finish}
+	if r.chat {
+		c.Delta = &openAIText{Content: text}
+	} else {
+		c.Text = &text
+	}
+	return []openAIChoice{c}
+}
+
+func (r *responder) event(choices []openAIChoice) {
+	r.answer.Choices = choices
+	b, err := json.Marshal(r.answer)
+	if err != nil {
+		panic("daemon: answer can't be encoded: " + err.Error())
+	}
+	r.write("data: " + string(b) + "\n\n")
+}
+
+func (r *responder) write(s string) {
+	_ = r.ctl.SetWriteDeadline(time.Now().Add(callerWriteLimit))
+	if _, err := r.w.Write([]byte(s)); err != nil {
+		return
+	}
+	_ = r.ctl.Flush()
+}
+
+func (r *responder) end(eff msg.Effect) {
+	switch eff := eff.(type) {
+	case msg.FinishRequest:
+		r.done()
+	case msg.RefuseRequest:
+		if r.started {
+			r.broken(msg.AbortRequest{Req: eff.Req, Code: eff.Code, Reason: eff.Reason, Outcome: eff.Outcome})
+			return
+		}
+		writeRefusal(r.w, eff)
+	case msg.AbortRequest:
+		if r.started {
+			r.broken(eff)
+			return
+		}
+		writeRefusal(r.w, msg.RefuseRequest{
+			Req: eff.Req, Status: http.StatusBadGateway, Code: eff.Code, Reason: eff.Reason, Outcome: eff.Outcome,
+		})
+	}
+}
+
+func (r *responder) done() {
+	if r.finish == "" {
+		r.finish = "stop"
+	}
+	usage := newOpenAIUsage(r.x.totalUsage(), r.x.progress())
+	if !r.stream {
+		r.whole(usage)
+		return
+	}
+	r.begin()
+	r.event(r.choice("", &r.finish))
+	if r.usage {
+		r.answer.Usage = usage
+		r.event([]openAIChoice{})
+	}
+	r.write("data: [DONE]\n\n")
+}
+
+func (r *responder) whole(usage *openAIUsage) {
+	text := r.text.String()
+	c := openAIChoice{FinishReason: &r.finish}
+	if r.chat {
+		r.answer.Object = "chat.completion"
+		c.Message = &openAIText{Role: "assistant", Content: text}
+	} else {
+		c.Text = &text
+	}
+	r.answer.Choices = []openAIChoice{c}
+	r.answer.Usage = usage
+	_ = r.ctl.SetWriteDeadline(time.Now().Add(callerWriteLimit))
+	writeJSON(r.w, http.StatusOK, r.answer)
+}
+
+// broken ends a stream that has begun, so that no reader can take it for
+// whole: an error event, no end mark.
+func (r *responder) broken(eff msg.AbortRequest) {
+	b, err := json.Marshal(refusalBody(eff.Req, eff.Code, eff.Reason, eff.Outcome))
+	if err != nil {
+		panic("daemon: error can't be encoded: " + err.Error())
+	}
+	r.write("data: " + string(b) + "\n\n")
+	panic(http.ErrAbortHandler)
+}
+
+func refusalBody(id msg.RequestID, code, reason string, o msg.Outcome) openAIError {
+	return openAIError{openAIErrorBody{
+		Message: reason, Type: "verbenaspur_error", Code: code, Outcome: o.String(), Request: string(id),
+	}}
+}
+
+// writeRefusal answers a request that ended before its answer began.
+func writeRefusal(w http.ResponseWriter, eff msg.RefuseRequest) {
+	if eff.RetryAfter > 0 {
+		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(eff.RetryAfter.Seconds()))))
+	}
+	if eff.Status == http.StatusUnauthorized {
+		w.Header().Set("WWW-Authenticate", "Bearer")
+	}
+	writeJSON(w, eff.Status, refusalBody(eff.Req, eff.Code, eff.Reason, eff.Outcome))
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	b, err := json.Marshal(v)
+	if err != nil {
+		panic("daemon: answer can't be encoded: " + err.Error())
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_, _ = w.Write(append(b, '\n'))
+}
--- /dev/null
+++ b/internal/daemon/service.go
@@ -0,0 +1,100 @@
+package daemon
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/verbenaspur/verbenaspur/internal/core/msg"
+	"github.com/verbenaspur/verbenaspur/internal/link"
+)
+
+// serviceChunk is the largest piece of a plain service's answer in one frame.
+const serviceChunk = 32 << 10
+
+// serviceClient talks to an instance of a plain service.
+type serviceClient struct {
+	base string
+	http *http.Client
+	// once sends each call on a connection of its own, so that the HTTP
+	// library never sends one again.
+	once *http.Client
+}
+
+func (c *serviceClient) run(ctx context.Context, a *attemptRun) attemptOutcome {
+	req, err := http.NewRequestWithContext(ctx, a.payload.Method, c.base+a.payload.Path, bytes.NewReader(a.payload.Body))
+	if err != nil {
+		return attemptOutcome{result: msg.AttemptFailed, reason: err.Error()}
+	}
+	if a.payload.ContentType != "" {
+		req.Header.Set("Content-Type", a.payload.ContentType)
+	}
+	req.Header.Set("X-Attempt-Id", string(a.spec.Attempt))
+	req.Header.Set("X-Client-Account", string(a.spec.Account))
+	client := c.once
+	if a.spec.Idempotent {
+		client = c.http
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return callFailed(ctx, err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return relay(ctx, resp, a)
+}
+
+// relay passes an answer on as frames.
+func relay(ctx context.Context, resp *http.Response, a *attemptRun) attemptOutcome {
+	head := &link.Head{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type")}
+	if err := a.add(&link.Frame{Head: head}); err != nil {
+		return attemptOutcome{result: msg.AttemptCancelled, reason: err.Error()}
+	}
+	for {
+		buf := make([]byte, serviceChunk)
+		n, err := resp.Body.Read(buf)
+		if n > 0 {
+			if err := a.add(&link.Frame{Chunk: &link.Chunk{Data: buf[:n]}}); err != nil {
+				return attemptOutcome{result: msg.AttemptCancelled, reason: err.Error()}
+			}
+		}
+		if err == io.EOF {
+			return attemptOutcome{result: msg.AttemptDone}
+		}
+		if err != nil {
+			if out, stopped := stopOutcome(ctx, msg.TokenUsage{}); stopped {
+				return out
+			}
+			return attemptOutcome{result: msg.AttemptCrashed, reason: "answer ended early"}
+		}
+	}
+}
+
+func (c *serviceClient) read(ctx context.Context) (msg.TargetRead, error) {
+	var l engineLoad
+	if err := getJSON(ctx, c.http, c.base+"/v1/load", &l); err != nil {
+		return msg.TargetRead{}, err
+	}
+	return msg.TargetRead{Report: l.report()}, nil
+}
+
+func (c *serviceClient) cacheEvents(context.Context, uint64) ([]msg.CacheEvent, error) {
+	return nil, nil
+}
+
+// apply accepts no orders: the side daemon itself executes drains.
+func (c *serviceClient) apply(_ context.Context, o msg.Order) msg.OrderApplied {
+	return msg.OrderApplied{Order: o.ID, Status: msg.OrderFailed, Reason: "a plain service takes no " + o.Kind.String() + " order"}
+}
+
+// newTargetHTTP returns an HTTP client for a target. Requests are bounded by
+// their contexts.
+func newTargetHTTP(keepAlive bool) *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		MaxIdleConnsPerHost: 256,
+		IdleConnTimeout:     30 * time.Second,
+		DisableCompression:  true,
+		DisableKeepAlives:   !keepAlive,
+	}}
+}
--- /dev/null
+++ b/internal/daemon/side.go
@@ -0,0 +1,216 @@
+package daemon
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/verbenaspur/verbenaspur/internal/core/msg"
+	"github.com/verbenaspur/verbenaspur/internal/link"
+	"github.com/verbenaspur/verbenaspur/internal/platform"
+)
+
+const (
+	// sweepInterval is the time between two looks for attempts to forget.
+	sweepInterval = time.Second
+	// cachePoll is the time between two reads of an engine's cache events.
+	cachePoll = 500 * time.Millisecond
+	// applySlack is added to an order's timeout before its call is given up.
+	applySlack = time.Second
+)
+
+// side drives the reducer of a side daemon.
+type side struct {
+	loop     *Loop
+	node     *link.Node
+	target   targetClient
+	platform *platform.Client
+	log      *slog.Logger
+	attempts *attemptTable
+	ctx      context.Context
+	wg       sync.WaitGroup
+	ready    func()
+	seen     func(msg.Effect)
+}
+
+// execute carries out one effect of the reducer.
+func (s *side) execute(now msg.Time, eff msg.Effect) {
+	s.seen(eff)
+	switch eff := eff.(type) {
+	case msg.RunAttempt:
+		s.runAttempt(eff.Spec.Attempt)
+	case msg.RefuseAttempt:
+		s.refuse(eff)
+	case msg.StopAttempt:
+		s.stopAttempt(eff)
+	case msg.ApplyOrder:
+		s.wg.Go(func() { s.applyOrder(eff.Order) })
+	case msg.AnswerOrder:
+		s.wg.Go(func() { _ = s.node.Send(s.ctx, eff.To, &link.Frame{Answer: &eff.Answer}) })
+	case msg.ReadTarget:
+		s.wg.Go(func() { s.readTarget(eff.Call) })
+	case msg.PublishReport:
+		s.node.Broadcast(&link.Frame{Report: &eff.Report})
+	case msg.SendPeer:
+		s.wg.Go(func() { _ = s.node.SendPeer(s.ctx, eff.To, eff.Message) })
+	case msg.LogLine:
+		writeLog(s.log, eff)
+	case msg.StopReady:
+		s.ready()
+	default:
+		executePlatform(s.ctx, &s.wg, s.platform, s.loop, eff)
+	}
+}
+
+func (s *side) runAttempt(id msg.AttemptID) {
+	run := s.attempts.get(id)
+	if run == nil {
+		return
+	}
+	run.decide(nil)
+	s.wg.Go(func() { s.run(run) })
+}
+
+func (s *side) run(run *attemptRun) {
+	timeout := run.spec.Timeout
+	timer := time.AfterFunc(timeout, func() { run.cancel(errTimeout) })
+	defer timer.Stop()
+	out := s.target.run(run.ctx, run)
+	run.finish(out.result, out.reason, out.usage)
+	if out.result == msg.AttemptCrashed {
+		s.loop.Post(msg.TargetCrashed{})
+	}
+	s.loop.Post(msg.AttemptClosed{Attempt: run.spec.Attempt, Result: out.result, Usage: out.usage})
+}
+
+func (s *side) refuse(eff msg.RefuseAttempt) {
+	if run := s.attempts.get(eff.Attempt); run != nil {
+		run.decide(&link.Refused{Code: eff.Code, Reason: eff.Reason, RetryAfter: eff.RetryAfter})
+		run.finish(msg.AttemptNotRun, eff.Reason, msg.TokenUsage{})
+	}
+}
+
+func (s *side) stopAttempt(eff msg.StopAttempt) {
+	run := s.attempts.get(eff.Attempt)
+	if run == nil {
+		return
+	}
+	if eff.Move {
+		run.cancel(errMoved)
+		return
+	}
+	run.cancel(errors.WithDetail(errCancelled, eff.Reason))
+}
+
+func (s *side) applyOrder(o msg.Order) {
+	ctx, stop := context.WithTimeout(s.ctx, o.Timeout+applySlack)
+	defer stop()
+	s.loop.Post(s.target.apply(ctx, o))
+}
+
+func (s *side) readTarget(call msg.CallID) {
+	read, err := s.target.read(s.ctx)
+	read.Call = call
+	if err != nil {
+		read.Status = msg.CallUnavailable
+		read.Report.Phase = msg.PhaseDown
+	}
+	s.loop.Post(read)
+}
+
+// sweep forgets old attempts until the daemon ends.
+func (s *side) sweep() {
+	for s.sleep(sweepInterval) {
+		for _, run := range s.attempts.sweep(time.Now()) {
+			run.cancel(errors.WithDetail(errCancelled, "entry daemon is away"))
+		}
+	}
+}
+
+// pollCache passes the engine's cache events on until the daemon ends.
+func (s *side) pollCache() {
+	var last uint64
+	for s.sleep(cachePoll) {
+		events, err := s.target.cacheEvents(s.ctx, last)
+		if err != nil || len(events) == 0 {
+			continue
+		}
+		last = events[len(events)-1].Seq
+		s.node.Broadcast(&link.Frame{Cache: &link.CacheEvents{Events: events}})
+	}
+}
+
+func (s *side) sleep(d time.Duration) bool {
+	select {
+	case <-time.After(d):
+		return true
+	case <-s.ctx.Done():
+		return false
+	}
+}
+
+// PeerUp implements [link.Handler].
+func (s *side) PeerUp(p link.Peer, _ *link.Hello) { s.loop.Post(msg.PeerUp{Host: p.Host}) }
+
+// PeerDown implements [link.Handler].
+func (s *side) PeerDown(p link.Peer) {
+	s.loop.Post(msg.PeerDown{Host: p.Host})
+	s.loop.Post(msg.EntryLost{Host: p.Host})
+}
+
+// Control implements [link.Handler].
+func (s *side) Control(p link.Peer, _ *link.Hello, f *link.Frame) {
+	switch {
+	case f.Order != nil:
+		s.loop.Post(msg.OrderReceived{From: p.Host, Order: *f.Order})
+	case f.Peer != nil:
+		postPeer(s.loop, s.log, p, f)
+	}
+}
+
+// Attempt implements [link.Handler].
+func (s *side) Attempt(p link.Peer, st *link.Stream, first *link.Frame) {
+	run, next := s.admit(p, first)
+	if run == nil {
+		_ = st.Write(&link.Frame{Refused: &link.Refused{Code: "unknown-attempt", Reason: "attempt is not known here and will not run"}}, 0)
+		return
+	}
+	run.attach()
+	defer run.release()
+	done := make(chan struct{})
+	defer close(done)
+	s.wg.Go(func() { st.Beat(done) })
+	s.wg.Go(func() { s.readCancel(st, run) })
+	if err := run.send(st, next); err != nil {
+		st.Abandon()
+	}
+}
+
+// admit finds or starts the attempt that a stream asks for.
+func (s *side) admit(p link.Peer, first *link.Frame) (*attemptRun, uint64) {
+	if first.Resume != nil {
+		return s.attempts.resume(first.Resume.Attempt), first.Resume.Next
+	}
+	run, isNew := s.attempts.open(p.Host, first.Open)
+	if isNew {
+		s.loop.Post(msg.AttemptOffered{From: p.Host, Spec: run.spec})
+	}
+	return run, 0
+}
+
+// readCancel waits for the entry to stop the attempt.
+func (s *side) readCancel(st *link.Stream, run *attemptRun) {
+	for {
+		f, err := st.Read()
+		if err != nil {
+			return
+		}
+		if f.Cancel != nil {
+			run.cancel(errors.WithDetail(errCancelled, f.Cancel.Reason))
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/link/stream.go
@@ -0,0 +1,78 @@
+package link
+
+import (
+	"sync"
+	"time"
+
+	"github.com/quic-go/quic-go"
+)
+
+// Stream is a stream of frames. Reads are for one goroutine; writes may come
+// from several.
+type Stream struct {
+	s   *quic.Stream
+	via *conn
+	mu  sync.Mutex
+}
+
+func newStream(s *quic.Stream, via *conn) *Stream { return &Stream{s: s, via: via} }
+
+// Write writes a frame. It fails when the other end takes nothing for limit;
+// zero waits as long as the connection lives.
+func (s *Stream) Write(f *Frame, limit time.Duration) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var deadline time.Time
+	if limit > 0 {
+		deadline = time.Now().Add(limit)
+	}
+	if err := s.s.SetWriteDeadline(deadline); err != nil {
+		return err
+	}
+	return writeFrame(s.s, f)
+}
+
+// Read returns the next frame that is not a heartbeat. It fails when nothing
+// at all arrives for [SilenceLimit].
+func (s *Stream) Read() (*Frame, error) {
+	for {
+		if err := s.s.SetReadDeadline(time.Now().Add(SilenceLimit)); err != nil {
+			return nil, err
+		}
+		f, err := readFrame(s.s)
+		if err != nil || f.Heartbeat == nil {
+			return f, err
+		}
+	}
+}
+
+// Beat writes heartbeats until the stream ends or done is closed.
+func (s *Stream) Beat(done <-chan struct{}) {
+	t := time.NewTicker(HeartbeatInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-t.C:
+			if s.Write(&Frame{Heartbeat: &Heartbeat{}}, writeLimit) != nil {
+				return
+			}
+		case <-done:
+			return
+		case <-s.s.Context().Done():
+			return
+		}
+	}
+}
+
+// CloseWrite ends this end's frames.
+func (s *Stream) CloseWrite() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_ = s.s.Close()
+}
+
+// Abandon gives the stream up at both ends without waiting.
+func (s *Stream) Abandon() {
+	s.s.CancelRead(codeAbandoned)
+	s.s.CancelWrite(codeAbandoned)
+}
--- /dev/null
+++ b/internal/trace/trace.go
@@ -0,0 +1,131 @@
+// Package trace records the events of a reducer together with a digest of the
+// effects that each led to, and replays them.
+package trace
+
+import (
+	"bufio"
+	"io"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/verbenaspur/verbenaspur/internal/core/msg"
+	"github.com/verbenaspur/verbenaspur/internal/wire"
+)
+
+// Record is one step of a reducer.
+type Record struct {
+	Now   msg.Time        `cbor:"1,keyasint"`
+	Event cbor.RawMessage `cbor:"2,keyasint"`
+	// Effects is the xxHash64 of the encoded effects in order.
+	Effects uint64 `cbor:"3,keyasint"`
+	// Count is the number of effects.
+	Count int `cbor:"4,keyasint"`
+}
+
+// Stepper is a reducer.
+type Stepper interface {
+	Step(now msg.Time, ev msg.Event) []msg.Effect
+}
+
+// Recorder wraps a reducer and writes a record of each step. A write error
+// ends the recording and is returned by Close; the reducer goes on.
+type Recorder struct {
+	inner Stepper
+	w     *bufio.Writer
+	enc   *cbor.Encoder
+	err   error
+}
+
+// NewRecorder returns a recorder that writes to w.
+func NewRecorder(inner Stepper, w io.Writer) *Recorder {
+	b := bufio.NewWriter(w)
+	return &Recorder{inner: inner, w: b, enc: cbor.NewEncoder(b)}
+}
+
+// Step steps the reducer and records the step.
+func (r *Recorder) Step(now msg.Time, ev msg.Event) []msg.Effect {
+	raw, err := wire.Marshal(ev)
+	effs := r.inner.Step(now, ev)
+	if r.err == nil {
+		r.err = err
+	}
+	if r.err == nil {
+		r.err = r.write(now, raw, effs)
+	}
+	return effs
+}
+
+func (r *Recorder) write(now msg.Time, raw []byte, effs []msg.Effect) error {
+	sum, err := digest(effs)
+	if err != nil {
+		return err
+	}
+	return r.enc.Encode(Record{Now: now, Event: raw, Effects: sum, Count: len(effs)})
+}
+
+// Close writes out what is buffered.
+func (r *Recorder) Close() error {
+	if r.err != nil {
+		return errors.Wrap(r.err, "trace")
+	}
+	return r.w.Flush()
+}
+
+func digest(effs []msg.Effect) (uint64, error) {
+	h := xxhash.New()
+	for _, e := range effs {
+		b, err := wire.Marshal(e)
+		if err != nil {
+			return 0, errors.Wrapf(err, "effect %T", e)
+		}
+		_, _ = h.Write(b)
+	}
+	return h.Sum64(), nil
+}
+
+// Step is one replayed step.
+type Step struct {
+	Index   int
+	Now     msg.Time
+	Event   msg.Event
+	Effects []msg.Effect
+	// Same says that the effects are those of the recording.
+	Same bool
+}
+
+// Replay feeds a recording to a fresh reducer and calls visit after each
+// step. It ends at the end of the recording; a last record that was cut off
+// is left out.
+func Replay(r io.Reader, fresh func(first msg.Started) Stepper, visit func(Step)) error {
+	dec := cbor.NewDecoder(bufio.NewReader(r))
+	var reducer Stepper
+	for i := 0; ; i++ {
+		var rec Record
+		err := dec.Decode(&rec)
+		if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
+			return nil
+		}
+		if err != nil {
+			return errors.Wrapf(err, "record %d", i)
+		}
+		ev, err := wire.UnmarshalEvent(rec.Event)
+		if err != nil {
+			return errors.Wrapf(err, "record %d", i)
+		}
+		if reducer == nil {
+			started, ok := ev.(msg.Started)
+			if !ok {
+				return errors.Newf("recording begins with a %T", ev)
+			}
+			reducer = fresh(started)
+		}
+		effs := reducer.Step(rec.Now, ev)
+		sum, err := digest(effs)
+		if err != nil {
+			return errors.Wrapf(err, "record %d", i)
+		}
+		visit(Step{Index: i, Now: rec.Now, Event: ev, Effects: effs, Same: sum == rec.Effects && len(effs) == rec.Count})
+	}
+}
