Platform client and stand-in, configuration, keys and host list: thin parts

Cause: the thin path needs the platform's interfaces and the parts that learn the configuration and the hosts. The client states what is known of each call's effect and checks deadlines at each write to the connection.

--- a/internal/core/msg/types.go
+++ b/internal/core/msg/types.go
@@ -5,7 +5,10 @@
 // PeerTypes returns the peer messages in the order of their numbers on the
 // wire. New ones are appended.
 func PeerTypes() []reflect.Type {
-	return []reflect.Type{}
+	return []reflect.Type{
+		reflect.TypeFor[ConfigQuery](), reflect.TypeFor[ConfigHeld](),
+		reflect.TypeFor[ConfigFetch](), reflect.TypeFor[ConfigBody](),
+	}
 }
 
 // EventTypes returns the events in the order of their numbers in recordings.
--- /dev/null
+++ b/internal/platform/client_test.go
@@ -0,0 +1,224 @@
+package platform_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/verbenaspur/verbenaspur/internal/core/msg"
+	"github.com/verbenaspur/verbenaspur/internal/platform"
+	standin "github.com/verbenaspur/verbenaspur/internal/standin/platform"
+)
+
+func atZero() msg.Time { return 0 }
+
+func clientOf(t *testing.T, url string) *platform.Client {
+	t.Helper()
+	c := platform.New(platform.Config{Objects: url, Targets: url, Usage: url, Hosts: url})
+	t.Cleanup(c.Close)
+	return c
+}
+
+func newPair(t *testing.T) (*platform.Client, *standin.Server) {
+	t.Helper()
+	s := standin.New()
+	srv := httptest.NewServer(s)
+	t.Cleanup(srv.Close)
+	return clientOf(t, srv.URL), s
+}
+
+func do[T msg.Event](t *testing.T, c *platform.Client, eff msg.Effect) T {
+	t.Helper()
+	ev, ok := c.Do(t.Context(), eff, atZero).(T)
+	if !ok {
+		t.Fatalf("%T is answered with another event", eff)
+	}
+	return ev
+}
+
+func TestConditionalWrites(t *testing.T) {
+	is := is.New(t)
+	c, _ := newPair(t)
+	put := msg.PutObject{Call: 1, Kind: msg.KindLease, Name: "pool/a b", Value: []byte("one")}
+	first := do[msg.PutDone](t, c, put)
+	is.Equal(first.Status, msg.CallOK)
+	is.Equal(do[msg.PutDone](t, c, put).Status, msg.CallConflict)
+
+	got := do[msg.GetDone](t, c, msg.GetObject{Kind: msg.KindLease, Name: "pool/a b"})
+	is.Equal(got.Object, msg.Object{Kind: msg.KindLease, Name: "pool/a b", Version: first.Version, Value: []byte("one")})
+	is.Equal(do[msg.GetDone](t, c, msg.GetObject{Kind: msg.KindLease, Name: "pool"}).Status, msg.CallNotFound)
+	is.Equal(do[msg.PutDone](t, c, msg.DeleteObject{Kind: msg.KindLease, Name: "pool/a b", IfVersion: first.Version + 1}).Status, msg.CallConflict)
+	is.Equal(do[msg.PutDone](t, c, msg.DeleteObject{Kind: msg.KindLease, Name: "pool/a b", IfVersion: first.Version}).Status, msg.CallOK)
+
+	put.Value = make([]byte, 1<<20+1)
+	is.Equal(do[msg.PutDone](t, c, put).Status, msg.CallRejected)
+}
+
+func TestWatchReportsChangesAndRemovals(t *testing.T) {
+	is := is.New(t)
+	c, _ := newPair(t)
+	put := do[msg.PutDone](t, c, msg.PutObject{Kind: msg.KindLease, Name: "a", Value: []byte("1")})
+	list := do[msg.ListDone](t, c, msg.ListObjects{Kind: msg.KindLease, Prefix: "a"})
+	is.Equal(len(list.Objects), 1)
+
+	quiet := do[msg.WatchDone](t, c, msg.WatchObjects{Kind: msg.KindLease, Since: list.Revision, Wait: time.Millisecond})
+	is.Equal(quiet.Status, msg.CallOK)
+	is.Equal(len(quiet.Objects), 0)
+
+	answer := make(chan msg.Event)
+	go func() {
+		answer <- c.Do(context.Background(), msg.WatchObjects{Kind: msg.KindLease, Since: list.Revision, Wait: time.Minute}, atZero)
+	}()
+	do[msg.PutDone](t, c, msg.DeleteObject{Kind: msg.KindLease, Name: "a", IfVersion: put.Version})
+	done := (<-answer).(msg.WatchDone)
+	is.Equal(len(done.Objects), 1)
+	is.True(done.Objects[0].Deleted)
+	is.Equal(do[msg.WatchDone](t, c, msg.WatchObjects{Kind: msg.KindLease, Since: done.Revision + 9}).Status, msg.CallRejected)
+}
+
+func TestFaultsMapToWhatIsKnown(t *testing.T) {
+	is := is.New(t)
+	c, s := newPair(t)
+	put := msg.PutObject{Kind: msg.KindLease, Name: "a", Value: []byte("1")}
+	get := msg.GetObject{Kind: msg.KindLease, Name: "a"}
+
+	s.SetFaults(standin.Faults{Down: true})
+	is.Equal(do[msg.PutDone](t, c, put).Status, msg.CallUnavailable)
+	s.SetFaults(standin.Faults{WritesPerSecond: 1e-9})
+	is.Equal(do[msg.PutDone](t, c, put).Status, msg.CallOK) // the burst of one
+	is.Equal(do[msg.PutDone](t, c, put).Status, msg.CallUnavailable)
+
+	s.SetFaults(standin.Faults{LoseNextWrites: 1})
+	put.Name = "b"
+	is.Equal(do[msg.PutDone](t, c, put).Status, msg.CallUnknown)
+	get.Name = "b"
+	is.Equal(do[msg.GetDone](t, c, get).Status, msg.CallOK) // it had taken effect
+	is.Equal(s.Counts().Lost, 1)
+}
+
+func TestStatusOfBrokenAnswers(t *testing.T) {
+	cases := []struct {
+		name    string
+		answer  http.HandlerFunc
+		put     msg.CallStatus
+		reading msg.CallStatus
+	}{
+		{"gateway timeout", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(504) }, msg.CallUnknown, msg.CallUnavailable},
+		{"server error", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(500) }, msg.CallUnknown, msg.CallUnavailable},
+		{"request timeout", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(408) }, msg.CallUnknown, msg.CallUnavailable},
+		{"not JSON", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("<html>")) }, msg.CallUnknown, msg.CallUnavailable},
+		{"redirect", func(w http.ResponseWriter, r *http.Request) { http.Redirect(w, r, "/elsewhere", http.StatusTemporaryRedirect) }, msg.CallUnknown, msg.CallUnavailable},
+		{"no permission", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(403) }, msg.CallRejected, msg.CallRejected},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			srv := httptest.NewServer(tc.answer)
+			defer srv.Close()
+			c := clientOf(t, srv.URL)
+			is.Equal(do[msg.PutDone](t, c, msg.PutObject{Kind: "k", Name: "a"}).Status, tc.put)
+			is.Equal(do[msg.GetDone](t, c, msg.GetObject{Kind: "k", Name: "a"}).Status, tc.reading)
+		})
+	}
+}
+
+func TestRefusedConnectionHasNoEffect(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	addr := l.Addr().String()
+	is.NoErr(l.Close())
+	is.Equal(do[msg.PutDone](t, clientOf(t, "http://"+addr), msg.PutObject{Kind: "k", Name: "a"}).Status, msg.CallUnavailable)
+}
+
+// The clock passes the deadline only after the connection stands, as it does
+// when a process is paused between dialling and writing.
+func TestDeadlineIsCheckedBeforeTheLastBytes(t *testing.T) {
+	for _, size := range []int{0, 300_000} {
+		is := is.New(t)
+		var arrived atomic.Int32
+		srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			arrived.Add(1)
+			_, _ = w.Write([]byte("{}"))
+		}))
+		defer srv.Close()
+		c := clientOf(t, srv.URL)
+		put := msg.PutObject{Kind: "k", Name: "a", NotAfter: 2, Value: []byte(strings.Repeat("x", size))}
+		is.Equal(c.Do(t.Context(), put, func() msg.Time { return 1 }).(msg.PutDone).Status, msg.CallOK)
+		is.Equal(arrived.Load(), int32(1))
+		late := func() msg.Time { return 2 }
+		for range 2 { // on a kept connection, then on a new one
+			is.Equal(c.Do(t.Context(), put, late).(msg.PutDone).Status, msg.CallUnavailable)
+			withdraw := msg.WithdrawTarget{Target: "t", NotAfter: 2}
+			is.Equal(c.Do(t.Context(), withdraw, late).(msg.TargetOrderDone).Status, msg.CallUnavailable)
+		}
+		is.Equal(arrived.Load(), int32(1))
+	}
+}
+
+func TestDeadlineBetweenTwoWritesLeavesTheRequestIncomplete(t *testing.T) {
+	is := is.New(t)
+	whole := false
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		b := make([]byte, 1<<20)
+		n := 0
+		for {
+			m, err := r.Body.Read(b)
+			n += m
+			if err != nil {
+				whole = int64(n) == r.ContentLength
+				return
+			}
+		}
+	}))
+	c := clientOf(t, srv.URL)
+	var reads msg.Time
+	clock := func() msg.Time { reads++; return reads }
+	put := msg.PutObject{Kind: "k", Name: "a", NotAfter: 3, Value: make([]byte, 300_000)}
+	is.Equal(c.Do(t.Context(), put, clock).(msg.PutDone).Status, msg.CallUnavailable)
+	srv.Close() // waits for the handler
+	is.True(!whole)
+}
+
+func TestFleetAndUsageInterfaces(t *testing.T) {
+	is := is.New(t)
+	c, s := newPair(t)
+	s.SetHosts([]standin.Host{{Host: "h1", Addr: "127.0.0.2", FailureDomain: "a", Region: "r", Kind: "target", State: "leaving"}})
+	hosts := do[msg.HostsListed](t, c, msg.ListHosts{Call: 3})
+	is.Equal(hosts.Hosts, []msg.Host{{Host: "h1", Addr: "127.0.0.2", Domain: "a", Region: "r", Kind: msg.HostTarget, State: msg.HostLeaving}})
+
+	order := msg.OrderTarget{Pool: "p", Domain: "a", Token: "t1", Epoch: 5}
+	first := do[msg.TargetOrderDone](t, c, order)
+	is.Equal(do[msg.TargetOrderDone](t, c, order).Target, first.Target)
+	order.Epoch = 4
+	is.Equal(do[msg.TargetOrderDone](t, c, order).Status, msg.CallConflict)
+	is.Equal(len(do[msg.TargetsListed](t, c, msg.ListTargets{Pool: "p"}).Targets), 1)
+	is.Equal(do[msg.TargetOrderDone](t, c, msg.WithdrawTarget{Target: first.Target, Epoch: 5}).Status, msg.CallOK)
+
+	report := msg.ReportUsage{Report: msg.UsageReport{Account: "north", Window: time.Unix(0, 0), Length: time.Minute, Requests: 1}}
+	is.Equal(do[msg.UsageReported](t, c, report).Status, msg.CallOK)
+	is.Equal(do[msg.UsageReported](t, c, report).Status, msg.CallOK)
+	report.Report.Requests = 2
+	is.Equal(do[msg.UsageReported](t, c, report).Status, msg.CallConflict)
+	is.Equal(s.Usage()[0].Window, "1970-01-01T00:00:00Z")
+}
+
+func TestCallsAreCounted(t *testing.T) {
+	is := is.New(t)
+	c, _ := newPair(t)
+	do[msg.GetDone](t, c, msg.GetObject{Kind: "k", Name: "a"})
+	reg := prometheus.NewPedanticRegistry()
+	is.NoErr(reg.Register(c))
+	families, err := reg.Gather()
+	is.NoErr(err)
+	is.Equal(families[1].GetName(), "verbenaspur_platform_calls_total")
+	is.Equal(families[1].GetMetric()[0].GetCounter().GetValue(), 1.0)
+}
--- /dev/null
+++ b/internal/platform/fleet.go
@@ -0,0 +1,143 @@
+package platform
+
+import (
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/verbenaspur/verbenaspur/internal/core/msg"
+)
+
+type hostJSON struct {
+	Host   msg.HostID        `json:"host"`
+	Addr   string            `json:"addr"`
+	Domain msg.FailureDomain `json:"failureDomain"`
+	Region msg.Region        `json:"region"`
+	Kind   string            `json:"kind"`
+	State  string            `json:"state"`
+}
+
+type hostsJSON struct {
+	Hosts []hostJSON `json:"hosts"`
+}
+
+// Names in the host list.
+const (
+	hostKindTarget   = "target"
+	hostStateLeaving = "leaving"
+)
+
+func (h hostJSON) host() msg.Host {
+	out := msg.Host{Host: h.Host, Addr: h.Addr, Domain: h.Domain, Region: h.Region}
+	if h.Kind == hostKindTarget {
+		out.Kind = msg.HostTarget
+	}
+	if h.State == hostStateLeaving {
+		out.State = msg.HostLeaving
+	}
+	return out
+}
+
+func (s *session) listHosts(eff msg.ListHosts) msg.Event {
+	var l hostsJSON
+	status := s.do(request{call: "list_hosts", method: http.MethodGet, url: s.client.cfg.Hosts + "/v1/hosts"}, &l)
+	out := msg.HostsListed{Call: eff.Call, Status: status}
+	for _, h := range l.Hosts {
+		out.Hosts = append(out.Hosts, h.host())
+	}
+	return out
+}
+
+type targetOrderJSON struct {
+	Pool   msg.PoolID        `json:"pool"`
+	Domain msg.FailureDomain `json:"failureDomain"`
+	Token  string            `json:"token"`
+	Epoch  msg.Epoch         `json:"epoch"`
+}
+
+type targetJSON struct {
+	Target  msg.TargetID      `json:"target"`
+	Host    msg.HostID        `json:"host"`
+	Pool    msg.PoolID        `json:"pool"`
+	Domain  msg.FailureDomain `json:"failureDomain"`
+	Token   string            `json:"token"`
+	Ready   bool              `json:"ready"`
+	Leaving bool              `json:"leaving"`
+	Cost    float64           `json:"cost"`
+}
+
+type targetsJSON struct {
+	Targets []targetJSON `json:"targets"`
+}
+
+func (s *session) orderTarget(eff msg.OrderTarget) msg.Event {
+	var t targetJSON
+	status := s.do(request{
+		call:     "order_target",
+		method:   http.MethodPost,
+		url:      s.client.cfg.Targets + "/v1/targets",
+		body:     targetOrderJSON{Pool: eff.Pool, Domain: eff.Domain, Token: eff.Token, Epoch: eff.Epoch},
+		notAfter: eff.NotAfter,
+	}, &t)
+	return msg.TargetOrderDone{Call: eff.Call, Status: status, Target: t.Target}
+}
+
+func (s *session) withdrawTarget(eff msg.WithdrawTarget) msg.Event {
+	q := url.Values{}
+	q.Set("token", eff.Token)
+	q.Set("epoch", strconv.FormatUint(uint64(eff.Epoch), 10))
+	status := s.do(request{
+		call:     "withdraw_target",
+		method:   http.MethodDelete,
+		url:      s.client.cfg.Targets + "/v1/targets/" + url.PathEscape(string(eff.Target)) + "?" + q.Encode(),
+		notAfter: eff.NotAfter,
+	}, &noAnswer{})
+	return msg.TargetOrderDone{Call: eff.Call, Status: status, Target: eff.Target}
+}
+
+func (s *session) listTargets(eff msg.ListTargets) msg.Event {
+	var l targetsJSON
+	u := s.client.cfg.Targets + "/v1/targets?pool=" + url.QueryEscape(string(eff.Pool))
+	status := s.do(request{call: "list_targets", method: http.MethodGet, url: u}, &l)
+	out := msg.TargetsListed{Call: eff.Call, Status: status, Pool: eff.Pool}
+	for _, t := range l.Targets {
+		out.Targets = append(out.Targets, msg.OrderedTarget(t))
+	}
+	return out
+}
+
+type usageJSON struct {
+	Length              string    `json:"length"`
+	Requests            int64     `json:"requests"`
+	PromptTokens        int64     `json:"promptTokens"`
+	CachedTokens        int64     `json:"cachedTokens"`
+	GeneratedTokens     int64     `json:"generatedTokens"`
+	LatePromptTokens    int64     `json:"latePromptTokens"`
+	LateCachedTokens    int64     `json:"lateCachedTokens"`
+	LateGeneratedTokens int64     `json:"lateGeneratedTokens"`
+	Epoch               msg.Epoch `json:"epoch"`
+}
+
+func (s *session) reportUsage(eff msg.ReportUsage) msg.Event {
+	r := eff.Report
+	window := r.Window.UTC().Format(time.RFC3339)
+	status := s.do(request{
+		call:   "report_usage",
+		method: http.MethodPut,
+		url:    s.client.cfg.Usage + "/v1/usage/" + url.PathEscape(string(r.Account)) + "/" + url.PathEscape(window),
+		body: usageJSON{
+			Length:              r.Length.String(),
+			Requests:            r.Requests,
+			PromptTokens:        r.Usage.Prompt,
+			CachedTokens:        r.Usage.Cached,
+			GeneratedTokens:     r.Usage.Generated,
+			LatePromptTokens:    r.Late.Prompt,
+			LateCachedTokens:    r.Late.Cached,
+			LateGeneratedTokens: r.Late.Generated,
+			Epoch:               eff.Epoch,
+		},
+		notAfter: eff.NotAfter,
+	}, &noAnswer{})
+	return msg.UsageReported{Call: eff.Call, Status: status}
+}
