Stand-ins for engine and plain service

The thin path needs targets to talk to. The engine's answers are a function of the prompt and the token's index, so a resumed answer equals an uncut one; a role change or model load cuts running streams, so that a missing drain shows. Both take faults at /control/faults and count starts per attempt id.

--- /dev/null
+++ b/internal/standin/engine/engine_test.go
@@ -0,0 +1,260 @@
+package engine
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/verbenaspur/verbenaspur/internal/standin/control"
+)
+
+// fast makes the cost model quick enough for tests.
+func fast() Config {
+	return Config{
+		Role:           "mixed",
+		Models:         []Model{{Model: "m", Version: "1"}},
+		PrefillRate:    1e7,
+		StepBase:       time.Millisecond,
+		RoleChangeTime: 30 * time.Millisecond,
+		LoadTime:       30 * time.Millisecond,
+	}
+}
+
+func start(t *testing.T, cfg Config) (*Server, string) {
+	t.Helper()
+	s := New(cfg)
+	srv := httptest.NewServer(s)
+	t.Cleanup(srv.Close)
+	return s, srv.URL
+}
+
+func post(url, attempt, body string) (*http.Response, error) {
+	req, err := http.NewRequest(http.MethodPost, url, strings.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("X-Attempt-Id", attempt)
+	return http.DefaultClient.Do(req)
+}
+
+// fails reports whether a call gets no answer at all.
+func fails(req *http.Request) bool {
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return true
+	}
+	resp.Body.Close()
+	return false
+}
+
+// answer is a parsed stream.
+type answer struct {
+	text  string
+	whole bool
+	usage *usage
+}
+
+func read(body io.Reader) answer {
+	var a answer
+	sc := bufio.NewScanner(body)
+	for sc.Scan() {
+		data, ok := strings.CutPrefix(sc.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			a.whole = true
+			break
+		}
+		var c chunk
+		if json.Unmarshal([]byte(data), &c) != nil {
+			break
+		}
+		if c.Usage != nil {
+			a.usage = c.Usage
+		}
+		for _, ch := range c.Choices {
+			if ch.Text != nil {
+				a.text += *ch.Text
+			}
+		}
+	}
+	return a
+}
+
+func generate(t *testing.T, url, attempt, body string) answer {
+	t.Helper()
+	resp, err := post(url+"/v1/completions", attempt, body)
+	if err != nil {
+		return answer{}
+	}
+	defer resp.Body.Close()
+	return read(resp.Body)
+}
+
+func TestResumedAnswerEqualsUncutOne(t *testing.T) {
+	is := is.New(t)
+	_, url := start(t, fast())
+	whole := generate(t, url, "a1", `{"prompt":"hello","max_tokens":6}`)
+	first := generate(t, url, "a2", `{"prompt":"hello","max_tokens":2}`)
+	rest := generate(t, url, "a3", `{"prompt":"hello","max_tokens":6,"resume":{"text":"x","tokens":2}}`)
+	is.Equal(whole.text, Answer("hello", 6))
+	is.Equal(first.text+rest.text, whole.text)
+	is.Equal(rest.usage.CompletionTokens, 4)
+	is.True(Answer("hello", 1) != Answer("hallo", 1))
+}
+
+func TestAttemptRunsOnce(t *testing.T) {
+	is := is.New(t)
+	s, url := start(t, fast())
+	is.True(generate(t, url, "a1", `{"prompt":"p","max_tokens":1}`).whole)
+	resp, err := post(url+"/v1/completions", "a1", `{"prompt":"p"}`)
+	is.NoErr(err)
+	resp.Body.Close()
+	is.Equal(resp.StatusCode, http.StatusConflict)
+	is.Equal(s.Stats().Starts["a1"], 1)
+}
+
+func TestSecondPromptIsCached(t *testing.T) {
+	is := is.New(t)
+	_, url := start(t, fast())
+	body := fmt.Sprintf(`{"prompt":%q,"max_tokens":1}`, strings.Repeat("x", 20_000))
+	is.Equal(generate(t, url, "a1", body).usage.Details.CachedTokens, 0)
+	is.Equal(generate(t, url, "a2", body).usage.Details.CachedTokens, 4000)
+	resp, err := http.Get(url + "/v1/cache-events?after=0")
+	is.NoErr(err)
+	defer resp.Body.Close()
+	var evs cacheEvents
+	is.NoErr(json.NewDecoder(resp.Body).Decode(&evs))
+	is.Equal(len(evs.Events), 1)
+	is.Equal(len(evs.Events[0].Pieces), 2)
+}
+
+func TestImportedPromptNeedsNoPrefill(t *testing.T) {
+	is := is.New(t)
+	_, from := start(t, fast())
+	_, to := start(t, fast())
+	is.True(generate(t, from, "p1", `{"prompt":"some prompt","prefill_only":true}`).whole)
+	body := fmt.Sprintf(`{"prompt":"some prompt","max_tokens":1,"kv_transfer":{"from":%q,"attempt":"p1"}}`, from)
+	a := generate(t, to, "d1", body)
+	is.Equal(a.usage.Details.CachedTokens, a.usage.PromptTokens)
+}
+
+func order(t *testing.T, url, body string) int {
+	t.Helper()
+	resp, err := post(url+"/v1/orders", "", body)
+	if err != nil {
+		return 0
+	}
+	resp.Body.Close()
+	return resp.StatusCode
+}
+
+func TestOrdersAndFencing(t *testing.T) {
+	for _, checks := range []bool{true, false} {
+		t.Run(fmt.Sprintf("checks=%v", checks), func(t *testing.T) {
+			is := is.New(t)
+			cfg := fast()
+			cfg.ChecksFencing = checks
+			s, url := start(t, cfg)
+			is.Equal(order(t, url, `{"id":"o1","epoch":5,"kind":"set-role","role":"decode"}`), http.StatusOK)
+			is.Equal(order(t, url, `{"id":"o1","epoch":5,"kind":"set-role","role":"decode"}`), http.StatusOK)
+			status := order(t, url, `{"id":"o2","epoch":4,"kind":"set-role","role":"prefill"}`)
+			is.Equal(status == http.StatusConflict, checks)
+			executed := 2
+			if checks {
+				executed = 1
+			}
+			is.Equal(len(s.Stats().Orders), executed)
+		})
+	}
+}
+
+func TestOrderGoesOnWithoutItsSender(t *testing.T) {
+	is := is.New(t)
+	s, url := start(t, fast())
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Millisecond)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url+"/v1/orders",
+		strings.NewReader(`{"id":"o1","epoch":1,"kind":"set-role","role":"decode"}`))
+	is.NoErr(err)
+	is.True(fails(req))
+	for len(s.Stats().Orders) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	is.Equal(s.Stats().Orders[0].ID, "o1")
+}
+
+func TestCrashCutsStreamsAndForgets(t *testing.T) {
+	is := is.New(t)
+	s, url := start(t, fast())
+	resp, err := post(url+"/v1/completions", "a1", `{"prompt":"p","max_tokens":100000}`)
+	is.NoErr(err)
+	defer resp.Body.Close()
+	s.Faults().Set(control.Faults{Crash: true})
+	is.True(!read(resp.Body).whole)
+	health, err := http.NewRequest(http.MethodGet, url+"/healthz", nil)
+	is.NoErr(err)
+	is.True(fails(health))
+	s.Faults().Set(control.Faults{Restart: true})
+	is.True(generate(t, url, "a2", `{"prompt":"p","max_tokens":1}`).whole)
+}
+
+func TestPoisonedPromptCrashes(t *testing.T) {
+	is := is.New(t)
+	cfg := fast()
+	cfg.PoisonText = "poison"
+	cfg.CrashFor = time.Millisecond
+	s, url := start(t, cfg)
+	is.True(!generate(t, url, "a1", `{"prompt":"a poison","max_tokens":1}`).whole)
+	is.Equal(s.Stats().Crashes, 1)
+	is.Equal(s.Stats().Starts["a1"], 1)
+}
+
+func TestFrozenStreamStaysOpenAndSilent(t *testing.T) {
+	is := is.New(t)
+	s, url := start(t, fast())
+	resp, err := post(url+"/v1/completions", "a1", `{"prompt":"p","max_tokens":100000}`)
+	is.NoErr(err)
+	s.Faults().Set(control.Faults{Freeze: true})
+	is.True(generate(t, url, "a2", `{"prompt":"p","max_tokens":3}`).whole)
+	is.Equal(s.Stats().Running, 1)
+	resp.Body.Close()
+}
+
+func TestCancelEndsAttempt(t *testing.T) {
+	is := is.New(t)
+	s, url := start(t, fast())
+	resp, err := post(url+"/v1/completions", "a1", `{"prompt":"p","max_tokens":100000}`)
+	is.NoErr(err)
+	defer resp.Body.Close()
+	cancelled, err := post(url+"/v1/attempts/a1/cancel", "", "")
+	is.NoErr(err)
+	cancelled.Body.Close()
+	is.True(!read(resp.Body).whole)
+	for s.Stats().Running > 0 {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func TestCredentialIsNoticed(t *testing.T) {
+	is := is.New(t)
+	s, url := start(t, fast())
+	req, err := http.NewRequest(http.MethodGet, url+"/v1/load", nil)
+	is.NoErr(err)
+	is.True(!s.Stats().CredentialSeen)
+	req.Header.Set("Authorization", "Bearer k")
+	resp, err := http.DefaultClient.Do(req)
+	is.NoErr(err)
+	resp.Body.Close()
+	is.True(s.Stats().CredentialSeen)
+}
--- /dev/null
+++ b/internal/standin/engine/server.go
@@ -0,0 +1,163 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"github.com/verbenaspur/verbenaspur/internal/standin/control"
+)
+
+// Server is a stand-in engine. It is an [http.Handler].
+type Server struct {
+	cfg    Config
+	faults *control.State
+	http   http.Handler
+	client *http.Client
+
+	mu       sync.Mutex
+	role     string
+	models   []Model
+	epoch    uint64
+	order    string
+	applied  map[string]bool
+	changing bool
+	seen     map[string]bool
+	running  map[string]*attempt
+	exports  map[string]int
+	slots    *slots
+	prefill  chan struct{}
+	prefillQ int
+	kvUsed   int
+	cache    *prefixCache
+	samples  []loadSample
+	stats    Stats
+}
+
+// attempt is a running generation.
+type attempt struct {
+	cancel context.CancelFunc
+}
+
+// Stats is the body of GET /control/stats.
+type Stats struct {
+	// Starts counts the starts per attempt id over the engine's whole life.
+	Starts map[string]int `json:"starts"`
+	// Orders lists the executed orders.
+	Orders []ExecutedOrder `json:"orders"`
+	// CutByOrder counts the attempts that an order cut.
+	CutByOrder int `json:"cutByOrder"`
+	Running    int `json:"running"`
+	Crashes    int `json:"crashes"`
+	// CredentialSeen says that a call carried a caller's credential.
+	CredentialSeen bool `json:"credentialSeen"`
+}
+
+// ExecutedOrder is an order that took effect.
+type ExecutedOrder struct {
+	ID    string `json:"id"`
+	Kind  string `json:"kind"`
+	Epoch uint64 `json:"epoch"`
+}
+
+// New returns an idle engine.
+func New(cfg Config) *Server {
+	cfg = cfg.withDefaults()
+	s := &Server{cfg: cfg, client: &http.Client{Timeout: 5 * time.Second}}
+	s.stats.Starts = make(map[string]int)
+	s.role = cfg.Role
+	s.models = append(s.models, cfg.Models...)
+	s.faults = control.NewState(s.reset)
+	s.reset()
+	s.stats.Crashes = 0
+	s.http = s.faults.Wrap(s.routes())
+	return s
+}
+
+// ServeHTTP serves one call.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.http.ServeHTTP(w, r) }
+
+// Faults returns the engine's misbehaviour, for tests in the same process.
+func (s *Server) Faults() *control.State { return s.faults }
+
+// Stats returns a copy of the engine's counts.
+func (s *Server) Stats() Stats {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	st := s.stats
+	st.Starts = make(map[string]int, len(s.stats.Starts))
+	for id, n := range s.stats.Starts {
+		st.Starts[id] = n
+	}
+	st.Orders = append([]ExecutedOrder{}, s.stats.Orders...)
+	st.Running = len(s.running)
+	st.CredentialSeen = s.faults.CredentialSeen()
+	return st
+}
+
+// reset drops the volatile state, as a crash does.
+func (s *Server) reset() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.applied = make(map[string]bool)
+	s.seen = make(map[string]bool)
+	s.running = make(map[string]*attempt)
+	s.exports = make(map[string]int)
+	s.slots = &slots{free: s.cfg.MaxBatch}
+	s.prefill = make(chan struct{}, 1)
+	s.prefillQ, s.kvUsed = 0, 0
+	s.cache = newPrefixCache(s.cfg.CacheTokens, s.cfg.CacheEventGap)
+	s.samples = nil
+	s.order, s.epoch = "", 0
+	s.changing = false
+	s.stats.Crashes++
+}
+
+func (s *Server) routes() http.Handler {
+	m := mux.NewRouter()
+	m.HandleFunc("/v1/chat/completions", s.generateChat).Methods(http.MethodPost)
+	m.HandleFunc("/v1/completions", s.generateText).Methods(http.MethodPost)
+	m.HandleFunc("/v1/attempts/{id}/cancel", s.cancelAttempt).Methods(http.MethodPost)
+	m.HandleFunc("/v1/kv/{attempt}", s.exportKV).Methods(http.MethodGet)
+	m.HandleFunc("/v1/load", s.serveLoad).Methods(http.MethodGet)
+	m.HandleFunc("/v1/cache-events", s.serveCacheEvents).Methods(http.MethodGet)
+	m.HandleFunc("/v1/orders", s.serveOrder).Methods(http.MethodPost)
+	m.HandleFunc("/healthz", func(http.ResponseWriter, *http.Request) {}).Methods(http.MethodGet)
+	m.HandleFunc("/control/faults", s.faults.ServeFaults).Methods(http.MethodPost)
+	m.HandleFunc("/control/stats", func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, http.StatusOK, s.Stats())
+	}).Methods(http.MethodGet)
+	return m
+}
+
+// sleep waits for a time of the cost model.
+func (s *Server) sleep(ctx context.Context, d time.Duration) bool {
+	return s.faults.Sleep(ctx, s.scaled(d))
+}
+
+func (s *Server) scaled(d time.Duration) time.Duration {
+	return time.Duration(float64(d) / s.cfg.Speed)
+}
+
+type errorBody struct {
+	Error errorDetail `json:"error"`
+}
+
+type errorDetail struct {
+	Code    string `json:"code"`
+	Message string `json:"message"`
+}
+
+func writeError(w http.ResponseWriter, status int, code, message string) {
+	writeJSON(w, status, errorBody{errorDetail{code, message}})
+}
+
+func writeJSON(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body)
+}
