--- a/internal/platform/client_test.go
+++ b/internal/platform/client_test.go
@@ -115,7 +115,9 @@
 		{"server error", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(500) }, msg.CallUnknown, msg.CallUnavailable},
 		{"request timeout", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(408) }, msg.CallUnknown, msg.CallUnavailable},
 		{"not JSON", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("<html>")) }, msg.CallUnknown, msg.CallUnavailable},
-		{"redirect", func(w http.ResponseWriter, r *http.Request) { http.Redirect(w, r, "/elsewhere", http.StatusTemporaryRedirect) }, msg.CallUnknown, msg.CallUnavailable},
+		{"redirect", func(w http.ResponseWriter, r *http.Request) {
+			http.Redirect(w, r, "/elsewhere", http.StatusTemporaryRedirect)
+		}, msg.CallUnknown, msg.CallUnavailable},
 		{"no permission", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(403) }, msg.CallRejected, msg.CallRejected},
 	}
 	for _, tc := range cases {
