--- /dev/null
+++ b/internal/ctl/app.go
@@ -0,0 +1,163 @@
+// Package ctl holds the commands of verbenaspurctl, the operators' tool.
+package ctl
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v3"
+
+	"github.com/verbenaspur/verbenaspur/internal/operator"
+)
+
+// Names of the flags that all commands share.
+const (
+	flagServer = "server"
+	flagToken  = "token-file"
+	flagCA     = "ca"
+	flagOutput = "output"
+)
+
+const exitCodeHelp = `Exit codes:
+   0  done; for apply: accepted, in force everywhere
+   1  failed
+   2  wrong command line
+   3  written, not yet known to be in force
+   4  conflict: another change came first; nothing changed
+   5  invalid manifest or settings; nothing changed
+   6  no server or no platform took it; nothing changed
+   7  unknown: it may have been written
+   8  the operator token was refused
+   9  not found
+  10  diff --exit-code: the manifests differ`
+
+// New returns the command tree. Output goes to out, messages to errOut.
+func New(out, errOut io.Writer) *cli.Command {
+	root := &cli.Command{
+		Name:                  "verbenaspurctl",
+		Usage:                 "checks, applies and explains what a verbenaspur deployment does",
+		Description:           exitCodeHelp,
+		Writer:                out,
+		ErrWriter:             errOut,
+		EnableShellCompletion: true,
+		Suggest:               true,
+		ExitErrHandler:        func(context.Context, *cli.Command, error) {},
+		Flags:                 sharedFlags(),
+		Commands: []*cli.Command{
+			validateCommand(), diffCommand(), applyCommand(), historyCommand(),
+			statusCommand(), explainCommand(), planCommand(), usageCommand(), drainCommand(),
+			accountsCommand(), keysCommand(), certsCommand(),
+		},
+	}
+	setUsageErrors(root)
+	return root
+}
+
+// setUsageErrors gives wrong command lines their exit code, in the command and
+// those below it.
+func setUsageErrors(cmd *cli.Command) {
+	cmd.OnUsageError = func(_ context.Context, _ *cli.Command, err error, _ bool) error {
+		return usageError("%v; see --help", err)
+	}
+	if cmd.Action == nil {
+		cmd.Action = func(_ context.Context, cmd *cli.Command) error {
+			if cmd.Args().Len() > 0 {
+				return usageError("no command is called %q; see --help", cmd.Args().First())
+			}
+			return cli.ShowSubcommandHelp(cmd)
+		}
+	}
+	for _, sub := range cmd.Commands {
+		setUsageErrors(sub)
+	}
+}
+
+// required returns the value of a flag that has to be given.
+func required(cmd *cli.Command, flag string) (string, error) {
+	v := cmd.String(flag)
+	if v == "" {
+		return "", usageError("give --%s", flag)
+	}
+	return v, nil
+}
+
+// Run runs the tool and returns its exit code.
+func Run(ctx context.Context, args []string, out, errOut io.Writer) int {
+	err := New(out, errOut).Run(ctx, args)
+	if err == nil {
+		return exitOK
+	}
+	if text := err.Error(); text != "" {
+		_, _ = fmt.Fprintf(errOut, "verbenaspurctl: %s\n", text)
+	}
+	return codeOf(err)
+}
+
+func sharedFlags() []cli.Flag {
+	return []cli.Flag{
+		&cli.StringSliceFlag{
+			Name:    flagServer,
+			Aliases: []string{"s"},
+			Usage:   "base `URL` of an entry; repeat it to name others to turn to",
+			Sources: cli.EnvVars("VERBENASPUR_SERVER"),
+			Value:   []string{"http://127.0.0.1:8080"},
+		},
+		&cli.StringFlag{
+			Name:    flagToken,
+			Usage:   "`FILE` with the operator token",
+			Sources: cli.EnvVars("VERBENASPUR_TOKEN_FILE"),
+		},
+		&cli.StringFlag{
+			Name:    flagCA,
+			Usage:   "`FILE` with the authorities to trust for https servers",
+			Sources: cli.EnvVars("VERBENASPUR_CA"),
+		},
+		&cli.StringFlag{
+			Name:    flagOutput,
+			Aliases: []string{"o"},
+			Usage:   "`FORMAT` of the output: table, json or yaml",
+			Value:   formatTable,
+			Validator: func(s string) error {
+				if s != formatTable && s != formatJSON && s != formatYAML {
+					return errors.Newf("%q is none of: table json yaml", s)
+				}
+				return nil
+			},
+		},
+	}
+}
+
+func clientOf(cmd *cli.Command) (*operator.Client, error) {
+	transport, err := operator.NewTransport(cmd.String(flagCA))
+	if err != nil {
+		return nil, err
+	}
+	token, err := readToken(cmd.String(flagToken))
+	if err != nil {
+		return nil, err
+	}
+	return operator.NewClient(cmd.StringSlice(flagServer), token, transport), nil
+}
+
+func readToken(path string) (string, error) {
+	if path == "" {
+		return "", usageError("give the operator token with --%s FILE or VERBENASPUR_TOKEN_FILE", flagToken)
+	}
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return "", errors.Wrap(err, "operator token")
+	}
+	return strings.TrimSpace(string(b)), nil
+}
+
+// oneArgument returns the command's only argument.
+func oneArgument(cmd *cli.Command, what string) (string, error) {
+	if cmd.Args().Len() != 1 {
+		return "", usageError("give one argument: %s", what)
+	}
+	return cmd.Args().First(), nil
+}
--- /dev/null
+++ b/internal/ctl/keys.go
@@ -0,0 +1,193 @@
+package ctl
+
+import (
+	"context"
+	"io"
+	"slices"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/verbenaspur/verbenaspur/internal/manifest"
+	"github.com/verbenaspur/verbenaspur/internal/strictyaml"
+)
+
+const (
+	flagID      = "id"
+	flagOverlap = "overlap"
+)
+
+const defaultOverlap = 24 * time.Hour
+
+func keysCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "keys",
+		Usage: "make, rotate and withdraw API keys in a manifest",
+		Description: "The commands edit the manifest file; verbenaspurctl apply puts it in force. Only the\n" +
+			"hash of a key is kept. The key itself is shown once.",
+		Commands: []*cli.Command{keysNewCommand(), keysRotateCommand(), keysWithdrawCommand()},
+	}
+}
+
+func keysNewCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "new",
+		Usage:     "make a key for an account",
+		ArgsUsage: "[FILE]",
+		UsageText: "verbenaspurctl keys new --account township-a --id township-2 manifest.yaml\n" +
+			"verbenaspurctl keys new --id township-2          prints the lines for the manifest",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: flagAccount, Usage: "the client `ACCOUNT`"},
+			&cli.StringFlag{Name: flagID, Usage: "the new key's `ID`"},
+		},
+		Action: runKeysNew,
+	}
+}
+
+// newKey is a fresh key with its only copy of the secret.
+type newKey struct {
+	Key    string       `json:"key"`
+	Stanza manifest.Key `json:"stanza"`
+}
+
+func makeKey(id string) (newKey, error) {
+	if !strictyaml.IsName(id) {
+		return newKey{}, usageError("%q is not an id of lower-case letters, digits, '-' and '.'", id)
+	}
+	secret, err := manifest.NewSecret()
+	if err != nil {
+		return newKey{}, err
+	}
+	return newKey{
+		Key:    manifest.FormatKey(id, secret),
+		Stanza: manifest.Key{ID: id, Hash: manifest.HashKey(id, secret)},
+	}, nil
+}
+
+func runKeysNew(_ context.Context, cmd *cli.Command) error {
+	id, err := required(cmd, flagID)
+	if err != nil {
+		return err
+	}
+	key, err := makeKey(id)
+	if err != nil {
+		return err
+	}
+	if cmd.Args().Len() == 0 {
+		return printKey(cmd, key)
+	}
+	path, err := oneArgument(cmd, "the manifest")
+	if err != nil {
+		return err
+	}
+	account, err := required(cmd, flagAccount)
+	if err != nil {
+		return err
+	}
+	err = editKeys(path, account, func(keys []manifest.Key) ([]manifest.Key, error) {
+		return append(keys, key.Stanza), nil
+	})
+	if err != nil {
+		return err
+	}
+	return printKey(cmd, key)
+}
+
+func keysRotateCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "rotate",
+		Usage:     "make a key that takes another one's place",
+		ArgsUsage: "FILE",
+		UsageText: "verbenaspurctl keys rotate --id township-1 manifest.yaml",
+		Description: "The old key stays valid for the overlap, so that callers can change over. The new\n" +
+			"key's id is the old one's with a number.",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: flagID, Usage: "the old key's `ID`"},
+			&cli.DurationFlag{Name: flagOverlap, Usage: "how long the old key stays valid", Value: defaultOverlap},
+		},
+		Action: runKeysRotate,
+	}
+}
+
+func runKeysRotate(_ context.Context, cmd *cli.Command) error {
+	path, err := oneArgument(cmd, "the manifest")
+	if err != nil {
+		return err
+	}
+	id, err := required(cmd, flagID)
+	if err != nil {
+		return err
+	}
+	m, _, err := readManifest(path)
+	if err != nil {
+		return err
+	}
+	index := manifest.NewIndex(m)
+	old, ok := index.Key(id)
+	if !ok {
+		return exitWith(exitNotFound, "no key has the id %q in %s", id, path)
+	}
+	key, err := makeKey(nextID(index, old.Key.ID))
+	if err != nil {
+		return err
+	}
+	end := time.Now().Add(cmd.Duration(flagOverlap)).UTC().Truncate(time.Second)
+	err = editKeys(path, old.Account.Name, func(keys []manifest.Key) ([]manifest.Key, error) {
+		i := slices.IndexFunc(keys, func(k manifest.Key) bool { return k.ID == old.Key.ID })
+		if keys[i].NotAfter.IsZero() || keys[i].NotAfter.After(end) {
+			keys[i].NotAfter = end
+		}
+		return append(keys, key.Stanza), nil
+	})
+	if err != nil {
+		return err
+	}
+	return printKey(cmd, key)
+}
+
+func keysWithdrawCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "withdraw",
+		Usage:     "remove a key",
+		ArgsUsage: "FILE",
+		UsageText: "verbenaspurctl keys withdraw --id township-1 manifest.yaml",
+		Flags:     []cli.Flag{&cli.StringFlag{Name: flagID, Usage: "the key's `ID`"}},
+		Action: func(_ context.Context, cmd *cli.Command) error {
+			path, err := oneArgument(cmd, "the manifest")
+			if err != nil {
+				return err
+			}
+			id, err := required(cmd, flagID)
+			if err != nil {
+				return err
+			}
+			return withdrawKey(cmd, path, id)
+		},
+	}
+}
+
+func withdrawKey(cmd *cli.Command, path, id string) error {
+	m, _, err := readManifest(path)
+	if err != nil {
+		return err
+	}
+	ref, ok := manifest.NewIndex(m).Key(id)
+	if !ok {
+		return exitWith(exitNotFound, "no key has the id %q in %s", id, path)
+	}
+	err = editKeys(path, ref.Account.Name, func(keys []manifest.Key) ([]manifest.Key, error) {
+		return slices.DeleteFunc(keys, func(k manifest.Key) bool { return k.ID == id }), nil
+	})
+	if err != nil {
+		return err
+	}
+	row(cmd.Root().Writer, "withdrawn from "+path+"; it works until you apply the manifest")
+	return nil
+}
+
+func printKey(cmd *cli.Command, k newKey) error {
+	return print(cmd, k, func(w io.Writer) {
+		row(w, "key (shown once):", k.Key)
+		row(w, "manifest:", "- {id: "+k.Stanza.ID+", hash: \""+k.Stanza.Hash+"\"}")
+	})
+}
--- /dev/null
+++ b/internal/ctl/output.go
@@ -0,0 +1,221 @@
+package ctl
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/cockroachdb/errors"
+	"github.com/goccy/go-yaml"
+	"github.com/urfave/cli/v3"
+)
+
+// Formats of the output.
+const (
+	formatTable = "table"
+	formatJSON  = "json"
+	formatYAML  = "yaml"
+)
+
+// print writes v in the format that the command line asks for; table writes
+// it for people.
+func print(cmd *cli.Command, v any, table func(io.Writer)) error {
+	w := cmd.Root().Writer
+	format := cmd.String(flagOutput)
+	if format == formatTable && table != nil {
+		tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+		table(tw)
+		return tw.Flush()
+	}
+	b, err := json.MarshalIndent(v, "", "  ")
+	if err != nil {
+		return errors.Wrap(err, "output")
+	}
+	if format != formatJSON {
+		if b, err = yaml.JSONToYAML(b); err != nil {
+			return errors.Wrap(err, "output")
+		}
+	}
+	_, err = fmt.Fprintln(w, strings.TrimSpace(string(b)))
+	return errors.Wrap(err, "output")
+}
+
+// row writes one line of a table.
+func row(w io.Writer, cells ...any) {
+	text := make([]string, len(cells))
+	for i, c := range cells {
+		text[i] = fmt.Sprint(c)
+	}
+	_, _ = fmt.Fprintln(w, strings.Join(text, "\t"))
+}
+
+// documentTable writes a document of any shape: its plain fields first, then
+// each list of objects as a table.
+func documentTable(doc json.RawMessage) func(io.Writer) {
+	return func(w io.Writer) {
+		v, err := orderedJSON(doc)
+		if err != nil {
+			row(w, string(doc))
+			return
+		}
+		writeValue(w, "", v)
+	}
+}
+
+// field is one field of a JSON object, in the order of the document.
+type field struct {
+	name  string
+	value any
+}
+
+// orderedJSON decodes JSON and keeps the order of fields: objects become
+// []field.
+func orderedJSON(doc []byte) (any, error) {
+	dec := json.NewDecoder(bytes.NewReader(doc))
+	dec.UseNumber()
+	return orderedValue(dec)
+}
+
+func orderedValue(dec *json.Decoder) (any, error) {
+	tok, err := dec.Token()
+	if err != nil {
+		return nil, err
+	}
+	switch tok {
+	case json.Delim('{'):
+		return orderedObject(dec)
+	case json.Delim('['):
+		return orderedList(dec)
+	}
+	return tok, nil
+}
+
+func orderedObject(dec *json.Decoder) (any, error) {
+	fields := []field{}
+	for dec.More() {
+		name, err := dec.Token()
+		if err != nil {
+			return nil, err
+		}
+		v, err := orderedValue(dec)
+		if err != nil {
+			return nil, err
+		}
+		fields = append(fields, field{fmt.Sprint(name), v})
+	}
+	_, err := dec.Token()
+	return fields, err
+}
+
+func orderedList(dec *json.Decoder) (any, error) {
+	list := []any{}
+	for dec.More() {
+		v, err := orderedValue(dec)
+		if err != nil {
+			return nil, err
+		}
+		list = append(list, v)
+	}
+	_, err := dec.Token()
+	return list, err
+}
+
+func writeValue(w io.Writer, path string, v any) {
+	switch v := v.(type) {
+	case []field:
+		writeFields(w, path, v)
+	case []any:
+		writeList(w, path, v)
+	default:
+		row(w, path, cell(v))
+	}
+}
+
+func writeFields(w io.Writer, path string, fields []field) {
+	for _, nested := range []bool{false, true} {
+		for _, f := range fields {
+			if isNested(f.value) == nested {
+				writeValue(w, joinPath(path, f.name), f.value)
+			}
+		}
+	}
+}
+
+func writeList(w io.Writer, path string, list []any) {
+	var columns []string
+	for _, v := range list {
+		fields, ok := v.([]field)
+		if !ok {
+			continue
+		}
+		for _, f := range fields {
+			if !slices.Contains(columns, f.name) {
+				columns = append(columns, f.name)
+			}
+		}
+	}
+	row(w)
+	row(w, strings.ToUpper(path))
+	header := make([]any, len(columns))
+	for i, c := range columns {
+		header[i] = c
+	}
+	row(w, header...)
+	for _, v := range list {
+		writeRow(w, columns, v)
+	}
+}
+
+func writeRow(w io.Writer, columns []string, v any) {
+	fields, _ := v.([]field)
+	cells := make([]any, len(columns))
+	for i, c := range columns {
+		cells[i] = "-"
+		for _, f := range fields {
+			if f.name == c {
+				cells[i] = cell(f.value)
+			}
+		}
+	}
+	row(w, cells...)
+}
+
+func isNested(v any) bool {
+	if list, ok := v.([]any); ok {
+		return len(list) > 0 && isNested(list[0])
+	}
+	_, ok := v.([]field)
+	return ok
+}
+
+func joinPath(path, name string) string {
+	if path == "" {
+		return name
+	}
+	return path + "." + name
+}
+
+// cell returns a value on one line.
+func cell(v any) string {
+	switch v := v.(type) {
+	case nil:
+		return "-"
+	case []any:
+		parts := make([]string, len(v))
+		for i, e := range v {
+			parts[i] = cell(e)
+		}
+		return strings.Join(parts, ",")
+	case []field:
+		parts := make([]string, len(v))
+		for i, f := range v {
+			parts[i] = f.name + "=" + cell(f.value)
+		}
+		return strings.Join(parts, " ")
+	}
+	return fmt.Sprint(v)
+}
--- /dev/null
+++ b/internal/operator/client.go
@@ -0,0 +1,209 @@
+package operator
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// attemptTimeout bounds a call to one server; it is longer than a server
+	// waits for a proposal to be accepted.
+	attemptTimeout = 15 * time.Second
+	// maxAnswer is the largest answer in bytes.
+	maxAnswer = 16 << 20
+)
+
+// Kinds of errors, for errors.Is.
+var (
+	// ErrUnreachable means that no server took the call; nothing changed.
+	ErrUnreachable = errors.New("no server could be reached")
+	// ErrLost means that the call may have had an effect.
+	ErrLost = errors.New("the answer was lost")
+	// ErrDenied means that the token is not one of an operator.
+	ErrDenied = errors.New("the operator token was refused")
+	// ErrNotFound means that the server knows no such thing.
+	ErrNotFound = errors.New("not found")
+	// ErrRefused means that the server refused the call; nothing changed.
+	ErrRefused = errors.New("refused")
+)
+
+// Client calls the operators' API of one or more entries. It turns to the next
+// one where the one before certainly did not take the call.
+type Client struct {
+	servers []string
+	token   string
+	http    *http.Client
+}
+
+// NewClient returns a client of servers, base URLs such as
+// http://10.0.0.1:8080.
+func NewClient(servers []string, token string, transport http.RoundTripper) *Client {
+	return &Client{servers: servers, token: token, http: &http.Client{Transport: transport}}
+}
+
+// Config returns the manifest in force.
+func (c *Client) Config(ctx context.Context) (Config, error) {
+	var out Config
+	err := c.get(ctx, "/config", &out)
+	return out, err
+}
+
+// History returns the changes of the configuration.
+func (c *Client) History(ctx context.Context) (History, error) {
+	var out History
+	err := c.get(ctx, "/history", &out)
+	return out, err
+}
+
+// Status returns pools, targets, roles, leases, members and the generation.
+func (c *Client) Status(ctx context.Context) (Document, error) {
+	return c.document(ctx, "/status")
+}
+
+// Explain returns the decisions taken for a request.
+func (c *Client) Explain(ctx context.Context, request string) (Document, error) {
+	return c.document(ctx, "/explain/"+url.PathEscape(request))
+}
+
+// Plan returns what the role planner would do now in a pool.
+func (c *Client) Plan(ctx context.Context, pool string) (Document, error) {
+	return c.document(ctx, "/plan?pool="+url.QueryEscape(pool))
+}
+
+// Usage returns the figures of an account, or of all for an empty name.
+func (c *Client) Usage(ctx context.Context, account string) (Document, error) {
+	return c.document(ctx, "/usage?account="+url.QueryEscape(account))
+}
+
+// Drain keeps a wish to drain a target, or ends it. It may be repeated.
+func (c *Client) Drain(ctx context.Context, d Drain) (Document, error) {
+	var out Document
+	err := c.call(ctx, http.MethodPost, "/drain", d, &out)
+	return out, err
+}
+
+// Apply proposes a manifest. An error that is [ErrLost] leaves open whether it
+// was written; [Client.Settle] tells.
+func (c *Client) Apply(ctx context.Context, p Proposal) (Result, error) {
+	var out Result
+	err := c.call(ctx, http.MethodPost, "/config", p, &out)
+	return out, err
+}
+
+// Settle finds out by reading whether a proposal whose answer was lost has
+// been written. Not finding it proves nothing.
+func (c *Client) Settle(ctx context.Context, p Proposal) (Result, error) {
+	cfg, err := c.Config(ctx)
+	if err != nil {
+		return Result{Status: StatusUnknown}, err
+	}
+	if cfg.Generation > p.Base && cfg.Manifest == p.Manifest {
+		return Result{Status: StatusWritten, Generation: cfg.Generation, Reason: "the answer was lost; read back"}, nil
+	}
+	return Result{Status: StatusUnknown, Generation: cfg.Generation, Reason: "the answer was lost"}, nil
+}
+
+func (c *Client) get(ctx context.Context, path string, out any) error {
+	return c.call(ctx, http.MethodGet, path, nil, out)
+}
+
+func (c *Client) document(ctx context.Context, path string) (Document, error) {
+	var out Document
+	err := c.get(ctx, path, &out)
+	return out, err
+}
+
+// call tries the servers in order until one answers.
+func (c *Client) call(ctx context.Context, method, path string, in, out any) error {
+	var body []byte
+	if in != nil {
+		b, err := json.Marshal(in)
+		if err != nil {
+			return errors.Wrap(err, "operator")
+		}
+		body = b
+	}
+	failed := error(ErrUnreachable)
+	for _, server := range c.servers {
+		err := c.attempt(ctx, method, server, path, body, out)
+		if err == nil || !errors.Is(err, ErrUnreachable) {
+			return err
+		}
+		failed = errors.WithSecondaryError(errors.Wrapf(err, "%s", server), failed)
+	}
+	return failed
+}
+
+func (c *Client) attempt(ctx context.Context, method, server, path string, body []byte, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, strings.TrimSuffix(server, "/")+"/admin/v1"+path, bytes.NewReader(body))
+	if err != nil {
+		return errors.Wrap(err, "operator")
+	}
+	req.Header.Set("Authorization", "Bearer "+c.token)
+	if method != http.MethodGet {
+		req.Header.Set("Content-Type", "application/json")
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return transportError(method, err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	b, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer+1))
+	if err != nil {
+		return transportError(method, err)
+	}
+	if len(b) > maxAnswer {
+		return errors.Wrapf(ErrRefused, "answer is larger than %d bytes", maxAnswer)
+	}
+	return decode(method, resp.StatusCode, b, out)
+}
+
+func decode(method string, status int, b []byte, out any) error {
+	if result, ok := out.(*Result); ok && json.Unmarshal(b, result) == nil && result.Status != "" {
+		return nil
+	}
+	if status >= http.StatusOK && status < http.StatusMultipleChoices {
+		return errors.Wrap(json.Unmarshal(b, out), "operator: answer")
+	}
+	return statusError(method, status, b)
+}
+
+func statusError(method string, status int, b []byte) error {
+	text := http.StatusText(status)
+	var f Failure
+	if json.Unmarshal(b, &f) == nil && f.Error.Message != "" {
+		text = f.Error.Message
+	}
+	switch {
+	case status == http.StatusUnauthorized, status == http.StatusForbidden:
+		return errors.Wrap(ErrDenied, text)
+	case status == http.StatusNotFound:
+		return errors.Wrap(ErrNotFound, text)
+	case status == http.StatusServiceUnavailable, status == http.StatusTooManyRequests:
+		return errors.Wrap(ErrUnreachable, text)
+	case status >= http.StatusInternalServerError && method != http.MethodGet:
+		return errors.Wrap(ErrLost, text)
+	case status >= http.StatusInternalServerError:
+		return errors.Wrap(ErrUnreachable, text)
+	}
+	return errors.Wrap(ErrRefused, text)
+}
+
+// transportError tells a call that certainly had no effect from one that may
+// have had one.
+func transportError(method string, err error) error {
+	if method == http.MethodGet || neverConnected(err) {
+		return errors.Wrap(ErrUnreachable, err.Error())
+	}
+	return errors.Wrap(ErrLost, err.Error())
+}
