--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -131,13 +131,16 @@
 		}
 		body = b
 	}
-	failed := error(ErrUnreachable)
+	if len(c.servers) == 0 {
+		return ErrUnreachable
+	}
+	var failed error
 	for _, server := range c.servers {
 		err := c.attempt(ctx, method, server, path, body, out)
 		if err == nil || !errors.Is(err, ErrUnreachable) {
 			return err
 		}
-		failed = errors.WithSecondaryError(errors.Wrapf(err, "%s", server), failed)
+		failed = errors.CombineErrors(errors.Wrap(err, server), failed)
 	}
 	return failed
 }
