--- a/internal/core/request/arrive.go
+++ b/internal/core/request/arrive.go
@@ -161,6 +161,8 @@
 		s.refuse(r, refusal{statusUnprocessableEntity, CodeKeyReused, "the Idempotency-Key was used with another body", msg.OutcomeNotRun, 0})
 	case msg.ClaimUnknown:
 		s.refuse(r, refusal{statusConflict, CodeOutcomeUnknown, "an earlier request with this key may have run", msg.OutcomeUnknown, 0})
+	case msg.ClaimExpired:
+		s.refuse(r, refusal{statusConflict, CodeOutcomeUnknown, "the Idempotency-Key is too old; an earlier request with it may have run", msg.OutcomeUnknown, 0})
 	case msg.ClaimUnavailable:
 		s.refuse(r, refusal{statusServiceUnavailable, CodeStoreUnavailable, "the request could not be claimed", msg.OutcomeNotRun, retryClaim})
 	}
