Whole path as processes: entry, side, link, demo

Caller to engine and back over QUIC with mutual TLS, by separate processes on loopback. make demo applies the manifest and gets a plain and a streamed chat completion, a load order that runs once though sent twice, a refused key and a public route right; its steps for drain, role change and usage wait for the parts of the fleet and usage and fail until then.

--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 all: build
 
 build:
-	go build -o $(BIN)/ ./cmd/...
+	go build -o $(BIN)/ ./cmd/... ./demo/check
 
 $(GOLANGCI):
 	GOBIN=$(TOOLS) go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_VERSION)
@@ -29,5 +29,11 @@
 
 test: build lint unit
 
+demo: build
+	demo/run.sh
+
+serve: build
+	demo/serve.sh
+
 clean:
 	rm -rf $(BIN)
--- a/cmd/verbenaspur-standin/main.go
+++ b/cmd/verbenaspur-standin/main.go
@@ -1,4 +1,87 @@
-// Command verbenaspur-standin is described in README.md.
+// Command verbenaspur-standin runs small stand-ins for the systems around
+// verbenaspur, for the demo, tests and measurements.
 package main
 
-func main() {}
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v3"
+
+	"github.com/verbenaspur/verbenaspur/internal/standin/engine"
+	"github.com/verbenaspur/verbenaspur/internal/standin/platform"
+	"github.com/verbenaspur/verbenaspur/internal/standin/service"
+)
+
+const readHeaderLimit = 5 * time.Second
+
+func main() {
+	cmd := &cli.Command{
+		Name:  "verbenaspur-standin",
+		Usage: "run a stand-in for a system around verbenaspur",
+		Commands: []*cli.Command{
+			{
+				Name:   "platform",
+				Usage:  "object API, host list, target and usage interfaces, weight store",
+				Flags:  []cli.Flag{listenFlag()},
+				Action: func(ctx context.Context, c *cli.Command) error { return serve(ctx, c, platform.New()) },
+			},
+			engineCommand(),
+			{
+				Name:   "service",
+				Usage:  "plain service with a register of load orders",
+				Flags:  []cli.Flag{listenFlag()},
+				Action: func(ctx context.Context, c *cli.Command) error { return serve(ctx, c, service.New(service.Config{})) },
+			},
+		},
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	if err := cmd.Run(ctx, os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "verbenaspur-standin:", err)
+		os.Exit(1)
+	}
+}
+
+func listenFlag() cli.Flag {
+	return &cli.StringFlag{Name: "listen", Usage: "serve on `ADDRESS`", Required: true}
+}
+
+func engineCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "engine",
+		Usage: "model engine",
+		Flags: []cli.Flag{
+			listenFlag(),
+			&cli.StringFlag{Name: "name", Usage: "name in errors"},
+			&cli.StringFlag{Name: "model", Usage: "model loaded at the start", Value: "dispatch-7b"},
+			&cli.StringFlag{Name: "version", Usage: "its version", Value: "v1"},
+			&cli.StringFlag{Name: "role", Usage: "mixed, prefill or decode", Value: "mixed"},
+			&cli.BoolFlag{Name: "checks-fencing", Usage: "refuse old fencing numbers"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			return serve(ctx, c, engine.New(engine.Config{
+				Name: c.String("name"), Role: c.String("role"), ChecksFencing: c.Bool("checks-fencing"),
+				Models: []engine.Model{{Model: c.String("model"), Version: c.String("version")}},
+			}))
+		},
+	}
+}
+
+func serve(ctx context.Context, c *cli.Command, h http.Handler) error {
+	srv := &http.Server{Addr: c.String("listen"), Handler: h, ReadHeaderTimeout: readHeaderLimit}
+	go func() {
+		<-ctx.Done()
+		_ = srv.Close()
+	}()
+	if err := srv.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
--- a/cmd/verbenaspurd/main.go
+++ b/cmd/verbenaspurd/main.go
@@ -1,4 +1,58 @@
-// Command verbenaspurd is described in README.md.
+// Command verbenaspurd is the daemon: an entry daemon in front of the targets,
+// or a side daemon beside one target, as its settings say.
 package main
 
-func main() {}
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/verbenaspur/verbenaspur/internal/daemon"
+	"github.com/verbenaspur/verbenaspur/internal/settings"
+)
+
+func main() {
+	cmd := &cli.Command{
+		Name:      "verbenaspurd",
+		Usage:     "run an entry or side daemon",
+		UsageText: "verbenaspurd --settings FILE",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "settings", Usage: "read settings from `FILE`", Required: true},
+			&cli.BoolFlag{Name: "check", Usage: "check the settings and exit"},
+		},
+		Action: run,
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	if err := cmd.Run(ctx, os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "verbenaspurd:", err)
+		os.Exit(1)
+	}
+}
+
+func run(ctx context.Context, cmd *cli.Command) error {
+	s, err := settings.Load(cmd.String("settings"))
+	if err != nil {
+		return err
+	}
+	if cmd.Bool("check") {
+		fmt.Println("settings are valid")
+		return nil
+	}
+	return daemon.Run(ctx, s, newLogger(s.Log))
+}
+
+func newLogger(l settings.Log) *slog.Logger {
+	var level slog.Level
+	_ = level.UnmarshalText([]byte(l.Level)) // checked when the settings were read
+	opts := &slog.HandlerOptions{Level: level}
+	if l.Format == "json" {
+		return slog.New(slog.NewJSONHandler(os.Stderr, opts))
+	}
+	return slog.New(slog.NewTextHandler(os.Stderr, opts))
+}
--- /dev/null
+++ b/demo/check/steps.go
@@ -0,0 +1,361 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/verbenaspur/verbenaspur/internal/standin/engine"
+	"github.com/verbenaspur/verbenaspur/internal/standin/platform"
+	"github.com/verbenaspur/verbenaspur/internal/standin/service"
+)
+
+const (
+	// pollInterval is the time between two looks at a condition.
+	pollInterval = 200 * time.Millisecond
+	// longStream is a number of tokens that takes the engines some seconds.
+	longStream = 400
+	streams    = 6
+	orderPath  = "/services/yard-booking/orders"
+)
+
+// session is one run of the main job.
+type session struct {
+	entries, engines                           []string
+	service, platform, operatorToken, manifest string
+
+	mu      sync.Mutex
+	charged map[string]chatUsage // by client account
+}
+
+// charge adds the usage of one answer.
+func (s *session) charge(account string, u chatUsage) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.charged[account]
+	t.PromptTokens += u.PromptTokens
+	t.CompletionTokens += u.CompletionTokens
+	s.charged[account] = t
+}
+
+func (s *session) steps() []step {
+	return []step{
+		{"a plain chat completion through each entry", s.plainChat},
+		{"a streamed chat completion", s.streamedChat},
+		{"a load order sent twice runs once", s.loadOrder},
+		{"a wrong key is refused", s.wrongKey},
+		{"a public route needs no key", s.publicRoute},
+		{"a drain cuts no stream", s.drain},
+		{"a role change cuts no stream", s.roleChange},
+		{"no target saw a key", s.noCredentials},
+		{"usage was reported", s.usageReported},
+	}
+}
+
+// expected returns the text that an engine must answer.
+func expected(prompt string, tokens int) string {
+	return engine.Answer(prompt, tokens)
+}
+
+func (s *session) plainChat(ctx context.Context) error {
+	for i, entry := range s.entries {
+		prompt := fmt.Sprintf("Is spur %d salted?", i)
+		r, err := call{
+			method: http.MethodPost, url: entry + "/v1/chat/completions", key: keyDepot,
+			body: newChat("dispatch-urgent", prompt, 12, false),
+		}.do(ctx)
+		if err != nil {
+			return err
+		}
+		if err := r.expect(http.StatusOK); err != nil {
+			return err
+		}
+		var a chatAnswer
+		if err := json.Unmarshal(r.body, &a); err != nil {
+			return err
+		}
+		if len(a.Choices) != 1 || a.Choices[0].Message.Content != expected(prompt, 12) {
+			return errors.Newf("answer is not the one to this prompt: %s", r.body)
+		}
+		s.charge("taichung-depot", *a.Usage)
+		fmt.Printf("  %s\n", bytes.TrimSpace(r.body))
+	}
+	return nil
+}
+
+func (s *session) streamedChat(ctx context.Context) error {
+	prompt := "Which spurs are open tonight?"
+	got, err := s.streamOne(ctx, s.entries[0], prompt, 20)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("  %q, %d + %d tokens\n", got.text, got.usage.PromptTokens, got.usage.CompletionTokens)
+	return nil
+}
+
+func (s *session) streamOne(ctx context.Context, entry, prompt string, tokens int) (*completion, error) {
+	got, err := call{
+		method: http.MethodPost, url: entry + "/v1/chat/completions", key: keyTownship,
+		body: newChat("dispatch-briefing", prompt, tokens, true),
+	}.stream(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if got.text != expected(prompt, tokens) {
+		return nil, errors.Newf("answer is not the whole one to %q: %q", prompt, got.text)
+	}
+	if got.usage.CompletionTokens != int64(tokens) {
+		return nil, errors.Newf("%d tokens charged in place of %d", got.usage.CompletionTokens, tokens)
+	}
+	s.charge("township-a", got.usage)
+	return got, nil
+}
+
+func (s *session) loadOrder(ctx context.Context) error {
+	order := map[string]any{"spur": "north-7", "tonnes": 4}
+	key := fmt.Sprintf("load-%d", time.Now().UnixNano())
+	var first []byte
+	for i, entry := range s.entries {
+		r, err := call{method: http.MethodPost, url: entry + orderPath, key: keyDepot, idempotencyKey: key, body: order}.do(ctx)
+		if err != nil {
+			return err
+		}
+		if r.status/100 != 2 {
+			return errors.Newf("status %d: %s", r.status, r.body)
+		}
+		fmt.Printf("  %d %s replayed=%q\n", r.status, bytes.TrimSpace(r.body), r.header.Get("Idempotent-Replayed"))
+		if i == 0 {
+			first = r.body
+		} else if !bytes.Equal(first, r.body) {
+			return errors.New("the resend got another answer")
+		}
+	}
+	var stats service.Stats
+	if err := getJSON(ctx, s.service+"/control/stats", &stats); err != nil {
+		return err
+	}
+	runs := 0
+	for k, n := range stats.Runs {
+		if strings.HasPrefix(k, "/orders ") {
+			runs += n
+		}
+	}
+	if runs != 1 {
+		return errors.Newf("the order ran %d times", runs)
+	}
+	return nil
+}
+
+func (s *session) wrongKey(ctx context.Context) error {
+	r, err := call{
+		method: http.MethodPost, url: s.entries[0] + "/v1/chat/completions", key: "vsp_depot-1_wrong",
+		body: newChat("dispatch-urgent", "x", 1, false),
+	}.do(ctx)
+	if err != nil {
+		return err
+	}
+	if err := r.expect(http.StatusUnauthorized); err != nil {
+		return err
+	}
+	var a chatAnswer
+	if err := json.Unmarshal(r.body, &a); err != nil || a.Error == nil || a.Error.Outcome != "not-run" {
+		return errors.Newf("refusal does not say not-run: %s", r.body)
+	}
+	fmt.Printf("  %s\n", bytes.TrimSpace(r.body))
+	return nil
+}
+
+func (s *session) publicRoute(ctx context.Context) error {
+	r, err := call{method: http.MethodGet, url: s.entries[1] + "/services/notices/notices"}.do(ctx)
+	if err != nil {
+		return err
+	}
+	return r.expect(http.StatusOK)
+}
+
+// during runs streams through all entries while change happens, and fails if
+// any is cut.
+func (s *session) during(ctx context.Context, label string, change func(context.Context) error) error {
+	g, ctx := errgroup.WithContext(ctx)
+	for i := range streams {
+		g.Go(func() error {
+			_, err := s.streamOne(ctx, s.entries[i%len(s.entries)], fmt.Sprintf("%s, briefing %d", label, i), longStream)
+			return errors.Wrapf(err, "stream %d", i)
+		})
+	}
+	g.Go(func() error {
+		time.Sleep(pollInterval)
+		return change(ctx)
+	})
+	return g.Wait()
+}
+
+func (s *session) admin(ctx context.Context, method, path string, body any) (*reply, error) {
+	r, err := call{method: method, url: s.entries[0] + "/admin/v1" + path, key: s.operatorToken, body: body}.do(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return r, r.expect(http.StatusOK)
+}
+
+func (s *session) engineStats(ctx context.Context, i int) (engine.Stats, error) {
+	var st engine.Stats
+	err := getJSON(ctx, s.engines[i]+"/control/stats", &st)
+	return st, err
+}
+
+func (s *session) drain(ctx context.Context) error {
+	err := s.during(ctx, "drain", func(ctx context.Context) error {
+		_, err := s.admin(ctx, http.MethodPost, "/drain", map[string]any{"target": "engine-1"})
+		return err
+	})
+	if err != nil {
+		return err
+	}
+	if err := s.await(ctx, func() (bool, error) {
+		st, err := s.engineStats(ctx, 0)
+		return st.Running == 0, err
+	}); err != nil {
+		return err
+	}
+	before, err := s.engineStats(ctx, 0)
+	if err != nil {
+		return err
+	}
+	if err := s.during(ctx, "after the drain", func(context.Context) error { return nil }); err != nil {
+		return err
+	}
+	after, err := s.engineStats(ctx, 0)
+	if err != nil {
+		return err
+	}
+	if len(after.Starts) != len(before.Starts) {
+		return errors.New("the drained engine got new work")
+	}
+	_, err = s.admin(ctx, http.MethodPost, "/drain", map[string]any{"target": "engine-1", "undo": true})
+	return err
+}
+
+// roleChange fixes one engine to prefill by a new manifest and waits for the
+// order that makes it so.
+func (s *session) roleChange(ctx context.Context) error {
+	text, err := os.ReadFile(s.manifest)
+	if err != nil {
+		return err
+	}
+	changed := strings.Replace(string(text), "roles: {mode: planned}", "roles: {mode: fixed, prefill: 1}", 1)
+	if err := s.during(ctx, "role change", func(ctx context.Context) error { return s.apply(ctx, changed) }); err != nil {
+		return err
+	}
+	return s.await(ctx, func() (bool, error) {
+		for i := range s.engines {
+			st, err := s.engineStats(ctx, i)
+			if err != nil {
+				return false, err
+			}
+			for _, o := range st.Orders {
+				if o.Kind == "set-role" {
+					fmt.Printf("  %s took order %s with epoch %d; %d attempts cut\n", s.engines[i], o.ID, o.Epoch, st.CutByOrder)
+					return st.CutByOrder == 0, nil
+				}
+			}
+		}
+		return false, nil
+	})
+}
+
+func (s *session) apply(ctx context.Context, text string) error {
+	r, err := s.admin(ctx, http.MethodGet, "/config", nil)
+	if err != nil {
+		return err
+	}
+	var current struct {
+		Generation uint64 `json:"generation"`
+	}
+	if err := json.Unmarshal(r.body, &current); err != nil {
+		return err
+	}
+	r, err = s.admin(ctx, http.MethodPost, "/config", map[string]any{"base": current.Generation, "manifest": text})
+	if err != nil {
+		return err
+	}
+	if !bytes.Contains(r.body, []byte(`"accepted"`)) {
+		return errors.Newf("manifest was not accepted: %s", r.body)
+	}
+	return nil
+}
+
+func (s *session) await(ctx context.Context, ok func() (bool, error)) error {
+	for {
+		done, err := ok()
+		if err != nil || done {
+			return err
+		}
+		select {
+		case <-time.After(pollInterval):
+		case <-ctx.Done():
+			return errors.New("it did not happen in time")
+		}
+	}
+}
+
+func (s *session) noCredentials(ctx context.Context) error {
+	for i := range s.engines {
+		st, err := s.engineStats(ctx, i)
+		if err != nil {
+			return err
+		}
+		if st.CredentialSeen {
+			return errors.Newf("engine %d saw a key", i)
+		}
+	}
+	var st service.Stats
+	if err := getJSON(ctx, s.service+"/control/stats", &st); err != nil {
+		return err
+	}
+	if st.CredentialSeen {
+		return errors.New("the service saw a key")
+	}
+	return nil
+}
+
+// usageReported waits until the platform's usage interface has been told
+// exactly the tokens of the answers that arrived here.
+func (s *session) usageReported(ctx context.Context) error {
+	var last map[string]chatUsage
+	err := s.await(ctx, func() (bool, error) {
+		var err error
+		last, err = s.reported(ctx)
+		return err == nil && maps.Equal(last, s.charged), err
+	})
+	fmt.Printf("  reported %v\n", last)
+	return errors.Wrapf(err, "charged %v", s.charged)
+}
+
+func (s *session) reported(ctx context.Context) (map[string]chatUsage, error) {
+	var reports []platform.UsageReport
+	if err := getJSON(ctx, s.platform+"/control/usage", &reports); err != nil {
+		return nil, err
+	}
+	sum := make(map[string]chatUsage)
+	for _, r := range reports {
+		if r.Refused > 0 {
+			return nil, errors.Newf("window %s of %s was reported with other figures", r.Window, r.Account)
+		}
+		t := sum[r.Account]
+		t.PromptTokens += r.Figures.PromptTokens + r.Figures.LatePromptTokens
+		t.CompletionTokens += r.Figures.GeneratedTokens + r.Figures.LateGeneratedTokens
+		sum[r.Account] = t
+	}
+	return sum, nil
+}
--- a/internal/daemon/attempt_entry.go
+++ b/internal/daemon/attempt_entry.go
@@ -57,7 +57,8 @@
 		return notRun(err)
 	}
 	first := &link.Frame{Open: open}
-	for deadline := time.Time{}; ; {
+	var deadline time.Time
+	for {
 		end, err := r.follow(s, first)
 		if err == nil {
 			return end
--- a/internal/daemon/attempt_side.go
+++ b/internal/daemon/attempt_side.go
@@ -29,6 +29,7 @@
 	spec    msg.AttemptSpec
 	from    msg.HostID
 	payload link.Payload
+	kvURL   string
 	decided chan struct{} // closed when the reducer has taken or refused it
 	ctx     context.Context
 	cancel  context.CancelCauseFunc
@@ -48,7 +49,7 @@
 func newAttemptRun(from msg.HostID, open *link.AttemptOpen) *attemptRun {
 	ctx, cancel := context.WithCancelCause(context.Background())
 	return &attemptRun{
-		spec: open.Spec, from: from, payload: open.Payload,
+		spec: open.Spec, from: from, payload: open.Payload, kvURL: open.KVURL,
 		decided: make(chan struct{}), changed: make(chan struct{}),
 		ctx: ctx, cancel: cancel, sum: xxhash.New(), detached: time.Now(),
 	}
--- a/internal/daemon/engine.go
+++ b/internal/daemon/engine.go
@@ -33,8 +33,6 @@
 type engineClient struct {
 	base string
 	http *http.Client
-	// peerURL returns the base address of another engine, for KV transfers.
-	peerURL func(msg.TargetID) string
 }
 
 // engineOptions are the fields that are added to a request's body.
@@ -98,8 +96,8 @@
 	if a.payload.ResumeTokens > 0 {
 		opts.Resume = &engineResume{Text: a.payload.ResumeText, Tokens: a.payload.ResumeTokens}
 	}
-	if a.spec.KVFrom != "" {
-		opts.KVTransfer = &engineKVFrom{From: e.peerURL(msg.TargetID(a.spec.KVFrom)), Attempt: a.spec.KVAttempt}
+	if a.kvURL != "" {
+		opts.KVTransfer = &engineKVFrom{From: a.kvURL, Attempt: a.spec.KVAttempt}
 	}
 	added, err := json.Marshal(opts)
 	if err != nil {
@@ -229,19 +227,19 @@
 
 // engineLoad is the engine's answer to GET /v1/load.
 type engineLoad struct {
-	Role          string            `json:"role"`
-	Models        []engineModel     `json:"models"`
-	Running       int               `json:"running"`
-	Queued        int               `json:"queued"`
-	PrefillTokens int               `json:"prefillTokens"`
-	KVUsed        int               `json:"kvUsed"`
-	KVTotal       int               `json:"kvTotal"`
-	PrefillRate   float32           `json:"prefillRate"`
-	StepMicros    int64             `json:"stepMicros"`
-	MaxBatch      int               `json:"maxBatch"`
-	Order         msg.OrderID       `json:"order"`
-	Epoch         msg.Epoch         `json:"epoch"`
-	Changing      bool              `json:"changing"`
+	Role          string        `json:"role"`
+	Models        []engineModel `json:"models"`
+	Running       int           `json:"running"`
+	Queued        int           `json:"queued"`
+	PrefillTokens int           `json:"prefillTokens"`
+	KVUsed        int           `json:"kvUsed"`
+	KVTotal       int           `json:"kvTotal"`
+	PrefillRate   float32       `json:"prefillRate"`
+	StepMicros    int64         `json:"stepMicros"`
+	MaxBatch      int           `json:"maxBatch"`
+	Order         msg.OrderID   `json:"order"`
+	Epoch         msg.Epoch     `json:"epoch"`
+	Changing      bool          `json:"changing"`
 }
 
 type engineModel struct {
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -32,7 +32,8 @@
 	attempts  map[msg.AttemptID]context.CancelCauseFunc
 	waiting   map[msg.CallID]chan msg.Effect
 	lastCall  msg.CallID
-	stopping  bool
+	// urls holds the engines' addresses for KV transfers.
+	urls map[msg.TargetID]string
 }
 
 // execute carries out one effect of the reducer.
@@ -102,6 +103,7 @@
 	x := e.exchanges[eff.Req]
 	ctx, cancel := context.WithCancelCause(e.ctx)
 	e.attempts[eff.Attempt] = cancel
+	kvURL := e.urls[msg.TargetID(eff.Spec.KVFrom)]
 	e.mu.Unlock()
 	if x == nil {
 		// The caller's handler has gone; the reducer hears of it by itself.
@@ -114,7 +116,7 @@
 	}
 	r := &attemptRead{e: e, x: x, spec: eff.Spec, host: eff.Host, ctx: ctx, sum: xxhash.New()}
 	e.wg.Go(func() {
-		end := r.run(&link.AttemptOpen{Spec: eff.Spec, Payload: payload})
+		end := r.run(&link.AttemptOpen{Spec: eff.Spec, Payload: payload, KVURL: kvURL})
 		e.endAttempt(x, eff, end)
 	})
 }
@@ -195,11 +197,21 @@
 }
 
 // PeerUp implements [link.Handler].
-func (e *entry) PeerUp(p link.Peer, _ *link.Hello) { e.loop.Post(msg.PeerUp{Host: p.Host}) }
+func (e *entry) PeerUp(p link.Peer, h *link.Hello) {
+	if h.Target != nil {
+		e.mu.Lock()
+		e.urls[h.Target.Target] = h.TargetURL
+		e.mu.Unlock()
+	}
+	e.loop.Post(msg.PeerUp{Host: p.Host})
+}
 
 // PeerDown implements [link.Handler].
-func (e *entry) PeerDown(p link.Peer) {
+func (e *entry) PeerDown(p link.Peer, h *link.Hello) {
 	e.loop.Post(msg.PeerDown{Host: p.Host})
+	if h.Target != nil {
+		e.loop.Post(msg.TargetLost{Target: h.Target.Target, Host: p.Host})
+	}
 }
 
 // Control implements [link.Handler].
--- /dev/null
+++ b/internal/daemon/operators.go
@@ -0,0 +1,210 @@
+package daemon
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"github.com/verbenaspur/verbenaspur/internal/core/msg"
+	"github.com/verbenaspur/verbenaspur/internal/manifest"
+	"github.com/verbenaspur/verbenaspur/internal/settings"
+)
+
+const (
+	// acceptWait is the longest wait for a change to be in force.
+	acceptWait = 10 * time.Second
+	// maxProposal bounds the body of a proposal: a manifest as JSON text.
+	maxProposal = 3 * manifest.MaxSize
+)
+
+// operators serves the operators' interface of an entry daemon.
+type operators struct {
+	e     *entry
+	known []settings.Operator
+}
+
+// operatorHandler is a call with the operator's name.
+type operatorHandler func(w http.ResponseWriter, q *http.Request, operator string)
+
+func (o *operators) routes(r *mux.Router) {
+	add := func(method, path string, h operatorHandler) {
+		r.HandleFunc("/admin/v1"+path, o.authenticated(h)).Methods(method)
+	}
+	add(http.MethodGet, "/config", o.config)
+	add(http.MethodPost, "/config", o.propose)
+	add(http.MethodGet, "/history", o.history)
+	add(http.MethodGet, "/status", o.status)
+	add(http.MethodPost, "/drain", o.drain)
+}
+
+// authenticated lets operators in whose token's hash the settings list.
+func (o *operators) authenticated(h operatorHandler) http.HandlerFunc {
+	return func(w http.ResponseWriter, q *http.Request) {
+		token, ok := strings.CutPrefix(q.Header.Get("Authorization"), "Bearer ")
+		name, known := o.identify(token)
+		if !ok || !known {
+			writeRefusal(w, badRequest("", http.StatusUnauthorized, "unauthorized", "an operator's token is needed"))
+			return
+		}
+		h(w, q, name)
+	}
+}
+
+func (o *operators) identify(token string) (string, bool) {
+	sum := sha256.Sum256([]byte(token))
+	hash := []byte(hex.EncodeToString(sum[:]))
+	name, found := "", false
+	for _, op := range o.known {
+		if subtle.ConstantTimeCompare(hash, []byte(strings.ToLower(op.TokenHash))) == 1 {
+			name, found = op.Name, true
+		}
+	}
+	return name, found
+}
+
+// configView is the configuration in force.
+type configView struct {
+	Generation msg.Generation `json:"generation"`
+	Author     string         `json:"author"`
+	At         time.Time      `json:"at"`
+	Manifest   string         `json:"manifest"`
+	// Fresh says that no newer configuration can be in force elsewhere.
+	Fresh bool `json:"fresh"`
+}
+
+func (o *operators) config(w http.ResponseWriter, _ *http.Request, _ string) {
+	var v configView
+	o.e.loop.Query(func(now msg.Time) {
+		c := o.e.reducer.Config()
+		v = configView{c.Generation, c.Author, c.At, c.Manifest, o.e.reducer.Fresh(now)}
+	})
+	writeJSON(w, http.StatusOK, v)
+}
+
+// proposalBody is the body of POST /config.
+type proposalBody struct {
+	Base     msg.Generation `json:"base"`
+	Manifest string         `json:"manifest"`
+}
+
+// proposalAnswer is the answer to POST /config.
+type proposalAnswer struct {
+	Status     string         `json:"status"`
+	Generation msg.Generation `json:"generation"`
+	Reason     string         `json:"reason,omitempty"`
+}
+
+func (o *operators) propose(w http.ResponseWriter, q *http.Request, operator string) {
+	var body proposalBody
+	if !readBody(w, q, maxProposal, &body) {
+		return
+	}
+	if _, err := manifest.Decode([]byte(body.Manifest)); err != nil {
+		writeJSON(w, http.StatusOK, proposalAnswer{Status: msg.ProposalInvalid.String(), Reason: err.Error()})
+		return
+	}
+	id, answers := o.e.call()
+	defer o.e.endCall(id)
+	o.e.loop.Post(msg.ConfigProposed{Call: id, Author: operator, Manifest: []byte(body.Manifest), Base: body.Base})
+	writeJSON(w, http.StatusOK, awaitProposal(q, answers))
+}
+
+// awaitProposal waits until a change is in force or the wait is over.
+func awaitProposal(q *http.Request, answers <-chan msg.Effect) proposalAnswer {
+	last := msg.ConfigAnswered{Status: msg.ProposalUnknown, Reason: "no answer in time"}
+	timer := time.NewTimer(acceptWait)
+	defer timer.Stop()
+	for {
+		select {
+		case eff := <-answers:
+			last = eff.(msg.ConfigAnswered)
+			if last.Status == msg.ProposalWritten {
+				continue
+			}
+		case <-timer.C:
+		case <-q.Context().Done():
+		}
+		return proposalAnswer{last.Status.String(), last.Generation, last.Reason}
+	}
+}
+
+// historyView lists the accepted changes, oldest first.
+type historyView struct {
+	Changes []msg.ConfigChange `json:"changes"`
+}
+
+func (o *operators) history(w http.ResponseWriter, q *http.Request, _ string) {
+	ev, ok := o.e.platform.Do(q.Context(), msg.ListObjects{Kind: msg.KindAudit}, o.e.loop.Now).(msg.ListDone)
+	if !ok || ev.Status != msg.CallOK {
+		writeRefusal(w, badRequest("", http.StatusServiceUnavailable, "platform-unavailable", "the platform's object API does not answer"))
+		return
+	}
+	v := historyView{Changes: []msg.ConfigChange{}}
+	for _, obj := range ev.Objects {
+		var env struct {
+			Body msg.ConfigChange `json:"body"`
+		}
+		if json.Unmarshal(obj.Value, &env) == nil {
+			v.Changes = append(v.Changes, env.Body)
+		}
+	}
+	writeJSON(w, http.StatusOK, v)
+}
+
+func (o *operators) status(w http.ResponseWriter, _ *http.Request, _ string) {
+	var v any
+	o.e.loop.Query(func(now msg.Time) { v = o.e.reducer.Status(now) })
+	writeJSON(w, http.StatusOK, v)
+}
+
+// drainBody is the body of POST /drain.
+type drainBody struct {
+	Target string `json:"target"`
+	Undo   bool   `json:"undo"`
+}
+
+func (o *operators) drain(w http.ResponseWriter, q *http.Request, operator string) {
+	var body drainBody
+	if !readBody(w, q, maxErrorBody, &body) {
+		return
+	}
+	id, answers := o.e.call()
+	defer o.e.endCall(id)
+	o.e.loop.Post(msg.DrainRequested{Call: id, Author: operator, Target: msg.TargetID(body.Target), Undo: body.Undo})
+	timer := time.NewTimer(acceptWait)
+	defer timer.Stop()
+	select {
+	case eff := <-answers:
+		if a, ok := eff.(msg.DrainAnswered); ok && a.Status == msg.CallOK {
+			writeJSON(w, http.StatusOK, struct {
+				Status string `json:"status"`
+			}{"kept"})
+			return
+		}
+	case <-timer.C:
+	case <-q.Context().Done():
+	}
+	writeRefusal(w, badRequest("", http.StatusServiceUnavailable, "not-kept", "the wish could not be kept; look at the status and try again"))
+}
+
+// readBody decodes a JSON body. It reports false after it has answered.
+func readBody(w http.ResponseWriter, q *http.Request, limit int64, v any) bool {
+	dec := json.NewDecoder(http.MaxBytesReader(w, q.Body, limit))
+	dec.DisallowUnknownFields()
+	err := dec.Decode(v)
+	if err == nil {
+		_, err = dec.Token()
+		if err == io.EOF {
+			return true
+		}
+	}
+	writeRefusal(w, badRequest("", http.StatusBadRequest, "invalid-request", "the body is not the JSON that this call takes"))
+	return false
+}
--- a/internal/daemon/side.go
+++ b/internal/daemon/side.go
@@ -37,7 +37,7 @@
 }
 
 // execute carries out one effect of the reducer.
-func (s *side) execute(now msg.Time, eff msg.Effect) {
+func (s *side) execute(_ msg.Time, eff msg.Effect) {
 	s.seen(eff)
 	switch eff := eff.(type) {
 	case msg.RunAttempt:
@@ -156,7 +156,7 @@
 func (s *side) PeerUp(p link.Peer, _ *link.Hello) { s.loop.Post(msg.PeerUp{Host: p.Host}) }
 
 // PeerDown implements [link.Handler].
-func (s *side) PeerDown(p link.Peer) {
+func (s *side) PeerDown(p link.Peer, _ *link.Hello) {
 	s.loop.Post(msg.PeerDown{Host: p.Host})
 	s.loop.Post(msg.EntryLost{Host: p.Host})
 }
--- a/internal/daemon/target.go
+++ b/internal/daemon/target.go
@@ -15,9 +15,6 @@
 	errTimeout   = errors.New("attempt timed out")
 )
 
-// errTargetDown is returned by a target that can't be reached or broke off.
-var errTargetDown = errors.New("target is down")
-
 // attemptOutcome says how a target's run ended.
 type attemptOutcome struct {
 	result msg.AttemptResult
--- a/internal/link/conn.go
+++ b/internal/link/conn.go
@@ -140,7 +140,7 @@
 	}
 	n.mu.Unlock()
 	if current {
-		n.cfg.Handler.PeerDown(c.peer)
+		n.cfg.Handler.PeerDown(c.peer, c.hello)
 	}
 }
 
--- a/internal/link/frame.go
+++ b/internal/link/frame.go
@@ -60,6 +60,8 @@
 	Incarnation msg.Incarnation     `cbor:"2,keyasint"`
 	Domain      msg.FailureDomain   `cbor:"3,keyasint"`
 	Target      *msg.TargetIdentity `cbor:"4,keyasint,omitempty"`
+	// TargetURL is the base address of an engine for KV transfers.
+	TargetURL string `cbor:"5,keyasint,omitempty"`
 }
 
 // Heartbeat keeps an idle stream alive.
@@ -74,6 +76,8 @@
 type AttemptOpen struct {
 	Spec    msg.AttemptSpec `cbor:"1,keyasint"`
 	Payload Payload         `cbor:"2,keyasint"`
+	// KVURL is the base address of the engine that Spec.KVFrom names.
+	KVURL string `cbor:"3,keyasint,omitempty"`
 }
 
 // Payload is the request as the target gets it. It holds no credentials.
--- a/internal/link/node.go
+++ b/internal/link/node.go
@@ -31,7 +31,8 @@
 var (
 	ErrNoAddress   = errors.New("host has no known address")
 	ErrUnknownPeer = errors.New("peer is not one of this deployment's hosts")
-	ErrNotUp       = errors.New("host is not connected")
+	ErrNotSent     = errors.New("nothing was sent")
+	ErrTooLate     = errors.New("authority ended before the frame was sent")
 )
 
 // Peer is a process at the other end, as its certificate names it.
@@ -44,7 +45,7 @@
 type Handler interface {
 	// PeerUp and PeerDown tell when a control stream opens and closes.
 	PeerUp(p Peer, h *Hello)
-	PeerDown(p Peer)
+	PeerDown(p Peer, h *Hello)
 	// Control receives a frame of a control stream.
 	Control(p Peer, h *Hello, f *Frame)
 	// Attempt serves a stream whose first frame is Open or Resume. The stream
@@ -177,6 +178,17 @@
 	return c.control.Write(f, writeLimit)
 }
 
+// SendBefore writes a frame to a host's control stream if valid still holds
+// when the connection stands and the frame is about to leave. ErrTooLate and
+// ErrNotSent mean that nothing was sent.
+func (n *Node) SendBefore(ctx context.Context, host msg.HostID, f *Frame, valid func() bool) error {
+	c, err := n.conn(ctx, host)
+	if err != nil {
+		return errors.Mark(err, ErrNotSent)
+	}
+	return c.control.writeIf(f, writeLimit, valid)
+}
+
 // SendPeer writes a peer message to a host's control stream.
 func (n *Node) SendPeer(ctx context.Context, host msg.HostID, m msg.PeerMessage) error {
 	b, err := wire.Marshal(m)
--- a/internal/link/stream.go
+++ b/internal/link/stream.go
@@ -20,8 +20,16 @@
 // Write writes a frame. It fails when the other end takes nothing for limit;
 // zero waits as long as the connection lives.
 func (s *Stream) Write(f *Frame, limit time.Duration) error {
+	return s.writeIf(f, limit, func() bool { return true })
+}
+
+// writeIf writes a frame if valid holds once the stream is free.
+func (s *Stream) writeIf(f *Frame, limit time.Duration, valid func() bool) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if !valid() {
+		return ErrTooLate
+	}
 	var deadline time.Time
 	if limit > 0 {
 		deadline = time.Now().Add(limit)
