Gate of the side daemon: attempts, orders under fencing, drains

A side daemon is the only process that talks to its target, so it decides what starts there. Orders are confirmed against the lease object when they arrive and again after their drain: the state-machine test found an order that was confirmed, drained, and then started under a lease that had passed on. It also found a second order sent to a target that was still executing the first after its answer was lost; both are refused now.

RefuseAttempt gains MayHaveRun: a repeated offer of a known attempt is not taken, but must not be told to a caller as not-run.

--- /dev/null
+++ b/internal/core/gate/authority.go
@@ -0,0 +1,75 @@
+package gate
+
+import (
+	"encoding/json"
+
+	"github.com/verbenaspur/verbenaspur/internal/core/msg"
+	"github.com/verbenaspur/verbenaspur/internal/core/store"
+)
+
+// LeaseName names the lease under which a pool's targets are given orders.
+func LeaseName(pool msg.PoolID) msg.LeaseName { return msg.LeaseName("fleet/" + string(pool)) }
+
+// leaseBody is the part of a lease object that fences orders.
+type leaseBody struct {
+	Epoch msg.Epoch `json:"epoch"`
+}
+
+// confirmLease reads the lease before an order is executed, so that an order
+// that was long on its way from a former holder is refused even when the
+// present holder has not been heard from.
+func (g *Gate) confirmLease() []msg.Effect {
+	o := g.orders.open
+	g.orders.confirms++
+	o.confirm = g.orders.confirms
+	return []msg.Effect{g.objects.Get(o.confirm, msg.KindLease, string(o.order.Lease))}
+}
+
+func (g *Gate) onLeaseRead(now msg.Time, r store.Result) []msg.Effect {
+	o := g.orders.open
+	if o == nil || !o.confirming() || o.confirm != r.Tag {
+		return nil
+	}
+	epoch, reason := readEpoch(r)
+	if reason != "" {
+		return g.finishOrder(msg.OrderUnready, reason)
+	}
+	g.orders.raiseEpoch(epoch)
+	switch {
+	case epoch > o.order.Epoch:
+		return g.finishOrder(msg.OrderStale, "the epoch is old")
+	case epoch < o.order.Epoch:
+		return g.finishOrder(msg.OrderUnready, "the lease does not show the epoch")
+	}
+	if o.state == orderRechecking {
+		return g.applyOrder(now, o)
+	}
+	return g.beginOrder(now, o)
+}
+
+// readEpoch returns the lease's epoch, or why it is not known.
+func readEpoch(r store.Result) (msg.Epoch, string) {
+	if r.Status == msg.CallNotFound {
+		return 0, "the lease does not exist"
+	}
+	if r.Status != msg.CallOK {
+		return 0, "the lease can't be read"
+	}
+	var body leaseBody
+	if err := json.Unmarshal(r.Object.Value, &body); err != nil {
+		return 0, "the lease can't be decoded"
+	}
+	return body.Epoch, ""
+}
+
+// beginOrder starts a confirmed order.
+func (g *Gate) beginOrder(now msg.Time, o *openOrder) []msg.Effect {
+	switch o.order.Kind {
+	case msg.OrderResume:
+		return g.finishOrder(msg.OrderDone, "")
+	case msg.OrderLoadAdapter:
+		return g.applyOrder(now, o)
+	}
+	o.state = orderDraining
+	return nil
+}
--- /dev/null
+++ b/internal/core/gate/orders.go
@@ -0,0 +1,297 @@
+package gate
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/verbenaspur/verbenaspur/internal/core/msg"
+)
+
+// orderState is how far the open order has come.
+type orderState uint8
+
+const (
+	// orderConfirming reads the lease to learn whether the epoch still holds.
+	orderConfirming orderState = iota
+	// orderDraining waits for the running attempts to end.
+	orderDraining
+	// orderRechecking reads the lease once more, since a drain takes time.
+	orderRechecking
+	// orderApplying waits for the target to execute the order.
+	orderApplying
+	// orderReadBack waits for the target's state to show the result.
+	orderReadBack
+)
+
+const (
+	// keptAnswers is the number of answers kept for repeated orders.
+	keptAnswers = 16
+	// readBackFor is how long a done order may take to show in load reports.
+	readBackFor = 5 * time.Second
+	// readBackInterval is the interval between two reads after an order.
+	readBackInterval = 50 * time.Millisecond
+)
+
+// orders holds the fencing state and the order that is being executed.
+type orders struct {
+	open *openOrder
+	// epoch and seq are the highest known fencing number and the highest
+	// sequence number executed under it.
+	epoch msg.Epoch
+	seq   uint64
+	// confirms numbers the reads of the lease.
+	confirms uint64
+	// answers holds the last answers, newest last.
+	answers []msg.OrderAnswer
+}
+
+// openOrder is the one order being executed.
+type openOrder struct {
+	from     msg.HostID
+	order    msg.Order
+	state    orderState
+	deadline msg.Time
+	// confirm is the read of the lease that the order waits for.
+	confirm uint64
+	// result is the target's own answer; settled by reading back.
+	result  msg.OrderApplied
+	applied msg.Time
+	// readAfter is the first read that can show the result.
+	readAfter msg.Time
+}
+
+// drains reports whether the order needs the target to be idle.
+func (o *openOrder) drains() bool {
+	if o.state == orderConfirming {
+		return false
+	}
+	switch o.order.Kind {
+	case msg.OrderSetRole, msg.OrderLoadModel, msg.OrderDrain:
+		return true
+	}
+	return false
+}
+
+// confirming reports whether the order waits for a read of the lease.
+func (o *openOrder) confirming() bool {
+	return o.state == orderConfirming || o.state == orderRechecking
+}
+
+func (o *orders) raiseEpoch(e msg.Epoch) {
+	if e > o.epoch {
+		o.epoch = e
+		o.seq = 0
+	}
+}
+
+func (o *orders) kept(id msg.OrderID) (msg.OrderAnswer, bool) {
+	for _, a := range o.answers {
+		if a.Order == id {
+			return a, true
+		}
+	}
+	return msg.OrderAnswer{}, false
+}
+
+func (o *orders) keep(a msg.OrderAnswer) {
+	o.answers = append(o.answers, a)
+	if len(o.answers) > keptAnswers {
+		o.answers = o.answers[1:]
+	}
+}
+
+func (g *Gate) onOrder(now msg.Time, ev msg.OrderReceived) []msg.Effect {
+	o := ev.Order
+	if open := g.orders.open; open != nil && open.order.ID == o.ID {
+		open.from = ev.From
+		return nil
+	}
+	if status, reason := g.refuseOrder(now, o); reason != "" {
+		return g.answerTo(ev.From, o, status, reason)
+	}
+	if a, ok := g.orders.kept(o.ID); ok {
+		a.Report = g.report()
+		return []msg.Effect{msg.AnswerOrder{To: ev.From, Answer: a}}
+	}
+	if changesTarget(o.Kind) && g.reads.report.Order == o.ID {
+		return g.answerTo(ev.From, o, msg.OrderDone, "the target has executed it")
+	}
+	if g.orders.open != nil {
+		return g.answerTo(ev.From, o, msg.OrderBusy, "another order is open")
+	}
+	if o.Epoch == g.orders.epoch && o.Seq <= g.orders.seq {
+		return g.answerTo(ev.From, o, msg.OrderStale, "a later order was executed")
+	}
+	g.orders.open = &openOrder{from: ev.From, order: o, deadline: now + g.orderTimeout(o)}
+	return g.confirmLease()
+}
+
+func (g *Gate) orderTimeout(o msg.Order) time.Duration {
+	if o.Timeout <= 0 || o.Timeout > g.cfg.LongestOrder {
+		return g.cfg.LongestOrder
+	}
+	return o.Timeout
+}
+
+// refuseOrder returns the reason why an order can't even be considered.
+func (g *Gate) refuseOrder(now msg.Time, o msg.Order) (msg.OrderStatus, string) {
+	switch {
+	case o.Lease != LeaseName(g.target.Pool):
+		return msg.OrderFailed, "the lease is not this pool's"
+	case o.Epoch < g.orders.epoch:
+		return msg.OrderStale, "the epoch is old"
+	case g.stopping:
+		return msg.OrderUnready, "the side daemon is stopping"
+	case !g.reads.known:
+		return msg.OrderUnready, "the target was not read back yet"
+	case changesTarget(o.Kind) && g.reads.down:
+		return msg.OrderUnready, "the target does not answer"
+	case changesTarget(o.Kind) && now-g.started < g.cfg.LongestOrder:
+		return msg.OrderUnready, "an order of an earlier side daemon may still be on its way"
+	case changesTarget(o.Kind) && g.orders.open == nil && g.reads.report.Phase == msg.PhaseChanging:
+		return msg.OrderBusy, "the target is still executing an earlier order"
+	}
+	return msg.OrderDone, ""
+}
+
+// changesTarget reports whether an order is executed by the target itself.
+func changesTarget(k msg.OrderKind) bool {
+	return k != msg.OrderDrain && k != msg.OrderResume
+}
+
+// advanceOrder takes the open order's next step when it has become possible.
+func (g *Gate) advanceOrder(now msg.Time) []msg.Effect {
+	o := g.orders.open
+	if o == nil {
+		return nil
+	}
+	switch o.state {
+	case orderConfirming, orderRechecking:
+		if now >= o.deadline {
+			return g.finishOrder(msg.OrderUnready, "the lease could not be read in time")
+		}
+	case orderDraining:
+		return g.advanceDrain(now, o)
+	case orderApplying:
+		if now >= o.applied+g.cfg.LongestOrder {
+			return g.onApplied(now, msg.OrderApplied{Order: o.order.ID, Status: msg.OrderUnknown, Reason: "no answer from the target"})
+		}
+	case orderReadBack:
+		return g.advanceReadBack(now, o)
+	}
+	return nil
+}
+
+func (g *Gate) advanceDrain(now msg.Time, o *openOrder) []msg.Effect {
+	if g.attempts.none() {
+		return g.drained(o)
+	}
+	if now >= o.deadline {
+		return g.finishOrder(msg.OrderFailed, "running attempts did not end in time")
+	}
+	return nil
+}
+
+// drained carries out an order whose target is idle.
+func (g *Gate) drained(o *openOrder) []msg.Effect {
+	if o.order.Kind == msg.OrderDrain {
+		return g.finishOrder(msg.OrderDone, "")
+	}
+	o.state = orderRechecking
+	return g.confirmLease()
+}
+
+func (g *Gate) applyOrder(now msg.Time, o *openOrder) []msg.Effect {
+	o.state = orderApplying
+	o.applied = now
+	return []msg.Effect{
+		g.log(msg.LogInfo, "Order starts", orderAttrs(o.order)...),
+		msg.ApplyOrder{Order: o.order},
+	}
+}
+
+func (g *Gate) onApplied(now msg.Time, ev msg.OrderApplied) []msg.Effect {
+	o := g.orders.open
+	if o == nil || o.order.ID != ev.Order || o.state != orderApplying {
+		return nil
+	}
+	o.result = ev
+	o.state = orderReadBack
+	o.readAfter = now
+	return g.readTarget(now)
+}
+
+// advanceReadBack settles an order from the target's state as read after it.
+func (g *Gate) advanceReadBack(now msg.Time, o *openOrder) []msg.Effect {
+	if g.reads.known && !g.reads.down && g.reads.at >= o.readAfter {
+		if effs, settled := g.settleOrder(now, o); settled {
+			return effs
+		}
+	}
+	if now >= o.readAfter+g.cfg.LongestOrder+readBackFor {
+		return g.finishOrder(msg.OrderUnknown, "the target could not be read back")
+	}
+	if !g.reads.pending && now-g.reads.sent >= readBackInterval {
+		return g.readTarget(now)
+	}
+	return nil
+}
+
+// settleOrder reports false while the last read leaves the result open.
+func (g *Gate) settleOrder(now msg.Time, o *openOrder) ([]msg.Effect, bool) {
+	switch {
+	case g.reads.report.Order == o.order.ID:
+		return g.finishOrder(msg.OrderDone, ""), true
+	case g.reads.report.Phase == msg.PhaseChanging:
+		return nil, false
+	case o.result.Status == msg.OrderDone && now-o.readAfter < readBackFor:
+		return nil, false
+	case o.result.Status == msg.OrderDone:
+		return g.finishOrder(msg.OrderUnknown, "the target does not show the order"), true
+	case o.result.Status == msg.OrderUnknown && now < o.applied+g.cfg.LongestOrder:
+		return nil, false
+	case o.result.Status == msg.OrderUnknown:
+		return g.finishOrder(msg.OrderFailed, "the target did not execute the order"), true
+	}
+	return g.finishOrder(o.result.Status, o.result.Reason), true
+}
+
+// finishOrder closes the open order and answers it.
+func (g *Gate) finishOrder(status msg.OrderStatus, reason string) []msg.Effect {
+	o := g.orders.open
+	g.orders.open = nil
+	if status == msg.OrderDone {
+		g.held = o.order.Kind == msg.OrderDrain || (g.held && o.order.Kind != msg.OrderResume)
+	}
+	answer := msg.OrderAnswer{Order: o.order.ID, Status: status, Reason: reason, Report: g.report()}
+	if status == msg.OrderDone || o.state >= orderApplying {
+		g.orders.seq = o.order.Seq
+		g.orders.keep(answer)
+	}
+	attrs := append(orderAttrs(o.order), msg.Attr{Key: "result", Value: statusName(status)}, msg.Attr{Key: "reason", Value: reason})
+	return []msg.Effect{
+		g.log(msg.LogInfo, "Order ends", attrs...),
+		msg.AnswerOrder{To: o.from, Answer: answer},
+	}
+}
+
+func (g *Gate) answerTo(to msg.HostID, o msg.Order, status msg.OrderStatus, reason string) []msg.Effect {
+	attrs := append(orderAttrs(o), msg.Attr{Key: "result", Value: statusName(status)}, msg.Attr{Key: "reason", Value: reason})
+	answer := msg.OrderAnswer{Order: o.ID, Status: status, Reason: reason, Report: g.report()}
+	return []msg.Effect{
+		g.log(msg.LogInfo, "Order not taken", attrs...),
+		msg.AnswerOrder{To: to, Answer: answer},
+	}
+}
+
+func statusName(s msg.OrderStatus) string {
+	return [...]string{"done", "stale", "busy", "unready", "failed", "unknown"}[s]
+}
+
+func orderAttrs(o msg.Order) []msg.Attr {
+	return []msg.Attr{
+		{Key: "order", Value: string(o.ID)},
+		{Key: "kind", Value: o.Kind.String()},
+		{Key: "epoch", Value: fmt.Sprint(uint64(o.Epoch))},
+	}
+}
--- a/internal/core/msg/side.go
+++ b/internal/core/msg/side.go
@@ -12,12 +12,15 @@
 // entry that offered it.
 type RunAttempt struct{ Spec AttemptSpec }
 
-// RefuseAttempt tells the entry that the attempt did not run.
+// RefuseAttempt tells the entry that this offer was not taken: the attempt did
+// not run, unless MayHaveRun is set.
 type RefuseAttempt struct {
 	Attempt    AttemptID
 	Code       string
 	Reason     string
 	RetryAfter time.Duration
+	// MayHaveRun says that an earlier offer of the same attempt was taken.
+	MayHaveRun bool
 }
 
 // StopAttempt stops a running attempt. With Move set the entry is told to
