Routing by cost, fair admission, retry budgets, explanations

Cause: the thin path chose by load alone and served in order of arrival. Routing now scores the holders of the prompt's prefix and four targets drawn at random by aged reports, own work, prefill left and distance. Admission queues by weighted fair queueing over tokens of service, refuses work that can't meet its deadline, and evicts the longest queue when full. Retries have a budget per route and client account.

--- /dev/null
+++ b/internal/core/admit/order.go
@@ -0,0 +1,130 @@
+package admit
+
+import "github.com/verbenaspur/verbenaspur/internal/core/msg"
+
+const (
+	// overCredit is the lead over the least served account, relative to the
+	// credit, from which an account counts as over its fair share.
+	overCredit = 0.5
+	// reserved is the part of a target's capacity that is kept for accounts
+	// below their fair share.
+	reserved = 0.1
+)
+
+// Heads returns up to n requests that are next in turn, at most one of each
+// account. The slice is valid until the next call.
+func (q *Queue) Heads(now msg.Time, n int) []*Item {
+	q.advance(now)
+	q.heads = q.heads[:0]
+	if q.queued == 0 {
+		return nil
+	}
+	limit := q.least() + overCredit*q.credit(nil)
+	for _, a := range q.sorted {
+		it := a.head()
+		if it == nil || a.atLimit() {
+			continue
+		}
+		a.over = a.counter > limit
+		q.heads = q.insertHead(q.heads, it, n)
+	}
+	return q.heads
+}
+
+// insertHead inserts a request into the ordered heads and keeps n of them.
+func (q *Queue) insertHead(heads []*Item, it *Item, n int) []*Item {
+	i := len(heads)
+	for i > 0 && q.before(it, heads[i-1]) {
+		i--
+	}
+	if i >= n {
+		return heads
+	}
+	heads = append(heads, nil)
+	copy(heads[i+1:], heads[i:])
+	heads[i] = it
+	return heads[:min(len(heads), n)]
+}
+
+// before reports whether a is served before b.
+func (q *Queue) before(a, b *Item) bool {
+	if q.cfg.Policy == PolicyFIFO {
+		return a.order < b.order
+	}
+	x, y := a.account, b.account
+	if x.over != y.over {
+		return y.over
+	}
+	if a.Class != b.Class {
+		return a.Class < b.Class
+	}
+	return x.counter < y.counter
+}
+
+// Share is the part of a target's capacity that a request may fill.
+func (q *Queue) Share(it *Item) float64 {
+	if q.cfg.Policy == PolicyFIFO || it.account == nil || !it.account.over {
+		return 1
+	}
+	return 1 - reserved
+}
+
+// weights is the sum of the weights of the accounts that take part.
+func (q *Queue) weights() float64 {
+	var sum float64
+	for _, a := range q.sorted {
+		if a.active() {
+			sum += a.weight
+		}
+	}
+	return sum
+}
+
+// service is the rate of service of all accounts through all entries.
+func (q *Queue) service() float64 {
+	sum := q.total.value()
+	for _, a := range q.sorted {
+		sum += a.remote
+	}
+	return sum
+}
+
+func (a *account) head() *Item {
+	for class := range a.waiting {
+		if w := a.waiting[class]; len(w) > 0 {
+			return w[0]
+		}
+	}
+	return nil
+}
+
+func (a *account) atLimit() bool {
+	return a.limits.Concurrent > 0 && a.running >= a.limits.Concurrent
+}
+
+// Begin takes a request out of the queue and charges its expected service.
+func (q *Queue) Begin(it *Item) {
+	acc := it.account
+	if acc == nil {
+		return
+	}
+	q.Remove(it)
+	acc.running++
+	acc.charge(it.Tokens)
+	q.total.add(it.Tokens)
+	q.floor = max(q.floor, acc.counter)
+}
+
+// End takes note that a request of an account runs no longer. The correction
+// is its service less what was charged at its begin.
+func (q *Queue) End(id msg.AccountID, correction float64) {
+	acc := q.accounts[id]
+	if acc == nil {
+		return
+	}
+	acc.running = max(acc.running-1, 0)
+	acc.charge(correction)
+	acc.own.sum = max(acc.own.sum, 0)
+	q.total.add(correction)
+	q.total.sum = max(q.total.sum, 0)
+}
--- a/internal/core/request/arrive.go
+++ b/internal/core/request/arrive.go
@@ -9,6 +9,9 @@
 	"github.com/verbenaspur/verbenaspur/internal/manifest"
 )
 
+// maxOpen bounds the requests that are open on one entry.
+const maxOpen = 16_384
+
 // Advice to callers on when to come back.
 const (
 	retrySoon  = time.Second
@@ -33,7 +36,7 @@
 	s.requests[ev.Req] = r
 	s.order = append(s.order, r)
 	if r.idempotent {
-		s.enqueue(r)
+		s.admit(r)
 		return
 	}
 	r.state = stateClaiming
@@ -49,6 +52,9 @@
 	if s.stopping {
 		return &refusal{statusServiceUnavailable, CodeStopping, "this entry is stopping", msg.OutcomeNotRun, retrySoon}
 	}
+	if len(s.requests) >= maxOpen {
+		return &refusal{statusServiceUnavailable, CodeOverloaded, "too many requests are open", msg.OutcomeNotRun, retrySoon}
+	}
 	if s.index == nil {
 		return &refusal{statusServiceUnavailable, CodeNotReady, "no configuration yet", msg.OutcomeNotRun, retrySoon}
 	}
@@ -152,7 +158,7 @@
 	switch ev.Status {
 	case msg.ClaimGranted:
 		r.claimed = true
-		s.enqueue(r)
+		s.admit(r)
 	case msg.ClaimDone:
 		s.replay(r, ev.Answer)
 	case msg.ClaimRunning:
--- a/internal/core/request/attempt.go
+++ b/internal/core/request/attempt.go
@@ -12,37 +12,33 @@
 // maxAttempts bounds the attempts of one request; moves do not count.
 const maxAttempts = 4
 
-func (s *step) enqueue(r *request) {
-	r.state = stateQueued
-	s.dispatch()
-}
-
-// dispatch starts attempts for queued requests.
-func (s *step) dispatch() {
-	for _, r := range s.order {
-		if r.state == stateQueued {
-			s.start(r)
-		}
-	}
-}
-
-func (s *step) start(r *request) {
+// start starts an attempt for a queued request. It reports false where no
+// target can take it now.
+func (s *step) start(p *pool, r *request) bool {
 	if r.route.Access == manifest.AccessKeyed && s.now >= s.freshUntil {
-		return
+		return false
 	}
-	query := r.query(s.index)
+	query := s.query(r)
+	query.Share = p.queue.Share(r.item)
 	d, ok := s.router.Pick(s.now, query)
 	if !ok {
-		return
+		if d.Candidates == 0 {
+			r.exclude = nil
+		}
+		return false
 	}
+	p.queue.Begin(r.item)
+	r.charged = r.item.Tokens
 	r.state = stateRunning
 	r.attempts++
 	r.attempt = s.nextAttempt()
 	r.target = d.Target
 	s.attempts[r.attempt] = r
-	s.router.Begin(s.now, r.attempt, d.Target, query)
-	s.logRoute(r, d)
+	s.router.Begin(s.now, r.attempt, d, query)
+	s.decisions.add(r.arrived.Req, decisionOf(s.now, r.attempt, &d))
+	s.logRoute(r, &d)
 	s.emit(msg.StartAttempt{Req: r.arrived.Req, Attempt: r.attempt, Target: d.Target, Host: d.Host, Spec: s.spec(r)})
+	return true
 }
 
 func (s *step) spec(r *request) msg.AttemptSpec {
@@ -54,28 +50,34 @@
 	}
 }
 
-func (s *step) logRoute(r *request, d route.Decision) {
+func (s *step) logRoute(r *request, d *route.Decision) {
 	s.log("route", "attempt routed",
 		msg.Attr{Key: "request", Value: string(r.arrived.Req)},
 		msg.Attr{Key: "attempt", Value: string(r.attempt)},
 		msg.Attr{Key: "target", Value: string(d.Target)},
 		msg.Attr{Key: "candidates", Value: strconv.Itoa(d.Candidates)},
 		msg.Attr{Key: "cost", Value: strconv.FormatFloat(d.Cost, 'f', 4, 64)},
-		msg.Attr{Key: "reason", Value: d.Reason},
+		msg.Attr{Key: "reason", Value: string(d.Reason)},
 	)
 }
 
 func (s *step) onAccepted(ev msg.AttemptAccepted) {
-	if r := s.attempts[ev.Attempt]; r != nil {
-		r.outcome = msg.OutcomeUnknown
+	r := s.attempts[ev.Attempt]
+	if r == nil {
+		return
 	}
+	r.outcome = msg.OutcomeUnknown
+	s.router.Accepted(s.now, ev.Attempt, ev.CachedTokens)
 }
 
 func (s *step) onProgress(ev msg.AttemptProgress) {
-	if r := s.attempts[ev.Attempt]; r != nil {
-		r.tokens = max(r.tokens, ev.Tokens)
-		r.outcome = msg.OutcomeUnknown
+	r := s.attempts[ev.Attempt]
+	if r == nil {
+		return
 	}
+	r.tokens = max(r.tokens, ev.Tokens)
+	r.outcome = msg.OutcomeUnknown
+	s.router.Generating(s.now, ev.Attempt)
 }
 
 func (s *step) onEnded(ev msg.AttemptEnded) {
@@ -83,14 +85,27 @@
 	if r == nil {
 		return
 	}
-	delete(s.attempts, ev.Attempt)
-	s.router.End(ev.Attempt)
+	if ev.Result == msg.AttemptCrashed {
+		s.router.Crashed(r.target)
+	}
+	s.closeAttempt(r, ev.Usage)
 	if ev.Result != msg.AttemptNotRun {
 		r.outcome = msg.OutcomeUnknown
 		s.raise(msg.UsageCounted{Account: r.accountID(), Attempt: ev.Attempt, Usage: ev.Usage})
 	}
 	s.settle(r, ev)
-	s.dispatch()
+	s.dispatch(s.pool(r.pool.Name))
+}
+
+// closeAttempt ends the count of the request's attempt.
+func (s *step) closeAttempt(r *request, usage msg.TokenUsage) {
+	delete(s.attempts, r.attempt)
+	s.router.End(s.now, r.attempt)
+	served := max(float64(usage.Prompt+usage.Generated), 0)
+	if r.arrived.Service != "" {
+		served = minTokens
+	}
+	s.pool(r.pool.Name).queue.End(r.accountID(), served-r.charged)
 }
 
 // settle decides what follows the end of the request's attempt.
@@ -100,31 +115,35 @@
 		s.endAnswered(r, ev)
 	case ev.Result == msg.AttemptDone:
 		r.outcome = msg.OutcomeRun
+		s.learnOutput(r, int(ev.Usage.Generated))
 		s.emit(msg.FinishRequest{Req: r.arrived.Req})
 		s.end(r, ev.Answer)
 	case s.retries(r, ev.Result):
-		s.retry(r, ev)
+		s.retry(r)
 	default:
 		s.giveUp(r, ev)
 	}
 }
 
-// retries reports whether another attempt may follow.
+// retries reports whether another attempt follows, and counts it.
 func (s *step) retries(r *request, result msg.AttemptResult) bool {
-	if s.now >= r.deadline || r.attempts >= maxAttempts {
+	if s.now >= r.deadline {
 		return false
 	}
-	return result == msg.AttemptNotRun || r.idempotent
-}
-
-func (s *step) retry(r *request, ev msg.AttemptEnded) {
-	if ev.Result == msg.AttemptMoved {
+	if result != msg.AttemptNotRun && !r.idempotent {
+		return false
+	}
+	if result == msg.AttemptMoved {
 		r.attempts--
+		return true
 	}
+	return r.attempts < maxAttempts && s.budgets.Spend(msg.RouteID(r.route.Name), r.accountID())
+}
+
+func (s *step) retry(r *request) {
 	r.exclude = append(r.exclude, r.target)
 	r.startBy = r.deadline
-	r.state = stateQueued
-	s.start(r)
+	s.requeue(r)
 }
 
 func (s *step) giveUp(r *request, ev msg.AttemptEnded) {
--- a/internal/core/request/codes.go
+++ b/internal/core/request/codes.go
@@ -32,6 +32,7 @@
 	statusNotFound            = 404
 	statusConflict            = 409
 	statusUnprocessableEntity = 422
+	statusTooManyRequests     = 429
 	statusBadGateway          = 502
 	statusServiceUnavailable  = 503
 	statusGatewayTimeout      = 504
--- a/internal/core/request/end.go
+++ b/internal/core/request/end.go
@@ -13,6 +13,7 @@
 		Req: id, Status: ref.status, Code: string(ref.code), Reason: ref.reason,
 		Outcome: ref.outcome, RetryAfter: ref.retryAfter,
 	})
+	s.decisions.refused(id, ref.code)
 	s.log("request", "request refused",
 		msg.Attr{Key: "request", Value: string(id)},
 		msg.Attr{Key: "code", Value: string(ref.code)},
@@ -58,7 +59,11 @@
 	s.forget(r)
 }
 
+// forget drops a request that has no attempt.
 func (s *step) forget(r *request) {
+	if r.state == stateQueued {
+		s.pool(r.pool.Name).queue.Remove(r.item)
+	}
 	delete(s.requests, r.arrived.Req)
 	if i := slices.Index(s.order, r); i >= 0 {
 		s.order = slices.Delete(s.order, i, i+1)
@@ -82,15 +87,18 @@
 	for _, r := range slices.Clone(s.order) {
 		s.expire(r)
 	}
-	s.dispatch()
+	for _, p := range s.pools {
+		p.queue.Sweep(s.now)
+		s.dispatch(p)
+	}
+	s.share()
 }
 
 func (s *step) expire(r *request) {
 	switch {
 	case r.state == stateAnswered:
 		if s.now >= r.forgetAt {
-			delete(s.attempts, r.attempt)
-			s.router.End(r.attempt)
+			s.closeAttempt(r, msg.TokenUsage{})
 			s.end(r, nil)
 		}
 	case s.now >= r.deadline:
--- a/internal/core/request/manager.go
+++ b/internal/core/request/manager.go
@@ -6,7 +6,9 @@
 	"fmt"
 	"time"
 
+	"github.com/verbenaspur/verbenaspur/internal/core/admit"
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
+	"github.com/verbenaspur/verbenaspur/internal/core/retry"
 	"github.com/verbenaspur/verbenaspur/internal/core/route"
 	"github.com/verbenaspur/verbenaspur/internal/manifest"
 )
@@ -14,6 +16,7 @@
 // Config configures a manager.
 type Config struct {
 	Route route.Config
+	Admit admit.Config
 }
 
 // Manager is the part of an entry's reducer that owns the requests.
@@ -26,7 +29,13 @@
 	freshUntil  msg.Time
 	stopping    bool
 	seq         uint64
+	cfg         Config
 	router      *route.Router
+	pools       []*pool
+	outputs     map[string]float64
+	budgets     *retry.Budgets
+	decisions   *decisionLog
+	shareAt     msg.Time
 	requests    map[msg.RequestID]*request
 	attempts    map[msg.AttemptID]*request
 	// order holds the requests in order of arrival.
@@ -36,9 +45,13 @@
 // New returns a manager without a configuration, which refuses all requests.
 func New(cfg Config) *Manager {
 	return &Manager{
-		router:   route.New(cfg.Route),
-		requests: make(map[msg.RequestID]*request),
-		attempts: make(map[msg.AttemptID]*request),
+		cfg:       cfg,
+		router:    route.New(cfg.Route),
+		outputs:   make(map[string]float64),
+		budgets:   retry.New(),
+		decisions: newDecisionLog(),
+		requests:  make(map[msg.RequestID]*request),
+		attempts:  make(map[msg.AttemptID]*request),
 	}
 }
 
@@ -96,16 +109,21 @@
 	case msg.ConfigChanged:
 		s.index = ev.Index
 		s.generation = ev.Generation
+		s.router.Configure(ev.Index)
 		s.recheckKeys()
 	case msg.ConfigFresh:
 		s.freshUntil = max(s.freshUntil, ev.Until)
 	case msg.TargetReported:
 		s.router.Report(s.now, ev)
-		s.dispatch()
+		s.dispatch(s.pool(string(ev.Target.Pool)))
 	case msg.TargetLost:
 		s.router.Lost(ev.Target)
+	case msg.CacheReported:
+		s.router.CacheReported(ev)
 	case msg.MembersChanged:
-		s.router.Leaving(ev.Leaving)
+		s.router.Members(s.now, ev)
+	case msg.SharedState:
+		s.onShared(ev)
 	}
 }
 
--- a/internal/core/request/request.go
+++ b/internal/core/request/request.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/verbenaspur/verbenaspur/internal/core/admit"
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
 	"github.com/verbenaspur/verbenaspur/internal/core/route"
 	"github.com/verbenaspur/verbenaspur/internal/manifest"
@@ -16,6 +17,8 @@
 	stateClaiming state = iota
 	// stateQueued waits for a target.
 	stateQueued
+	// stateEvicted gave its place in the queue to another request.
+	stateEvicted
 	// stateRunning has an attempt on a target.
 	stateRunning
 	// stateAnswered has told the caller its end, or has no caller any more,
@@ -36,6 +39,10 @@
 	deadline   msg.Time
 	// startBy bounds the wait for the first attempt.
 	startBy msg.Time
+	// item is the request's place in the queue; charged are the tokens of
+	// service that it was charged for at the begin of its attempt.
+	item    *admit.Item
+	charged float64
 	// attempt is the current attempt and target where it runs.
 	attempt  msg.AttemptID
 	target   msg.TargetID
@@ -60,23 +67,26 @@
 // began reports whether the caller has a part of the answer.
 func (r *request) began() bool { return r.tokens > 0 }
 
-// outputLeft is the number of tokens that are still to be generated.
-func (r *request) outputLeft() int { return max(r.arrived.MaxTokens-r.tokens, 0) }
+// admitAccount describes the request's client account to the queue.
+func (r *request) admitAccount() admit.Account {
+	if r.account == nil {
+		return admit.Account{Weight: 1}
+	}
+	return admit.Account{ID: r.accountID(), Weight: r.account.Weight, Limits: r.account.Limits}
+}
 
 // query describes the request, or the rest of it, to the router.
-func (r *request) query(x *manifest.Index) *route.Request {
+func (s *step) query(r *request) *route.Request {
 	q := &route.Request{
 		Pool:         msg.PoolID(r.pool.Name),
 		Adapter:      r.route.Adapter,
 		Class:        r.class,
 		PromptTokens: r.arrived.PromptTokens + r.tokens,
-		OutputTokens: r.outputLeft(),
+		OutputTokens: s.outputLeft(r),
 		Prefix:       r.arrived.Prefix,
 		Exclude:      r.exclude,
 	}
-	if m := x.Model(r.pool.Model); m != nil {
-		q.Model = m.Name
-	}
+	q.Model = r.pool.Model
 	return q
 }
 
--- a/internal/core/route/filter.go
+++ b/internal/core/route/filter.go
@@ -2,32 +2,10 @@
 
 import (
 	"slices"
-	"time"
 
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
 )
 
-// reportLimit is the age after which a target without a newer report takes no
-// new attempts.
-const reportLimit = 10 * time.Second
-
-// candidate is a target that passed the filter.
-type candidate struct {
-	target *target
-	cost   float64
-}
-
-// filter returns the targets that may take the request now.
-func (r *Router) filter(now msg.Time, p *pool, req *Request) []candidate {
-	out := make([]candidate, 0, len(p.targets))
-	for _, t := range p.targets {
-		if t.takes(now, req) {
-			out = append(out, candidate{target: t})
-		}
-	}
-	return out
-}
-
 // takes reports whether the target may be given the request at all.
 func (t *target) takes(now msg.Time, req *Request) bool {
 	switch {
@@ -45,7 +23,7 @@
 func (t *target) serves(req *Request) bool {
 	for i := range t.load.Models {
 		m := &t.load.Models[i]
-		if m.Model != req.Model || (req.Version != "" && m.Version != req.Version) {
+		if m.Model != req.Model {
 			continue
 		}
 		if req.Adapter == "" || slices.Contains(m.Adapters, req.Adapter) {
@@ -54,3 +32,15 @@
 	}
 	return false
 }
+
+// fits reports whether the target has a free sequence and KV cache at all.
+func (t *target) fits(req *Request) bool {
+	limit := t.load.MaxBatch
+	if limit <= 0 {
+		limit = defaultBatch
+	}
+	if t.batch() >= limit {
+		return false
+	}
+	return t.load.KVTotal == 0 || t.kv()+req.PromptTokens+req.OutputTokens <= t.load.KVTotal
+}
--- a/internal/core/route/router.go
+++ b/internal/core/route/router.go
@@ -4,38 +4,53 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/verbenaspur/verbenaspur/internal/core/cachemap"
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
+	"github.com/verbenaspur/verbenaspur/internal/manifest"
 )
 
-// Config selects how a router decides.
+// Defaults of [Config].
+const (
+	DefaultFirstToken = 320 * time.Millisecond
+	DefaultStep       = 49 * time.Millisecond
+)
+
+// Config selects how a router decides. Zero values are replaced by defaults.
 type Config struct {
 	Policy Policy
+	// FirstToken is the wanted time to the first token.
+	FirstToken time.Duration
+	// Step is the wanted time between two tokens.
+	Step time.Duration
+	// CachePieces bounds the cache map.
+	CachePieces int
+}
+
+func (c Config) withDefaults() Config {
+	if c.FirstToken == 0 {
+		c.FirstToken = DefaultFirstToken
+	}
+	if c.Step == 0 {
+		c.Step = DefaultStep
+	}
+	return c
 }
 
 // Request is what the router has to know of a request.
 type Request struct {
 	Pool msg.PoolID
-	// Model, Version and Adapter must be loaded on an engine; empty for a
-	// plain service.
-	Model, Version, Adapter string
-	Class                   msg.Class
+	// Model and Adapter must be loaded on an engine; empty for a plain service.
+	Model, Adapter string
+	Class          msg.Class
 	// PromptTokens are to be prefilled, tokens of a resumed answer included;
 	// OutputTokens are expected to be generated.
 	PromptTokens, OutputTokens int
 	Prefix                     []msg.PieceHash
 	// Exclude lists targets that must not be chosen.
 	Exclude []msg.TargetID
-}
-
-// Decision is the target chosen for an attempt.
-type Decision struct {
-	Target msg.TargetID
-	Host   msg.HostID
-	// Cost is the expected time in seconds until the request is served.
-	Cost float64
-	// Candidates is the number of targets that passed the filter.
-	Candidates int
-	Reason     string
+	// Share is the part of a target's capacity, above 0 and up to 1, that the
+	// request may fill.
+	Share float64
 }
 
 // Router keeps the state of the targets and chooses among them.
@@ -43,30 +58,40 @@
 	cfg      Config
 	self     msg.Self
 	rng      *rand.Rand
+	cache    *cachemap.Map
 	targets  map[msg.TargetID]*target
 	pools    map[msg.PoolID]*pool
 	attempts map[msg.AttemptID]*flight
+	leaving  map[msg.HostID]bool
+	index    *manifest.Index
+	// hits and sample are buffers of one decision.
+	hits   []cachemap.Hit
+	sample []candidate
 }
 
 // New returns a router without targets.
 func New(cfg Config) *Router {
 	return &Router{
-		cfg:      cfg,
-		rng:      rand.New(rand.NewPCG(0, 0)),
+		cfg:      cfg.withDefaults(),
+		rng:      rand.New(rand.NewPCG(0, seedStream)),
+		cache:    cachemap.New(cfg.CachePieces),
 		targets:  make(map[msg.TargetID]*target),
 		pools:    make(map[msg.PoolID]*pool),
 		attempts: make(map[msg.AttemptID]*flight),
 	}
 }
 
+// seedStream keeps the router's random numbers apart from those of other parts.
+const seedStream = 0x726f757465
+
 // Start seeds the router and tells it where it runs.
 func (r *Router) Start(ev msg.Started) {
 	r.self = ev.Self
 	r.rng = rand.New(rand.NewPCG(ev.Seed, seedStream))
 }
 
-// seedStream keeps the router's random numbers apart from those of other parts.
-const seedStream = 0x726f757465
+// Configure takes a configuration, of which the router uses the regions.
+func (r *Router) Configure(x *manifest.Index) { r.index = x }
 
 // Report takes a load report of a target.
 func (r *Router) Report(now msg.Time, ev msg.TargetReported) {
@@ -77,8 +102,15 @@
 		r.pool(t.pool).add(t)
 	}
 	t.report(now, ev)
+	t.leaving = r.leaving[t.host]
+	if ev.Report.Phase == msg.PhaseDown || ev.Report.Phase == msg.PhaseStarting {
+		r.cache.Forget(t.id)
+	}
 }
 
+// CacheReported takes cache events of an engine.
+func (r *Router) CacheReported(ev msg.CacheReported) { r.cache.Apply(ev) }
+
 // Lost takes note that a target can't be reached.
 func (r *Router) Lost(id msg.TargetID) {
 	if t := r.targets[id]; t != nil {
@@ -86,60 +118,116 @@
 	}
 }
 
-// Leaving takes note of the hosts that take no new work.
-func (r *Router) Leaving(hosts []msg.HostID) {
-	leaving := make(map[msg.HostID]bool, len(hosts))
-	for _, h := range hosts {
-		leaving[h] = true
+// Crashed takes note that a target went down, so that it takes no attempts
+// until a report says that it serves again.
+func (r *Router) Crashed(id msg.TargetID) {
+	if t := r.targets[id]; t != nil {
+		t.load.Phase = msg.PhaseDown
+		r.cache.Forget(id)
+	}
+}
+
+// Members takes note of the hosts that take no new work, and drops targets
+// that have been silent for long.
+func (r *Router) Members(now msg.Time, ev msg.MembersChanged) {
+	r.leaving = make(map[msg.HostID]bool, len(ev.Leaving))
+	for _, h := range ev.Leaving {
+		r.leaving[h] = true
 	}
-	for _, t := range r.targets {
-		t.leaving = leaving[t.host]
+	for id, t := range r.targets {
+		t.leaving = r.leaving[t.host]
+		if t.running == 0 && now-t.readAt > dropAfter {
+			r.pools[t.pool].drop(t)
+			delete(r.targets, id)
+			r.cache.Drop(id)
+		}
 	}
 }
 
-// Pick chooses a target, or reports that none can take the request now.
+// Pick chooses a target. It reports false where none can take the request now.
 func (r *Router) Pick(now msg.Time, req *Request) (Decision, bool) {
 	p := r.pools[req.Pool]
-	if p == nil {
-		return Decision{Reason: "no targets known"}, false
+	if p == nil || len(p.targets) == 0 {
+		return Decision{Reason: ReasonNoTargets}, false
 	}
-	candidates := r.filter(now, p, req)
-	if len(candidates) == 0 {
-		return Decision{Reason: "no target can take it now"}, false
+	d := Decision{Pool: len(p.targets), Policy: r.cfg.Policy}
+	var best *candidate
+	switch r.cfg.Policy {
+	case PolicyRoundRobin:
+		best = r.pickNext(now, p, req)
+	case PolicyLeastLoaded:
+		best = r.pickLeastLoaded(now, p, req)
+	default:
+		best = r.pickCheapest(now, p, req)
 	}
-	r.score(now, req, candidates)
-	best := r.pick(candidates)
-	return Decision{
-		Target: best.target.id, Host: best.target.host, Cost: best.cost,
-		Candidates: len(candidates), Reason: r.cfg.Policy.String(),
-	}, true
+	d.note(r.sample)
+	if best == nil {
+		d.Reason = ReasonNoRoom
+		return d, false
+	}
+	d.choose(best)
+	return d, true
 }
 
-// Begin counts an attempt as in flight on its target.
-func (r *Router) Begin(now msg.Time, id msg.AttemptID, target msg.TargetID, req *Request) {
-	t := r.targets[target]
+// Begin counts an attempt as in flight on the chosen target.
+func (r *Router) Begin(now msg.Time, id msg.AttemptID, d Decision, req *Request) {
+	t := r.targets[d.Target]
 	if t == nil {
 		return
 	}
-	f := &flight{target: t, prefill: req.PromptTokens, tokens: req.PromptTokens + req.OutputTokens, since: now}
+	f := &flight{
+		target: t, prompt: req.PromptTokens, expected: d.Expected,
+		prefill: d.Prefill, kv: req.PromptTokens + req.OutputTokens,
+	}
 	r.attempts[id] = f
-	t.begin(f)
+	t.apply(now, change{at: now, running: 1, prefill: f.prefill, kv: f.kv})
+	t.running++
+	if t.kind == msg.TargetEngine {
+		r.cache.Sent(t.id, req.Prefix)
+	}
+}
+
+// Accepted compares the expected cache hit of an attempt with the real one.
+func (r *Router) Accepted(now msg.Time, id msg.AttemptID, cached int) {
+	f := r.attempts[id]
+	if f == nil || f.began {
+		return
+	}
+	r.cache.Observed(f.target.id, f.expected/PieceTokens, cached/PieceTokens)
+	prefill := max(f.prompt-cached, 0)
+	f.target.apply(now, change{at: now, prefill: prefill - f.prefill})
+	f.prefill = prefill
+}
+
+// Generating takes note that an attempt has passed its prefill.
+func (r *Router) Generating(now msg.Time, id msg.AttemptID) {
+	f := r.attempts[id]
+	if f == nil || f.began {
+		return
+	}
+	f.began = true
+	f.target.apply(now, change{at: now, prefill: -min(f.prefill, int(f.target.backlog))})
+	f.prefill = 0
 }
 
 // End ends the count of an attempt.
-func (r *Router) End(id msg.AttemptID) {
+func (r *Router) End(now msg.Time, id msg.AttemptID) {
 	f := r.attempts[id]
 	if f == nil {
 		return
 	}
 	delete(r.attempts, id)
-	f.target.end(f)
+	f.target.apply(now, change{at: now, running: -1, prefill: -min(f.prefill, int(f.target.backlog)), kv: -f.kv})
+	f.target.running--
 }
 
+// maxStart bounds the position at which a round robin begins.
+const maxStart = 1 << 16
+
 func (r *Router) pool(id msg.PoolID) *pool {
 	p := r.pools[id]
 	if p == nil {
-		p = &pool{}
+		p = &pool{next: r.rng.IntN(maxStart)}
 		r.pools[id] = p
 	}
 	return p
@@ -148,8 +236,9 @@
 // flight is an attempt of this entry on a target.
 type flight struct {
 	target *target
-	// prefill and tokens are the attempt's prompt tokens and its KV cache at
-	// its end.
-	prefill, tokens int
-	since           time.Duration
+	// prompt, expected, prefill and kv are in tokens: the prompt, its part
+	// that was expected in the cache, the prefill left, and the KV cache at
+	// the attempt's end.
+	prompt, expected, prefill, kv int
+	began                         bool
 }
--- a/internal/core/route/target.go
+++ b/internal/core/route/target.go
@@ -3,10 +3,26 @@
 import (
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
 )
 
+const (
+	// reportLimit is the age after which a target without a newer report
+	// takes no new attempts.
+	reportLimit = 10 * time.Second
+	// dropAfter is the age after which a silent target is forgotten.
+	dropAfter = 10 * time.Minute
+	// defaultRate is the prefill rate of an engine that reports none, in
+	// tokens a second.
+	defaultRate = 5000
+	// defaultBatch is the batch limit of a target that reports none.
+	defaultBatch = 32
+	// minSlots is the number of sequences that an engine is always given.
+	minSlots = 4
+)
+
 // target is the state of one target as this entry knows it.
 type target struct {
 	id      msg.TargetID
@@ -18,42 +34,114 @@
 	readAt  msg.Time
 	lost    bool
 	leaving bool
-	// running and prefill count this entry's own attempts.
+	// running counts this entry's own attempts.
 	running int
-	prefill int
-	tokens  int
+	// changes are this entry's own doings after the report was read; sum is
+	// their total without prefill.
+	changes []change
+	sum     change
+	// backlog is the prefill work in tokens as of backlogAt.
+	backlog   float64
+	backlogAt msg.Time
+}
+
+// change is an own attempt's effect on the load of a target.
+type change struct {
+	at msg.Time
+	// running is in sequences; prefill and kv are in tokens.
+	running, prefill, kv int
 }
 
+// report takes a newer report and replays the own changes that it does not
+// cover.
 func (t *target) report(now msg.Time, ev msg.TargetReported) {
-	t.host = ev.Host
-	t.domain = ev.Domain
 	readAt := now - ev.Age
-	if readAt < t.readAt {
+	if t.host != "" && readAt < t.readAt {
 		return
 	}
+	t.host = ev.Host
+	t.domain = ev.Domain
 	t.load = ev.Report
 	t.readAt = readAt
 	t.lost = false
+	changes := t.changes
+	t.changes = t.changes[:0]
+	t.sum = change{}
+	t.backlog = float64(ev.Report.PrefillTokens)
+	t.backlogAt = readAt
+	for _, c := range changes {
+		if c.at > readAt {
+			t.apply(c.at, c)
+		}
+	}
+	t.drain(now)
+}
+
+// apply adds an own change.
+func (t *target) apply(now msg.Time, c change) {
+	t.drain(now)
+	t.backlog = max(t.backlog+float64(c.prefill), 0)
+	t.sum.running += c.running
+	t.sum.kv += c.kv
+	t.changes = append(t.changes, c)
+}
+
+// drain lets the backlog shrink by the work done since it was last looked at.
+func (t *target) drain(now msg.Time) {
+	if now <= t.backlogAt {
+		return
+	}
+	t.backlog = max(t.backlog-t.rate()*(now-t.backlogAt).Seconds(), 0)
+	t.backlogAt = now
 }
 
-func (t *target) begin(f *flight) {
-	t.running++
-	t.prefill += f.prefill
-	t.tokens += f.tokens
+// rate is the prefill rate in tokens a second.
+func (t *target) rate() float64 {
+	if t.load.PrefillRate <= 0 {
+		return defaultRate
+	}
+	return float64(t.load.PrefillRate)
 }
 
-func (t *target) end(f *flight) {
-	t.running--
-	t.prefill -= f.prefill
-	t.tokens -= f.tokens
+// batch estimates the sequences on the target now.
+func (t *target) batch() int {
+	return max(t.load.Running+t.load.Queued+t.sum.running, t.running)
+}
+
+// kv estimates the tokens of KV cache in use.
+func (t *target) kv() int { return max(t.load.KVUsed+t.sum.kv, 0) }
+
+// slots is the number of sequences at which the time between tokens reaches
+// the goal.
+func (t *target) slots(step time.Duration) float64 {
+	limit := t.load.MaxBatch
+	if limit <= 0 {
+		limit = defaultBatch
+	}
+	if t.kind == msg.TargetService || t.load.StepTime <= 0 || t.load.Running == 0 {
+		return float64(limit)
+	}
+	fits := float64(t.load.Running) * step.Seconds() / t.load.StepTime.Seconds()
+	return min(max(fits, minSlots), float64(limit))
 }
 
 // pool holds the targets of one pool in order of their ids.
-type pool struct{ targets []*target }
+type pool struct {
+	targets []*target
+	// next is the position of the round robin.
+	next int
+}
+
+func compareTargets(a, b *target) int { return strings.Compare(string(a.id), string(b.id)) }
 
 func (p *pool) add(t *target) {
-	i, _ := slices.BinarySearchFunc(p.targets, t, func(a, b *target) int {
-		return strings.Compare(string(a.id), string(b.id))
-	})
+	i, _ := slices.BinarySearchFunc(p.targets, t, compareTargets)
 	p.targets = slices.Insert(p.targets, i, t)
 }
+
+func (p *pool) drop(t *target) {
+	i, ok := slices.BinarySearchFunc(p.targets, t, compareTargets)
+	if ok {
+		p.targets = slices.Delete(p.targets, i, i+1)
+	}
+}
