--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -2,7 +2,9 @@
 package settings
 
 import (
+	"fmt"
 	"os"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 
@@ -134,5 +136,13 @@
 	if (s.TLS.HTTPCert == "") != (s.TLS.HTTPKey == "") {
 		faults = append(faults, strictyaml.Fault{Path: "$.tls", Message: "httpCert and httpKey are given together or not at all"})
 	}
+	for i, o := range s.Operators {
+		if o.TokenHash != strings.ToLower(o.TokenHash) {
+			faults = append(faults, strictyaml.Fault{
+				Path:    fmt.Sprintf("$.operators[%d].tokenHash", i),
+				Message: "must be in lower case",
+			})
+		}
+	}
 	return faults
 }
