Metrics as a watching part of the reducer, dashboard, alert rules with a page

A test holds the dashboard and rules against the metrics that exist, and each rule against its section of docs/operators/alerts.md.

--- /dev/null
+++ b/internal/metrics/dashboards_test.go
@@ -0,0 +1,80 @@
+package metrics
+
+import (
+	"encoding/json"
+	"os"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/goccy/go-yaml"
+	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+var metricName = regexp.MustCompile(`verbenaspur_[a-z_]+`)
+
+// described returns the names of all metrics, used or not.
+func described(m *Metrics) map[string]bool {
+	names := make(map[string]bool)
+	ch := make(chan *prometheus.Desc, 100)
+	for _, c := range []prometheus.Collector{
+		m.total, m.refusals, m.good, m.inFlight, m.seconds, m.firstToken, m.betweenTokens, m.queueWait,
+		m.attemptsTotal, m.retries, m.tokens, m.claimsTotal, m.claimSeconds,
+		m.leaseHeld, m.leaseEpoch, m.leaseChanges, m.generation, m.confirmedAge, m.proposals, m.hosts,
+		m.targetCount, m.ordersTotal, m.ordersOpen, m.roleChanges, m.sideAttempts, m.targetCrashes,
+		m.storeCalls, m.storeSeconds, m.targetOrders, m.usageReports, m.usageLag, m.peerMessages, m.peerUp,
+		m.logLines, m.stepSeconds, m.eventsHandled,
+	} {
+		c.Describe(ch)
+	}
+	close(ch)
+	for d := range ch {
+		names[metricName.FindString(d.String())] = true
+	}
+	return names
+}
+
+func TestDashboardsUseExistingMetrics(t *testing.T) {
+	m, _ := newMetrics(0)
+	known := described(m)
+	for _, file := range []string{"../../dashboards/verbenaspur.json", "../../dashboards/alerts.yaml"} {
+		is := is.New(t)
+		b, err := os.ReadFile(file)
+		is.NoErr(err)
+		used := metricName.FindAllString(string(b), -1)
+		is.True(len(used) > 10)
+		for _, name := range used {
+			if !known[name] && !known[strings.TrimSuffix(name, "_bucket")] {
+				t.Errorf("%s uses %s, which is no metric", file, name)
+			}
+		}
+	}
+}
+
+func TestDashboardFilesParse(t *testing.T) {
+	is := is.New(t)
+	b, err := os.ReadFile("../../dashboards/verbenaspur.json")
+	is.NoErr(err)
+	is.True(json.Valid(b))
+	b, err = os.ReadFile("../../dashboards/alerts.yaml")
+	is.NoErr(err)
+	var rules struct {
+		Groups []struct {
+			Name  string
+			Rules []struct {
+				Alert, Expr, For    string
+				Labels, Annotations map[string]string
+			}
+		}
+	}
+	is.NoErr(yaml.UnmarshalWithOptions(b, &rules, yaml.Strict()))
+	runbook, err := os.ReadFile("../../docs/operators/alerts.md")
+	is.NoErr(err)
+	for _, r := range rules.Groups[0].Rules {
+		is.True(r.Expr != "")
+		if !strings.Contains(string(runbook), "\n## "+r.Alert+"\n") {
+			t.Errorf("docs/operators/alerts.md says nothing about %s", r.Alert)
+		}
+	}
+}
--- /dev/null
+++ b/internal/metrics/metrics.go
@@ -0,0 +1,201 @@
+// Package metrics counts and times what a daemon does. [Metrics] is a part of
+// the daemon's reducer that only watches: it takes every event, also those
+// that the parts raise for each other, and returns no effects. The driver
+// hands it the effects as well.
+package metrics
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promauto"
+
+	"github.com/verbenaspur/verbenaspur/internal/core/msg"
+	"github.com/verbenaspur/verbenaspur/internal/manifest"
+)
+
+const namespace = "verbenaspur"
+
+// Limits within which a request counts as good.
+const (
+	GoodFirstToken    = 320 * time.Millisecond
+	GoodBetweenTokens = 49 * time.Millisecond
+)
+
+// Buckets in seconds; the limits of a good request are among them.
+var (
+	firstTokenBuckets   = []float64{0.02, 0.05, 0.1, 0.16, 0.24, 0.32, 0.48, 0.64, 1, 2, 4, 8, 16}
+	betweenTokenBuckets = []float64{0.005, 0.01, 0.02, 0.03, 0.04, 0.049, 0.06, 0.08, 0.1, 0.2, 0.5, 1}
+	waitBuckets         = []float64{0.001, 0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30, 60, 120}
+	callBuckets         = []float64{0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10}
+	stepBuckets         = []float64{5e-6, 1e-5, 2.5e-5, 5e-5, 1e-4, 2.5e-4, 5e-4, 1e-3, 5e-3, 2e-2, 0.1}
+)
+
+// Metrics holds the metrics of one daemon. Its methods, but for the collector,
+// are called from the reducer's goroutine only.
+type Metrics struct {
+	requestMetrics
+	stateMetrics
+	outsideMetrics
+
+	index    *manifest.Index
+	accounts accountLabels
+	wall     time.Time
+	swept    msg.Time
+
+	requests map[msg.RequestID]*request
+	attempts map[msg.AttemptID]*request
+	claims   map[msg.RequestID]msg.Time
+	calls    map[msg.CallID]call
+	reports  map[msg.CallID]time.Time
+	orders   map[msg.OrderID]msg.Order
+	targets  map[msg.TargetID]targetLabels
+	held     map[msg.LeaseName]bool
+
+	confirmed   msg.Time
+	isConfirmed bool
+}
+
+type requestMetrics struct {
+	total         *prometheus.CounterVec
+	refusals      *prometheus.CounterVec
+	good          *prometheus.CounterVec
+	inFlight      prometheus.Gauge
+	seconds       *prometheus.HistogramVec
+	firstToken    *prometheus.HistogramVec
+	betweenTokens *prometheus.HistogramVec
+	queueWait     *prometheus.HistogramVec
+	attemptsTotal *prometheus.CounterVec
+	retries       *prometheus.CounterVec
+	tokens        *prometheus.CounterVec
+	claimsTotal   *prometheus.CounterVec
+	claimSeconds  prometheus.Histogram
+}
+
+type stateMetrics struct {
+	leaseHeld     *prometheus.GaugeVec
+	leaseEpoch    *prometheus.GaugeVec
+	leaseChanges  *prometheus.CounterVec
+	generation    prometheus.Gauge
+	confirmedAge  prometheus.Gauge
+	proposals     *prometheus.CounterVec
+	hosts         *prometheus.GaugeVec
+	targetCount   *prometheus.GaugeVec
+	ordersTotal   *prometheus.CounterVec
+	ordersOpen    prometheus.Gauge
+	roleChanges   *prometheus.CounterVec
+	sideAttempts  *prometheus.CounterVec
+	targetCrashes prometheus.Counter
+}
+
+type outsideMetrics struct {
+	storeCalls    *prometheus.CounterVec
+	storeSeconds  *prometheus.HistogramVec
+	targetOrders  *prometheus.CounterVec
+	usageReports  *prometheus.CounterVec
+	usageLag      prometheus.Gauge
+	peerMessages  *prometheus.CounterVec
+	peerUp        *prometheus.CounterVec
+	logLines      *prometheus.CounterVec
+	stepSeconds   prometheus.Histogram
+	eventsHandled prometheus.Counter
+}
+
+// New registers the metrics of one daemon.
+func New(reg prometheus.Registerer) *Metrics {
+	f := factory{promauto.With(reg)}
+	return &Metrics{
+		requestMetrics: newRequestMetrics(f),
+		stateMetrics:   newStateMetrics(f),
+		outsideMetrics: newOutsideMetrics(f),
+		requests:       make(map[msg.RequestID]*request),
+		attempts:       make(map[msg.AttemptID]*request),
+		claims:         make(map[msg.RequestID]msg.Time),
+		calls:          make(map[msg.CallID]call),
+		reports:        make(map[msg.CallID]time.Time),
+		orders:         make(map[msg.OrderID]msg.Order),
+		targets:        make(map[msg.TargetID]targetLabels),
+		held:           make(map[msg.LeaseName]bool),
+	}
+}
+
+func newRequestMetrics(f factory) requestMetrics {
+	return requestMetrics{
+		total:         f.counters("requests_total", "Requests that ended, by what the caller was told.", "route", "class", "account", "outcome"),
+		refusals:      f.counters("refusals_total", "Requests refused before an answer began.", "code"),
+		good:          f.counters("good_requests_total", "Whole answers within the limits of the first token and between tokens.", "route", "account"),
+		inFlight:      f.gauge("requests_in_flight", "Requests that have arrived and not ended."),
+		seconds:       f.histograms("request_seconds", "Time from arrival to the end of a request.", waitBuckets, "route"),
+		firstToken:    f.histograms("first_token_seconds", "Time from arrival to the first token.", firstTokenBuckets, "route"),
+		betweenTokens: f.histograms("between_tokens_seconds", "Mean time between tokens of one piece of progress.", betweenTokenBuckets, "route"),
+		queueWait:     f.histograms("queue_wait_seconds", "Time from arrival to the first attempt.", waitBuckets, "class", "account"),
+		attemptsTotal: f.counters("attempts_total", "Attempts that ended.", "result"),
+		retries:       f.counters("retries_total", "Attempts beyond a request's first.", "route"),
+		tokens:        f.counters("tokens_total", "Tokens charged to client accounts.", "account", "kind"),
+		claimsTotal:   f.counters("claims_total", "Claims of non-idempotent requests.", "status"),
+		claimSeconds:  f.histogram("claim_seconds", "Time to settle a claim.", callBuckets),
+	}
+}
+
+func newStateMetrics(f factory) stateMetrics {
+	return stateMetrics{
+		leaseHeld:     f.gauges("lease_held", "1 while this process holds the lease.", "lease"),
+		leaseEpoch:    f.gauges("lease_epoch", "Highest fencing number seen of the lease.", "lease"),
+		leaseChanges:  f.counters("lease_changes_total", "Acquisitions and losses of leases by this process.", "change"),
+		generation:    f.gauge("config_generation", "Generation of the configuration in force here."),
+		confirmedAge:  f.gauge("config_confirmed_age_seconds", "Time since the configuration was confirmed to be the newest."),
+		proposals:     f.counters("config_proposals_total", "Operators' proposals by result.", "status"),
+		hosts:         f.gauges("hosts", "Hosts known to be reachable.", "kind"),
+		targetCount:   f.gauges("targets", "Targets as last reported.", "pool", "role", "phase"),
+		ordersTotal:   f.counters("orders_total", "Orders to targets that were answered.", "kind", "status"),
+		ordersOpen:    f.gauge("orders_open", "Orders to targets without an answer."),
+		roleChanges:   f.counters("role_changes_total", "Role changes that took effect.", "role"),
+		sideAttempts:  f.counters("side_attempts_total", "Attempts offered to this side daemon.", "step"),
+		targetCrashes: f.counter("target_crashes_total", "Crashes of the target beside this daemon."),
+	}
+}
+
+func newOutsideMetrics(f factory) outsideMetrics {
+	return outsideMetrics{
+		storeCalls:    f.counters("store_calls_total", "Calls to the platform's object API, each waiting watch one.", "op", "status"),
+		storeSeconds:  f.histograms("store_call_seconds", "Time of calls to the platform's object API.", callBuckets, "op"),
+		targetOrders:  f.counters("target_orders_total", "Orders and withdrawals of targets.", "op", "status"),
+		usageReports:  f.counters("usage_reports_total", "Reports to the usage interface.", "status"),
+		usageLag:      f.gauge("usage_lag_seconds", "Time from the end of the last reported window to its report."),
+		peerMessages:  f.counters("peer_messages_total", "Messages between daemons.", "direction"),
+		peerUp:        f.counters("peer_changes_total", "Connections between daemons that opened or were lost.", "change"),
+		logLines:      f.counters("log_lines_total", "Log lines.", "part", "level"),
+		stepSeconds:   f.histogram("step_seconds", "Time of one reducer step.", stepBuckets),
+		eventsHandled: f.counter("events_total", "Events handled, raised ones included."),
+	}
+}
+
+// ObserveStep records the time that one reducer step took.
+func (m *Metrics) ObserveStep(d time.Duration) { m.stepSeconds.Observe(d.Seconds()) }
+
+// factory makes metrics in the project's namespace.
+type factory struct{ promauto.Factory }
+
+func (f factory) counters(name, help string, labels ...string) *prometheus.CounterVec {
+	return f.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, labels)
+}
+
+func (f factory) counter(name, help string) prometheus.Counter {
+	return f.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help})
+}
+
+func (f factory) gauges(name, help string, labels ...string) *prometheus.GaugeVec {
+	return f.NewGaugeVec(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, labels)
+}
+
+func (f factory) gauge(name, help string) prometheus.Gauge {
+	return f.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help})
+}
+
+func (f factory) histograms(name, help string, buckets []float64, labels ...string) *prometheus.HistogramVec {
+	return f.NewHistogramVec(prometheus.HistogramOpts{Namespace: namespace, Name: name, Help: help, Buckets: buckets}, labels)
+}
+
+func (f factory) histogram(name, help string, buckets []float64) prometheus.Histogram {
+	return f.NewHistogram(prometheus.HistogramOpts{Namespace: namespace, Name: name, Help: help, Buckets: buckets})
+}
--- /dev/null
+++ b/internal/metrics/metrics_test.go
@@ -0,0 +1,112 @@
+package metrics
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/testutil"
+
+	"github.com/verbenaspur/verbenaspur/internal/core"
+	"github.com/verbenaspur/verbenaspur/internal/core/msg"
+	"github.com/verbenaspur/verbenaspur/internal/manifest"
+)
+
+var _ core.Part = (*Metrics)(nil)
+
+const ms = time.Millisecond
+
+func newMetrics(accounts int) (*Metrics, *prometheus.Registry) {
+	reg := prometheus.NewPedanticRegistry()
+	m := New(reg)
+	man := &manifest.Manifest{Routes: []manifest.Route{{Name: "r", Class: manifest.ClassUrgent}}}
+	for i := range accounts {
+		man.Accounts = append(man.Accounts, manifest.Account{Name: fmt.Sprintf("a%04d", i), Weight: 1})
+	}
+	m.Step(0, msg.ConfigChanged{Generation: 7, Index: manifest.NewIndex(man)})
+	return m, reg
+}
+
+// serve runs one request of n tokens that come gap apart.
+func serve(m *Metrics, id string, account msg.AccountID, first, gap time.Duration, n int) {
+	req, attempt := msg.RequestID(id), msg.AttemptID(id+"/1")
+	now := time.Second
+	m.Step(now, msg.RequestArrived{Req: req, Model: "r"})
+	m.ObserveEffect(now+10*ms, msg.StartAttempt{Req: req, Attempt: attempt, Spec: msg.AttemptSpec{Account: account}})
+	for i := range n {
+		m.Step(now+first+time.Duration(i)*gap, msg.AttemptProgress{Attempt: attempt, Tokens: i + 1})
+	}
+	now += first + time.Duration(n)*gap
+	m.Step(now, msg.AttemptEnded{Attempt: attempt})
+	m.ObserveEffect(now, msg.FinishRequest{Req: req})
+}
+
+func TestGoodRequests(t *testing.T) {
+	is := is.New(t)
+	m, _ := newMetrics(1)
+	serve(m, "good", "a0000", 300*ms, 40*ms, 10)
+	serve(m, "late", "a0000", 400*ms, 40*ms, 10)
+	serve(m, "slow", "a0000", 300*ms, 60*ms, 10)
+	is.Equal(testutil.ToFloat64(m.good.WithLabelValues("r", "a0000")), 1.0)
+	is.Equal(testutil.ToFloat64(m.total.WithLabelValues("r", "urgent", "a0000", "run")), 3.0)
+	is.Equal(testutil.CollectAndCount(m.queueWait), 1)
+}
+
+func TestNothingIsKeptOfEndedRequests(t *testing.T) {
+	is := is.New(t)
+	m, _ := newMetrics(1)
+	serve(m, "x", "a0000", ms, ms, 3)
+	m.Step(0, msg.RequestArrived{Req: "y"})
+	m.Step(0, msg.ClaimWanted{Req: "y"})
+	m.ObserveEffect(0, msg.StartAttempt{Req: "y", Attempt: "y/1"})
+	m.Step(0, msg.CallerGone{Req: "y"})
+	is.Equal(len(m.requests)+len(m.attempts)+len(m.claims), 0)
+	is.Equal(testutil.ToFloat64(m.inFlight), 0.0)
+}
+
+func TestAccountLabelsAreBounded(t *testing.T) {
+	is := is.New(t)
+	m, _ := newMetrics(2200)
+	for i := range 2200 {
+		m.Step(0, msg.UsageCounted{Account: msg.AccountID(fmt.Sprintf("a%04d", i)), Usage: msg.TokenUsage{Prompt: 1}})
+	}
+	is.Equal(testutil.CollectAndCount(m.tokens), 3*(maxAccounts+1))
+	is.Equal(testutil.ToFloat64(m.tokens.WithLabelValues("other", "prompt")), 2200.0-maxAccounts)
+}
+
+func TestCallsLeasesAndTargets(t *testing.T) {
+	is := is.New(t)
+	m, reg := newMetrics(1)
+	m.ObserveEffect(0, msg.PutObject{Call: 1})
+	m.Step(5*ms, msg.PutDone{Call: 1, Status: msg.CallConflict})
+	m.Step(0, msg.LeaseChanged{Name: "fleet/p", Held: true, Epoch: 3})
+	m.Step(0, msg.LeaseChanged{Name: "fleet/p", Held: true, Epoch: 3})
+	m.Step(0, msg.TargetReported{Target: msg.TargetIdentity{Target: "t", Pool: "p"}})
+	m.ObserveEffect(0, msg.SendOrder{Order: msg.Order{ID: "o", Kind: msg.OrderSetRole, Role: msg.RoleDecode}})
+	m.Step(0, msg.OrderAnswered{Order: "o", Status: msg.OrderDone})
+	m.Step(0, msg.ConfigFresh{})
+	m.Step(2*time.Second, msg.Tick{})
+	want := `
+# HELP verbenaspur_config_confirmed_age_seconds Time since the configuration was confirmed to be the newest.
+# TYPE verbenaspur_config_confirmed_age_seconds gauge
+verbenaspur_config_confirmed_age_seconds 2
+# HELP verbenaspur_lease_changes_total Acquisitions and losses of leases by this process.
+# TYPE verbenaspur_lease_changes_total counter
+verbenaspur_lease_changes_total{change="acquired"} 1
+# HELP verbenaspur_role_changes_total Role changes that took effect.
+# TYPE verbenaspur_role_changes_total counter
+verbenaspur_role_changes_total{role="decode"} 1
+# HELP verbenaspur_store_calls_total Calls to the platform's object API, each waiting watch one.
+# TYPE verbenaspur_store_calls_total counter
+verbenaspur_store_calls_total{op="put",status="conflict"} 1
+# HELP verbenaspur_targets Targets as last reported.
+# TYPE verbenaspur_targets gauge
+verbenaspur_targets{phase="serving",pool="p",role="mixed"} 1
+`
+	is.NoErr(testutil.GatherAndCompare(reg, strings.NewReader(want),
+		"verbenaspur_config_confirmed_age_seconds", "verbenaspur_lease_changes_total",
+		"verbenaspur_role_changes_total", "verbenaspur_store_calls_total", "verbenaspur_targets"))
+}
