--- a/internal/core/usage/freeze.go
+++ b/internal/core/usage/freeze.go
@@ -126,7 +126,7 @@
 		for id, rec := range records {
 			_, twice := skip[id]
 			counted := s.counted[markOf(id)] && r.cfg.Mutation != MutateForgetCounted
-			if twice || counted || shardOf(rec.Account, len(r.shards)) != s.index {
+			if twice || counted || ShardOf(rec.Account, len(r.shards)) != s.index {
 				continue
 			}
 			out = append(out, rec)
--- a/internal/core/usage/record.go
+++ b/internal/core/usage/record.go
@@ -110,8 +110,8 @@
 	return out
 }
 
-// shardOf returns the shard of a client account.
-func shardOf(a msg.AccountID, shards int) int {
+// ShardOf returns the shard of a client account.
+func ShardOf(a msg.AccountID, shards int) int {
 	h := fnv.New64a()
 	h.Write([]byte(a))
 	return int(h.Sum64() % uint64(shards))
--- /dev/null
+++ b/internal/proof/acts_test.go
@@ -0,0 +1,81 @@
+package proof
+
+import (
+	"slices"
+	"time"
+
+	"github.com/verbenaspur/verbenaspur/internal/core/msg"
+)
+
+// sendKeyed sends a request with a key, whose account is fixed by its name.
+func (s *sim) sendKeyed(p *proc, key, op string) { s.send(p, key[:1], key, op, "body of "+op) }
+
+func (s *sim) restart(id msg.HostID) {
+	if p := s.procs[id]; p != nil && !p.dead {
+		return
+	}
+	for _, h := range s.hosts {
+		if h.Host == id {
+			s.start(h)
+		}
+	}
+}
+
+func (s *sim) hostIDs(but msg.HostID) []msg.HostID {
+	var out []msg.HostID
+	for _, h := range s.hosts {
+		if h.Host != but {
+			out = append(out, h.Host)
+		}
+	}
+	return out
+}
+
+// setCut cuts or heals one way (1), the other (2) or both ways (3).
+func (s *sim) setCut(a, b msg.HostID, ways int, cut bool) {
+	if ways&1 != 0 {
+		s.cut[[2]msg.HostID{a, b}] = cut
+	}
+	if ways&2 != 0 {
+		s.cut[[2]msg.HostID{b, a}] = cut
+	}
+}
+
+func (s *sim) toggleKey(id string) {
+	if _, ok := s.keys[id]; ok {
+		delete(s.keys, id)
+		s.gone = append(s.gone, id)
+		return
+	}
+	s.keys[id] = id[:1]
+	s.gone = slices.DeleteFunc(s.gone, func(k string) bool { return k == id })
+}
+
+// plannedStop drains a host: the host list shows it as leaving, its process is
+// asked to stop, and a new process comes some time after that.
+func (s *sim) plannedStop(p *proc, away time.Duration) {
+	if p.stopped {
+		return
+	}
+	p.stopped = true
+	id := p.self.Host
+	s.setState(id, msg.HostLeaving)
+	if p.self.Kind == msg.HostTarget {
+		s.oracle.leaving[id] = s.now
+	}
+	p.post(msg.StopRequested{})
+	s.awaitStop(p, away)
+}
+
+func (s *sim) awaitStop(p *proc, away time.Duration) {
+	s.after(away, func() {
+		if !p.dead {
+			s.awaitStop(p, away)
+			return
+		}
+		id := p.self.Host
+		delete(s.oracle.leaving, id)
+		s.setState(id, msg.HostLive)
+		s.restart(id)
+	})
+}
--- /dev/null
+++ b/internal/proof/callers_test.go
@@ -0,0 +1,139 @@
+package proof
+
+import (
+	"crypto/sha256"
+	"fmt"
+	"time"
+
+	"github.com/verbenaspur/verbenaspur/internal/core/keys"
+	"github.com/verbenaspur/verbenaspur/internal/core/msg"
+)
+
+// callerRequest is one request of a caller, and what became of it.
+type callerRequest struct {
+	id      msg.RequestID
+	account msg.AccountID // whose key came with it; empty on open routes
+	key     string        // API key id
+	op      string        // idempotency key of a non-idempotent operation
+	body    string
+	length  int // tokens of the whole answer
+	entry   *proc
+	arrived time.Duration
+
+	reading  *reader // the attempt whose frames are taken
+	have     int     // tokens that the caller has
+	crossed  bool    // a token stood at the wrong place
+	over     bool
+	whole    bool
+	outcome  msg.Outcome
+	code     string
+	attempts int
+	ranOn    int // starts on a target
+}
+
+// order is a non-idempotent operation as its target sees it.
+type operation struct {
+	runs int
+	body string
+}
+
+// send hands a request to an entry.
+func (s *sim) send(p *proc, account, key, op, body string) *callerRequest {
+	s.nextReq++
+	r := &callerRequest{
+		id: msg.RequestID(fmt.Sprintf("q%d", s.nextReq)), account: msg.AccountID(account), key: key, op: op, body: body,
+		length: 3 + s.rand.IntN(20), entry: p, arrived: s.now,
+	}
+	s.requests[r.id] = r
+	arrived := msg.RequestArrived{
+		Req: r.id, KeyID: key, KeyDigest: keys.Digest(key, secretOf(key)), BodyHash: sha256.Sum256([]byte(body)),
+		PromptTokens: 100, MaxTokens: 64, IdempotencyKey: op,
+	}
+	switch {
+	case op != "":
+		r.length = 0
+		arrived.Service, arrived.Method, arrived.Path = "orders", "POST", "/orders"
+	case key == "":
+		arrived.Model, arrived.KeyDigest = "open", msg.KeyDigest{}
+	default:
+		arrived.Model = "chat"
+	}
+	p.post(arrived)
+	return r
+}
+
+func secretOf(key string) string { return "secret of " + key }
+
+// receive takes one token of the answer from an attempt. As in the entry's
+// driver, tokens of another attempt than the last one are dropped.
+func (r *callerRequest) receive(rd *reader, index int) {
+	if r.reading != rd || r.over {
+		return
+	}
+	if index != r.have {
+		r.crossed = true
+	}
+	r.have++
+	rd.p.s.oracle.delivered(r)
+}
+
+// executed notes that a target has begun to run the request.
+func (r *callerRequest) executed(run *sideRun) {
+	r.ranOn++
+	if r.op == "" || run.spec.PrefillOnly {
+		return
+	}
+	s := r.entry.s
+	k := string(r.account) + "/" + r.op
+	o := s.operations[k]
+	if o == nil {
+		o = &operation{body: r.body}
+		s.operations[k] = o
+	}
+	o.runs++
+	s.oracle.operated(k, o)
+}
+
+func (r *callerRequest) answer() *msg.KeptAnswer {
+	return &msg.KeptAnswer{Status: 201, Body: []byte(answerText(r.body))}
+}
+
+func (s *sim) callerTold(p *proc, id msg.RequestID, o msg.Outcome, code string) {
+	r := s.requests[id]
+	if r.over {
+		s.oracle.fail("request %s was answered twice", id)
+		return
+	}
+	r.over, r.outcome, r.code = true, o, code
+	s.oracle.told(p, r)
+}
+
+func (s *sim) finished(id msg.RequestID) {
+	r := s.requests[id]
+	if r.over {
+		s.oracle.fail("request %s was answered twice", id)
+		return
+	}
+	r.over, r.whole, r.outcome = true, true, msg.OutcomeRun
+	s.oracle.finished(r)
+}
+
+func (s *sim) replayed(eff msg.ReplayAnswer) {
+	r := s.requests[eff.Req]
+	r.over, r.whole, r.outcome = true, true, msg.OutcomeRun
+	s.oracle.replayed(r, eff.Answer)
+}
+
+// callersOf ends the requests of an entry that went away.
+func (s *sim) callersOf(p *proc, reason string) {
+	for _, r := range s.requests {
+		if r.entry == p && !r.over {
+			r.over, r.outcome, r.code = true, msg.OutcomeUnknown, reason
+		}
+	}
+}
+
+func (s *sim) stopReady(p *proc) {
+	s.oracle.stoppedReady(p)
+	s.kill(p)
+}
--- a/internal/proof/engine_test.go
+++ b/internal/proof/engine_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
@@ -30,7 +32,7 @@
 // sideRun is an attempt at the side: the frames that the entry has yet to read.
 type sideRun struct {
 	spec   msg.AttemptSpec
-	req    *request
+	req    *callerRequest
 	from   int // tokens of the answer that the caller had before
 	frames int // tokens that were produced
 	taken  bool
@@ -153,7 +155,7 @@
 type reader struct {
 	p    *proc
 	eff  msg.StartAttempt
-	req  *request
+	req  *callerRequest
 	inc  msg.Incarnation // of the side that took the attempt
 	have int             // frames read
 	told bool
@@ -167,7 +169,9 @@
 	s.oracle.started(p, eff)
 	side := s.procs[eff.Host]
 	if side == nil || side.dead || !p.linked(side) {
-		p.later(s.hop(), func() { p.step(msg.AttemptEnded{Attempt: eff.Attempt, Result: msg.AttemptNotRun, Reason: "no connection"}) })
+		p.later(s.hop(), func() {
+			p.step(msg.AttemptEnded{Attempt: eff.Attempt, Result: msg.AttemptNotRun, Reason: "no connection"})
+		})
 		return
 	}
 	rd := &reader{p: p, eff: eff, req: req, inc: side.inc}
@@ -266,7 +270,8 @@
 		if p == nil || p.dead || p.paused {
 			continue
 		}
-		for id, r := range p.runs {
+		for _, id := range slices.Sorted(maps.Keys(p.runs)) {
+			r := p.runs[id]
 			if !r.ended && r.taken && r.spec.Idempotent && s.now-r.read > attemptGrace {
 				p.stopAttempt(msg.StopAttempt{Attempt: id})
 			}
--- a/internal/proof/sim_test.go
+++ b/internal/proof/sim_test.go
@@ -37,12 +37,19 @@
 	loseRate float64 // of answers of the platform after their effect
 	slow     time.Duration
 
-	engines  map[msg.HostID]*engine
-	requests map[msg.RequestID]*request
-	nextReq  int
-	usage    *usageInterface
-	oracle   *oracle
-	planned  bool // no faults beside planned stops
+	engines    map[msg.HostID]*engine
+	requests   map[msg.RequestID]*callerRequest
+	nextReq    int
+	operations map[string]*operation
+	nextOp     int
+	changes    map[msg.CallID]*change
+	lastCall   msg.CallID
+	keys       map[string]string // id → account
+	gone       []string          // withdrawn ids
+	usage      *usageInterface
+	targets    *targetInterface
+	oracle     *oracle
+	planned    bool // no faults beside planned stops
 }
 
 type storeMode uint8
