Usage on both ends, engine keep-alives, stop waits for usage records

A silent engine stream could not be told from one that waits in the engine's queue. Usage records are kept by entry and side; a stop waits for them, at most 15 s.

--- a/internal/core/entry.go
+++ b/internal/core/entry.go
@@ -6,6 +6,7 @@
 	"github.com/verbenaspur/verbenaspur/internal/core/member"
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
 	"github.com/verbenaspur/verbenaspur/internal/core/request"
+	"github.com/verbenaspur/verbenaspur/internal/core/usage"
 	"github.com/verbenaspur/verbenaspur/internal/manifest"
 )
 
@@ -20,6 +21,8 @@
 	*Reducer
 	self     msg.Self
 	claims   *claim.Part
+	recorder *usage.Recorder
+	reporter *usage.Reporter
 	config   *config.Part
 	requests *request.Manager
 	state    *state
@@ -30,6 +33,8 @@
 	e := &Entry{
 		self:     cfg.Self,
 		claims:   claim.New(claim.Config{}),
+		recorder: usage.NewRecorder(usage.RecorderConfig{}),
+		reporter: usage.NewReporter(usage.ReporterConfig{}),
 		config:   config.New(config.Config{Self: cfg.Self.Host, Incarnation: cfg.Incarnation}),
 		requests: request.New(request.Config{}),
 		state:    &state{},
@@ -40,7 +45,9 @@
 		e.config,
 		e.claims,
 		e.requests,
-		&stopper{idlers: []idler{e.requests}},
+		e.recorder,
+		e.reporter,
+		&stopper{idlers: []idler{e.requests, e.recorder}},
 	)
 	return e
 }
--- a/internal/core/side.go
+++ b/internal/core/side.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/verbenaspur/verbenaspur/internal/core/gate"
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
+	"github.com/verbenaspur/verbenaspur/internal/core/usage"
 )
 
 // SideConfig configures the reducer of a side daemon.
@@ -14,15 +15,40 @@
 // Side is the reducer of a side daemon.
 type Side struct {
 	*Reducer
-	gate *gate.Gate
+	gate     *gate.Gate
+	recorder *usage.Recorder
+
+	drained   bool
+	drainedAt msg.Time
+	stopped   bool
 }
 
 // NewSide returns the reducer of a side daemon.
 func NewSide(SideConfig) *Side {
-	s := &Side{gate: gate.New(gate.Config{})}
-	s.Reducer = NewReducer(s.gate)
+	s := &Side{gate: gate.New(gate.Config{}), recorder: usage.NewRecorder(usage.RecorderConfig{})}
+	s.Reducer = NewReducer(s.gate, s.recorder)
 	return s
 }
 
+// Step takes one event and returns the effects for the driver. A graceful
+// shutdown ends when the target is drained and the usage records are kept, or
+// stopFlush after the drain: the entry daemons hold the same records.
+func (s *Side) Step(now msg.Time, ev msg.Event) []msg.Effect {
+	effs := s.Reducer.Step(now, ev)
+	out := effs[:0]
+	for _, eff := range effs {
+		if _, ok := eff.(msg.StopReady); ok {
+			s.drained, s.drainedAt = true, now
+			continue
+		}
+		out = append(out, eff)
+	}
+	if s.drained && !s.stopped && (s.recorder.Idle() || now-s.drainedAt > stopFlush) {
+		s.stopped = true
+		out = append(out, msg.StopReady{})
+	}
+	return out
+}
+
 // Status returns what operators see of the side daemon.
 func (s *Side) Status(now msg.Time) gate.Status { return s.gate.Status(now) }
--- a/internal/core/stop.go
+++ b/internal/core/stop.go
@@ -10,6 +10,10 @@
 // which the platform's balancer sees that the daemon is no longer ready.
 const stopNotice = time.Second
 
+// stopFlush bounds how long a graceful shutdown waits for the platform once
+// nothing else is left to do.
+const stopFlush = 15 * time.Second
+
 // idler is a part that has work to finish before a graceful shutdown.
 type idler interface {
 	// Idle reports whether nothing is left to do.
--- a/internal/daemon/side.go
+++ b/internal/daemon/side.go
@@ -79,6 +79,10 @@
 	timer := time.AfterFunc(timeout, func() { run.cancel(errTimeout) })
 	defer timer.Stop()
 	out := s.target.run(run.ctx, run)
+	if run.spec.PrefillOnly {
+		// The attempt that answers is charged for the prompt.
+		out.usage = msg.TokenUsage{}
+	}
 	run.finish(out.result, out.reason, out.usage)
 	if out.result == msg.AttemptCrashed {
 		s.loop.Post(msg.TargetCrashed{})
--- a/internal/standin/engine/generate.go
+++ b/internal/standin/engine/generate.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -73,8 +74,8 @@
 	req    request
 	prompt string
 	pieces []msg.PieceHash
-	// promptTokens counts the prompt with the resumed text; cached is the part
-	// of it that needed no prefill.
+	// promptTokens counts the prompt; cached is the part of it that needed no
+	// prefill.
 	promptTokens, cached int
 }
 
@@ -166,6 +167,12 @@
 // run carries a generation out. It reports false when the answer was cut.
 func (s *Server) run(ctx context.Context, w http.ResponseWriter, j *job) bool {
 	frozen := s.faults.Frozen()
+	out := newStream(w, j)
+	done := make(chan struct{})
+	var beating sync.WaitGroup
+	defer beating.Wait()
+	defer close(done)
+	beating.Go(func() { out.keepAlive(done, frozen) })
 	batch := s.batch()
 	if !batch.acquire(ctx, j.req.Priority) {
 		return false
@@ -174,7 +181,6 @@
 	if !s.doPrefill(ctx, j) {
 		return false
 	}
-	out := newStream(w, j)
 	first, last := 0, orDefault(j.req.MaxTokens, s.cfg.DefaultTokens)
 	if j.req.Resume != nil {
 		first = j.req.Resume.Tokens
--- a/internal/standin/engine/stream.go
+++ b/internal/standin/engine/stream.go
@@ -2,15 +2,46 @@
 
 import (
 	"encoding/json"
-	"fmt"
+	"io"
 	"net/http"
+	"sync"
+	"time"
 )
 
 // stream writes an answer as server-sent events.
 type stream struct {
+	job   *job
+	mu    sync.Mutex
 	w     http.ResponseWriter
 	flush http.Flusher
-	job   *job
+}
+
+// keepAliveInterval is the time between two comments on an open stream.
+const keepAliveInterval = 500 * time.Millisecond
+
+// keepAlive writes comments until the answer ends or the engine is frozen.
+func (s *stream) keepAlive(done, frozen <-chan struct{}) {
+	t := time.NewTicker(keepAliveInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-t.C:
+			s.write(": keep-alive\n\n")
+		case <-done:
+			return
+		case <-frozen:
+			return
+		}
+	}
+}
+
+func (s *stream) write(text string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, _ = io.WriteString(s.w, text)
+	if s.flush != nil {
+		s.flush.Flush()
+	}
 }
 
 type chunk struct {
@@ -49,7 +80,9 @@
 	w.Header().Set("Cache-Control", "no-cache")
 	w.WriteHeader(http.StatusOK)
 	f, _ := w.(http.Flusher)
-	return &stream{w: w, flush: f, job: j}
+	s := &stream{w: w, flush: f, job: j}
+	s.write(": accepted\n\n")
+	return s
 }
 
 func (s *stream) token(text string) { s.send(s.chunk(s.choice(text, nil))) }
@@ -70,7 +103,7 @@
 		Details:          promptDetails{CachedTokens: s.job.cached},
 	}
 	s.send(c)
-	_, _ = fmt.Fprint(s.w, "data: [DONE]\n\n")
+	s.write("data: [DONE]\n\n")
 }
 
 func (s *stream) chunk(choices ...choice) chunk {
@@ -93,8 +126,5 @@
 	if err != nil {
 		panic("engine: chunk can't be encoded: " + err.Error())
 	}
-	_, _ = fmt.Fprintf(s.w, "data: %s\n\n", b)
-	if s.flush != nil {
-		s.flush.Flush()
-	}
+	s.write("data: " + string(b) + "\n\n")
 }
