--- a/internal/core/msg/types.go
+++ b/internal/core/msg/types.go
@@ -8,6 +8,7 @@
 	return []reflect.Type{
 		reflect.TypeFor[ConfigQuery](), reflect.TypeFor[ConfigHeld](),
 		reflect.TypeFor[ConfigFetch](), reflect.TypeFor[ConfigBody](),
+		reflect.TypeFor[LeaseReleased](),
 	}
 }
 
--- /dev/null
+++ b/internal/core/rendezvous/rendezvous.go
@@ -0,0 +1,51 @@
+// Package rendezvous assigns keys to hosts by rendezvous hashing: every
+// daemon with the same host list comes to the same order, and a host that
+// joins or leaves changes only the assignments that name it.
+package rendezvous
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/verbenaspur/verbenaspur/internal/core/msg"
+)
+
+// Score is the weight of a host for a key.
+func Score(key string, host msg.HostID) uint64 {
+	return xxhash.Sum64String(key + "\x00" + string(host))
+}
+
+// Order returns the hosts by falling score for a key.
+func Order(key string, hosts []msg.Host) []msg.Host {
+	out := slices.Clone(hosts)
+	slices.SortFunc(out, func(a, b msg.Host) int {
+		if c := cmp.Compare(Score(key, b.Host), Score(key, a.Host)); c != 0 {
+			return c
+		}
+		return cmp.Compare(a.Host, b.Host)
+	})
+	return out
+}
+
+// Spread returns up to n hosts by falling score for a key, taking one from
+// each failure domain before a second from any.
+func Spread(key string, hosts []msg.Host, n int) []msg.Host {
+	order := Order(key, hosts)
+	taken := make(map[msg.FailureDomain]int)
+	round := make([]int, len(order))
+	for i, h := range order {
+		round[i] = taken[h.Domain]
+		taken[h.Domain]++
+	}
+	out := make([]msg.Host, 0, n)
+	for r := 0; len(out) < n && len(out) < len(order); r++ {
+		for i, h := range order {
+			if round[i] == r && len(out) < n {
+				out = append(out, h)
+			}
+		}
+	}
+	return out
+}
