--- a/internal/core/msg/request.go
+++ b/internal/core/msg/request.go
@@ -99,6 +99,9 @@
 	Timeout time.Duration `cbor:"12,keyasint"`
 	// Fingerprint identifies the request for crash strikes.
 	Fingerprint uint64 `cbor:"13,keyasint"`
+	// Continued says that the attempt carries on the answer of an earlier one,
+	// to which the request and its prompt are charged.
+	Continued bool `cbor:"14,keyasint,omitempty"`
 }
 
 // CancelAttempt stops an attempt.
@@ -193,12 +196,16 @@
 	ClaimUnknown
 	// ClaimUnavailable means that no claim could be made; nothing ran.
 	ClaimUnavailable
+	// ClaimExpired means that the key is too old. This request did not run; an
+	// earlier one with the key may have, and its answer is no longer kept.
+	ClaimExpired
 )
 
 // ClaimSettled is raised when a claim is settled.
 type ClaimSettled struct {
 	Req    RequestID
 	Status ClaimStatus
+	// Answer is set with ClaimDone, unless it was too large to be kept.
 	Answer *KeptAnswer
 }
 
@@ -218,6 +225,8 @@
 	Account AccountID
 	Attempt AttemptID
 	Usage   TokenUsage
+	// Continued is that of the attempt's spec.
+	Continued bool
 }
 
 func (RequestArrived) event()  {}
