--- a/internal/core/usage/recorder.go
+++ b/internal/core/usage/recorder.go
@@ -168,8 +168,8 @@
 }
 
 func (r *Recorder) add(now msg.Time, rec record) []msg.Effect {
-	if r.cfg.Mutation == MutateNoRecord {
-		return nil
+	if rec.Account == "" || r.cfg.Mutation == MutateNoRecord {
+		return nil // open routes are charged to nobody
 	}
 	rec.At = r.clock.now(now).UnixMilli()
 	r.waiting = append(r.waiting, rec)
--- a/internal/proof/parts_test.go
+++ b/internal/proof/parts_test.go
@@ -5,6 +5,7 @@
 	"github.com/verbenaspur/verbenaspur/internal/core/claim"
 	"github.com/verbenaspur/verbenaspur/internal/core/config"
 	"github.com/verbenaspur/verbenaspur/internal/core/gate"
+	"github.com/verbenaspur/verbenaspur/internal/core/lease"
 	"github.com/verbenaspur/verbenaspur/internal/core/member"
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
 	"github.com/verbenaspur/verbenaspur/internal/core/request"
@@ -23,6 +24,7 @@
 	return []core.Part{
 		probe{p},
 		member.New(member.Config{Self: p.self}),
+		lease.New(lease.Config{Self: p.self.Host, Incarnation: p.inc}),
 		config.New(config.Config{Self: p.self.Host, Incarnation: p.inc}),
 		claim.New(claim.Config{Mutation: m.claim}),
 		request.New(request.Config{}),
