--- a/internal/proof/scenes_test.go
+++ b/internal/proof/scenes_test.go
@@ -95,3 +95,36 @@
 		}
 	}
 }
+
+// cutWhileRunning: an entry loses its connection to the targets under its
+// requests, for longer than it waits for a connection to come back.
+func (f *fuzzer) cutWhileRunning(t *rapid.T) {
+	p := f.some(t, msg.HostEntry)
+	if p == nil {
+		return
+	}
+	f.s.nextOp++
+	f.s.sendKeyed(p, "b-1", fmt.Sprintf("op-%d", f.s.nextOp))
+	f.s.sendKeyed(p, "b-1", "")
+	f.s.run(drawTime(t, "until the cut", 5*time.Millisecond, 150*time.Millisecond))
+	for _, h := range []msg.HostID{"t1", "t3"} {
+		f.isolate(p.self.Host, []msg.HostID{h}, drawTime(t, "for", 4*time.Second, 8*time.Second))
+	}
+	f.s.run(drawTime(t, "pause", time.Second, 10*time.Second))
+}
+
+// leave: a target's host begins to leave, and its process is not yet told.
+func (f *fuzzer) leave(t *rapid.T) {
+	s, p := f.s, f.some(t, msg.HostTarget)
+	if p == nil || p.stopped || s.serving(p) < 2 {
+		return
+	}
+	id := p.self.Host
+	s.setState(id, msg.HostLeaving)
+	s.oracle.leaving[id] = s.now
+	s.after(drawTime(t, "for", 5*time.Second, 20*time.Second), func() {
+		delete(s.oracle.leaving, id)
+		s.setState(id, msg.HostLive)
+	})
+	f.pass(t)
+}
