Settled writes: no lost update after a superseded write; truthful histories

Cause: a review of internal/core/store found three faults. A write found by read-back under later writes was answered with the later version, so that the next write on top of its own body undid the others'. A write by a client that did not know the object's earlier writers made others conclude that theirs had not taken effect. After its deadline a write could be sent again.

Now: Result.Superseded tells to read again, unknown writers fill the history, and nothing is sent after the deadline.

--- a/internal/core/lease/hold.go
+++ b/internal/core/lease/hold.go
@@ -118,10 +118,10 @@
 	if l.releasing {
 		return p.onReleased(l, r)
 	}
-	switch r.Status {
-	case msg.CallOK:
+	switch {
+	case r.Status == msg.CallOK && !r.Superseded:
 		return p.onWritten(now, l, r.Object.Version)
-	case msg.CallUnavailable, msg.CallRejected:
+	case r.Status == msg.CallUnavailable, r.Status == msg.CallRejected:
 		l.retryWait = min(max(2*l.retryWait, retryMin), p.cfg.Renew)
 		l.renewAt = now + p.backoff(l)
 		l.observeAt = l.renewAt
@@ -130,7 +130,7 @@
 	// Somebody else wrote, or it is not known: look before the next step.
 	l.known = false
 	l.observeAt = now
-	if l.held && r.Status == msg.CallConflict {
+	if l.held && r.Status != msg.CallUnknown {
 		return l.lose("another daemon has taken it")
 	}
 	return nil
--- a/internal/core/store/store.go
+++ b/internal/core/store/store.go
@@ -6,11 +6,15 @@
 // back: a write that is found there took effect; one that is not is sent
 // again under the same condition, so that it either takes effect now or can
 // no longer do so.
+//
+// An object may be removed only when it was not written for a minute, so that
+// no write that is being settled can have been removed with it.
 package store
 
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
@@ -68,6 +72,10 @@
 	Object   msg.Object
 	Objects  []msg.Object
 	Revision msg.Revision
+	// Superseded says that a write took effect and that others followed it
+	// before its answer was settled. Object.Version is then zero: the object
+	// must be read before it is written again.
+	Superseded bool
 }
 
 // Client is the state of one part's calls. It is not safe for concurrent use.
@@ -153,7 +161,8 @@
 	return cl.put
 }
 
-// Delete removes an object if its version is still ifVersion.
+// Delete removes an object if its version is still ifVersion. A lost answer
+// results in CallUnknown.
 func (c *Client) Delete(now msg.Time, tag uint64, kind msg.Kind, name string, ifVersion msg.Version) msg.Effect {
 	cl := &call{tag: tag, op: OpDelete, since: now}
 	cl.del = msg.DeleteObject{Kind: kind, Name: name, IfVersion: ifVersion}
@@ -196,21 +205,36 @@
 	return fmt.Sprintf("%s/%d/%d", c.writer, c.part, c.seq+1)
 }
 
+// writersWith returns the writers of an object's next version. Where those of
+// the present one are not known, unnamed ones fill the list, so that nobody
+// takes it for the whole history.
 func (c *Client) writersWith(kind msg.Kind, name string, version msg.Version, token string) []string {
 	writers := []string{token}
-	if h, ok := c.history[objectKey{kind, name}]; ok && h.version == version {
+	h, known := c.history[objectKey{kind, name}]
+	switch {
+	case version == 0:
+	case known && h.version == version:
 		writers = append(writers, h.writers...)
+	default:
+		writers = append(writers, make([]string, writerHistory)...)
 	}
 	return writers[:min(len(writers), writerHistory)]
 }
 
 // unwrap replaces the object's value by its body and remembers its writers.
 func (c *Client) unwrap(o msg.Object) (msg.Object, []string) {
+	k := objectKey{o.Kind, o.Name}
+	if o.Deleted {
+		delete(c.history, k)
+		return o, nil
+	}
 	var env Envelope
-	if o.Deleted || json.Unmarshal(o.Value, &env) != nil {
+	if json.Unmarshal(o.Value, &env) != nil {
 		return o, nil
 	}
-	c.history[objectKey{o.Kind, o.Name}] = written{o.Version, env.Writers}
+	if o.Version >= c.history[k].version {
+		c.history[k] = written{o.Version, env.Writers}
+	}
 	o.Value = env.Body
 	return o, env.Writers
 }
@@ -253,7 +277,7 @@
 		return []Result{c.succeeded(cl, ev.Version)}, nil
 	case ev.Status == msg.CallConflict && cl.uncertain:
 		// An earlier sending of this write may be what it conflicts with.
-		return nil, c.readBack(now, cl)
+		return nil, c.readBack(cl)
 	case ev.Status == msg.CallUnknown:
 		cl.uncertain = true
 		return c.settleLater(now, cl)
@@ -298,10 +322,7 @@
 	return now >= limit
 }
 
-func (c *Client) readBack(now msg.Time, cl *call) []msg.Effect {
-	if c.expired(now, cl) {
-		cl.put.NotAfter = 0
-	}
+func (c *Client) readBack(cl *call) []msg.Effect {
 	cl.settling = true
 	id := c.open(cl)
 	return []msg.Effect{msg.GetObject{Call: id, Kind: cl.put.Kind, Name: cl.put.Name}}
@@ -313,15 +334,18 @@
 		return c.settleLater(now, cl)
 	}
 	_, writers := c.unwrap(ev.Object)
-	for _, w := range writers {
-		if w == cl.token {
-			return []Result{c.succeeded(cl, ev.Object.Version)}, nil
-		}
-	}
 	switch {
 	case ev.Object.Version == cl.put.IfVersion:
 		return c.sendAgain(now, cl)
-	case len(writers) < writerHistory:
+	case ev.Status == msg.CallOK && ev.Object.Version < cl.put.IfVersion:
+		return c.settleLater(now, cl) // a stale read proves nothing
+	case slices.Index(writers, cl.token) == 0:
+		return []Result{c.succeeded(cl, ev.Object.Version)}, nil
+	case slices.Contains(writers, cl.token):
+		r := c.result(cl, msg.CallOK)
+		r.Superseded = true
+		return []Result{r}, nil
+	case ev.Status == msg.CallOK && len(writers) < writerHistory:
 		// The history reaches back past the write, so it never took effect.
 		return []Result{c.result(cl, msg.CallConflict)}, nil
 	}
@@ -344,7 +368,7 @@
 			keep = append(keep, cl)
 			continue
 		}
-		effs = append(effs, c.readBack(now, cl)...)
+		effs = append(effs, c.readBack(cl)...)
 	}
 	c.waiting = keep
 	return nil, effs
