--- /dev/null
+++ b/internal/core/config/edit.go
@@ -0,0 +1,137 @@
+package config
+
+import (
+	"strings"
+
+	"github.com/verbenaspur/verbenaspur/internal/core/msg"
+)
+
+// diff returns the edit that turns one text into another, line by line. Lines
+// of the old text are copied wherever they stand; the result is correct for
+// any two texts and small for texts that are alike.
+func diff(from, to string) msg.ConfigEdit {
+	d := differ{from: from, lines: make(map[string][]int)}
+	at := 0
+	for line := range strings.Lines(from) {
+		d.lines[line] = append(d.lines[line], at)
+		at += len(line)
+	}
+	for line := range strings.Lines(to) {
+		d.take(line)
+	}
+	return msg.ConfigEdit{From: digestOf(from), To: digestOf(to), Ops: d.ops}
+}
+
+type differ struct {
+	from  string
+	lines map[string][]int
+	// next is the position in the old text after the last copied line.
+	next int
+	ops  []msg.TextOp
+}
+
+// take adds one line of the new text.
+func (d *differ) take(line string) {
+	if !strings.HasPrefix(d.from[d.next:], line) {
+		at, ok := d.find(line)
+		if !ok {
+			d.insert(line)
+			return
+		}
+		d.next = at
+	}
+	d.copyAt(d.next, len(line))
+	d.next += len(line)
+}
+
+// find returns the nearest place after the present one where the line stands,
+// or its first place.
+func (d *differ) find(line string) (int, bool) {
+	places := d.lines[line]
+	for _, at := range places {
+		if at >= d.next {
+			return at, true
+		}
+	}
+	if len(places) == 0 {
+		return 0, false
+	}
+	return places[0], true
+}
+
+func (d *differ) copyAt(at, n int) {
+	if last := len(d.ops) - 1; last >= 0 && d.ops[last].Len > 0 && d.ops[last].At+d.ops[last].Len == at {
+		d.ops[last].Len += n
+		return
+	}
+	d.ops = append(d.ops, msg.TextOp{At: at, Len: n})
+}
+
+func (d *differ) insert(line string) {
+	if last := len(d.ops) - 1; last >= 0 && d.ops[last].Len == 0 {
+		d.ops[last].Text += line
+		return
+	}
+	d.ops = append(d.ops, msg.TextOp{Text: line})
+}
+
+// apply carries an edit out. It reports false where the edit does not fit.
+func apply(text string, edit msg.ConfigEdit) (string, bool) {
+	var b strings.Builder
+	for _, op := range edit.Ops {
+		switch {
+		case op.Len == 0:
+			b.WriteString(op.Text)
+		case op.At < 0 || op.Len < 0 || op.At > len(text) || op.Len > len(text)-op.At:
+			return "", false
+		default:
+			b.WriteString(text[op.At : op.At+op.Len])
+		}
+	}
+	return b.String(), true
+}
+
+// applyFrom carries out the edits that lead on from a text with the given
+// digest. It reports false where there are none or where the result is not
+// the wanted one.
+func applyFrom(text, digest string, edits []msg.ConfigEdit, want string) (string, bool) {
+	if digest == want {
+		return text, true
+	}
+	for i := len(edits) - 1; i >= 0; i-- {
+		if edits[i].From != digest {
+			continue
+		}
+		for _, e := range edits[i:] {
+			var ok bool
+			if text, ok = apply(text, e); !ok {
+				return "", false
+			}
+		}
+		return text, digestOf(text) == want
+	}
+	return "", false
+}
+
+// sizeOf is about the number of bytes that an edit takes when it is encoded.
+func sizeOf(e msg.ConfigEdit) int {
+	const perEdit, perOp = 160, 30
+	n := perEdit
+	for _, op := range e.Ops {
+		n += perOp + len(op.Text)
+	}
+	return n
+}
+
+// tail returns the last edits that fit within the limits.
+func tail(edits []msg.ConfigEdit, number, size int) []msg.ConfigEdit {
+	start := len(edits)
+	for start > 0 && len(edits)-start < number {
+		size -= sizeOf(edits[start-1])
+		if size < 0 {
+			break
+		}
+		start--
+	}
+	return edits[start:]
+}
--- a/internal/core/config/fresh.go
+++ b/internal/core/config/fresh.go
@@ -4,131 +4,170 @@
 	"slices"
 	"time"
 
+	"github.com/verbenaspur/verbenaspur/internal/core/exchange"
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
 )
 
 const (
-	// queryInterval is the time between two queries of the other entries.
+	// queryInterval is the time between two queries of the electorate.
 	queryInterval = 500 * time.Millisecond
-	// storeAhead is how much of a store confirmation must be left for the
-	// other entries not to be asked.
-	storeAhead = 2 * time.Second
+	// askBelow is the remaining freshness under which the electorate is asked.
+	askBelow = 2 * time.Second
+	// abstainFor is how long a restarted daemon does not answer for the
+	// electorate unless it has read the platform: an answer that it gave
+	// before, and has forgotten, may count for as long.
+	abstainFor = collectFor + time.Second
 )
 
-// peers are the live entry daemons.
-type peers struct {
-	self   msg.HostID
-	others []msg.HostID
+// group is what this daemon knows of the other entry daemons.
+type group struct {
+	self    msg.HostID
+	entries map[msg.HostID]bool
+	roots   []msg.HostID
+	rootsAt msg.Time
+	isRoot  bool
+	// electorates are those of the record.
+	electorates [][]msg.HostID
+	// recovered says that this daemon may answer for an electorate.
+	recovered bool
 }
 
-func (p *peers) set(self msg.HostID, entries []msg.Host) {
-	p.self = self
-	p.others = p.others[:0]
+func (g *group) setMembers(now msg.Time, self msg.HostID, entries []msg.Host) {
+	g.self = self
+	g.entries = make(map[msg.HostID]bool, len(entries))
 	for _, h := range entries {
-		if h.Host != self {
-			p.others = append(p.others, h.Host)
-		}
+		g.entries[h.Host] = true
+	}
+	var roots []msg.HostID
+	for _, h := range exchange.Roots(entries) {
+		roots = append(roots, h.Host)
+	}
+	g.isRoot = slices.Contains(roots, self)
+	if !slices.Equal(roots, g.roots) {
+		g.roots = roots
+		g.rootsAt = now
 	}
 }
 
-func (p *peers) has(host msg.HostID) bool { return slices.Contains(p.others, host) }
+func (g *group) isEntry(h msg.HostID) bool { return g.entries[h] }
 
-// majority is the number of entry daemons, this one included, that is more
-// than half of them.
-func (p *peers) majority() int { return (len(p.others)+1)/2 + 1 }
+func (p *Part) isVoter(h msg.HostID) bool {
+	for _, e := range p.group.electorates {
+		if slices.Contains(e, h) {
+			return true
+		}
+	}
+	return false
+}
 
-// freshness tells how long the configuration may be used.
-type freshness struct {
-	until msg.Time
-	query query
+// electorate is the set whose majority confirms the record.
+func (p *Part) electorate() []msg.HostID {
+	if n := len(p.group.electorates); n > 0 {
+		return p.group.electorates[n-1]
+	}
+	return nil
 }
 
-// query is one round of questions to the other entry daemons.
-type query struct {
-	nonce uint64
-	sent  msg.Time
-	// held are the hosts that answered with no higher generation.
+// majority reports whether more than half of a set is among the hosts.
+func majority(set, hosts []msg.HostID) bool {
+	n := 0
+	for _, h := range set {
+		if slices.Contains(hosts, h) {
+			n++
+		}
+	}
+	return 2*n > len(set)
+}
+
+// freshness tells since when the record is confirmed.
+type freshness struct {
+	confirmed bool
+	at        msg.Time
+	nonce     uint64
+	sent      msg.Time
+	// held are the voters that answered the present query.
 	held []msg.HostID
 }
 
-// confirmed takes note that no newer configuration had been accepted at the
-// given instant.
-func (p *Part) confirmed(at msg.Time) []msg.Effect {
-	until := at + FreshFor
-	if until <= p.fresh.until || p.record.Generation == 0 {
-		return nil
-	}
-	p.fresh.until = until
-	return []msg.Effect{msg.Raise{Event: msg.ConfigFresh{Generation: p.record.Generation, Until: until}}}
+// restart ends the query under way: the electorate may have changed. A
+// confirmation of an older record holds for a newer one all the more.
+func (f *freshness) restart() {
+	f.nonce = 0
+	f.held = nil
 }
 
-// confirmByPeers asks the other entries when the store's confirmations cease.
-func (p *Part) confirmByPeers(now msg.Time) []msg.Effect {
-	due := p.fresh.query.sent + queryInterval
-	if p.record.Generation == 0 || p.fresh.until-now > storeAhead || (p.fresh.query.nonce != 0 && now < due) {
+// confirm takes note that no newer record had been accepted at the given
+// instant.
+func (p *Part) confirm(now, at msg.Time) []msg.Effect {
+	if p.record.Seq == 0 || (p.fresh.confirmed && at <= p.fresh.at) || now >= at+FreshFor {
 		return nil
 	}
-	p.fresh.query = query{nonce: p.rand.Uint64() | 1, sent: now}
-	if p.peers.majority() == 1 && p.peers.self != "" {
-		return p.confirmed(now)
+	p.fresh.confirmed = true
+	p.fresh.at = at
+	if at >= abstainFor {
+		p.group.recovered = true
 	}
-	return p.ask(p.fresh.query.nonce)
-}
-
-func (p *Part) ask(nonce uint64) []msg.Effect {
-	effs := make([]msg.Effect, 0, len(p.peers.others))
-	for _, h := range p.peers.others {
-		effs = append(effs, msg.SendPeer{To: h, Message: msg.ConfigQuery{Nonce: nonce, Generation: p.record.Generation}})
+	return []msg.Effect{
+		p.known(),
+		msg.Raise{Event: msg.ConfigFresh{Generation: p.record.Generation, Until: at + FreshFor}},
 	}
-	return effs
 }
 
-func (p *Part) onPeer(now msg.Time, ev msg.PeerReceived) []msg.Effect {
-	if !p.peers.has(ev.From) {
+// askVoters asks the electorate when confirmations from elsewhere cease.
+// Voters and roots do so; the others hear from them.
+func (p *Part) askVoters(now msg.Time) []msg.Effect {
+	f := &p.fresh
+	if p.record.Seq == 0 || (!p.group.isRoot && !p.isVoter(p.cfg.Self)) {
 		return nil
 	}
-	switch m := ev.Message.(type) {
-	case msg.ConfigQuery:
-		return p.onQuery(ev.From, m)
-	case msg.ConfigHeld:
-		return p.onHeld(now, ev.From, m)
-	case msg.ConfigFetch:
-		if p.record.Generation > m.Generation {
-			return []msg.Effect{msg.SendPeer{To: ev.From, Message: msg.ConfigBody{Record: p.record}}}
-		}
-	case msg.ConfigBody:
-		return p.learn(m.Record)
+	if f.confirmed && f.at+FreshFor-now > askBelow || f.nonce != 0 && now < f.sent+queryInterval {
+		return nil
 	}
-	return nil
+	f.nonce = p.rand.Uint64() | 1
+	f.sent = now
+	f.held = nil
+	if p.group.recovered && slices.Contains(p.electorate(), p.cfg.Self) {
+		f.held = append(f.held, p.cfg.Self)
+	}
+	if majority(p.electorate(), f.held) {
+		return p.confirm(now, now)
+	}
+	return p.ask(f.nonce, p.electorate())
 }
 
-func (p *Part) onQuery(from msg.HostID, m msg.ConfigQuery) []msg.Effect {
+func (p *Part) ask(nonce uint64, hosts []msg.HostID) []msg.Effect {
 	var effs []msg.Effect
-	if p.record.Generation > 0 {
-		effs = append(effs, msg.SendPeer{To: from, Message: msg.ConfigHeld{Nonce: m.Nonce, Generation: p.record.Generation}})
+	for _, h := range hosts {
+		if h != p.cfg.Self {
+			effs = append(effs, msg.SendPeer{To: h, Message: msg.ConfigQuery{Nonce: nonce, Config: p.record.Seq}})
+		}
 	}
-	return append(effs, p.fetchIfNewer(from, m.Generation)...)
+	return effs
 }
 
-func (p *Part) fetchIfNewer(from msg.HostID, held msg.Generation) []msg.Effect {
-	if held <= p.record.Generation {
-		return nil
+func (p *Part) onQuery(now msg.Time, from msg.HostID, m msg.ConfigQuery) []msg.Effect {
+	var effs []msg.Effect
+	if p.record.Seq > 0 && p.group.recovered {
+		effs = append(effs, msg.SendPeer{To: from, Message: msg.ConfigHeld{Nonce: m.Nonce, Config: p.record.Seq}})
+	}
+	if m.Config > p.record.Seq {
+		effs = append(effs, p.fetch(now, from)...)
 	}
-	return []msg.Effect{msg.SendPeer{To: from, Message: msg.ConfigFetch{Generation: p.record.Generation}}}
+	return effs
 }
 
 func (p *Part) onHeld(now msg.Time, from msg.HostID, m msg.ConfigHeld) []msg.Effect {
-	if effs := p.fetchIfNewer(from, m.Generation); effs != nil {
-		return effs
-	}
 	effs := p.onAcknowledged(now, from, m)
-	q := &p.fresh.query
-	if m.Nonce != q.nonce || slices.Contains(q.held, from) {
+	if m.Config > p.record.Seq {
+		return append(effs, p.fetch(now, from)...)
+	}
+	f := &p.fresh
+	if m.Nonce != f.nonce || slices.Contains(f.held, from) {
 		return effs
 	}
-	q.held = append(q.held, from)
-	if len(q.held)+1 >= p.peers.majority() {
-		effs = append(effs, p.confirmed(q.sent)...)
+	f.held = append(f.held, from)
+	if majority(p.electorate(), f.held) {
+		effs = append(effs, p.confirm(now, f.sent)...)
 	}
 	return effs
 }
--- /dev/null
+++ b/internal/core/config/learn.go
@@ -0,0 +1,138 @@
+package config
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/verbenaspur/verbenaspur/internal/core/msg"
+	"github.com/verbenaspur/verbenaspur/internal/manifest"
+)
+
+const (
+	// maxRecent bounds the edits that are kept for daemons that are behind.
+	maxRecent     = 32
+	maxRecentSize = 64 << 10
+	// fetchInterval is the least time between two requests for a newer record.
+	fetchInterval = 200 * time.Millisecond
+)
+
+// adopt takes a record that is known to be stored, if it is newer.
+func (p *Part) adopt(head msg.ConfigHead, text string) []msg.Effect {
+	if head.Seq <= p.record.Seq {
+		return nil
+	}
+	if digestOf(text) != head.Digest {
+		return []msg.Effect{logLine(msg.LogError, "configuration does not match its digest", generationAttr(head.Generation))}
+	}
+	index := p.index
+	if head.Digest != p.record.Digest {
+		m, err := manifest.Decode([]byte(text))
+		if err != nil {
+			return []msg.Effect{logLine(msg.LogError, "configuration can't be decoded", generationAttr(head.Generation),
+				msg.Attr{Key: "error", Value: err.Error()})}
+		}
+		index = manifest.NewIndex(m)
+		if p.record.Seq > 0 {
+			p.recent = tail(append(slices.Clone(p.recent), diff(p.record.Manifest, text)), maxRecent, maxRecentSize)
+		}
+	}
+	newer := head.Generation > p.record.Generation
+	p.record = msg.ConfigRecord{ConfigHead: head, Manifest: text}
+	p.index = index
+	p.group.electorates = head.Electorates
+	p.fresh.restart()
+	effs := []msg.Effect{p.known()}
+	if !newer {
+		return effs
+	}
+	return append(effs,
+		logLine(msg.LogInfo, "configuration in force", generationAttr(head.Generation), msg.Attr{Key: "author", Value: head.Author}),
+		msg.Raise{Event: msg.ConfigChanged{Generation: head.Generation, Index: p.index}})
+}
+
+// known tells the exchange what this daemon holds and how well it is confirmed.
+func (p *Part) known() msg.Effect {
+	return msg.Raise{Event: msg.ConfigKnown{
+		Config:      p.record.Seq,
+		Generation:  p.record.Generation,
+		Confirmed:   p.fresh.confirmed,
+		ConfirmedAt: p.fresh.at,
+	}}
+}
+
+// onExchange takes what another daemon told through the exchange.
+func (p *Part) onExchange(now msg.Time, ev msg.ConfigHeard) []msg.Effect {
+	if ev.Config > p.record.Seq {
+		return p.fetch(now, ev.From)
+	}
+	if ev.Config < p.record.Seq || !ev.Confirmed {
+		return nil
+	}
+	return p.confirm(now, ev.ConfirmedAt)
+}
+
+func (p *Part) fetch(now msg.Time, from msg.HostID) []msg.Effect {
+	if now < p.fetchAt {
+		return nil
+	}
+	p.fetchAt = now + fetchInterval
+	return []msg.Effect{msg.SendPeer{To: from, Message: msg.ConfigFetch{Digest: p.record.Digest}}}
+}
+
+// onFetch answers with the edits since the asker's manifest, or the whole.
+func (p *Part) onFetch(from msg.HostID, m msg.ConfigFetch) []msg.Effect {
+	if p.record.Seq == 0 {
+		return nil
+	}
+	body := msg.ConfigBody{Head: p.record.ConfigHead}
+	i := lastFrom(p.recent, m.Digest)
+	switch {
+	case m.Digest == p.record.Digest:
+	case m.Digest != "" && i >= 0:
+		body.Edits = p.recent[i:]
+	default:
+		body.Whole = true
+		body.Manifest = p.record.Manifest
+	}
+	return []msg.Effect{msg.SendPeer{To: from, Message: body}}
+}
+
+func lastFrom(edits []msg.ConfigEdit, digest string) int {
+	for i := len(edits) - 1; i >= 0; i-- {
+		if edits[i].From == digest {
+			return i
+		}
+	}
+	return -1
+}
+
+func (p *Part) onBody(now msg.Time, from msg.HostID, m msg.ConfigBody) []msg.Effect {
+	if m.Head.Seq <= p.record.Seq {
+		return nil
+	}
+	if m.Whole {
+		return p.adopt(m.Head, m.Manifest)
+	}
+	text, ok := applyFrom(p.record.Manifest, p.record.Digest, m.Edits, m.Head.Digest)
+	if !ok {
+		p.fetchAt = now + fetchInterval
+		return []msg.Effect{msg.SendPeer{To: from, Message: msg.ConfigFetch{}}}
+	}
+	return p.adopt(m.Head, text)
+}
+
+func digestOf(text string) string {
+	sum := sha256.Sum256([]byte(text))
+	return hex.EncodeToString(sum[:])
+}
+
+func logLine(level msg.LogLevel, text string, attrs ...msg.Attr) msg.Effect {
+	return msg.LogLine{Part: partName, Level: level, Text: text, Attrs: attrs}
+}
+
+func generationAttr(g msg.Generation) msg.Attr {
+	return msg.Attr{Key: "generation", Value: strconv.FormatUint(uint64(g), 10)}
+}
--- a/internal/core/config/propose.go
+++ b/internal/core/config/propose.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"fmt"
 	"slices"
-	"strconv"
 	"time"
 
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
@@ -13,7 +12,7 @@
 )
 
 const (
-	// writeFor bounds the writing of a proposal, also of its lost answers.
+	// writeFor bounds the writing of a change, also of its lost answers.
 	writeFor = 8 * time.Second
 	// collectFor bounds the wait for acknowledgements.
 	collectFor = 5 * time.Second
@@ -21,26 +20,32 @@
 	collectInterval = 200 * time.Millisecond
 )
 
-// phase is the step that a proposal is at.
+// phase is the step that a change is at.
 type phase uint8
 
 const (
 	phaseReading phase = iota
 	phaseAuditing
+	phaseStoringText
 	phaseWriting
 	phaseCollecting
 )
 
-// proposal is an operator's change on its way.
-type proposal struct {
-	in      msg.ConfigProposed
-	phase   phase
-	started msg.Time
-	record  msg.ConfigRecord
-	version msg.Version
+// change is a write of the configuration object on its way: an operator's
+// proposal, or a new electorate.
+type change struct {
+	// proposal is nil where only the electorate changes.
+	proposal *msg.ConfigProposed
+	phase    phase
+	started  msg.Time
+	version  msg.Version
+	next     storedConfig
+	text     string
+	// newText says that the text becomes the snapshot, and oldText names the
+	// snapshot that nothing refers to after this change.
+	newText bool
+	oldText string
 
-	// asked is when the acknowledgements were last asked for, and collectEnd
-	// when that is given up.
 	asked      msg.Time
 	collectEnd msg.Time
 	nonce      uint64
@@ -49,32 +54,40 @@
 
 func (p *Part) propose(now msg.Time, in msg.ConfigProposed) []msg.Effect {
 	if _, err := manifest.Decode(in.Manifest); err != nil {
-		return answer(in, msg.ProposalInvalid, 0, err.Error())
+		return []msg.Effect{answer(in, msg.ProposalInvalid, 0, err.Error())}
 	}
+	return p.begin(&change{proposal: &in, started: now})
+}
+
+// begin reads the configuration object, on which the change builds.
+func (p *Part) begin(c *change) []msg.Effect {
 	tag := p.nextTag
 	p.nextTag++
-	p.proposals[tag] = &proposal{in: in, started: now}
+	p.changes[tag] = c
 	return []msg.Effect{p.store.Get(tag, msg.KindConfig, currentName)}
 }
 
-func (p *Part) onProposalResult(now msg.Time, r store.Result) []msg.Effect {
-	pr, ok := p.proposals[r.Tag]
+func (p *Part) onChangeResult(now msg.Time, r store.Result) []msg.Effect {
+	c, ok := p.changes[r.Tag]
 	if !ok {
 		return nil
 	}
-	switch pr.phase {
+	switch c.phase {
 	case phaseReading:
-		return p.onProposalRead(now, pr, r)
+		return p.onBase(now, c, r)
 	case phaseAuditing:
-		return p.onPreviousAudited(now, pr, r)
+		return p.onPreviousAudited(now, c, r)
+	case phaseStoringText:
+		return p.onTextStored(now, c, r)
 	case phaseWriting:
-		return p.onWritten(now, pr, r)
+		return p.onWritten(now, c, r)
 	}
 	return nil
 }
 
-func (p *Part) onProposalRead(now msg.Time, pr *proposal, r store.Result) []msg.Effect {
-	var current msg.ConfigRecord
+// onBase prepares the next record from the present one.
+func (p *Part) onBase(now msg.Time, c *change, r store.Result) []msg.Effect {
+	var current storedConfig
 	switch r.Status {
 	case msg.CallOK:
 		if err := json.Unmarshal(r.Object.Value, &current); err != nil {
@@ -84,143 +97,153 @@
 	default:
 		return p.end(r.Tag, msg.ProposalUnavailable, 0, "the platform does not answer")
 	}
-	if current.Generation != pr.in.Base {
-		return append(p.learn(current), p.end(r.Tag, msg.ProposalConflict, current.Generation,
-			fmt.Sprintf("generation %d is in force, the proposal started from %d", current.Generation, pr.in.Base))...)
+	effs := p.learnStored(current)
+	if c.proposal != nil && current.Generation != c.proposal.Base {
+		reason := fmt.Sprintf("generation %d is in force, the proposal started from %d", current.Generation, c.proposal.Base)
+		return append(effs, p.end(r.Tag, msg.ProposalConflict, current.Generation, reason)...)
 	}
-	pr.version = r.Object.Version
-	pr.record = p.nextRecord(pr.in, current)
-	if pr.record.Previous == nil {
-		return p.write(now, r.Tag, pr)
+	if current.Seq != p.record.Seq {
+		// The base's text is still being read.
+		return append(effs, p.end(r.Tag, msg.ProposalUnavailable, current.Generation, "the present configuration is being read, try again")...)
 	}
-	pr.phase = phaseAuditing
-	return []msg.Effect{p.audit(now, r.Tag, *pr.record.Previous)}
-}
-
-func (p *Part) nextRecord(in msg.ConfigProposed, current msg.ConfigRecord) msg.ConfigRecord {
-	rec := msg.ConfigRecord{
-		Generation: current.Generation + 1,
-		Author:     in.Author,
-		At:         p.wall.UTC(),
-		Manifest:   string(in.Manifest),
-		Digest:     digestOf(string(in.Manifest)),
+	c.version = r.Object.Version
+	p.prepare(c, current)
+	if c.proposal != nil && c.next.Previous != nil {
+		c.phase = phaseAuditing
+		return append(effs, p.audit(now, r.Tag, *c.next.Previous))
+	}
+	return append(effs, p.storeText(now, r.Tag, c)...)
+}
+
+// prepare fills in the next record.
+func (p *Part) prepare(c *change, current storedConfig) {
+	c.next = current
+	c.next.Seq++
+	c.next.Electorates = p.nextElectorates(current)
+	c.text = p.record.Manifest
+	c.newText = false
+	c.oldText = ""
+	if c.proposal == nil {
+		return
 	}
+	c.text = string(c.proposal.Manifest)
+	c.next.Generation++
+	c.next.Author = c.proposal.Author
+	c.next.At = p.wall.UTC()
+	c.next.Digest = digestOf(c.text)
 	if current.Generation > 0 {
-		change := current.Change()
-		rec.Previous = &change
+		previous := current.Change()
+		c.next.Previous = &previous
 	}
-	return rec
+	p.prepareEdits(c, current)
 }
 
-// audit creates the audit object of a change; that it exists is as good.
-func (p *Part) audit(now msg.Time, tag uint64, change msg.ConfigChange) msg.Effect {
-	name := fmt.Sprintf("%020d", change.Generation)
-	return p.store.Put(now, tag, msg.KindAudit, name, change, 0, now+writeFor)
+// prepareEdits adds the change to the kept edits, or makes its text the new
+// snapshot where they grow too many.
+func (p *Part) prepareEdits(c *change, current storedConfig) {
+	edits := slices.Clone(current.Edits)
+	if current.Seq > 0 && c.next.Digest != current.Digest {
+		edits = append(edits, diff(p.record.Manifest, c.text))
+	}
+	c.next.Edits = tail(edits, maxStoredEdits, maxStoredSize)
+	snapshot := current.Snapshot.Digest
+	reachable := snapshot == c.next.Digest || lastFrom(c.next.Edits, snapshot) >= 0
+	if current.Seq > 0 && reachable {
+		return
+	}
+	c.newText = true
+	c.oldText = current.Snapshot.Name
+	c.next.Snapshot = textRef{Name: fmt.Sprintf("%s/%s/%d", p.cfg.Self, p.cfg.Incarnation, p.nextTag), Digest: c.next.Digest}
+	p.nextTag++
+	c.next.Edits = tail(edits, maxStoredEdits/2, maxStoredSize/2)
 }
 
-func (p *Part) onPreviousAudited(now msg.Time, pr *proposal, r store.Result) []msg.Effect {
+func (p *Part) onPreviousAudited(now msg.Time, c *change, r store.Result) []msg.Effect {
 	if r.Status != msg.CallOK && r.Status != msg.CallConflict {
 		return p.end(r.Tag, msg.ProposalUnavailable, 0, "the audit of the change before could not be kept")
 	}
-	return p.write(now, r.Tag, pr)
+	return p.storeText(now, r.Tag, c)
 }
 
-func (p *Part) write(now msg.Time, tag uint64, pr *proposal) []msg.Effect {
-	pr.phase = phaseWriting
-	return []msg.Effect{p.store.Put(now, tag, msg.KindConfig, currentName, pr.record, pr.version, pr.started+writeFor)}
+// storeText keeps a new snapshot before anything refers to it.
+func (p *Part) storeText(now msg.Time, tag uint64, c *change) []msg.Effect {
+	if !c.newText {
+		return p.write(now, tag, c)
+	}
+	c.phase = phaseStoringText
+	text := storedText{Manifest: c.text}
+	return []msg.Effect{p.store.Put(now, tag, msg.KindConfigText, c.next.Snapshot.Name, text, 0, c.started+writeFor)}
 }
 
-func (p *Part) onWritten(now msg.Time, pr *proposal, r store.Result) []msg.Effect {
+func (p *Part) onTextStored(now msg.Time, c *change, r store.Result) []msg.Effect {
 	switch r.Status {
 	case msg.CallOK:
-	case msg.CallConflict:
-		return p.end(r.Tag, msg.ProposalConflict, p.record.Generation, "another change came first")
-	case msg.CallUnknown:
-		return p.end(r.Tag, msg.ProposalUnknown, 0, "the platform's answer was lost")
+		return p.write(now, r.Tag, c)
 	case msg.CallRejected:
 		return p.end(r.Tag, msg.ProposalInvalid, 0, "the platform refused the manifest, it may be too large")
-	default:
-		return p.end(r.Tag, msg.ProposalUnavailable, 0, "the platform does not take writes")
 	}
-	effs := p.learn(pr.record)
-	effs = append(effs, answer(pr.in, msg.ProposalWritten, pr.record.Generation, "")...)
-	auditTag := p.nextTag
-	p.nextTag++
-	effs = append(effs, p.audit(now, auditTag, pr.record.Change()))
-	pr.phase = phaseCollecting
-	pr.collectEnd = now + collectFor
-	return append(effs, p.collect(now, r.Tag, pr)...)
+	return p.end(r.Tag, msg.ProposalUnavailable, 0, "the platform does not take writes")
 }
 
-// pollProposals asks again for missing acknowledgements.
-func (p *Part) pollProposals(now msg.Time) []msg.Effect {
-	var effs []msg.Effect
-	for _, tag := range p.proposalTags() {
-		pr := p.proposals[tag]
-		switch {
-		case pr.phase != phaseCollecting:
-		case now >= pr.collectEnd:
-			effs = append(effs, p.end(tag, msg.ProposalWritten, pr.record.Generation,
-				"written, but a majority of the entry daemons has not confirmed it yet")...)
-		case now >= pr.asked+collectInterval:
-			effs = append(effs, p.collect(now, tag, pr)...)
-		}
-	}
-	return effs
+func (p *Part) write(now msg.Time, tag uint64, c *change) []msg.Effect {
+	c.phase = phaseWriting
+	return []msg.Effect{p.store.Put(now, tag, msg.KindConfig, currentName, c.next, c.version, c.started+writeFor)}
 }
 
-func (p *Part) collect(now msg.Time, tag uint64, pr *proposal) []msg.Effect {
-	if len(pr.acks)+1 >= p.peers.majority() {
-		return p.end(tag, msg.ProposalAccepted, pr.record.Generation, "")
+func (p *Part) onWritten(now msg.Time, c *change, r store.Result) []msg.Effect {
+	switch r.Status {
+	case msg.CallOK:
+	case msg.CallConflict:
+		return p.startOver(now, r.Tag, c)
+	case msg.CallUnknown:
+		return p.end(r.Tag, msg.ProposalUnknown, 0, "the platform's answer was lost")
+	default:
+		return p.end(r.Tag, msg.ProposalUnavailable, 0, "the platform does not take writes")
 	}
-	pr.asked = now
-	if pr.nonce == 0 {
-		pr.nonce = p.rand.Uint64() | 1
+	effs := p.adopt(c.next.ConfigHead, c.text)
+	if c.proposal != nil {
+		effs = append(effs, answer(*c.proposal, msg.ProposalWritten, c.next.Generation, ""))
+		auditTag := p.nextTag
+		p.nextTag++
+		effs = append(effs, p.audit(now, auditTag, c.next.Change()))
 	}
-	return p.ask(pr.nonce)
+	c.phase = phaseCollecting
+	c.collectEnd = now + collectFor
+	return append(effs, p.collect(now, r.Tag, c)...)
 }
 
-func (p *Part) onAcknowledged(now msg.Time, from msg.HostID, m msg.ConfigHeld) []msg.Effect {
-	for _, tag := range p.proposalTags() {
-		pr := p.proposals[tag]
-		if pr.phase != phaseCollecting || pr.nonce != m.Nonce || m.Generation < pr.record.Generation || now >= pr.collectEnd {
-			continue
-		}
-		if !slices.Contains(pr.acks, from) {
-			pr.acks = append(pr.acks, from)
-		}
-		if len(pr.acks)+1 >= p.peers.majority() {
-			return p.end(tag, msg.ProposalAccepted, pr.record.Generation, "")
-		}
+// startOver reads the object again: the write that came first may have been
+// one of the electorate only.
+func (p *Part) startOver(now msg.Time, tag uint64, c *change) []msg.Effect {
+	var effs []msg.Effect
+	if c.newText {
+		effs = append(effs, p.store.Get(tagRemove, msg.KindConfigText, c.next.Snapshot.Name))
 	}
-	return nil
+	if c.proposal == nil || now >= c.started+writeFor {
+		return append(effs, p.end(tag, msg.ProposalConflict, p.record.Generation, "another change came first")...)
+	}
+	delete(p.changes, tag)
+	c.phase = phaseReading
+	return append(effs, p.begin(c)...)
 }
 
-func (p *Part) proposalTags() []uint64 {
-	tags := make([]uint64, 0, len(p.proposals))
-	for tag := range p.proposals {
-		tags = append(tags, tag)
-	}
-	slices.Sort(tags)
-	return tags
+// audit creates the audit object of a change; that it exists is as good.
+func (p *Part) audit(now msg.Time, tag uint64, ch msg.ConfigChange) msg.Effect {
+	return p.store.Put(now, tag, msg.KindAudit, fmt.Sprintf("%020d", ch.Generation), ch, 0, now+writeFor)
 }
 
+// end answers a change's author and forgets the change.
 func (p *Part) end(tag uint64, status msg.ProposalStatus, g msg.Generation, reason string) []msg.Effect {
-	pr := p.proposals[tag]
-	delete(p.proposals, tag)
+	c := p.changes[tag]
+	delete(p.changes, tag)
+	if c.proposal == nil {
+		return []msg.Effect{logLine(msg.LogDebug, "electorate written", msg.Attr{Key: "status", Value: status.String()})}
+	}
 	line := logLine(msg.LogInfo, "proposal answered", generationAttr(g),
-		msg.Attr{Key: "author", Value: pr.in.Author}, msg.Attr{Key: "status", Value: status.String()})
-	return append([]msg.Effect{line}, answer(pr.in, status, g, reason)...)
-}
-
-func answer(in msg.ConfigProposed, status msg.ProposalStatus, g msg.Generation, reason string) []msg.Effect {
-	return []msg.Effect{msg.ConfigAnswered{Call: in.Call, Status: status, Generation: g, Reason: reason}}
-}
-
-func logLine(level msg.LogLevel, text string, attrs ...msg.Attr) msg.Effect {
-	return msg.LogLine{Part: partName, Level: level, Text: text, Attrs: attrs}
+		msg.Attr{Key: "author", Value: c.proposal.Author}, msg.Attr{Key: "status", Value: status.String()})
+	return []msg.Effect{line, answer(*c.proposal, status, g, reason)}
 }
 
-func generationAttr(g msg.Generation) msg.Attr {
-	return msg.Attr{Key: "generation", Value: strconv.FormatUint(uint64(g), 10)}
+func answer(in msg.ConfigProposed, status msg.ProposalStatus, g msg.Generation, reason string) msg.Effect {
+	return msg.ConfigAnswered{Call: in.Call, Status: status, Generation: g, Reason: reason}
 }
--- /dev/null
+++ b/internal/core/exchange/exchange.go
@@ -0,0 +1,313 @@
+// Package exchange is the part of a reducer that spreads small state between
+// the daemons: configuration numbers and their confirmations, the digest of
+// the host list, and sums over all entry daemons such as demand.
+//
+// The live entry daemons form trees below a few roots. Each polls its parent,
+// and the reply brings what is known beyond it; the roots poll one another.
+// So a daemon's messages do not grow with the fleet, and news crosses it in a
+// number of hops that grows with its logarithm. A poll carries the combined
+// state below its sender and the reply that of all others, so that no daemon
+// is counted twice while the tree stands still.
+//
+// No clocks are compared: state carries its age, which grows by the time that
+// it spends at each daemon. An age in a reply is counted from when the poll
+// was sent, so that a slow network makes it older and never younger.
+package exchange
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/verbenaspur/verbenaspur/internal/core/msg"
+	"github.com/verbenaspur/verbenaspur/internal/core/store"
+)
+
+const (
+	// pollInterval is the time between two polls of the parent, and
+	// rootInterval between two polls of another root.
+	pollInterval = 250 * time.Millisecond
+	rootInterval = 500 * time.Millisecond
+	// sideInterval is the time between two polls of a side daemon.
+	sideInterval = time.Second
+	// sumInterval is the time between two polls that carry sums.
+	sumInterval = 2 * time.Second
+	// sumLifetime is how long a contribution counts without a new one.
+	sumLifetime = 3 * sumInterval
+	// silence is how long a polled daemon may owe an answer before another
+	// one is polled besides.
+	silence = 600 * time.Millisecond
+	// avoidFor is how long a silent daemon is not polled.
+	avoidFor = 5 * time.Second
+)
+
+// Config configures the part.
+type Config struct{ Self msg.Self }
+
+// Part is the exchange part of a daemon.
+type Part struct {
+	cfg  Config
+	rand *rand.Rand
+
+	tree   tree
+	hosts  uint64
+	config msg.ConfigKnown
+
+	polls    map[msg.HostID]*poll
+	avoid    map[msg.HostID]msg.Time
+	pollAt   msg.Time
+	rootsAt  msg.Time
+	sumsAt   msg.Time
+	nextPoll uint64
+
+	own   map[msg.Section]msg.SharedValue
+	below map[msg.HostID]contribution
+	// beyond is what the parent, or each other root, told last.
+	beyond map[msg.HostID]contribution
+}
+
+// poll is the state of polling one daemon.
+type poll struct {
+	nonce uint64
+	sent  msg.Time
+	// waiting is set while an answer is owed, since the given instant.
+	waiting bool
+	since   msg.Time
+}
+
+// New returns the part.
+func New(cfg Config) *Part {
+	return &Part{
+		cfg:    cfg,
+		rand:   rand.New(rand.NewPCG(0, 0)),
+		polls:  make(map[msg.HostID]*poll),
+		avoid:  make(map[msg.HostID]msg.Time),
+		own:    make(map[msg.Section]msg.SharedValue),
+		below:  make(map[msg.HostID]contribution),
+		beyond: make(map[msg.HostID]contribution),
+	}
+}
+
+// Step implements the reducer's part.
+func (p *Part) Step(now msg.Time, ev msg.Event) []msg.Effect {
+	switch ev := ev.(type) {
+	case msg.Started:
+		p.rand = rand.New(rand.NewPCG(ev.Seed, uint64(store.PartMember)+1))
+		p.nextPoll = p.rand.Uint64() >> 1
+	case msg.MembersChanged:
+		p.hosts = ev.Digest
+		p.replant(ev)
+	case msg.ConfigKnown:
+		p.config = ev
+	case msg.ShareState:
+		p.own[ev.Section] = ev.Value
+	case msg.Tick:
+		return p.onTick(now)
+	case msg.PeerReceived:
+		return p.onPeer(now, ev)
+	}
+	return nil
+}
+
+// replant finds this daemon's new place and drops the state of hosts that are
+// no longer listed.
+func (p *Part) replant(ev msg.MembersChanged) {
+	wasRoot := p.tree.isRoot
+	p.tree = newTree(p.cfg.Self, ev.Entries)
+	if p.tree.isRoot != wasRoot {
+		clear(p.beyond)
+	}
+	listed := make(map[msg.HostID]bool, len(ev.Entries))
+	for _, h := range ev.Entries {
+		listed[h.Host] = true
+	}
+	for h := range p.polls {
+		if !listed[h] {
+			delete(p.polls, h)
+		}
+	}
+	for h := range p.avoid {
+		if !listed[h] {
+			delete(p.avoid, h)
+		}
+	}
+	for h := range p.below {
+		if !listed[h] {
+			delete(p.below, h)
+		}
+	}
+	for h := range p.beyond {
+		if !listed[h] {
+			delete(p.beyond, h)
+		}
+	}
+}
+
+func (p *Part) onTick(now msg.Time) []msg.Effect {
+	if len(p.tree.entries) == 0 {
+		return nil
+	}
+	p.noteSilence(now)
+	withSums := p.cfg.Self.Kind == msg.HostEntry && now >= p.sumsAt
+	var effs []msg.Effect
+	polled := false
+	if p.tree.isRoot {
+		if now >= p.rootsAt {
+			p.rootsAt = now + p.spread(rootInterval)
+			effs = p.pollAll(now, p.tree.otherRoots(), withSums)
+			polled = true
+		}
+	} else if now >= p.pollAt {
+		p.pollAt = now + p.spread(p.interval())
+		effs = p.pollAll(now, p.parents(now), withSums)
+		polled = true
+	}
+	if withSums && polled {
+		p.sumsAt = now + p.spread(sumInterval)
+		effs = append(effs, p.shared(now)...)
+	}
+	return effs
+}
+
+func (p *Part) interval() time.Duration {
+	if p.cfg.Self.Kind == msg.HostTarget {
+		return sideInterval
+	}
+	return pollInterval
+}
+
+// spread varies an interval by a tenth, so that daemons do not keep step.
+func (p *Part) spread(d time.Duration) time.Duration {
+	return d - d/20 + time.Duration(p.rand.Int64N(int64(d/10)))
+}
+
+// noteSilence gives daemons up that owe an answer for too long.
+func (p *Part) noteSilence(now msg.Time) {
+	for h, q := range p.polls {
+		if q.waiting && now-q.since >= p.patience() {
+			p.avoid[h] = now + avoidFor
+			q.waiting = false
+		}
+	}
+}
+
+func (p *Part) patience() time.Duration { return max(silence, p.interval()+silence/2) }
+
+// parents returns the daemons to poll: the parent while it answers, else the
+// two next ones in different failure domains.
+func (p *Part) parents(now msg.Time) []msg.HostID {
+	var out []msg.Host
+	for _, h := range p.tree.parents {
+		if until, bad := p.avoid[h.Host]; bad && now < until {
+			continue
+		}
+		if len(out) == 1 && out[0].Domain == h.Domain && len(p.tree.parents) > 2 {
+			continue
+		}
+		out = append(out, h)
+		if len(out) == 2 || h.Host == p.tree.parents[0].Host {
+			break
+		}
+	}
+	ids := make([]msg.HostID, 0, len(out)+1)
+	for _, h := range out {
+		ids = append(ids, h.Host)
+	}
+	if len(ids) == 0 && len(p.tree.parents) > 0 {
+		// Nobody answers: try them one after the other.
+		p.nextPoll++
+		ids = append(ids, p.tree.parents[p.nextPoll%uint64(len(p.tree.parents))].Host)
+	}
+	return ids
+}
+
+func (p *Part) pollAll(now msg.Time, hosts []msg.HostID, withSums bool) []msg.Effect {
+	effs := make([]msg.Effect, 0, len(hosts))
+	for i, h := range hosts {
+		m := msg.ExchangePoll{Nonce: p.open(now, h), Config: p.config.Config, Hosts: p.hosts}
+		// Sums go up one way only, and to each other root.
+		if withSums && (i == 0 || p.tree.isRoot) {
+			m.WithSums = true
+			m.Sums = p.sumsBelow(now)
+		}
+		effs = append(effs, msg.SendPeer{To: h, Message: m})
+	}
+	return effs
+}
+
+// open notes a poll and returns its nonce.
+func (p *Part) open(now msg.Time, h msg.HostID) uint64 {
+	q, ok := p.polls[h]
+	if !ok {
+		q = &poll{}
+		p.polls[h] = q
+	}
+	if !q.waiting {
+		q.waiting = true
+		q.since = now
+	}
+	p.nextPoll++
+	q.nonce = p.nextPoll
+	q.sent = now
+	return q.nonce
+}
+
+func (p *Part) onPeer(now msg.Time, ev msg.PeerReceived) []msg.Effect {
+	switch m := ev.Message.(type) {
+	case msg.ExchangePoll:
+		return p.onPoll(now, ev.From, m)
+	case msg.ExchangeReply:
+		return p.onReply(now, ev.From, m)
+	}
+	return nil
+}
+
+func (p *Part) onPoll(now msg.Time, from msg.HostID, m msg.ExchangePoll) []msg.Effect {
+	r := msg.ExchangeReply{
+		Nonce:      m.Nonce,
+		Config:     p.config.Config,
+		Generation: p.config.Generation,
+		Hosts:      p.hosts,
+	}
+	if p.config.Confirmed {
+		r.Confirmed = true
+		r.AgeMS = ageMS(now - p.config.ConfirmedAt)
+	}
+	fromRoot := p.tree.isRoot && slices.Contains(p.tree.otherRoots(), from)
+	switch {
+	case !m.WithSums || !p.tree.has(from):
+	case fromRoot:
+		p.beyond[from] = contribution{m.Sums, now}
+	default:
+		p.below[from] = contribution{m.Sums, now}
+		r.Sums = p.sumsFor(now, from)
+	}
+	effs := []msg.Effect{msg.SendPeer{To: from, Message: r}}
+	if !p.tree.has(from) {
+		return effs
+	}
+	return append(effs, msg.Raise{Event: msg.ConfigHeard{From: from, Config: m.Config}})
+}
+
+func (p *Part) onReply(now msg.Time, from msg.HostID, m msg.ExchangeReply) []msg.Effect {
+	q, ok := p.polls[from]
+	if !ok || q.nonce != m.Nonce {
+		return nil
+	}
+	q.waiting = false
+	delete(p.avoid, from)
+	if m.Sums != nil {
+		clear(p.beyond)
+		p.beyond[from] = contribution{m.Sums, q.sent}
+	}
+	return []msg.Effect{
+		msg.Raise{Event: msg.ConfigHeard{
+			From:        from,
+			Config:      m.Config,
+			Generation:  m.Generation,
+			Confirmed:   m.Confirmed,
+			ConfirmedAt: q.sent - time.Duration(m.AgeMS)*time.Millisecond,
+		}},
+		msg.Raise{Event: msg.HostsHeard{Digest: m.Hosts}},
+	}
+}
--- /dev/null
+++ b/internal/core/exchange/tree.go
@@ -0,0 +1,111 @@
+package exchange
+
+import (
+	"slices"
+
+	"github.com/verbenaspur/verbenaspur/internal/core/msg"
+	"github.com/verbenaspur/verbenaspur/internal/core/rendezvous"
+)
+
+const (
+	// fanOut is the number of children of one daemon.
+	fanOut = 4
+	// rootsPerDomain is the number of roots in each failure domain.
+	rootsPerDomain = 2
+)
+
+// Roots returns the entry daemons that others may rely on: two of each
+// failure domain, but an odd number in all. Every daemon with the same host
+// list comes to the same ones.
+func Roots(entries []msg.Host) []msg.Host {
+	domains := make(map[msg.FailureDomain]bool)
+	for _, h := range entries {
+		domains[h.Domain] = true
+	}
+	n := min(rootsPerDomain*len(domains), len(entries))
+	if n%2 == 0 && n > 0 {
+		n--
+	}
+	return rendezvous.Spread("roots", entries, n)
+}
+
+// tree is this daemon's place in the exchange. All daemons stand in one list,
+// the roots first; each one's children follow in blocks.
+type tree struct {
+	entries map[msg.HostID]bool
+	roots   []msg.Host
+	isRoot  bool
+	self    msg.HostID
+	// parents are the daemons that this one may poll, the best first: its
+	// ancestors and then the other roots.
+	parents []msg.Host
+	// children are the daemons that poll this one while all is well.
+	children []msg.Host
+}
+
+// Neighbors returns the entry daemons that an entry daemon polls or is polled
+// by while all is well.
+func Neighbors(self msg.Self, entries []msg.Host) []msg.Host {
+	t := newTree(self, entries)
+	if t.isRoot {
+		return append(slices.Clone(t.roots), t.children...)
+	}
+	return append(slices.Clone(t.parents[:min(1, len(t.parents))]), t.children...)
+}
+
+func newTree(self msg.Self, entries []msg.Host) tree {
+	t := tree{self: self.Host, entries: make(map[msg.HostID]bool, len(entries)), roots: Roots(entries)}
+	isRoot := make(map[msg.HostID]bool, len(t.roots))
+	for _, h := range t.roots {
+		isRoot[h.Host] = true
+	}
+	for _, h := range entries {
+		t.entries[h.Host] = true
+	}
+	t.isRoot = isRoot[self.Host]
+	if self.Kind == msg.HostTarget {
+		t.parents = rendezvous.Order("side/"+string(self.Host), entries)
+		return t
+	}
+	list := slices.Clone(t.roots)
+	for _, h := range rendezvous.Order("tree", entries) {
+		if !isRoot[h.Host] {
+			list = append(list, h)
+		}
+	}
+	at := slices.IndexFunc(list, func(h msg.Host) bool { return h.Host == self.Host })
+	t.parents = ancestors(list, len(t.roots), at)
+	if at >= 0 {
+		first := min(len(t.roots)+at*fanOut, len(list))
+		t.children = list[first:min(first+fanOut, len(list))]
+	}
+	return t
+}
+
+// ancestors returns the ancestors of the daemon at a position of the list and
+// then the remaining roots. A daemon that is not listed has only the roots.
+func ancestors(list []msg.Host, roots, at int) []msg.Host {
+	var out []msg.Host
+	for at >= roots {
+		at = (at - roots) / fanOut
+		out = append(out, list[at])
+	}
+	for i := range roots {
+		if at < 0 || i != at {
+			out = append(out, list[i])
+		}
+	}
+	return out
+}
+
+func (t *tree) has(h msg.HostID) bool { return t.entries[h] }
+
+func (t *tree) otherRoots() []msg.HostID {
+	out := make([]msg.HostID, 0, len(t.roots))
+	for _, h := range t.roots {
+		if h.Host != t.self {
+			out = append(out, h.Host)
+		}
+	}
+	return out
+}
--- a/internal/core/member/member.go
+++ b/internal/core/member/member.go
@@ -1,15 +1,23 @@
 // Package member is the part of a reducer that knows the other daemons: the
 // live and leaving hosts of the platform's host list, and which of them this
 // daemon keeps connections to.
+//
+// A few daemons read the host list often. The others read it when the
+// exchange tells them of another list than theirs, and now and then besides,
+// so that the calls to the platform hardly grow with the fleet.
 package member
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"strconv"
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/verbenaspur/verbenaspur/internal/core/exchange"
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
 	"github.com/verbenaspur/verbenaspur/internal/core/store"
 )
@@ -17,8 +25,14 @@
 const (
 	partName = "member"
 
-	// refreshInterval is the mean time between two reads of the host list.
-	refreshInterval = 2 * time.Second
+	// readInterval is the mean time between two reads of the host list by the
+	// daemons that others rely on, and slowInterval by the others.
+	readInterval = 2 * time.Second
+	slowInterval = time.Minute
+	// retryInterval is the mean time after a read that failed.
+	retryInterval = 5 * time.Second
+	// newsDelay spreads the reads after news over this time.
+	newsDelay = time.Second
 	// callLimit bounds the wait for one answer.
 	callLimit = 10 * time.Second
 	callShift = 48
@@ -32,11 +46,14 @@
 	cfg  Config
 	rand *rand.Rand
 
-	seq     uint64
-	call    msg.CallID
-	readAt  msg.Time
-	hosts   []msg.Host
-	known   bool
+	seq    uint64
+	call   msg.CallID
+	readAt msg.Time
+	hosts  []msg.Host
+	digest uint64
+	// heard is the last digest that led to a read.
+	heard   uint64
+	reader  bool
 	connect map[msg.HostID]msg.Connect
 }
 
@@ -55,12 +72,22 @@
 		if now >= p.readAt {
 			return []msg.Effect{p.read(now)}
 		}
+	case msg.HostsHeard:
+		p.onHeard(now, ev)
 	case msg.HostsListed:
 		return p.onListed(now, ev)
 	}
 	return nil
 }
 
+func (p *Part) onHeard(now msg.Time, ev msg.HostsHeard) {
+	if ev.Digest == 0 || ev.Digest == p.digest || ev.Digest == p.heard {
+		return
+	}
+	p.heard = ev.Digest
+	p.readAt = min(p.readAt, now+time.Duration(p.rand.Int64N(int64(newsDelay))))
+}
+
 func (p *Part) read(now msg.Time) msg.Effect {
 	p.seq++
 	p.call = msg.CallID(uint64(store.PartMember)<<callShift | p.seq)
@@ -73,32 +100,60 @@
 		return nil
 	}
 	p.call = 0
-	p.readAt = now + refreshInterval/2 + time.Duration(p.rand.Int64N(int64(refreshInterval)))
 	if ev.Status != msg.CallOK {
+		p.readAt = now + p.around(p.retry())
 		return nil
 	}
+	var effs []msg.Effect
 	hosts := slices.Clone(ev.Hosts)
 	slices.SortFunc(hosts, func(a, b msg.Host) int { return strings.Compare(string(a.Host), string(b.Host)) })
-	if p.known && slices.Equal(hosts, p.hosts) {
-		return nil
+	if digest := digestOf(hosts); digest != p.digest {
+		p.digest = digest
+		p.hosts = hosts
+		effs = p.changed()
 	}
-	p.known = true
-	p.hosts = hosts
+	p.readAt = now + p.around(p.interval())
+	return effs
+}
+
+// changed takes the new host list into use.
+func (p *Part) changed() []msg.Effect {
 	m := p.members()
-	return append(p.connections(), logMembers(m), msg.Raise{Event: m})
+	p.reader = slices.ContainsFunc(exchange.Roots(m.Entries), func(h msg.Host) bool { return h.Host == p.cfg.Self.Host })
+	return append(p.connections(m), logMembers(m), msg.Raise{Event: m})
 }
 
-func logMembers(m msg.MembersChanged) msg.Effect {
-	return msg.LogLine{Part: partName, Text: "host list changed", Attrs: []msg.Attr{
-		{Key: "entries", Value: strconv.Itoa(len(m.Entries))},
-		{Key: "targets", Value: strconv.Itoa(len(m.Targets))},
-		{Key: "leaving", Value: strconv.Itoa(len(m.Leaving))},
-	}}
+func (p *Part) interval() time.Duration {
+	if p.reader {
+		return readInterval
+	}
+	return slowInterval
+}
+
+// retry is shorter as long as no list is known at all.
+func (p *Part) retry() time.Duration {
+	if p.digest == 0 {
+		return readInterval / 2
+	}
+	return retryInterval
+}
+
+func (p *Part) around(d time.Duration) time.Duration {
+	return d/2 + time.Duration(p.rand.Int64N(int64(d)))
+}
+
+// digestOf identifies a sorted host list.
+func digestOf(hosts []msg.Host) uint64 {
+	d := xxhash.New()
+	for _, h := range hosts {
+		_, _ = fmt.Fprintf(d, "%q %q %q %q %d %d\n", h.Host, h.Addr, h.Domain, h.Region, h.Kind, h.State)
+	}
+	return d.Sum64() | 1
 }
 
 // members sorts the host list by what a host is to this daemon.
 func (p *Part) members() msg.MembersChanged {
-	var m msg.MembersChanged
+	m := msg.MembersChanged{Digest: p.digest}
 	for _, h := range p.hosts {
 		if h.State == msg.HostLeaving {
 			m.Leaving = append(m.Leaving, h.Host)
@@ -113,41 +168,10 @@
 	return m
 }
 
-// connections returns the effects that bring the connections in line with
-// the host list: to every other entry, and from entries to every target.
-func (p *Part) connections() []msg.Effect {
-	var effs []msg.Effect
-	wanted := make(map[msg.HostID]bool)
-	for _, h := range p.hosts {
-		if !p.wants(h) {
-			continue
-		}
-		wanted[h.Host] = true
-		c := msg.Connect{Host: h.Host, Addr: h.Addr, Kind: h.Kind}
-		if p.connect[h.Host] != c {
-			p.connect[h.Host] = c
-			effs = append(effs, c)
-		}
-	}
-	return append(effs, p.dropOthers(wanted)...)
-}
-
-func (p *Part) wants(h msg.Host) bool {
-	return h.Host != p.cfg.Self.Host && (p.cfg.Self.Kind == msg.HostEntry && h.Kind == msg.HostTarget || h.Kind == msg.HostEntry)
-}
-
-func (p *Part) dropOthers(wanted map[msg.HostID]bool) []msg.Effect {
-	var gone []msg.HostID
-	for h := range p.connect {
-		if !wanted[h] {
-			gone = append(gone, h)
-		}
-	}
-	slices.Sort(gone)
-	effs := make([]msg.Effect, 0, len(gone))
-	for _, h := range gone {
-		delete(p.connect, h)
-		effs = append(effs, msg.Disconnect{Host: h})
-	}
-	return effs
+func logMembers(m msg.MembersChanged) msg.Effect {
+	return msg.LogLine{Part: partName, Text: "host list changed", Attrs: []msg.Attr{
+		{Key: "entries", Value: strconv.Itoa(len(m.Entries))},
+		{Key: "targets", Value: strconv.Itoa(len(m.Targets))},
+		{Key: "leaving", Value: strconv.Itoa(len(m.Leaving))},
+	}}
 }
--- a/internal/core/msg/config.go
+++ b/internal/core/msg/config.go
@@ -2,21 +2,36 @@
 
 import "time"
 
-// ConfigRecord is one configuration as it is kept and handed on.
+// KindConfigText holds the manifests that the configuration object refers to.
+const KindConfigText Kind = "config-text"
+
+// ConfigRecord is a configuration with its manifest.
 type ConfigRecord struct {
-	Generation Generation `cbor:"1,keyasint" json:"generation"`
-	Author     string     `cbor:"2,keyasint" json:"author"`
-	At         time.Time  `cbor:"3,keyasint" json:"at"`
+	ConfigHead
 	// Manifest is the YAML document.
-	Manifest string `cbor:"4,keyasint" json:"manifest"`
+	Manifest string
+}
+
+// ConfigHead describes a configuration. Its sequence number grows with every
+// write of the configuration object, its generation with every change of the
+// manifest.
+type ConfigHead struct {
+	Seq        uint64     `cbor:"1,keyasint" json:"seq"`
+	Generation Generation `cbor:"2,keyasint" json:"generation"`
+	Author     string     `cbor:"3,keyasint" json:"author"`
+	At         time.Time  `cbor:"4,keyasint" json:"at"`
 	// Digest is the lower-case hex SHA-256 of the manifest.
 	Digest string `cbor:"5,keyasint" json:"digest"`
+	// Electorates are sets of entry daemons. The record is accepted once a
+	// majority of each set holds it; confirmations come from a majority of
+	// the last one.
+	Electorates [][]HostID `cbor:"6,keyasint" json:"electorates"`
 	// Previous describes the change before this one, so that its audit object
 	// can be made up for where its author's daemon was lost.
-	Previous *ConfigChange `cbor:"6,keyasint,omitempty" json:"previous,omitempty"`
+	Previous *ConfigChange `cbor:"7,keyasint,omitempty" json:"previous,omitempty"`
 }
 
-// ConfigChange describes an accepted change; it is kept as an audit object.
+// ConfigChange describes a change; it is kept as an audit object.
 type ConfigChange struct {
 	Generation Generation `cbor:"1,keyasint" json:"generation"`
 	Author     string     `cbor:"2,keyasint" json:"author"`
@@ -24,34 +39,51 @@
 	Digest     string     `cbor:"4,keyasint" json:"digest"`
 }
 
-// Change describes how the record came about.
-func (r *ConfigRecord) Change() ConfigChange {
-	return ConfigChange{Generation: r.Generation, Author: r.Author, At: r.At, Digest: r.Digest}
+// Change describes how the configuration came about.
+func (h *ConfigHead) Change() ConfigChange {
+	return ConfigChange{Generation: h.Generation, Author: h.Author, At: h.At, Digest: h.Digest}
+}
+
+// ConfigEdit turns one manifest into another; both are named by their digests.
+type ConfigEdit struct {
+	From string   `cbor:"1,keyasint" json:"from"`
+	To   string   `cbor:"2,keyasint" json:"to"`
+	Ops  []TextOp `cbor:"3,keyasint" json:"ops"`
+}
+
+// TextOp copies bytes of the old text, or inserts a new text where Len is 0.
+type TextOp struct {
+	At   int    `cbor:"1,keyasint,omitempty" json:"at,omitempty"`
+	Len  int    `cbor:"2,keyasint,omitempty" json:"len,omitempty"`
+	Text string `cbor:"3,keyasint,omitempty" json:"text,omitempty"`
 }
 
-// ConfigQuery asks another entry daemon for the generation that it holds. The
-// sender's own is Generation.
+// ConfigQuery asks an entry daemon for the record that it holds. The sender's
+// own is Config.
 type ConfigQuery struct {
-	Nonce      uint64     `cbor:"1,keyasint"`
-	Generation Generation `cbor:"2,keyasint"`
+	Nonce  uint64 `cbor:"1,keyasint"`
+	Config uint64 `cbor:"2,keyasint"`
 }
 
-// ConfigHeld answers [ConfigQuery]: the generation that was in force at the
-// sender when the query arrived.
+// ConfigHeld answers [ConfigQuery] with the sequence number of the record in
+// force at the sender.
 type ConfigHeld struct {
-	Nonce      uint64     `cbor:"1,keyasint"`
-	Generation Generation `cbor:"2,keyasint"`
+	Nonce  uint64 `cbor:"1,keyasint"`
+	Config uint64 `cbor:"2,keyasint"`
 }
 
 // ConfigFetch asks for the receiver's configuration because it is newer than
-// the sender's, which is Generation.
+// the sender's. Digest names the sender's manifest; empty asks for the whole.
 type ConfigFetch struct {
-	Generation Generation `cbor:"1,keyasint"`
+	Digest string `cbor:"1,keyasint,omitempty"`
 }
 
-// ConfigBody hands on a whole configuration.
+// ConfigBody hands on a configuration: as edits where Whole is not set.
 type ConfigBody struct {
-	Record ConfigRecord `cbor:"1,keyasint"`
+	Head     ConfigHead   `cbor:"1,keyasint"`
+	Edits    []ConfigEdit `cbor:"2,keyasint,omitempty"`
+	Whole    bool         `cbor:"3,keyasint,omitempty"`
+	Manifest string       `cbor:"4,keyasint,omitempty"`
 }
 
 func (ConfigQuery) peerMessage() {}
--- a/internal/core/msg/peer.go
+++ b/internal/core/msg/peer.go
@@ -71,6 +71,8 @@
 	Leaving []HostID
 	// Targets are the hosts of targets, live or leaving.
 	Targets []Host
+	// Digest identifies the host list.
+	Digest uint64
 }
 
 func (SendPeer) effect() {}
--- a/internal/core/msg/types.go
+++ b/internal/core/msg/types.go
@@ -9,6 +9,7 @@
 		reflect.TypeFor[ConfigQuery](), reflect.TypeFor[ConfigHeld](),
 		reflect.TypeFor[ConfigFetch](), reflect.TypeFor[ConfigBody](),
 		reflect.TypeFor[LeaseReleased](),
+		reflect.TypeFor[ExchangePoll](), reflect.TypeFor[ExchangeReply](),
 	}
 }
 
@@ -33,6 +34,7 @@
 		reflect.TypeFor[TargetCrashed](), reflect.TypeFor[UsageReported](),
 		reflect.TypeFor[PeerUp](), reflect.TypeFor[PeerDown](),
 		reflect.TypeFor[ConfigProposed](), reflect.TypeFor[DrainRequested](),
+		reflect.TypeFor[ConfigKnown](), reflect.TypeFor[ConfigHeard](), reflect.TypeFor[HostsHeard](),
 	}
 }
 
--- a/internal/core/rendezvous/rendezvous.go
+++ b/internal/core/rendezvous/rendezvous.go
@@ -17,15 +17,27 @@
 	return xxhash.Sum64String(key + "\x00" + string(host))
 }
 
+type scored struct {
+	host  msg.Host
+	score uint64
+}
+
 // Order returns the hosts by falling score for a key.
 func Order(key string, hosts []msg.Host) []msg.Host {
-	out := slices.Clone(hosts)
-	slices.SortFunc(out, func(a, b msg.Host) int {
-		if c := cmp.Compare(Score(key, b.Host), Score(key, a.Host)); c != 0 {
+	list := make([]scored, len(hosts))
+	for i, h := range hosts {
+		list[i] = scored{h, Score(key, h.Host)}
+	}
+	slices.SortFunc(list, func(a, b scored) int {
+		if c := cmp.Compare(b.score, a.score); c != 0 {
 			return c
 		}
-		return cmp.Compare(a.Host, b.Host)
+		return cmp.Compare(a.host.Host, b.host.Host)
 	})
+	out := make([]msg.Host, len(list))
+	for i, s := range list {
+		out[i] = s.host
+	}
 	return out
 }
 
--- a/internal/core/scenario/platform_test.go
+++ b/internal/core/scenario/platform_test.go
@@ -16,6 +16,8 @@
 	waiting  []*waiter
 
 	down bool
+	// hostsUp keeps the host list up while the object API is down.
+	hostsUp bool
 	// loseNext is the number of writes whose answers are lost.
 	loseNext int
 	// loseShare is the chance that a write's answer is lost.
@@ -61,7 +63,7 @@
 		return
 	}
 	p.world.at(platformLatency+p.slow+p.slowFor(n, eff), func() {
-		if p.down {
+		if _, hosts := eff.(msg.ListHosts); p.down && !(hosts && p.hostsUp) {
 			reply(platformLatency, failed(eff, msg.CallUnavailable))
 			return
 		}
@@ -89,6 +91,9 @@
 	case msg.PutObject:
 		p.writes++
 		answer(p.put(eff))
+	case msg.DeleteObject:
+		p.writes++
+		answer(p.remove(eff))
 	case msg.WatchObjects:
 		p.watches++
 		p.watch(&waiter{node: n, eff: eff})
@@ -125,6 +130,16 @@
 	return msg.PutDone{Call: eff.Call, Version: msg.Version(p.revision)}
 }
 
+func (p *platform) remove(eff msg.DeleteObject) msg.Event {
+	k := objectKey{eff.Kind, eff.Name}
+	if p.objects[k].Version != eff.IfVersion {
+		return msg.PutDone{Call: eff.Call, Status: msg.CallConflict}
+	}
+	p.revision++
+	delete(p.objects, k)
+	return msg.PutDone{Call: eff.Call}
+}
+
 func (p *platform) watch(w *waiter) {
 	if len(p.list(w.eff.Kind, "", uint64(w.eff.Since))) > 0 || w.eff.Wait == 0 {
 		p.finish(w)
@@ -152,7 +167,8 @@
 // answer sends an answer back, unless it is to be lost or the way is cut.
 func (p *platform) answer(n *node, eff msg.Effect, ev msg.Event) {
 	_, write := eff.(msg.PutObject)
-	lost := p.world.cut(platformHost, n.host.Host) || p.down
+	_, hosts := eff.(msg.ListHosts)
+	lost := p.world.cut(platformHost, n.host.Host) || p.down && !(hosts && p.hostsUp)
 	if write && p.loseNext > 0 {
 		p.loseNext--
 		lost = true
@@ -184,6 +200,8 @@
 		return msg.WatchDone{Call: eff.Call, Status: s}
 	case msg.PutObject:
 		return msg.PutDone{Call: eff.Call, Status: s}
+	case msg.DeleteObject:
+		return msg.PutDone{Call: eff.Call, Status: s}
 	}
 	panic("the platform does not know this call")
 }
