--- a/internal/core/entry.go
+++ b/internal/core/entry.go
@@ -3,6 +3,8 @@
 import (
 	"github.com/verbenaspur/verbenaspur/internal/core/claim"
 	"github.com/verbenaspur/verbenaspur/internal/core/config"
+	"github.com/verbenaspur/verbenaspur/internal/core/exchange"
+	"github.com/verbenaspur/verbenaspur/internal/core/lease"
 	"github.com/verbenaspur/verbenaspur/internal/core/member"
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
 	"github.com/verbenaspur/verbenaspur/internal/core/request"
@@ -23,6 +25,7 @@
 	claims   *claim.Part
 	recorder *usage.Recorder
 	reporter *usage.Reporter
+	leases   *lease.Part
 	config   *config.Part
 	requests *request.Manager
 	state    *state
@@ -35,13 +38,16 @@
 		claims:   claim.New(claim.Config{}),
 		recorder: usage.NewRecorder(usage.RecorderConfig{}),
 		reporter: usage.NewReporter(usage.ReporterConfig{}),
+		leases:   lease.New(lease.Config{Self: cfg.Self.Host, Incarnation: cfg.Incarnation}),
 		config:   config.New(config.Config{Self: cfg.Self.Host, Incarnation: cfg.Incarnation}),
 		requests: request.New(request.Config{}),
 		state:    &state{},
 	}
 	e.Reducer = NewReducer(
+		e.leases,
 		e.state,
 		member.New(member.Config{Self: cfg.Self}),
+		exchange.New(exchange.Config{Self: cfg.Self}),
 		e.config,
 		e.claims,
 		e.requests,
--- a/internal/core/exchange/exchange.go
+++ b/internal/core/exchange/exchange.go
@@ -257,7 +257,7 @@
 	case msg.ExchangePoll:
 		return p.onPoll(now, ev.From, m)
 	case msg.ExchangeReply:
-		return p.onReply(now, ev.From, m)
+		return p.onReply(ev.From, m)
 	}
 	return nil
 }
@@ -289,7 +289,7 @@
 	return append(effs, msg.Raise{Event: msg.ConfigHeard{From: from, Config: m.Config}})
 }
 
-func (p *Part) onReply(now msg.Time, from msg.HostID, m msg.ExchangeReply) []msg.Effect {
+func (p *Part) onReply(from msg.HostID, m msg.ExchangeReply) []msg.Effect {
 	q, ok := p.polls[from]
 	if !ok || q.nonce != m.Nonce {
 		return nil
--- a/internal/core/lease/lease.go
+++ b/internal/core/lease/lease.go
@@ -114,8 +114,8 @@
 	}
 }
 
-// Stopped reports whether no lease is held and no release is under way.
-func (p *Part) Stopped() bool {
+// Idle reports whether no lease is held and no release is under way.
+func (p *Part) Idle() bool {
 	for _, l := range p.leases {
 		if l.held || l.releaseDue || l.releasing {
 			return false
--- a/internal/core/scenario/platform_test.go
+++ b/internal/core/scenario/platform_test.go
@@ -63,7 +63,7 @@
 		return
 	}
 	p.world.at(platformLatency+p.slow+p.slowFor(n, eff), func() {
-		if _, hosts := eff.(msg.ListHosts); p.down && !(hosts && p.hostsUp) {
+		if p.isDown(eff) {
 			reply(platformLatency, failed(eff, msg.CallUnavailable))
 			return
 		}
@@ -71,6 +71,13 @@
 	})
 }
 
+func (p *platform) isDown(eff msg.Effect) bool {
+	if _, ok := eff.(msg.ListHosts); ok && p.hostsUp {
+		return false
+	}
+	return p.down
+}
+
 func (p *platform) serve(n *node, eff msg.Effect) {
 	answer := func(ev msg.Event) { p.answer(n, eff, ev) }
 	switch eff := eff.(type) {
@@ -167,8 +174,7 @@
 // answer sends an answer back, unless it is to be lost or the way is cut.
 func (p *platform) answer(n *node, eff msg.Effect, ev msg.Event) {
 	_, write := eff.(msg.PutObject)
-	_, hosts := eff.(msg.ListHosts)
-	lost := p.world.cut(platformHost, n.host.Host) || p.down && !(hosts && p.hostsUp)
+	lost := p.world.cut(platformHost, n.host.Host) || p.isDown(eff)
 	if write && p.loseNext > 0 {
 		p.loseNext--
 		lost = true
