--- /dev/null
+++ b/internal/core/fleet/measure/policies_test.go
@@ -0,0 +1,156 @@
+package measure
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/verbenaspur/verbenaspur/internal/core/fleet/demand"
+	"github.com/verbenaspur/verbenaspur/internal/core/fleet/planner"
+	"github.com/verbenaspur/verbenaspur/internal/core/msg"
+)
+
+// fixed never changes a role.
+type fixed struct{ prefill, decode, mixed int }
+
+func (f fixed) name() string {
+	return fmt.Sprintf("fixed %d/%d/%d", f.prefill, f.decode, f.mixed)
+}
+
+func (f fixed) roles(int) []msg.Role {
+	var out []msg.Role
+	for range f.prefill {
+		out = append(out, msg.RolePrefill)
+	}
+	for range f.decode {
+		out = append(out, msg.RoleDecode)
+	}
+	for range f.mixed {
+		out = append(out, msg.RoleMixed)
+	}
+	return out
+}
+
+func (fixed) control(*sim) {}
+
+// threshold moves one engine at a time when one kind is busy and the other is
+// not, every few seconds.
+type threshold struct {
+	last float64
+}
+
+const (
+	thresholdEvery = 5.0
+	thresholdHigh  = 0.8
+	thresholdLow   = 0.7
+)
+
+func (*threshold) name() string           { return "threshold" }
+func (*threshold) roles(n int) []msg.Role { return fixed{n / 2, n - n/2, 0}.roles(n) }
+
+func (p *threshold) control(s *sim) {
+	if s.now-p.last < thresholdEvery {
+		return
+	}
+	p.last = s.now
+	prefill, decode := p.utilization(s)
+	switch {
+	case prefill > thresholdHigh && decode < thresholdLow:
+		p.move(s, msg.RoleDecode, msg.RolePrefill)
+	case decode > thresholdHigh && prefill < thresholdLow:
+		p.move(s, msg.RolePrefill, msg.RoleDecode)
+	}
+}
+
+func (p *threshold) utilization(s *sim) (prefill, decode float64) {
+	var prefills, decodes float64
+	for _, e := range s.engines {
+		if e.state != serving {
+			continue
+		}
+		switch e.role {
+		case msg.RolePrefill:
+			prefills++
+			prefill += e.busy / thresholdEvery
+		case msg.RoleDecode:
+			decodes++
+			decode += float64(e.reserved) / decodeBatch
+		}
+	}
+	for _, e := range s.engines {
+		e.busy = 0
+	}
+	return prefill / max(1, prefills), decode / max(1, decodes)
+}
+
+func (p *threshold) move(s *sim, from, to msg.Role) {
+	var best *engine
+	n := 0
+	for _, e := range s.engines {
+		if e.role != from || e.state != serving {
+			continue
+		}
+		n++
+		if best == nil || e.reserved < best.reserved {
+			best = e
+		}
+	}
+	if n > 1 {
+		s.change(best, to)
+	}
+}
+
+// planned runs the product's estimator and planner.
+type planned struct {
+	estimator *demand.Estimator
+	costs     planner.Costs
+}
+
+func newPlanned() *planned {
+	costs := planner.DefaultCosts()
+	return &planned{estimator: demand.New(costs.Horizon), costs: costs}
+}
+
+func (*planned) name() string           { return "planner" }
+func (*planned) roles(n int) []msg.Role { return fixed{0, 0, n}.roles(n) }
+
+func (p *planned) control(s *sim) {
+	p.estimator.Observe(seconds(s.now), s.arrivals)
+	plan := planner.Make(planner.Input{
+		Engines:    p.engines(s),
+		Forecast:   p.estimator.Forecast(),
+		Efficiency: planner.DefaultEfficiency(),
+		Costs:      p.costs,
+		Limits:     planner.Limits{AtOnce: max(1, len(s.engines)/5), PerDomain: max(1, len(s.engines)/5)},
+	})
+	for _, c := range plan.Changes {
+		for _, e := range s.engines {
+			if e.id == c.Target {
+				s.change(e, c.To)
+			}
+		}
+	}
+}
+
+func seconds(s float64) msg.Time { return msg.Time(s * float64(time.Second)) }
+
+func (p *planned) engines(s *sim) []planner.Engine {
+	var out []planner.Engine
+	for _, e := range s.engines {
+		pe := planner.Engine{
+			ID:          e.id,
+			Domain:      e.domain,
+			Role:        e.role,
+			Available:   e.state == serving,
+			Changing:    e.state == draining || e.state == changing,
+			SinceChange: seconds(s.now - e.changed),
+		}
+		if pe.Changing {
+			pe.Role = e.to
+		}
+		if e.role != msg.RolePrefill {
+			pe.DrainTime = seconds(min(drainLimit, float64(e.reserved)*0.2))
+		}
+		out = append(out, pe)
+	}
+	return out
+}
--- a/internal/core/gate/authority.go
+++ b/internal/core/gate/authority.go
@@ -10,11 +10,6 @@
 // LeaseName names the lease under which a pool's targets are given orders.
 func LeaseName(pool msg.PoolID) msg.LeaseName { return msg.LeaseName("fleet/" + string(pool)) }
 
-// leaseBody is the part of a lease object that fences orders.
-type leaseBody struct {
-	Epoch msg.Epoch `json:"epoch"`
-}
-
 // confirmLease reads the lease before an order is executed, so that an order
 // that was long on its way from a former holder is refused even when the
 // present holder has not been heard from.
@@ -55,7 +50,7 @@
 	if r.Status != msg.CallOK {
 		return 0, "the lease can't be read"
 	}
-	var body leaseBody
+	var body msg.LeaseRecord
 	if err := json.Unmarshal(r.Object.Value, &body); err != nil {
 		return 0, "the lease can't be decoded"
 	}
--- a/internal/core/gate/gate_test.go
+++ b/internal/core/gate/gate_test.go
@@ -66,7 +66,7 @@
 		s.step(msg.GetDone{Call: eff.Call, Status: msg.CallUnavailable})
 		return
 	}
-	body, _ := json.Marshal(leaseBody{Epoch: s.leaseEpoch})
+	body, _ := json.Marshal(msg.LeaseRecord{Epoch: s.leaseEpoch})
 	value, _ := json.Marshal(store.Envelope{Body: body})
 	s.step(msg.GetDone{Call: eff.Call, Object: msg.Object{Kind: eff.Kind, Name: eff.Name, Version: 1, Value: value}})
 }
--- a/internal/core/gate/orders.go
+++ b/internal/core/gate/orders.go
@@ -264,7 +264,8 @@
 		g.held = o.order.Kind == msg.OrderDrain || (g.held && o.order.Kind != msg.OrderResume)
 	}
 	answer := msg.OrderAnswer{Order: o.order.ID, Status: status, Reason: reason, Report: g.report()}
-	if status == msg.OrderDone || o.state >= orderApplying {
+	settled := status != msg.OrderUnknown
+	if settled && (status == msg.OrderDone || o.state >= orderApplying) {
 		g.orders.seq = o.order.Seq
 		g.orders.keep(answer)
 	}
