--- a/internal/daemon/side.go
+++ b/internal/daemon/side.go
@@ -37,7 +37,7 @@
 }
 
 // execute carries out one effect of the reducer.
-func (s *side) execute(now msg.Time, eff msg.Effect) {
+func (s *side) execute(_ msg.Time, eff msg.Effect) {
 	s.seen(eff)
 	switch eff := eff.(type) {
 	case msg.RunAttempt:
@@ -79,6 +79,10 @@
 	timer := time.AfterFunc(timeout, func() { run.cancel(errTimeout) })
 	defer timer.Stop()
 	out := s.target.run(run.ctx, run)
+	if run.spec.PrefillOnly {
+		// The attempt that answers is charged for the prompt.
+		out.usage = msg.TokenUsage{}
+	}
 	run.finish(out.result, out.reason, out.usage)
 	if out.result == msg.AttemptCrashed {
 		s.loop.Post(msg.TargetCrashed{})
@@ -156,7 +160,7 @@
 func (s *side) PeerUp(p link.Peer, _ *link.Hello) { s.loop.Post(msg.PeerUp{Host: p.Host}) }
 
 // PeerDown implements [link.Handler].
-func (s *side) PeerDown(p link.Peer) {
+func (s *side) PeerDown(p link.Peer, _ *link.Hello) {
 	s.loop.Post(msg.PeerDown{Host: p.Host})
 	s.loop.Post(msg.EntryLost{Host: p.Host})
 }
