--- a/internal/capacity/measure/main.go
+++ b/internal/capacity/measure/main.go
@@ -1,17 +1,82 @@
-// Command measure prints what daemons cost at several sizes, as Markdown.
+// Command measure measures what daemons cost at several sizes. Its output is
+// read by its own command table.
 package main
 
 import (
+	"context"
 	"fmt"
-	"time"
+	"os"
+
+	"github.com/urfave/cli/v3"
 
 	"github.com/verbenaspur/verbenaspur/internal/capacity"
 )
 
+const (
+	flagShare = "share"
+	flagDir   = "dir"
+	flagOver  = "over"
+)
+
+// shares are the measured parts of the target size.
+var shares = []float64{0.125, 0.25, 0.5, 1}
+
 func main() {
-	for _, s := range []float64{0.25, 0.5, 1} {
-		t := time.Now()
-		c := capacity.MeasureControl(capacity.Target.Scale(s))
-		fmt.Printf("%v %+v\n", time.Since(t), c)
+	cmd := &cli.Command{
+		Name:  "measure",
+		Usage: "measure what daemons cost at several sizes",
+		Commands: []*cli.Command{
+			{Name: "manifest", Usage: "a change of configuration, by accounts", Action: measureManifest},
+			{Name: "control", Usage: "the reducers of whole deployments in virtual time", Action: measureControl},
+			{
+				Name: "daemon", Usage: "a real entry daemon that faces stand-in peers", Action: measureDaemon,
+				Flags: []cli.Flag{
+					&cli.FloatFlag{Name: flagShare, Usage: "share of the target size", Value: 1},
+					&cli.StringFlag{Name: flagDir, Usage: "directory for settings and certificates", Required: true},
+					&cli.DurationFlag{Name: flagOver, Usage: "time of the measurement", Value: defaultOver},
+				},
+			},
+			{Name: "table", Usage: "results on standard input as Markdown", Action: table},
+		},
+	}
+	if err := cmd.Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "measure:", err)
+		os.Exit(1)
+	}
+}
+
+func measureManifest(context.Context, *cli.Command) error {
+	for _, share := range shares {
+		points, err := capacity.MeasureManifest(capacity.Target.Scale(share).Accounts)
+		if err != nil {
+			return err
+		}
+		if err := capacity.Write(os.Stdout, points); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func measureControl(context.Context, *cli.Command) error {
+	for _, share := range shares {
+		c := capacity.MeasureControl(capacity.Target.Scale(share))
+		fmt.Fprintf(os.Stderr, "measure: %d entries, %d sides: %d requests finished, %d refused\n",
+			c.Size.Entries, c.Size.Targets, c.Finished, c.Refused)
+		for what, n := range c.Unhandled {
+			fmt.Fprintf(os.Stderr, "measure: %d effects %s without an answer\n", n, what)
+		}
+		if err := capacity.Write(os.Stdout, c.Points()); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func table(context.Context, *cli.Command) error {
+	points, err := capacity.Read(os.Stdin)
+	if err != nil {
+		return err
 	}
+	return capacity.WriteTable(os.Stdout, points)
 }
--- /dev/null
+++ b/internal/capacity/peers.go
@@ -0,0 +1,163 @@
+package capacity
+
+import (
+	"crypto/tls"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/netip"
+	"time"
+
+	"github.com/verbenaspur/verbenaspur/internal/core/msg"
+	"github.com/verbenaspur/verbenaspur/internal/identity"
+	"github.com/verbenaspur/verbenaspur/internal/link"
+	"github.com/verbenaspur/verbenaspur/internal/standin/platform"
+	"github.com/verbenaspur/verbenaspur/internal/wire"
+)
+
+const (
+	// LinkPort is the UDP port of all daemons.
+	LinkPort = 9000
+	// reportInterval is the time between two load reports of a stand-in side.
+	reportInterval = 500 * time.Millisecond
+)
+
+// Peers stands in for all other daemons of a deployment: their ends of the
+// connections, their heartbeats and load reports.
+type Peers struct {
+	Traffic Traffic
+	Hosts   []platform.Host
+	nodes   []*link.Node
+	relays  []*relay
+	stop    chan struct{}
+}
+
+// StartPeers starts the stand-ins for a size, less the daemon itself, with
+// certificates of the authority. The daemon reaches each at 127.10.x.y, which
+// relays to 127.20.x.y.
+func StartPeers(a *identity.Authority, size Size) (*Peers, error) {
+	p := &Peers{stop: make(chan struct{})}
+	for i := range size.Entries - 1 + size.Targets {
+		side := i >= size.Entries-1
+		if err := p.start(a, i, side); err != nil {
+			p.Close()
+			return nil, err
+		}
+	}
+	return p, nil
+}
+
+func (p *Peers) start(a *identity.Authority, i int, side bool) error {
+	domain, region := place(i)
+	peer := identity.Peer{Kind: identity.KindEntry, Host: fmt.Sprintf("peer-%03d", i)}
+	kind, listed := msg.HostEntry, "entry"
+	if side {
+		peer.Kind, kind, listed = identity.KindSide, msg.HostTarget, "target"
+	}
+	front, back := fmt.Sprintf("127.10.%d.%d", i/250, i%250+1), fmt.Sprintf("127.20.%d.%d", i/250, i%250+1)
+	files, err := a.Issue(peer, netip.MustParseAddr(back))
+	if err != nil {
+		return err
+	}
+	pair, err := identity.LoadPair(files)
+	if err != nil {
+		return err
+	}
+	hello := link.Hello{Host: msg.HostID(peer.Host), Incarnation: "i1", Domain: domain}
+	if side {
+		hello.Target = &msg.TargetIdentity{Target: msg.TargetID(peer.Host), Pool: pool}
+	}
+	h := &peerHandler{hello: hello}
+	node, err := link.New(link.Config{
+		Hello: hello, Kind: kind, Addr: fmt.Sprintf("%s:%d", back, LinkPort),
+		ServerTLS: identity.TLSServer(pair, link.Protocol),
+		ClientTLS: func(link.Peer) *tls.Config { return nil },
+		Identify:  identifyPeer, Handler: h, Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
+	})
+	if err != nil {
+		return err
+	}
+	h.node = node
+	p.nodes = append(p.nodes, node)
+	r, err := newRelay(fmt.Sprintf("%s:%d", front, LinkPort), fmt.Sprintf("%s:%d", back, LinkPort), &p.Traffic)
+	if err != nil {
+		return err
+	}
+	p.relays = append(p.relays, r)
+	p.Hosts = append(p.Hosts, platform.Host{
+		Host: peer.Host, Addr: front, FailureDomain: string(domain), Region: string(region), Kind: listed, State: "live",
+	})
+	if side {
+		go p.report(node)
+	}
+	return nil
+}
+
+// report sends load reports to whoever is connected.
+func (p *Peers) report(node *link.Node) {
+	t := time.NewTicker(reportInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-p.stop:
+			return
+		case <-t.C:
+			r := engineReport()
+			node.Broadcast(&link.Frame{Report: &r})
+		}
+	}
+}
+
+// Close ends the stand-ins.
+func (p *Peers) Close() {
+	close(p.stop)
+	for _, n := range p.nodes {
+		n.Close()
+	}
+	for _, r := range p.relays {
+		r.close()
+	}
+}
+
+func identifyPeer(state tls.ConnectionState) (link.Peer, error) {
+	id, err := identity.PeerOfState(state)
+	return link.Peer{Kind: msg.HostEntry, Host: msg.HostID(id.Host)}, err
+}
+
+// peerHandler answers what a daemon asks its peers.
+type peerHandler struct {
+	node  *link.Node
+	hello link.Hello
+}
+
+// PeerUp implements [link.Handler].
+func (h *peerHandler) PeerUp(link.Peer, *link.Hello) {}
+
+// PeerDown implements [link.Handler].
+func (h *peerHandler) PeerDown(link.Peer, *link.Hello) {}
+
+// Attempt implements [link.Handler]. Stand-in peers run nothing.
+func (h *peerHandler) Attempt(link.Peer, *link.Stream, *link.Frame) {}
+
+// Control implements [link.Handler]. It holds whatever generation the daemon
+// asks about.
+func (h *peerHandler) Control(_ link.Peer, _ *link.Hello, f *link.Frame) {
+	if f.Peer == nil {
+		return
+	}
+	m, err := wire.UnmarshalPeer(f.Peer)
+	if err != nil {
+		return
+	}
+	if q, ok := m.(msg.ConfigQuery); ok {
+		h.node.Broadcast(peerFrame(msg.ConfigHeld(q)))
+	}
+}
+
+func peerFrame(m msg.PeerMessage) *link.Frame {
+	b, err := wire.Marshal(m)
+	if err != nil {
+		panic("capacity: " + err.Error())
+	}
+	return &link.Frame{Peer: b}
+}
--- a/internal/capacity/world.go
+++ b/internal/capacity/world.go
@@ -113,7 +113,11 @@
 	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq
 }
 func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *eventQueue) Push(x any)   { *q = append(*q, x.(scheduled)) }
+
+// Push implements [heap.Interface].
+func (q *eventQueue) Push(x any) { *q = append(*q, x.(scheduled)) }
+
+// Pop implements [heap.Interface].
 func (q *eventQueue) Pop() any {
 	last := (*q)[len(*q)-1]
 	*q = (*q)[:len(*q)-1]
--- a/internal/manifest/decode.go
+++ b/internal/manifest/decode.go
@@ -16,6 +16,9 @@
 	if len(b) > MaxSize {
 		return nil, ErrTooLarge
 	}
+	if m, ok := decodeCanonical(b); ok {
+		return m, nil
+	}
 	var m Manifest
 	if err := strictyaml.Decode(b, &m, check); err != nil {
 		return nil, errors.Wrap(err, "manifest")
--- a/internal/manifest/decode_test.go
+++ b/internal/manifest/decode_test.go
@@ -97,3 +97,39 @@
 		})
 	}
 }
+
+func TestCanonicalFormDecodesAlike(t *testing.T) {
+	is := is.New(t)
+	m, err := Decode([]byte(valid))
+	is.NoErr(err)
+	b, err := Encode(m)
+	is.NoErr(err)
+	_, fast := decodeCanonical(b)
+	is.True(fast)
+	again, err := Decode(b)
+	is.NoErr(err)
+	is.Equal(again, m)
+}
+
+func TestOtherJSONIsCheckedAsYAML(t *testing.T) {
+	m, err := Decode([]byte(valid))
+	is.New(t).NoErr(err)
+	b, err := Encode(m)
+	is.New(t).NoErr(err)
+	tests := []struct{ name, old, new, want string }{
+		{"repeated field", `"deployment":"test"`, `"deployment":"test","deployment":"test2"`, "line 1"},
+		{"misspelt field", `"deployment":"test"`, `"Deployment":"test"`, "Deployment"},
+		{"unknown field", `"deployment":"test"`, `"deployment":"test","x":1`, `unknown field "x"`},
+		{"dangling reference", `"pool":"p"`, `"pool":"q"`, `no pool is called "q"`},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			_, err := Decode([]byte(strings.Replace(string(b), tt.old, tt.new, 1)))
+			is.True(err != nil)
+			if !strings.Contains(err.Error(), tt.want) {
+				t.Fatalf("got  %v\nwant %s", err, tt.want)
+			}
+		})
+	}
+}
--- a/internal/strictyaml/decode.go
+++ b/internal/strictyaml/decode.go
@@ -3,6 +3,7 @@
 package strictyaml
 
 import (
+	"bytes"
 	"reflect"
 	"strings"
 
@@ -11,6 +12,7 @@
 	"github.com/goccy/go-yaml"
 	"github.com/goccy/go-yaml/ast"
 	"github.com/goccy/go-yaml/parser"
+	"github.com/goccy/go-yaml/token"
 )
 
 // Fault is a fault at a path of the document, found by a [Check].
@@ -31,34 +33,62 @@
 	if err != nil {
 		return single(fromYAML(err, nil))
 	}
-	pos := newPositions(file)
-	if p, ok := pos.unsupported(file); ok {
+	// The positions are worked out only where something is wrong.
+	d := &document{file: file}
+	if p, ok := d.unsupported(b); ok {
 		return single(p)
 	}
-	if err := yaml.UnmarshalWithOptions(b, v, yaml.Strict()); err != nil {
-		return single(fromYAML(err, pos))
+	if err := yaml.NodeToValue(d.body(), v, yaml.Strict()); err != nil {
+		return single(fromYAML(err, d.positions()))
 	}
-	if problems := validate(v, pos); len(problems) > 0 {
+	if problems := validate(v, d); len(problems) > 0 {
 		return &Error{Problems: problems}
 	}
 	if check == nil {
 		return nil
 	}
-	return located(check(v), pos)
+	return located(check(v), d)
 }
 
-func located(faults []Fault, pos *positions) error {
+// document is a parsed document.
+type document struct {
+	file *ast.File
+	pos  *positions
+}
+
+// body returns the document's root node; an empty document is an empty
+// mapping.
+func (d *document) body() ast.Node {
+	if len(d.file.Docs) == 0 || d.file.Docs[0].Body == nil {
+		return ast.Mapping(token.New("", "", &token.Position{Line: 1, Column: 1}), true)
+	}
+	return d.file.Docs[0].Body
+}
+
+func (d *document) positions() *positions {
+	if d.pos == nil {
+		d.pos = newPositions(d.file)
+	}
+	return d.pos
+}
+
+// Valid reports whether a value meets its validation tags and the check.
+func Valid[T any](v *T, check Check[T]) bool {
+	return tags.Struct(v) == nil && len(check(v)) == 0
+}
+
+func located(faults []Fault, d *document) error {
 	if len(faults) == 0 {
 		return nil
 	}
 	e := &Error{}
 	for _, f := range faults {
-		e.Problems = append(e.Problems, pos.problem(f.Path, f.Message))
+		e.Problems = append(e.Problems, d.positions().problem(f.Path, f.Message))
 	}
 	return e
 }
 
-func validate(v any, pos *positions) []Problem {
+func validate(v any, d *document) []Problem {
 	err := tags.Struct(v)
 	var fields validator.ValidationErrors
 	if !errors.As(err, &fields) {
@@ -66,7 +96,7 @@
 	}
 	problems := make([]Problem, 0, len(fields))
 	for _, f := range fields {
-		problems = append(problems, pos.problem(pathOf(f), explain(f)))
+		problems = append(problems, d.positions().problem(pathOf(f), explain(f)))
 	}
 	return problems
 }
@@ -172,12 +202,15 @@
 
 // unsupported finds what a generated document has no use for: several
 // documents in one, and aliases, which can make a small text very large.
-func (p *positions) unsupported(file *ast.File) (Problem, bool) {
-	if len(file.Docs) > 1 {
+func (d *document) unsupported(text []byte) (Problem, bool) {
+	if len(d.file.Docs) > 1 {
 		return Problem{Message: "holds more than one YAML document; give one"}, true
 	}
+	if !bytes.ContainsAny(text, "&*") {
+		return Problem{}, false
+	}
 	var found aliasFinder
-	for _, doc := range file.Docs {
+	for _, doc := range d.file.Docs {
 		if doc.Body != nil {
 			ast.Walk(&found, doc.Body)
 		}
