--- a/internal/capacity/manifest.go
+++ b/internal/capacity/manifest.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"strings"
 
-	"github.com/verbenaspur/verbenaspur/internal/manifest"
+	"github.com/verbenaspur/verbenaspur/internal/core/keys"
 )
 
 const (
@@ -44,7 +44,8 @@
 	fmt.Fprintf(b, "  - name: %s\n    weight: %d\n    limits: {concurrent: 64, queued: 256}\n    keys:\n", accountName(a), 1+a%5)
 	for k := range keysOfAccount {
 		id := keyID(a, k)
-		fmt.Fprintf(b, "      - {id: %s, hash: %q}\n", id, manifest.HashKey(id, secret))
+		digest := keys.Digest(id, secret)
+		fmt.Fprintf(b, "      - {id: %s, hash: \"%x\"}\n", id, digest)
 	}
 }
 
--- a/internal/capacity/requests.go
+++ b/internal/capacity/requests.go
@@ -4,8 +4,8 @@
 	"fmt"
 	"time"
 
+	"github.com/verbenaspur/verbenaspur/internal/core/keys"
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
-	"github.com/verbenaspur/verbenaspur/internal/manifest"
 )
 
 const (
@@ -54,7 +54,7 @@
 	id := keyID(account, 0)
 	r.sent++
 	r.w.deliver(n, msg.RequestArrived{
-		Req: msg.RequestID(fmt.Sprintf("r%08d", r.sent)), Model: "chat", KeyID: id, KeyDigest: manifest.DigestKey(id, secret),
+		Req: msg.RequestID(fmt.Sprintf("r%08d", r.sent)), Model: "chat", KeyID: id, KeyDigest: keys.Digest(id, secret),
 		PromptTokens: promptTokens, MaxTokens: outputTokens,
 	})
 }
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/hex"
 	"encoding/json"
 	"net/http"
 	"net/http/httptest"
@@ -13,6 +14,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/verbenaspur/verbenaspur/internal/core/keys"
 	"github.com/verbenaspur/verbenaspur/internal/manifest"
 	"github.com/verbenaspur/verbenaspur/internal/operator"
 )
@@ -162,17 +164,18 @@
 	is.Equal(code, exitOK)
 	var made newKey
 	is.NoErr(json.Unmarshal([]byte(out), &made))
-	id, secret, err := manifest.ParseKey(made.Key)
-	is.NoErr(err)
+	id, digest, ok := keys.ParseBearer("Bearer " + made.Key)
+	is.True(ok)
+	is.Equal(id, "township-2")
 
 	m, after, err := readManifest(path)
 	is.NoErr(err)
 	ref, ok := manifest.NewIndex(m).Key("township-2")
 	is.True(ok)
 	is.Equal(ref.Account.Name, "township-a")
-	is.Equal(ref.Key.Hash, manifest.HashKey(id, secret))
-	is.True(!bytes.Contains(after, []byte(secret)))                      // the secret is kept nowhere
-	is.True(bytes.Contains(after, []byte("# The demo's manifest. Its"))) // comments stay
+	is.Equal(ref.Key.Hash, hex.EncodeToString(digest[:]))
+	is.True(!bytes.Contains(after, []byte(strings.TrimPrefix(made.Key, "vsp_township-2_")))) // the secret is kept nowhere
+	is.True(bytes.Contains(after, []byte("# The demo's manifest. Its")))                     // comments stay
 
 	code, _, _ = run(t, "keys", "rotate", "--id", "township-2", path)
 	is.Equal(code, exitOK)
--- a/internal/ctl/keys.go
+++ b/internal/ctl/keys.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"io"
 	"slices"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/urfave/cli/v3"
 
+	"github.com/verbenaspur/verbenaspur/internal/core/keys"
 	"github.com/verbenaspur/verbenaspur/internal/manifest"
 	"github.com/verbenaspur/verbenaspur/internal/strictyaml"
 )
@@ -54,14 +57,12 @@
 	if !strictyaml.IsName(id) {
 		return newKey{}, usageError("%q is not an id of lower-case letters, digits, '-' and '.'", id)
 	}
-	secret, err := manifest.NewSecret()
-	if err != nil {
-		return newKey{}, err
+	var random [keys.SecretBytes]byte
+	if _, err := rand.Read(random[:]); err != nil {
+		return newKey{}, errors.Wrap(err, "secret")
 	}
-	return newKey{
-		Key:    manifest.FormatKey(id, secret),
-		Stanza: manifest.Key{ID: id, Hash: manifest.HashKey(id, secret)},
-	}, nil
+	text, hash := keys.NewKey(id, random)
+	return newKey{Key: text, Stanza: manifest.Key{ID: id, Hash: hash}}, nil
 }
 
 func runKeysNew(_ context.Context, cmd *cli.Command) error {
@@ -84,8 +85,8 @@
 	if err != nil {
 		return err
 	}
-	err = editKeys(path, account, func(keys []manifest.Key) ([]manifest.Key, error) {
-		return append(keys, key.Stanza), nil
+	err = editKeys(path, account, func(list []manifest.Key) ([]manifest.Key, error) {
+		return append(list, key.Stanza), nil
 	})
 	if err != nil {
 		return err
@@ -132,12 +133,12 @@
 		return err
 	}
 	end := time.Now().Add(cmd.Duration(flagOverlap)).UTC().Truncate(time.Second)
-	err = editKeys(path, old.Account.Name, func(keys []manifest.Key) ([]manifest.Key, error) {
-		i := slices.IndexFunc(keys, func(k manifest.Key) bool { return k.ID == old.Key.ID })
-		if keys[i].NotAfter.IsZero() || keys[i].NotAfter.After(end) {
-			keys[i].NotAfter = end
+	err = editKeys(path, old.Account.Name, func(list []manifest.Key) ([]manifest.Key, error) {
+		i := slices.IndexFunc(list, func(k manifest.Key) bool { return k.ID == old.Key.ID })
+		if list[i].NotAfter.IsZero() || list[i].NotAfter.After(end) {
+			list[i].NotAfter = end
 		}
-		return append(keys, key.Stanza), nil
+		return append(list, key.Stanza), nil
 	})
 	if err != nil {
 		return err
@@ -175,8 +176,8 @@
 	if !ok {
 		return exitWith(exitNotFound, "no key has the id %q in %s", id, path)
 	}
-	err = editKeys(path, ref.Account.Name, func(keys []manifest.Key) ([]manifest.Key, error) {
-		return slices.DeleteFunc(keys, func(k manifest.Key) bool { return k.ID == id }), nil
+	err = editKeys(path, ref.Account.Name, func(list []manifest.Key) ([]manifest.Key, error) {
+		return slices.DeleteFunc(list, func(k manifest.Key) bool { return k.ID == id }), nil
 	})
 	if err != nil {
 		return err
