--- a/internal/ctl/app.go
+++ b/internal/ctl/app.go
@@ -50,7 +50,7 @@
 		Commands: []*cli.Command{
 			validateCommand(), diffCommand(), applyCommand(), historyCommand(),
 			statusCommand(), explainCommand(), planCommand(), usageCommand(), drainCommand(),
-			accountsCommand(), keysCommand(), certsCommand(), loadCommand(), reportCommand(),
+			accountsCommand(), keysCommand(), certsCommand(), loadCommand(), reportCommand(), replayCommand(),
 		},
 	}
 	setUsageErrors(root)
