--- a/internal/core/entry.go
+++ b/internal/core/entry.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/verbenaspur/verbenaspur/internal/core/claim"
 	"github.com/verbenaspur/verbenaspur/internal/core/config"
+	"github.com/verbenaspur/verbenaspur/internal/core/exchange"
 	"github.com/verbenaspur/verbenaspur/internal/core/gate"
 	"github.com/verbenaspur/verbenaspur/internal/core/lease"
 	"github.com/verbenaspur/verbenaspur/internal/core/member"
@@ -38,6 +39,7 @@
 	claims   *claim.Part
 	recorder *usage.Recorder
 	reporter *usage.Reporter
+	leases   *lease.Part
 	config   *config.Part
 	requests *request.Manager
 	state    *state
@@ -45,21 +47,23 @@
 
 // NewEntry returns the reducer of an entry daemon.
 func NewEntry(cfg EntryConfig) *Entry {
+	cfg.Parts.Lease.Self, cfg.Parts.Lease.Incarnation = cfg.Self.Host, cfg.Incarnation
 	e := &Entry{
 		self:     cfg.Self,
 		claims:   claim.New(cfg.Parts.Claim),
 		recorder: usage.NewRecorder(cfg.Parts.Recorder),
 		reporter: usage.NewReporter(cfg.Parts.Reporter),
+		leases:   lease.New(cfg.Parts.Lease),
 		config:   config.New(config.Config{Self: cfg.Self.Host, Incarnation: cfg.Incarnation}),
 		requests: request.New(request.Config{}),
 		state:    &state{},
 	}
-	cfg.Parts.Lease.Self, cfg.Parts.Lease.Incarnation = cfg.Self.Host, cfg.Incarnation
 	e.Reducer = newObserved(
 		cfg.Parts.Observer,
+		e.leases,
 		e.state,
 		member.New(member.Config{Self: cfg.Self}),
-		lease.New(cfg.Parts.Lease),
+		exchange.New(exchange.Config{Self: cfg.Self}),
 		e.config,
 		e.claims,
 		e.requests,
--- a/internal/proof/platform_test.go
+++ b/internal/proof/platform_test.go
@@ -98,6 +98,7 @@
 func (p *proc) listHosts(eff msg.ListHosts) {
 	s := p.s
 	if s.store != storeWell || !s.reaches(p.self.Host, platform) || !s.reaches(platform, p.self.Host) {
+		p.blind = s.now
 		p.later(100*time.Millisecond, func() { p.step(msg.HostsListed{Call: eff.Call, Status: msg.CallUnavailable}) })
 		return
 	}
--- a/internal/proof/sim_test.go
+++ b/internal/proof/sim_test.go
@@ -118,15 +118,17 @@
 
 // proc is one process: a reducer and its driver.
 type proc struct {
-	s        *sim
-	self     msg.Self
-	inc      msg.Incarnation
-	born     time.Duration
-	skew     time.Duration
-	reducer  stepper
-	dead     bool
-	paused   bool
-	stopped  bool // asked to stop
+	s       *sim
+	self    msg.Self
+	inc     msg.Incarnation
+	born    time.Duration
+	skew    time.Duration
+	reducer stepper
+	dead    bool
+	paused  bool
+	stopped bool // asked to stop
+	// blind is the last time at which the host list could not be read.
+	blind    time.Duration
 	closing  bool // about to exit
 	closedAt time.Duration
 	held     []func()
@@ -250,6 +252,9 @@
 	if p.dead {
 		return
 	}
+	if p.paused || p.s.store != storeWell || !p.s.reaches(p.self.Host, platform) || !p.s.reaches(platform, p.self.Host) {
+		p.blind = p.s.now
+	}
 	for _, h := range p.s.hosts {
 		if !p.peers[h.Host] {
 			continue
