--- a/internal/core/claim/claim.go
+++ b/internal/core/claim/claim.go
@@ -25,9 +25,12 @@
 const (
 	// Shards is the number of ledger objects. A key is found by this number,
 	// so it is fixed for the life of a deployment.
-	Shards = 16
+	Shards = 32
 
 	claimTimeout = 2 * time.Second
+	// endingDelay is how long a completion may wait for a write that claims
+	// need anyway.
+	endingDelay = 200 * time.Millisecond
 	retryMin     = 50 * time.Millisecond
 	retryMax     = 2 * time.Second
 	maxQueued    = 4096
@@ -120,6 +123,8 @@
 	state   state
 	release bool
 	answer  *msg.KeptAnswer
+	// due is when it is written even without a claim to go with.
+	due msg.Time
 	// fence is the version that the ledger must have left before a record that
 	// is not there can no longer appear.
 	fence msg.Version
@@ -196,7 +201,7 @@
 func (p *Part) onWanted(now msg.Time, w msg.ClaimWanted) []msg.Effect {
 	key, mark := newKeyID(w)
 	c := &claim{want: w, key: key, mark: mark, body: bodyID(w.Body), deadline: now + claimTimeout}
-	if at, ok := keyTime(w.Key); ok && p.wall.Sub(at) > retention {
+	if at, ok := keyTime(w.Key); ok && p.wall.Sub(at) > expiredRetention {
 		return p.settle(c, msg.ClaimExpired, nil)
 	}
 	s := p.shardOf(c)
@@ -224,6 +229,9 @@
 		return nil
 	}
 	c.ending = p.endingOf(ev)
+	if !c.ending.release {
+		c.ending.due = now + endingDelay
+	}
 	if c.phase == phaseWriting {
 		return nil
 	}
--- a/internal/core/claim/claim_test.go
+++ b/internal/core/claim/claim_test.go
@@ -89,6 +89,7 @@
 	is.Equal(b.claim("r4", "k", 2).Status, msg.ClaimMismatch)
 
 	a.end("r1", msg.OutcomeRun, &msg.KeptAnswer{Status: 201, Body: []byte("ok")})
+	a.advance(2 * endingDelay)
 	got := b.claim("r5", "k", 1)
 	is.Equal(got.Status, msg.ClaimDone)
 	is.Equal(string(got.Answer.Body), "ok")
@@ -104,6 +105,7 @@
 	a.end("r1", msg.OutcomeNotRun, nil)
 	is.Equal(b.claim("r2", "k", 1).Status, msg.ClaimGranted)
 	b.end("r2", msg.OutcomeUnknown, nil)
+	b.advance(2 * endingDelay)
 	is.Equal(a.claim("r3", "k", 1).Status, msg.ClaimUnknown)
 }
 
@@ -213,6 +215,7 @@
 	a := newNode(objects, "a", "1")
 	is.Equal(a.claim("r1", "k", 1).Status, msg.ClaimGranted)
 	a.end("r1", msg.OutcomeRun, nil)
+	a.advance(2 * endingDelay)
 
 	a.wall = a.wall.Add(retention + time.Hour)
 	a.advance(msg.TickInterval)
--- a/internal/core/claim/ledger.go
+++ b/internal/core/claim/ledger.go
@@ -14,9 +14,9 @@
 
 const (
 	// retention is how long a settled claim is kept with its answer.
-	retention = 24 * time.Hour
+	retention = time.Hour
 	// expiredRetention is how long the fingerprint of an expired claim is kept.
-	expiredRetention = 30 * 24 * time.Hour
+	expiredRetention = 7 * 24 * time.Hour
 	// maxRunning is the age at which a claim that still runs counts as lost.
 	maxRunning = time.Hour
 	// maxLedgerBytes bounds the encoded size of one ledger object; the
--- a/internal/core/claim/shard.go
+++ b/internal/core/claim/shard.go
@@ -37,11 +37,18 @@
 	s.queue = slices.DeleteFunc(s.queue, func(o *claim) bool { return o == c })
 }
 
-func (s *shard) hasWork() bool { return s.wantRead || len(s.queue) > 0 || len(s.endings) > 0 }
+// hasWork reports whether a call is due. Completions wait a while for claims
+// whose write can carry them.
+func (s *shard) hasWork(now msg.Time) bool {
+	if s.wantRead || len(s.queue) > 0 {
+		return true
+	}
+	return slices.ContainsFunc(s.endings, func(c *claim) bool { return c.ending.due <= now })
+}
 
 // advance does the shard's next step, if it can do one now.
 func (p *Part) advance(now msg.Time, s *shard) []msg.Effect {
-	if s.busy || now < s.retryAt || !s.hasWork() {
+	if s.busy || now < s.retryAt || !s.hasWork(now) {
 		return nil
 	}
 	if !s.known || s.wantRead {
