Slow callers no longer starve a connection; dials to a host are serialized

Cause: a caller that reads nothing left its stream's bytes unread, and with two such streams the connection's shared flow control window was used up, so that the control stream's heartbeats stopped and the host was taken for down after 2 s (seen in TestSlowCallerHoldsUpNobodyElse, which hung). Concurrent dials to one host also left connections that Close waited for without end. Now the entry acknowledges frames and a side daemon sends at most 256 beyond them; dials are serialized; a send ends with its stream.

--- a/internal/core/entry.go
+++ b/internal/core/entry.go
@@ -53,7 +53,7 @@
 		e.requests,
 		e.recorder,
 		e.reporter,
-		&stopper{idlers: []idler{e.requests, e.recorder}},
+		&stopper{requests: e.requests, flushers: []idler{e.recorder}},
 	)
 	return e
 }
--- a/internal/core/stop.go
+++ b/internal/core/stop.go
@@ -20,11 +20,15 @@
 	Idle() bool
 }
 
-// stopper emits StopReady once all idlers have finished.
+// stopper emits StopReady once the requests are over and the flushers have
+// finished, or stopFlush after the last request.
 type stopper struct {
-	idlers []idler
-	since  msg.Time
+	requests idler
+	flushers []idler
+
 	asked  bool
+	since  msg.Time // the last instant with an open request
+	notice msg.Time
 	done   bool
 }
 
@@ -33,7 +37,7 @@
 	switch ev.(type) {
 	case msg.StopRequested:
 		if !s.asked {
-			s.asked, s.since = true, now
+			s.asked, s.since, s.notice = true, now, now+stopNotice
 		}
 	case msg.Tick:
 		return s.onTick(now)
@@ -42,14 +46,25 @@
 }
 
 func (s *stopper) onTick(now msg.Time) []msg.Effect {
-	if !s.asked || s.done || now-s.since < stopNotice {
+	if !s.asked || s.done {
 		return nil
 	}
-	for _, i := range s.idlers {
-		if !i.Idle() {
-			return nil
-		}
+	if !s.requests.Idle() {
+		s.since = now
+		return nil
+	}
+	if now < s.notice || (!s.flushed() && now-s.since < stopFlush) {
+		return nil
 	}
 	s.done = true
 	return []msg.Effect{msg.StopReady{}}
 }
+
+func (s *stopper) flushed() bool {
+	for _, f := range s.flushers {
+		if !f.Idle() {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/daemon/attempt_entry.go
+++ b/internal/daemon/attempt_entry.go
@@ -115,12 +115,17 @@
 		return attemptEnd{}, err
 	}
 	go s.Beat(done)
+	acked := r.next
 	for {
 		f, err := s.Read()
 		if err != nil {
 			return attemptEnd{}, err
 		}
 		end, over, err := r.take(f)
+		if err == nil && r.next-acked >= link.Credit/4 {
+			acked = r.next
+			err = s.Write(&link.Frame{Ack: &link.AttemptAck{Next: acked}}, resumeFor)
+		}
 		if over || err != nil {
 			s.CloseWrite()
 			return end, err
--- a/internal/daemon/attempt_side.go
+++ b/internal/daemon/attempt_side.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
 
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
 	"github.com/verbenaspur/verbenaspur/internal/link"
@@ -15,14 +16,16 @@
 	// attemptGrace is how long an attempt runs on without a stream to its
 	// entry daemon, and how long an ended one is kept for a resumption.
 	attemptGrace = 10 * time.Second
-	// maxUnread is the number of frames that an attempt may be ahead of its
-	// reader before it waits.
-	maxUnread = 1024
+	// maxUnread is the number of frames by which the target may be ahead of
+	// what was acknowledged before it waits.
+	maxUnread = 4 * link.Credit
 	// voidFor is how long an attempt id that was asked for and not known is
 	// refused.
 	voidFor = 10 * time.Minute
 )
 
+var errStreamEnded = errors.New("stream ended")
+
 // attemptRun is one attempt on a side daemon. Its frames are kept until it is
 // forgotten, so that a new stream can continue where a lost one ended.
 type attemptRun struct {
@@ -42,7 +45,7 @@
 	sum      *xxhash.Digest
 	end      *link.End
 	readers  int
-	reached  uint64 // the next sequence number that no reader has taken
+	acked    uint64 // the frames before it have been taken
 	detached time.Time
 }
 
@@ -87,7 +90,7 @@
 	}
 	a.frames = append(a.frames, f)
 	a.notify()
-	for uint64(len(a.frames)) > a.reached+maxUnread {
+	for uint64(len(a.frames)) > a.acked+maxUnread {
 		wait := a.changed
 		a.mu.Unlock()
 		select {
@@ -152,7 +155,8 @@
 func (a *attemptRun) send(s *link.Stream, next uint64) error {
 	select {
 	case <-a.decided:
-	case <-a.ctx.Done():
+	case <-s.Done():
+		return errStreamEnded
 	}
 	if a.refused != nil {
 		return s.Write(&link.Frame{Refused: a.refused}, 0)
@@ -171,27 +175,42 @@
 		if end != nil {
 			return s.Write(&link.Frame{End: end}, 0)
 		}
-		if len(frames) == 0 {
-			<-changed
+		if len(frames) > 0 {
+			continue
+		}
+		select {
+		case <-changed:
+		case <-s.Done():
+			return errStreamEnded
 		}
 	}
 }
 
-// after returns the frames from next on. With none left it returns the end,
-// or the channel that tells of a change.
+// after returns the frames from next on for which there is credit. With none
+// left it returns the end, or the channel that tells of a change.
 func (a *attemptRun) after(next uint64) ([]*link.Frame, *link.End, <-chan struct{}) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if next > a.reached {
-		a.reached = next
-		a.notify()
+	last := min(uint64(len(a.frames)), a.acked+link.Credit)
+	if next < last {
+		return a.frames[next:last:last], nil, nil
 	}
 	if next < uint64(len(a.frames)) {
-		return a.frames[next:len(a.frames):len(a.frames)], nil, nil
+		return nil, nil, a.changed
 	}
 	return nil, a.end, a.changed
 }
 
+// ack records that the frames before next were taken.
+func (a *attemptRun) ack(next uint64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if next > a.acked && next <= uint64(len(a.frames)) {
+		a.acked = next
+		a.notify()
+	}
+}
+
 // attemptTable holds a side daemon's attempts.
 type attemptTable struct {
 	mu   sync.Mutex
--- a/internal/daemon/side.go
+++ b/internal/daemon/side.go
@@ -187,7 +187,7 @@
 	done := make(chan struct{})
 	defer close(done)
 	s.wg.Go(func() { st.Beat(done) })
-	s.wg.Go(func() { s.readCancel(st, run) })
+	s.wg.Go(func() { s.readCallers(st, run) })
 	if err := run.send(st, next); err != nil {
 		st.Abandon()
 	}
@@ -196,7 +196,11 @@
 // admit finds or starts the attempt that a stream asks for.
 func (s *side) admit(p link.Peer, first *link.Frame) (*attemptRun, uint64) {
 	if first.Resume != nil {
-		return s.attempts.resume(first.Resume.Attempt), first.Resume.Next
+		run := s.attempts.resume(first.Resume.Attempt)
+		if run != nil {
+			run.ack(first.Resume.Next)
+		}
+		return run, first.Resume.Next
 	}
 	run, isNew := s.attempts.open(p.Host, first.Open)
 	if isNew {
@@ -205,13 +209,17 @@
 	return run, 0
 }
 
-// readCancel waits for the entry to stop the attempt.
-func (s *side) readCancel(st *link.Stream, run *attemptRun) {
+// readCallers takes acknowledgements, and waits for the entry to stop the
+// attempt.
+func (s *side) readCallers(st *link.Stream, run *attemptRun) {
 	for {
 		f, err := st.Read()
 		if err != nil {
 			return
 		}
+		if f.Ack != nil {
+			run.ack(f.Ack.Next)
+		}
 		if f.Cancel != nil {
 			run.cancel(errors.WithDetail(errCancelled, f.Cancel.Reason))
 			return
--- a/internal/link/conn.go
+++ b/internal/link/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -57,18 +58,41 @@
 
 // conn returns the connection to a host, dialing if there is none.
 func (n *Node) conn(ctx context.Context, host msg.HostID) (*conn, error) {
-	n.mu.Lock()
-	c, addr := n.conns[host], n.addrs[host]
-	n.mu.Unlock()
-	if c != nil {
+	if c := n.current(host); c != nil {
+		return c, nil
+	}
+	dial := n.dialLock(host)
+	dial.Lock()
+	defer dial.Unlock()
+	if c := n.current(host); c != nil {
 		return c, nil
 	}
+	n.mu.Lock()
+	addr := n.addrs[host]
+	n.mu.Unlock()
 	if addr.udp == "" {
 		return nil, errors.WithDetail(ErrNoAddress, string(host))
 	}
 	return n.dial(ctx, Peer{Kind: addr.kind, Host: host}, addr.udp)
 }
 
+func (n *Node) current(host msg.HostID) *conn {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.conns[host]
+}
+
+func (n *Node) dialLock(host msg.HostID) *sync.Mutex {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	m := n.dials[host]
+	if m == nil {
+		m = new(sync.Mutex)
+		n.dials[host] = m
+	}
+	return m
+}
+
 func (n *Node) dial(ctx context.Context, want Peer, addr string) (*conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, handshakeLimit)
 	defer cancel()
@@ -120,6 +144,7 @@
 	n.mu.Lock()
 	old := n.conns[c.peer.Host]
 	n.conns[c.peer.Host] = c
+	n.all[c] = struct{}{}
 	n.mu.Unlock()
 	if old == nil {
 		n.cfg.Handler.PeerUp(c.peer, c.hello)
@@ -145,7 +170,7 @@
 }
 
 func (n *Node) readControl(c *conn) {
-	defer close(c.done)
+	defer n.forget(c)
 	for {
 		f, err := c.control.Read()
 		if err != nil {
@@ -159,6 +184,14 @@
 	}
 }
 
+// forget ends what belongs to a connection whose control stream has ended.
+func (n *Node) forget(c *conn) {
+	close(c.done)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.all, c)
+}
+
 func (n *Node) closeIfSilent(c *conn, err error) {
 	var timeout interface{ Timeout() bool }
 	if errors.As(err, &timeout) && timeout.Timeout() {
--- a/internal/link/frame.go
+++ b/internal/link/frame.go
@@ -52,6 +52,7 @@
 	Head      *Head            `cbor:"13,keyasint,omitempty"`
 	Chunk     *Chunk           `cbor:"14,keyasint,omitempty"`
 	End       *End             `cbor:"15,keyasint,omitempty"`
+	Ack       *AttemptAck      `cbor:"16,keyasint,omitempty"`
 }
 
 // Hello introduces a process. The host must match its certificate.
@@ -104,6 +105,16 @@
 	Reason string `cbor:"1,keyasint"`
 }
 
+// Credit is the number of heads and chunks that a side daemon may send beyond
+// the last acknowledged one. It keeps a slow caller from filling the
+// connection's flow control window, which all streams share.
+const Credit = 256
+
+// AttemptAck tells that the caller's side has taken the frames before Next.
+type AttemptAck struct {
+	Next uint64 `cbor:"1,keyasint"`
+}
+
 // Accepted says that the attempt was taken on.
 type Accepted struct{}
 
--- a/internal/link/node.go
+++ b/internal/link/node.go
@@ -77,6 +77,10 @@
 	mu    sync.Mutex
 	addrs map[msg.HostID]address
 	conns map[msg.HostID]*conn
+	// all holds the connections in use and the replaced ones that still live.
+	all map[*conn]struct{}
+	// dials serializes the dials to one host.
+	dials map[msg.HostID]*sync.Mutex
 	keeps map[msg.HostID]context.CancelFunc
 	ln    *quic.Listener
 	sock  net.PacketConn
@@ -103,6 +107,8 @@
 		cfg: cfg, port: port, ctx: ctx, stop: stop, ln: ln, sock: sock,
 		addrs: make(map[msg.HostID]address),
 		conns: make(map[msg.HostID]*conn),
+		all:   make(map[*conn]struct{}),
+		dials: make(map[msg.HostID]*sync.Mutex),
 		keeps: make(map[msg.HostID]context.CancelFunc),
 	}
 	n.wg.Go(n.acceptConns)
@@ -111,13 +117,16 @@
 
 func quicConfig() *quic.Config {
 	return &quic.Config{
-		HandshakeIdleTimeout:       handshakeLimit,
-		MaxIdleTimeout:             SilenceLimit,
-		KeepAlivePeriod:            HeartbeatInterval,
-		MaxIncomingStreams:         maxStreams,
-		MaxIncomingUniStreams:      -1,
-		MaxStreamReceiveWindow:     streamReceiveLimit,
-		MaxConnectionReceiveWindow: maxReceiveWindow,
+		HandshakeIdleTimeout:   handshakeLimit,
+		MaxIdleTimeout:         SilenceLimit,
+		KeepAlivePeriod:        HeartbeatInterval,
+		MaxIncomingStreams:     maxStreams,
+		MaxIncomingUniStreams:  -1,
+		MaxStreamReceiveWindow: streamReceiveLimit,
+		// The streams' unread frames are bounded by Credit; the connection's
+		// window has room for many of them from the start.
+		InitialConnectionReceiveWindow: maxReceiveWindow,
+		MaxConnectionReceiveWindow:     maxReceiveWindow,
 	}
 }
 
@@ -125,7 +134,7 @@
 func (n *Node) Close() {
 	n.stop()
 	n.mu.Lock()
-	for _, c := range n.conns {
+	for c := range n.all {
 		c.close(codeShutdown, "shutdown")
 	}
 	n.mu.Unlock()
--- a/internal/link/stream.go
+++ b/internal/link/stream.go
@@ -84,3 +84,6 @@
 	s.s.CancelRead(codeAbandoned)
 	s.s.CancelWrite(codeAbandoned)
 }
+
+// Done is closed when nothing can be written to the stream any more.
+func (s *Stream) Done() <-chan struct{} { return s.s.Context().Done() }
