Measure the request path in virtual time

Cause: the policies need to be compared side by side. The fixture drives the real managers of four entries against a cost model of engines and services at the shapes of both users; make measure-requests prints the tables. Keys are checked by internal/core/keys; cache hits are also learned from an attempt's usage, since the driver tells them only there.

--- a/Makefile
+++ b/Makefile
@@ -31,3 +31,8 @@
 
 clean:
 	rm -rf $(BIN)
+
+# Prints the tables of docs/measurements/requests.md; takes a few minutes of one core.
+.PHONY: measure-requests
+measure-requests:
+	VERBENASPUR_MEASURE=1 go test -count 1 -timeout 30m -run TestMeasure -v ./internal/measure/requests
--- a/internal/core/request/arrive.go
+++ b/internal/core/request/arrive.go
@@ -1,10 +1,9 @@
 package request
 
 import (
-	"crypto/subtle"
-	"encoding/hex"
 	"time"
 
+	"github.com/verbenaspur/verbenaspur/internal/core/keys"
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
 	"github.com/verbenaspur/verbenaspur/internal/manifest"
 )
@@ -119,18 +118,11 @@
 
 // checkKey returns the client account of a valid key.
 func (s *step) checkKey(ev *msg.RequestArrived) (*manifest.Account, bool) {
-	ref, ok := s.index.Key(ev.KeyID)
-	if !ok {
-		return nil, false
-	}
-	want, err := hex.DecodeString(ref.Key.Hash)
-	if err != nil || subtle.ConstantTimeCompare(want, ev.KeyDigest[:]) != 1 {
-		return nil, false
-	}
-	if !ref.Key.NotAfter.IsZero() && s.wall.After(ref.Key.NotAfter) {
+	id, status := keys.Check(s.index, ev.KeyID, ev.KeyDigest, s.wall)
+	if status != keys.OK {
 		return nil, false
 	}
-	return ref.Account, true
+	return s.index.Account(string(id)), true
 }
 
 func (s *step) setLimits(r *request) {
@@ -167,6 +159,8 @@
 		s.refuse(r, refusal{statusUnprocessableEntity, CodeKeyReused, "the Idempotency-Key was used with another body", msg.OutcomeNotRun, 0})
 	case msg.ClaimUnknown:
 		s.refuse(r, refusal{statusConflict, CodeOutcomeUnknown, "an earlier request with this key may have run", msg.OutcomeUnknown, 0})
+	case msg.ClaimExpired:
+		s.refuse(r, refusal{statusConflict, CodeOutcomeUnknown, "the Idempotency-Key is too old to tell whether it ran", msg.OutcomeUnknown, 0})
 	case msg.ClaimUnavailable:
 		s.refuse(r, refusal{statusServiceUnavailable, CodeStoreUnavailable, "the request could not be claimed", msg.OutcomeNotRun, retryClaim})
 	}
--- a/internal/core/request/attempt.go
+++ b/internal/core/request/attempt.go
@@ -100,7 +100,7 @@
 // closeAttempt ends the count of the request's attempt.
 func (s *step) closeAttempt(r *request, usage msg.TokenUsage) {
 	delete(s.attempts, r.attempt)
-	s.router.End(s.now, r.attempt)
+	s.router.End(s.now, r.attempt, usage)
 	served := max(float64(usage.Prompt+usage.Generated), 0)
 	if r.arrived.Service != "" {
 		served = minTokens
--- a/internal/core/route/router.go
+++ b/internal/core/route/router.go
@@ -187,13 +187,14 @@
 	}
 }
 
-// Accepted compares the expected cache hit of an attempt with the real one.
+// Accepted compares the expected cache hit of an attempt with the real one,
+// where the target tells it at the begin.
 func (r *Router) Accepted(now msg.Time, id msg.AttemptID, cached int) {
 	f := r.attempts[id]
-	if f == nil || f.began {
+	if f == nil || f.began || cached == 0 {
 		return
 	}
-	r.cache.Observed(f.target.id, f.expected/PieceTokens, cached/PieceTokens)
+	r.observe(f, cached)
 	prefill := max(f.prompt-cached, 0)
 	f.target.apply(now, change{at: now, prefill: prefill - f.prefill})
 	f.prefill = prefill
@@ -210,12 +211,23 @@
 	f.prefill = 0
 }
 
-// End ends the count of an attempt.
-func (r *Router) End(now msg.Time, id msg.AttemptID) {
+func (r *Router) observe(f *flight, cached int) {
+	if f.observed {
+		return
+	}
+	f.observed = true
+	r.cache.Observed(f.target.id, f.expected/PieceTokens, cached/PieceTokens)
+}
+
+// End ends the count of an attempt. Its usage tells the real cache hit.
+func (r *Router) End(now msg.Time, id msg.AttemptID, usage msg.TokenUsage) {
 	f := r.attempts[id]
 	if f == nil {
 		return
 	}
+	if usage.Generated > 0 {
+		r.observe(f, int(usage.Cached))
+	}
 	delete(r.attempts, id)
 	f.target.apply(now, change{at: now, running: -1, prefill: -min(f.prefill, int(f.target.backlog)), kv: -f.kv})
 	f.target.running--
@@ -240,5 +252,6 @@
 	// that was expected in the cache, the prefill left, and the KV cache at
 	// the attempt's end.
 	prompt, expected, prefill, kv int
-	began                         bool
+	// began says that the prefill is over, observed that the cache hit is known.
+	began, observed bool
 }
--- a/internal/core/route/router_test.go
+++ b/internal/core/route/router_test.go
@@ -110,7 +110,7 @@
 	r.Report(time.Second+100*time.Millisecond, late)
 	is.Equal(r.targets["t000"].batch(), 5)
 	is.True(r.targets["t000"].backlog > 1000)
-	r.End(time.Second+100*time.Millisecond, "a")
+	r.End(time.Second+100*time.Millisecond, "a", msg.TokenUsage{})
 	is.Equal(r.targets["t000"].batch(), 4)
 }
 
