Poison requests: strikes, suspects kept apart, refusal after two

Cause: a request that crashes each target that runs it brought down up to four of them per send. Every attempt on a target that goes down gets a strike, told by the side daemon (poison.Witness) and the entry (poison.Ledger) to all entries and kept at the platform; strikes are named by attempt, so that news of one counts once. A request with a strike runs as the only suspect of its target, enforced by the gate, and waits apart from others; one that completes is cleared; two strikes are refused.

Retries after a crash or loss spend no budget: a batch of 20 from one account had used it up and was refused.

Seams: AttemptSpec.Suspect, event AttemptTaken (raised by the gate), peer message CrashNotice; the gate refuses a second suspect.

--- a/internal/core/admit/order.go
+++ b/internal/core/admit/order.go
@@ -115,6 +115,15 @@
 	q.floor = max(q.floor, acc.counter)
 }
 
+// BeginAside charges a request that did not wait in the queue.
+func (q *Queue) BeginAside(now msg.Time, a Account, tokens float64) {
+	q.advance(now)
+	acc := q.account(a)
+	acc.running++
+	acc.charge(tokens)
+	q.total.add(tokens)
+}
+
 // End takes note that a request of an account runs no longer. The correction
 // is its service less what was charged at its begin.
 func (q *Queue) End(id msg.AccountID, correction float64) {
--- a/internal/core/gate/attempts.go
+++ b/internal/core/gate/attempts.go
@@ -19,12 +19,14 @@
 	CodeCapacity   = "at-capacity"
 	CodeGeneration = "stale-generation"
 	CodeDuplicate  = "duplicate-attempt"
+	CodeSuspect    = "suspect"
 )
 
 // Times after which an entry may offer a refused attempt here again.
 const (
 	retryCapacity = 200 * time.Millisecond
 	retryChange   = 2 * time.Second
+	retrySuspect  = time.Second
 )
 
 // attempts holds what runs on the target, and the ids of what ran.
@@ -41,6 +43,7 @@
 	from       msg.HostID
 	idempotent bool
 	stopping   bool
+	suspect    bool
 }
 
 func newAttempts() attempts {
@@ -54,6 +57,17 @@
 func (a *attempts) count() int { return len(a.running) }
 func (a *attempts) none() bool { return len(a.running) == 0 }
 
+// suspects is the number of suspect attempts on the target.
+func (a *attempts) suspects() int {
+	n := 0
+	for _, r := range a.running {
+		if r.suspect {
+			n++
+		}
+	}
+	return n
+}
+
 func (a *attempts) seen(id msg.AttemptID) bool {
 	_, closed := a.closed[id]
 	_, open := a.running[id]
@@ -111,8 +125,8 @@
 	if refusal, ok := g.refusal(now, ev.Spec); ok {
 		return []msg.Effect{refusal}
 	}
-	g.attempts.running[ev.Spec.Attempt] = &running{from: ev.From, idempotent: ev.Spec.Idempotent}
-	return []msg.Effect{msg.RunAttempt{Spec: ev.Spec}}
+	g.attempts.running[ev.Spec.Attempt] = &running{from: ev.From, idempotent: ev.Spec.Idempotent, suspect: ev.Spec.Suspect}
+	return []msg.Effect{msg.RunAttempt{Spec: ev.Spec}, msg.Raise{Event: msg.AttemptTaken{Spec: ev.Spec}}}
 }
 
 func (g *Gate) refusal(now msg.Time, spec msg.AttemptSpec) (msg.RefuseAttempt, bool) {
@@ -137,6 +151,9 @@
 	case msg.PhaseDraining:
 		return refuse(CodeDraining, "the target is draining", retryChange)
 	}
+	if spec.Suspect && g.attempts.suspects() > 0 {
+		return refuse(CodeSuspect, "another suspect request runs here", retrySuspect)
+	}
 	if limit := queueFactor * g.reads.report.MaxBatch; limit > 0 && g.attempts.count() >= limit {
 		return refuse(CodeCapacity, "the target's queue is full", retryCapacity)
 	}
--- /dev/null
+++ b/internal/core/gate/suspect_test.go
@@ -0,0 +1,27 @@
+package gate
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/verbenaspur/verbenaspur/internal/core/msg"
+)
+
+func TestOneSuspectAtATime(t *testing.T) {
+	is := is.New(t)
+	s := newSide(time.Second)
+	suspect := func(id msg.AttemptID) {
+		s.step(msg.AttemptOffered{From: "e1", Spec: msg.AttemptSpec{Attempt: id, Suspect: true}})
+	}
+	suspect("a1")
+	is.Equal(count[msg.RunAttempt](s), 1)
+	suspect("a2")
+	is.Equal(last[msg.RefuseAttempt](s).Code, CodeSuspect)
+	s.offer("a3", 1, true)
+	is.Equal(count[msg.RunAttempt](s), 2) // others run beside it
+	s.step(msg.AttemptClosed{Attempt: "a1"})
+	suspect("a4")
+	is.Equal(count[msg.RunAttempt](s), 3)
+}
--- a/internal/core/msg/request.go
+++ b/internal/core/msg/request.go
@@ -99,6 +99,9 @@
 	Timeout time.Duration `cbor:"12,keyasint"`
 	// Fingerprint identifies the request for crash strikes.
 	Fingerprint uint64 `cbor:"13,keyasint"`
+	// Suspect says that the request ran on a target that went down. A target
+	// runs one suspect at a time.
+	Suspect bool `cbor:"14,keyasint,omitempty"`
 	// Continued says that the attempt carries on the answer of an earlier one,
 	// to which the request and its prompt are charged.
 	Continued bool `cbor:"14,keyasint,omitempty"`
--- a/internal/core/msg/types.go
+++ b/internal/core/msg/types.go
@@ -8,7 +8,7 @@
 	return []reflect.Type{
 		reflect.TypeFor[ConfigQuery](), reflect.TypeFor[ConfigHeld](),
 		reflect.TypeFor[ConfigFetch](), reflect.TypeFor[ConfigBody](),
-		reflect.TypeFor[LeaseReleased](),
+		reflect.TypeFor[LeaseReleased](), reflect.TypeFor[CrashNotice](),
 	}
 }
 
@@ -33,6 +33,7 @@
 		reflect.TypeFor[TargetCrashed](), reflect.TypeFor[UsageReported](),
 		reflect.TypeFor[PeerUp](), reflect.TypeFor[PeerDown](),
 		reflect.TypeFor[ConfigProposed](), reflect.TypeFor[DrainRequested](),
+		reflect.TypeFor[AttemptTaken](),
 	}
 }
 
--- a/internal/core/request/arrive.go
+++ b/internal/core/request/arrive.go
@@ -3,8 +3,11 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/verbenaspur/verbenaspur/internal/core/keys"
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
+	"github.com/verbenaspur/verbenaspur/internal/core/poison"
 	"github.com/verbenaspur/verbenaspur/internal/manifest"
 )
 
@@ -66,6 +69,10 @@
 	if !r.idempotent && r.arrived.IdempotencyKey == "" {
 		return &refusal{statusBadRequest, CodeKeyRequired, "this operation needs an Idempotency-Key", msg.OutcomeNotRun, 0}
 	}
+	r.fingerprint = fingerprint(r)
+	if s.poison.Strikes(r.fingerprint) >= poison.Limit {
+		return &refusal{statusUnprocessableEntity, CodePoison, "targets went down under this request", msg.OutcomeNotRun, 0}
+	}
 	s.setLimits(r)
 	return nil
 }
@@ -98,6 +105,18 @@
 	return nil
 }
 
+// fingerprint identifies a request by client account, route, call and body. It
+// is never zero.
+func fingerprint(r *request) uint64 {
+	d := xxhash.New()
+	for _, part := range []string{string(r.accountID()), r.route.Name, r.arrived.Method, r.arrived.Path} {
+		_, _ = d.WriteString(part)
+		_, _ = d.Write([]byte{0})
+	}
+	_, _ = d.Write(r.arrived.BodyHash[:])
+	return max(d.Sum64(), 1)
+}
+
 func (s *step) authorize(r *request) *refusal {
 	if r.route.Access == manifest.AccessPublic {
 		return nil
--- a/internal/core/request/attempt.go
+++ b/internal/core/request/attempt.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
+	"github.com/verbenaspur/verbenaspur/internal/core/poison"
 	"github.com/verbenaspur/verbenaspur/internal/core/route"
 	"github.com/verbenaspur/verbenaspur/internal/manifest"
 )
@@ -18,8 +19,19 @@
 	if r.route.Access == manifest.AccessKeyed && s.now >= s.freshUntil {
 		return false
 	}
+	if s.poison.Strikes(r.fingerprint) >= poison.Limit {
+		s.refusePoison(r)
+		return true
+	}
 	query := s.query(r)
-	query.Share = p.queue.Share(r.item)
+	if query.Suspect && r.item != nil {
+		p.drop(r)
+		s.setAside(p, r)
+		return true
+	}
+	if r.item != nil {
+		query.Share = p.queue.Share(r.item)
+	}
 	d, ok := s.router.Pick(s.now, query)
 	if !ok {
 		if d.Candidates == 0 {
@@ -27,8 +39,7 @@
 		}
 		return false
 	}
-	p.queue.Begin(r.item)
-	r.charged = r.item.Tokens
+	s.charge(p, r)
 	r.state = stateRunning
 	r.attempts++
 	r.attempt = s.nextAttempt()
@@ -37,16 +48,33 @@
 	s.router.Begin(s.now, r.attempt, d, query)
 	s.decisions.add(r.arrived.Req, decisionOf(s.now, r.attempt, &d))
 	s.logRoute(r, &d)
-	s.emit(msg.StartAttempt{Req: r.arrived.Req, Attempt: r.attempt, Target: d.Target, Host: d.Host, Spec: s.spec(r)})
+	s.emit(msg.StartAttempt{Req: r.arrived.Req, Attempt: r.attempt, Target: d.Target, Host: d.Host, Spec: s.spec(r, query)})
 	return true
 }
 
-func (s *step) spec(r *request) msg.AttemptSpec {
+// charge charges the client account for the expected service.
+func (s *step) charge(p *pool, r *request) {
+	if r.item == nil {
+		r.charged = s.newItem(r).Tokens
+		p.queue.BeginAside(s.now, r.admitAccount(), r.charged)
+		return
+	}
+	r.charged = r.item.Tokens
+	p.queue.Begin(r.item)
+}
+
+// refusePoison ends a request under which two targets went down.
+func (s *step) refusePoison(r *request) {
+	s.refuse(r, refusal{statusUnprocessableEntity, CodePoison, "targets went down under this request", r.outcome, 0})
+}
+
+func (s *step) spec(r *request, q *route.Request) msg.AttemptSpec {
 	return msg.AttemptSpec{
 		Attempt: r.attempt, Account: r.accountID(), Route: msg.RouteID(r.route.Name),
 		Generation: s.generation, Priority: int(r.class),
 		PromptTokens: r.arrived.PromptTokens, MaxTokens: r.arrived.MaxTokens,
 		Idempotent: r.idempotent, Timeout: r.deadline - s.now,
+		Fingerprint: r.fingerprint, Suspect: q.Suspect,
 	}
 }
 
@@ -85,9 +113,7 @@
 	if r == nil {
 		return
 	}
-	if ev.Result == msg.AttemptCrashed {
-		s.router.Crashed(r.target)
-	}
+	s.countCrash(r, ev.Result)
 	s.closeAttempt(r, ev.Usage)
 	if ev.Result != msg.AttemptNotRun {
 		r.outcome = msg.OutcomeUnknown
@@ -97,6 +123,20 @@
 	s.dispatch(s.pool(r.pool.Name))
 }
 
+// countCrash strikes a request whose target went down under it.
+func (s *step) countCrash(r *request, result msg.AttemptResult) {
+	switch result {
+	case msg.AttemptCrashed:
+		r.crashes++
+		s.router.Crashed(r.target)
+		s.effects = append(s.effects, s.poison.Strike(s.now, r.fingerprint, r.attempt)...)
+	case msg.AttemptLost:
+		r.crashes++
+	case msg.AttemptDone:
+		s.effects = append(s.effects, s.poison.Clear(r.fingerprint)...)
+	}
+}
+
 // closeAttempt ends the count of the request's attempt.
 func (s *step) closeAttempt(r *request, usage msg.TokenUsage) {
 	delete(s.attempts, r.attempt)
@@ -118,6 +158,8 @@
 		s.learnOutput(r, int(ev.Usage.Generated))
 		s.emit(msg.FinishRequest{Req: r.arrived.Req})
 		s.end(r, ev.Answer)
+	case s.refusedSuspect(r, ev):
+		s.requeue(r)
 	case s.retries(r, ev.Result):
 		s.retry(r)
 	default:
@@ -125,17 +167,33 @@
 	}
 }
 
+// refusedSuspect reports whether the target took no suspect, which does not
+// count as an attempt.
+func (s *step) refusedSuspect(r *request, ev msg.AttemptEnded) bool {
+	if ev.Result != msg.AttemptNotRun || s.now >= r.deadline || s.poison.Strikes(r.fingerprint) == 0 {
+		return false
+	}
+	r.attempts--
+	s.router.OtherSuspect(r.target, s.now+max(ev.RetryAfter, retrySoon))
+	return true
+}
+
 // retries reports whether another attempt follows, and counts it.
 func (s *step) retries(r *request, result msg.AttemptResult) bool {
-	if s.now >= r.deadline {
+	if s.now >= r.deadline || r.crashes >= poison.Limit {
 		return false
 	}
 	if result != msg.AttemptNotRun && !r.idempotent {
 		return false
 	}
-	if result == msg.AttemptMoved {
+	switch result {
+	case msg.AttemptMoved:
 		r.attempts--
 		return true
+	case msg.AttemptCrashed, msg.AttemptLost:
+		// Bounded by the crashes; a whole batch falls at once through no
+		// fault of its account.
+		return true
 	}
 	return r.attempts < maxAttempts && s.budgets.Spend(msg.RouteID(r.route.Name), r.accountID())
 }
@@ -147,6 +205,10 @@
 }
 
 func (s *step) giveUp(r *request, ev msg.AttemptEnded) {
+	if s.poison.Strikes(r.fingerprint) >= poison.Limit {
+		s.refusePoison(r)
+		return
+	}
 	ref := refusal{statusBadGateway, CodeTargetFailed, ev.Reason, r.outcome, 0}
 	switch ev.Result {
 	case msg.AttemptNotRun:
--- a/internal/core/request/codes.go
+++ b/internal/core/request/codes.go
@@ -22,6 +22,7 @@
 	CodeTimeout          Code = "timeout"
 	CodeTargetFailed     Code = "target_failed"
 	CodeKeyWithdrawn     Code = "key_withdrawn"
+	CodePoison           Code = "crashes_targets"
 )
 
 // HTTP statuses of refusals. The reducers do not import net/http.
--- a/internal/core/request/end.go
+++ b/internal/core/request/end.go
@@ -62,7 +62,7 @@
 // forget drops a request that has no attempt.
 func (s *step) forget(r *request) {
 	if r.state == stateQueued {
-		s.pool(r.pool.Name).queue.Remove(r.item)
+		s.pool(r.pool.Name).drop(r)
 	}
 	delete(s.requests, r.arrived.Req)
 	if i := slices.Index(s.order, r); i >= 0 {
--- a/internal/core/request/manager.go
+++ b/internal/core/request/manager.go
@@ -8,6 +8,7 @@
 
 	"github.com/verbenaspur/verbenaspur/internal/core/admit"
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
+	"github.com/verbenaspur/verbenaspur/internal/core/poison"
 	"github.com/verbenaspur/verbenaspur/internal/core/retry"
 	"github.com/verbenaspur/verbenaspur/internal/core/route"
 	"github.com/verbenaspur/verbenaspur/internal/manifest"
@@ -35,6 +36,7 @@
 	outputs     map[string]float64
 	budgets     *retry.Budgets
 	decisions   *decisionLog
+	poison      *poison.Ledger
 	shareAt     msg.Time
 	requests    map[msg.RequestID]*request
 	attempts    map[msg.AttemptID]*request
@@ -50,6 +52,7 @@
 		outputs:   make(map[string]float64),
 		budgets:   retry.New(),
 		decisions: newDecisionLog(),
+		poison:    poison.New(),
 		requests:  make(map[msg.RequestID]*request),
 		attempts:  make(map[msg.AttemptID]*request),
 	}
@@ -61,6 +64,7 @@
 // Step takes one event.
 func (m *Manager) Step(now msg.Time, ev msg.Event) []msg.Effect {
 	s := &step{Manager: m, now: now}
+	s.effects = append(s.effects, m.poison.Step(now, ev)...)
 	s.take(ev)
 	return s.effects
 }
--- a/internal/core/request/manager_test.go
+++ b/internal/core/request/manager_test.go
@@ -55,13 +55,19 @@
 }
 
 func (f *fixture) report(t msg.TargetID, pool msg.PoolID, kind msg.TargetKind) {
-	f.do(msg.TargetReported{
-		Target: msg.TargetIdentity{Target: t, Pool: pool, Kind: kind}, Host: msg.HostID("h-" + t),
+	ev := engineReport(t)
+	ev.Target.Pool, ev.Target.Kind = pool, kind
+	f.do(ev)
+}
+
+func engineReport(t msg.TargetID) msg.TargetReported {
+	return msg.TargetReported{
+		Target: msg.TargetIdentity{Target: t, Pool: "engines", Kind: msg.TargetEngine}, Host: "h-" + msg.HostID(t),
 		Report: msg.LoadReport{
 			Models: []msg.LoadedModel{{Model: "m", Version: "1"}}, KVTotal: 100_000, MaxBatch: 32,
 			PrefillRate: 10_000, StepTime: 20 * time.Millisecond,
 		},
-	})
+	}
 }
 
 // do takes one event and keeps only its own effects.
--- a/internal/core/request/pool.go
+++ b/internal/core/request/pool.go
@@ -23,6 +23,9 @@
 type pool struct {
 	name  string
 	queue *admit.Queue
+	// suspects are the requests with a strike. They wait apart, because each
+	// needs a target without another suspect.
+	suspects []*request
 }
 
 // pool returns the state of a pool; the pools are kept in order of name.
@@ -40,6 +43,10 @@
 func (s *step) admit(r *request) {
 	p := s.pool(r.pool.Name)
 	s.budgets.Earn(msg.RouteID(r.route.Name), r.accountID())
+	if s.poison.Strikes(r.fingerprint) > 0 {
+		s.setAside(p, r)
+		return
+	}
 	r.item = s.newItem(r)
 	ref, evicted := p.queue.Push(s.now, r.admitAccount(), r.item)
 	if ref != nil {
@@ -72,6 +79,10 @@
 // requeue puts a request back that is to have a further attempt.
 func (s *step) requeue(r *request) {
 	p := s.pool(r.pool.Name)
+	if s.poison.Strikes(r.fingerprint) > 0 {
+		s.setAside(p, r)
+		return
+	}
 	r.item = s.newItem(r)
 	p.queue.Requeue(s.now, r.admitAccount(), r.item)
 	r.state = stateQueued
@@ -80,6 +91,7 @@
 
 // dispatch starts attempts until the pool's targets have no room.
 func (s *step) dispatch(p *pool) {
+	s.dispatchSuspects(p)
 	for s.dispatchOne(p) {
 	}
 }
@@ -94,6 +106,43 @@
 	return false
 }
 
+// maxSuspects bounds the suspects that wait for one pool.
+const maxSuspects = 2048
+
+// setAside lets a request wait among the suspects.
+func (s *step) setAside(p *pool, r *request) {
+	if len(p.suspects) >= maxSuspects {
+		s.refuse(r, overload(admit.ReasonQueueFull, retrySoon, r.outcome))
+		return
+	}
+	r.item = nil
+	r.state = stateQueued
+	p.suspects = append(p.suspects, r)
+	s.dispatch(p)
+}
+
+// dispatchSuspects starts suspects until no target can take one.
+func (s *step) dispatchSuspects(p *pool) {
+	for len(p.suspects) > 0 {
+		r := p.suspects[0]
+		if !s.start(p, r) {
+			return
+		}
+		p.drop(r)
+	}
+}
+
+// drop takes a request out of the pool's waiting ones.
+func (p *pool) drop(r *request) {
+	if r.item != nil {
+		p.queue.Remove(r.item)
+		return
+	}
+	if i := slices.Index(p.suspects, r); i >= 0 {
+		p.suspects = slices.Delete(p.suspects, i, i+1)
+	}
+}
+
 // share tells the other entries the service rates of this one.
 func (s *step) share() {
 	if s.now < s.shareAt {
--- a/internal/core/request/request.go
+++ b/internal/core/request/request.go
@@ -51,6 +51,10 @@
 	exclude []msg.TargetID
 	// tokens is the length of the answer that the caller has.
 	tokens int
+	// fingerprint identifies the request over its resends.
+	fingerprint uint64
+	// crashes counts the targets that went down or were lost under it.
+	crashes int
 	// outcome is what is known about the attempts so far.
 	outcome msg.Outcome
 	// forgetAt bounds the wait in stateAnswered.
@@ -85,6 +89,7 @@
 		OutputTokens: s.outputLeft(r),
 		Prefix:       r.arrived.Prefix,
 		Exclude:      r.exclude,
+		Suspect:      s.poison.Strikes(r.fingerprint) > 0,
 	}
 	q.Model = r.pool.Model
 	return q
--- a/internal/core/route/filter.go
+++ b/internal/core/route/filter.go
@@ -13,6 +13,8 @@
 		return false
 	case now-t.readAt > reportLimit:
 		return false
+	case req.Suspect && (t.suspects > 0 || now < t.suspectUntil):
+		return false
 	case t.kind == msg.TargetEngine && !t.serves(req):
 		return false
 	}
--- a/internal/core/route/router.go
+++ b/internal/core/route/router.go
@@ -48,6 +48,9 @@
 	Prefix                     []msg.PieceHash
 	// Exclude lists targets that must not be chosen.
 	Exclude []msg.TargetID
+	// Suspect says that a target went down under the request. Suspects are
+	// kept apart from each other.
+	Suspect bool
 	// Share is the part of a target's capacity, above 0 and up to 1, that the
 	// request may fill.
 	Share float64
@@ -182,6 +185,10 @@
 	r.attempts[id] = f
 	t.apply(now, change{at: now, running: 1, prefill: f.prefill, kv: f.kv})
 	t.running++
+	if req.Suspect {
+		f.suspect = true
+		t.suspects++
+	}
 	if t.kind == msg.TargetEngine {
 		r.cache.Sent(t.id, req.Prefix)
 	}
@@ -231,6 +238,17 @@
 	delete(r.attempts, id)
 	f.target.apply(now, change{at: now, running: -1, prefill: -min(f.prefill, int(f.target.backlog)), kv: -f.kv})
 	f.target.running--
+	if f.suspect {
+		f.target.suspects--
+	}
+}
+
+// OtherSuspect takes note that a target refused a suspect because it runs one
+// of another entry.
+func (r *Router) OtherSuspect(id msg.TargetID, until msg.Time) {
+	if t := r.targets[id]; t != nil {
+		t.suspectUntil = until
+	}
 }
 
 // maxStart bounds the position at which a round robin begins.
@@ -254,4 +272,5 @@
 	prompt, expected, prefill, kv int
 	// began says that the prefill is over, observed that the cache hit is known.
 	began, observed bool
+	suspect         bool
 }
--- a/internal/core/route/target.go
+++ b/internal/core/route/target.go
@@ -40,6 +40,10 @@
 	// their total without prefill.
 	changes []change
 	sum     change
+	// suspects counts this entry's suspect attempts; suspectUntil is the time
+	// until which the target is taken to run one of another entry.
+	suspects     int
+	suspectUntil msg.Time
 	// backlog is the prefill work in tokens as of backlogAt.
 	backlog   float64
 	backlogAt msg.Time
--- a/internal/core/side.go
+++ b/internal/core/side.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/verbenaspur/verbenaspur/internal/core/gate"
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
+	"github.com/verbenaspur/verbenaspur/internal/core/poison"
 	"github.com/verbenaspur/verbenaspur/internal/core/usage"
 )
 
@@ -26,7 +27,7 @@
 // NewSide returns the reducer of a side daemon.
 func NewSide(SideConfig) *Side {
 	s := &Side{gate: gate.New(gate.Config{}), recorder: usage.NewRecorder(usage.RecorderConfig{})}
-	s.Reducer = NewReducer(s.gate, s.recorder)
+	s.Reducer = NewReducer(s.gate, s.recorder, poison.NewWitness())
 	return s
 }
 
--- a/internal/measure/requests/world.go
+++ b/internal/measure/requests/world.go
@@ -1,6 +1,7 @@
 package requests
 
 import (
+	"crypto/sha256"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -180,7 +181,7 @@
 	w.calls[id] = c
 	w.all = append(w.all, c)
 	ev := msg.RequestArrived{
-		Req: id, KeyID: accountName(a.account), KeyDigest: keyDigest(a.account),
+		Req: id, BodyHash: sha256.Sum256([]byte(id)), KeyID: accountName(a.account), KeyDigest: keyDigest(a.account),
 		PromptTokens: a.prompt, Prefix: a.prefix,
 	}
 	if a.route == serviceRoute {
