Admission and routing hold goodput under overload and floods

Cause: at 220 requests/s goodput fell below that at 160, and a flood took a quarter of the other accounts' goodput.

--- a/internal/core/admit/order.go
+++ b/internal/core/admit/order.go
@@ -3,12 +3,15 @@
 import "github.com/verbenaspur/verbenaspur/internal/core/msg"
 
 const (
-	// overCredit is the lead over the least served account, relative to the
-	// credit, from which an account counts as over its fair share.
+	// overCredit is the lead over the fair share, relative to the credit, from
+	// which an account counts as over it.
 	overCredit = 0.5
+	// debtCredit bounds that lead, so that an account that used spare capacity
+	// is not held back for long.
+	debtCredit = 2
 	// reserved is the part of a target's capacity that is kept for accounts
 	// below their fair share.
-	reserved = 0.1
+	reserved = 0.3
 )
 
 // Heads returns up to n requests that are next in turn, at most one of each
@@ -19,13 +22,14 @@
 	if q.queued == 0 {
 		return nil
 	}
-	limit := q.least() + overCredit*q.credit(nil)
+	credit := q.credit(nil)
 	for _, a := range q.sorted {
 		it := a.head()
 		if it == nil || a.atLimit() {
 			continue
 		}
-		a.over = a.counter > limit
+		a.counter = min(a.counter, q.virtual+debtCredit*credit)
+		a.over = a.counter > q.virtual+overCredit*credit
 		q.heads = q.insertHead(q.heads, it, n)
 	}
 	return q.heads
@@ -112,7 +116,7 @@
 	acc.running++
 	acc.charge(it.Tokens)
 	q.total.add(it.Tokens)
-	q.floor = max(q.floor, acc.counter)
+	q.serve(it.Tokens)
 }
 
 // BeginAside charges a request that did not wait in the queue.
@@ -122,6 +126,7 @@
 	acc.running++
 	acc.charge(tokens)
 	q.total.add(tokens)
+	q.serve(tokens)
 }
 
 // End takes note that a request of an account runs no longer. The correction
@@ -135,5 +140,6 @@
 	acc.charge(correction)
 	acc.own.sum = max(acc.own.sum, 0)
 	q.total.add(correction)
+	q.serve(correction)
 	q.total.sum = max(q.total.sum, 0)
 }
--- a/internal/core/admit/queue.go
+++ b/internal/core/admit/queue.go
@@ -79,10 +79,10 @@
 	queued int
 	order  uint64
 	last   msg.Time
-	// floor is the counter of the account that was served last.
-	floor float64
-	total rate
-	heads []*Item
+	// virtual is the counter of an account that gets exactly its fair share.
+	virtual float64
+	total   rate
+	heads   []*Item
 }
 
 // New returns an empty queue.
@@ -109,7 +109,7 @@
 		}
 	}
 	if acc.queued == 0 {
-		acc.counter = max(acc.counter, q.floor-q.credit(acc))
+		acc.counter = max(acc.counter, q.virtual-q.credit(acc))
 	}
 	q.order++
 	it.order = q.order
@@ -211,17 +211,6 @@
 	return creditTime.Seconds() * q.service() / weights
 }
 
-// least is the smallest counter of the accounts that take part.
-func (q *Queue) least() float64 {
-	least := q.floor
-	for _, a := range q.sorted {
-		if a.active() {
-			least = min(least, a.counter)
-		}
-	}
-	return least
-}
-
 // advance lets time pass: rates decay and the service that accounts get
 // through other entries is charged.
 func (q *Queue) advance(now msg.Time) {
@@ -230,12 +219,22 @@
 		return
 	}
 	q.last = now
+	var remote float64
 	for _, a := range q.sorted {
 		a.advance(now, dt)
+		remote += a.remote
 	}
+	q.serve(remote * dt)
 	q.total.decay(dt)
 }
 
+// serve lets the virtual counter follow service that was given.
+func (q *Queue) serve(tokens float64) {
+	if weights := q.weights(); weights > 0 {
+		q.virtual += tokens / weights
+	}
+}
+
 // idleLimit is the time after which an account without requests is forgotten.
 const idleLimit = time.Minute
 
--- a/internal/core/admit/share.go
+++ b/internal/core/admit/share.go
@@ -28,7 +28,7 @@
 	acc := q.accounts[id]
 	if acc == nil {
 		acc = q.account(Account{ID: id, Weight: weight})
-		acc.counter = q.floor
+		acc.counter = q.virtual
 	}
 	acc.remote = float64(values[0])
 	acc.remoteWaiting = float64(values[1])
--- a/internal/core/request/arrive.go
+++ b/internal/core/request/arrive.go
@@ -149,6 +149,7 @@
 	if t := r.arrived.Timeout; t > 0 {
 		timeout = min(timeout, t)
 	}
+	r.since = s.now
 	r.deadline = s.now + timeout
 	r.startBy = min(r.deadline, s.now+queueTimeout(r.route))
 	limit := r.route.MaxTokens
--- a/internal/core/request/attempt.go
+++ b/internal/core/request/attempt.go
@@ -31,6 +31,7 @@
 	}
 	if r.item != nil {
 		query.Share = p.queue.Share(r.item)
+		query.Over = query.Share < 1
 	}
 	d, ok := s.router.Pick(s.now, query)
 	if !ok {
@@ -71,13 +72,23 @@
 func (s *step) spec(r *request, q *route.Request) msg.AttemptSpec {
 	return msg.AttemptSpec{
 		Attempt: r.attempt, Account: r.accountID(), Route: msg.RouteID(r.route.Name),
-		Generation: s.generation, Priority: int(r.class),
+		Generation: s.generation, Priority: priority(r, q),
 		PromptTokens: r.arrived.PromptTokens, MaxTokens: r.arrived.MaxTokens,
 		Idempotent: r.idempotent, Timeout: r.deadline - s.now,
 		Fingerprint: r.fingerprint, Suspect: q.Suspect,
 	}
 }
 
+// priority is the engine's priority of an attempt, lower first: by class, and
+// within it accounts over their fair share last.
+func priority(r *request, q *route.Request) int {
+	p := 2 * int(r.class)
+	if q.Over {
+		p++
+	}
+	return p
+}
+
 func (s *step) logRoute(r *request, d *route.Decision) {
 	s.log("route", "attempt routed",
 		msg.Attr{Key: "request", Value: string(r.arrived.Req)},
--- a/internal/core/request/request.go
+++ b/internal/core/request/request.go
@@ -36,7 +36,9 @@
 	idempotent bool
 	claimed    bool
 	state      state
-	deadline   msg.Time
+	// since is the time of arrival.
+	since    msg.Time
+	deadline msg.Time
 	// startBy bounds the wait for the first attempt.
 	startBy msg.Time
 	// item is the request's place in the queue; charged are the tokens of
@@ -89,6 +91,7 @@
 		OutputTokens: s.outputLeft(r),
 		Prefix:       r.arrived.Prefix,
 		Exclude:      r.exclude,
+		Waited:       s.now - r.since,
 		Suspect:      s.poison.Strikes(r.fingerprint) > 0,
 	}
 	q.Model = r.pool.Model
--- a/internal/core/route/router.go
+++ b/internal/core/route/router.go
@@ -46,11 +46,15 @@
 	// OutputTokens are expected to be generated.
 	PromptTokens, OutputTokens int
 	Prefix                     []msg.PieceHash
+	// Waited is the time since the request arrived.
+	Waited time.Duration
 	// Exclude lists targets that must not be chosen.
 	Exclude []msg.TargetID
 	// Suspect says that a target went down under the request. Suspects are
 	// kept apart from each other.
 	Suspect bool
+	// Over says that the request's account is over its fair share.
+	Over bool
 	// Share is the part of a target's capacity, above 0 and up to 1, that the
 	// request may fill.
 	Share float64
@@ -67,6 +71,8 @@
 	attempts map[msg.AttemptID]*flight
 	leaving  map[msg.HostID]bool
 	index    *manifest.Index
+	// entries is the number of entry daemons, this one included.
+	entries int
 	// hits and sample are buffers of one decision.
 	hits   []cachemap.Hit
 	sample []candidate
@@ -133,6 +139,7 @@
 // Members takes note of the hosts that take no new work, and drops targets
 // that have been silent for long.
 func (r *Router) Members(now msg.Time, ev msg.MembersChanged) {
+	r.entries = len(ev.Entries)
 	r.leaving = make(map[msg.HostID]bool, len(ev.Leaving))
 	for _, h := range ev.Leaving {
 		r.leaving[h] = true
@@ -153,6 +160,7 @@
 	if p == nil || len(p.targets) == 0 {
 		return Decision{Reason: ReasonNoTargets}, false
 	}
+	r.estimateOthers(now, p)
 	d := Decision{Pool: len(p.targets), Policy: r.cfg.Policy}
 	var best *candidate
 	switch r.cfg.Policy {
@@ -185,6 +193,11 @@
 	r.attempts[id] = f
 	t.apply(now, change{at: now, running: 1, prefill: f.prefill, kv: f.kv})
 	t.running++
+	p := r.pools[t.pool]
+	p.sent += float64(f.prefill)
+	if req.Over {
+		p.sentOver += float64(f.prefill)
+	}
 	if req.Suspect {
 		f.suspect = true
 		t.suspects++
--- a/internal/core/route/target.go
+++ b/internal/core/route/target.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -19,6 +20,11 @@
 	defaultRate = 5000
 	// defaultBatch is the batch limit of a target that reports none.
 	defaultBatch = 32
+	// minDrain is the least part of an engine's prefill rate at which its
+	// backlog is taken to shrink.
+	minDrain = 0.1
+	// sentTime is the time constant of the prefill work sent to a pool.
+	sentTime = 5 * time.Second
 	// minSlots is the number of sequences that an engine is always given.
 	minSlots = 4
 )
@@ -45,7 +51,10 @@
 	suspects     int
 	suspectUntil msg.Time
 	// backlog is the prefill work in tokens as of backlogAt.
-	backlog   float64
+	backlog float64
+	// others is the prefill work in tokens a second that other entries are
+	// expected to send.
+	others    float64
 	backlogAt msg.Time
 }
 
@@ -95,7 +104,8 @@
 	if now <= t.backlogAt {
 		return
 	}
-	t.backlog = max(t.backlog-t.rate()*(now-t.backlogAt).Seconds(), 0)
+	net := max(t.rate()-t.others, minDrain*t.rate())
+	t.backlog = max(t.backlog-net*(now-t.backlogAt).Seconds(), 0)
 	t.backlogAt = now
 }
 
@@ -134,8 +144,33 @@
 	targets []*target
 	// next is the position of the round robin.
 	next int
+	// sent is this entry's prefill work for the pool, decaying over sentTime,
+	// as of sentAt; sentOver is the part of accounts over their fair share.
+	sent, sentOver float64
+	sentAt         msg.Time
 }
 
+// estimateOthers sets the prefill work that the other entries are expected to
+// send to each target: as much for each of them as this entry sends itself.
+func (r *Router) estimateOthers(now msg.Time, p *pool) {
+	dt := now - p.sentAt
+	if dt < estimateEvery {
+		return
+	}
+	p.sentAt = now
+	left := math.Exp(-dt.Seconds() / sentTime.Seconds())
+	p.sent *= left
+	p.sentOver *= left
+	others := p.sent / sentTime.Seconds() * float64(max(r.entries-1, 0)) / float64(len(p.targets))
+	for _, t := range p.targets {
+		t.drain(now)
+		t.others = others
+	}
+}
+
+// estimateEvery is the interval between two estimates.
+const estimateEvery = 500 * time.Millisecond
+
 func compareTargets(a, b *target) int { return strings.Compare(string(a.id), string(b.id)) }
 
 func (p *pool) add(t *target) {
--- a/internal/measure/requests/world.go
+++ b/internal/measure/requests/world.go
@@ -108,6 +108,13 @@
 		w.step(e, msg.ConfigChanged{Generation: 1, Index: index})
 		w.step(e, msg.ConfigFresh{Generation: 1, Until: time.Hour})
 	}
+	var members []msg.Host
+	for _, e := range w.entries {
+		members = append(members, msg.Host{Host: e.host})
+	}
+	for _, e := range w.entries {
+		w.step(e, msg.MembersChanged{Entries: members})
+	}
 	w.schedule()
 	return w
 }
