--- a/internal/core/entry.go
+++ b/internal/core/entry.go
@@ -4,10 +4,12 @@
 	"github.com/verbenaspur/verbenaspur/internal/core/claim"
 	"github.com/verbenaspur/verbenaspur/internal/core/config"
 	"github.com/verbenaspur/verbenaspur/internal/core/exchange"
+	"github.com/verbenaspur/verbenaspur/internal/core/fleet"
 	"github.com/verbenaspur/verbenaspur/internal/core/gate"
 	"github.com/verbenaspur/verbenaspur/internal/core/lease"
 	"github.com/verbenaspur/verbenaspur/internal/core/member"
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
+	"github.com/verbenaspur/verbenaspur/internal/core/reducer"
 	"github.com/verbenaspur/verbenaspur/internal/core/request"
 	"github.com/verbenaspur/verbenaspur/internal/core/usage"
 	"github.com/verbenaspur/verbenaspur/internal/manifest"
@@ -28,19 +30,22 @@
 	Recorder usage.RecorderConfig
 	Reporter usage.ReporterConfig
 	Gate     gate.Config
+	Fleet    fleet.Config
+	Request  request.Config
 	// Observer is a part that sees each event before the others; nil for none.
-	Observer Part
+	Observer reducer.Part
 }
 
 // Entry is the reducer of an entry daemon.
 type Entry struct {
-	*Reducer
+	*reducer.Reducer
 	self     msg.Self
 	claims   *claim.Part
 	recorder *usage.Recorder
 	reporter *usage.Reporter
 	leases   *lease.Part
 	config   *config.Part
+	fleet    *fleet.Controller
 	requests *request.Manager
 	state    *state
 }
@@ -55,7 +60,8 @@
 		reporter: usage.NewReporter(cfg.Parts.Reporter),
 		leases:   lease.New(cfg.Parts.Lease),
 		config:   config.New(config.Config{Self: cfg.Self.Host, Incarnation: cfg.Incarnation}),
-		requests: request.New(request.Config{}),
+		fleet:    fleet.New(cfg.Parts.Fleet),
+		requests: request.New(cfg.Parts.Request),
 		state:    &state{},
 	}
 	e.Reducer = newObserved(
@@ -69,18 +75,19 @@
 		e.requests,
 		e.recorder,
 		e.reporter,
-		&stopper{requests: e.requests, flushers: []idler{e.recorder}},
+		e.fleet,
+		&stopper{requests: e.requests, flushers: []idler{e.recorder, e.claims, e.leases}},
 	)
 	return e
 }
 
 // newObserved returns a reducer of the parts behind an observer, if there is
 // one.
-func newObserved(observer Part, parts ...Part) *Reducer {
+func newObserved(observer reducer.Part, parts ...reducer.Part) *reducer.Reducer {
 	if observer != nil {
-		parts = append([]Part{observer}, parts...)
+		parts = append([]reducer.Part{observer}, parts...)
 	}
-	return NewReducer(parts...)
+	return reducer.New(parts...)
 }
 
 // Index returns the configuration in force, or nil.
@@ -92,6 +99,15 @@
 // Fresh reports whether the configuration is confirmed to be the newest.
 func (e *Entry) Fresh(now msg.Time) bool { return now < e.state.freshUntil }
 
+// Explain returns the decisions that were taken for a request, if they are
+// still remembered.
+func (e *Entry) Explain(id msg.RequestID) (request.Explanation, bool) { return e.requests.Explain(id) }
+
+// Plan returns what the planner would do now for a pool.
+func (e *Entry) Plan(now msg.Time, pool msg.PoolID) (fleet.PlanStatus, bool) {
+	return e.fleet.Plan(now, pool)
+}
+
 // Stopping reports whether a graceful shutdown has begun.
 func (e *Entry) Stopping() bool { return e.state.stopping }
 
@@ -105,7 +121,7 @@
 	stopping   bool
 }
 
-// Step implements [Part].
+// Step implements [reducer.Part].
 func (s *state) Step(_ msg.Time, ev msg.Event) []msg.Effect {
 	switch ev := ev.(type) {
 	case msg.ConfigChanged:
--- a/internal/core/fleet/world_test.go
+++ b/internal/core/fleet/world_test.go
@@ -7,10 +7,10 @@
 	"slices"
 	"time"
 
-	"github.com/verbenaspur/verbenaspur/internal/core"
 	"github.com/verbenaspur/verbenaspur/internal/core/coretest"
 	"github.com/verbenaspur/verbenaspur/internal/core/gate"
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
+	"github.com/verbenaspur/verbenaspur/internal/core/reducer"
 	"github.com/verbenaspur/verbenaspur/internal/core/store"
 	"github.com/verbenaspur/verbenaspur/internal/manifest"
 )
@@ -55,7 +55,7 @@
 type testEntry struct {
 	host    msg.HostID
 	ctl     *Controller
-	reducer *core.Reducer
+	reducer *reducer.Reducer
 	epoch   msg.Epoch
 	until   msg.Time
 	paused  bool
@@ -86,7 +86,7 @@
 	}
 	for i := range 2 {
 		e := &testEntry{host: msg.HostID(fmt.Sprintf("e%d", i)), ctl: New(Config{})}
-		e.reducer = core.NewReducer(e.ctl)
+		e.reducer = reducer.New(e.ctl)
 		w.entries = append(w.entries, e)
 		w.step(e, msg.Started{Self: msg.Self{Host: e.host}, Incarnation: "1"})
 		w.configure(e, m)
--- a/internal/core/route/router.go
+++ b/internal/core/route/router.go
@@ -46,8 +46,15 @@
 	// OutputTokens are expected to be generated.
 	PromptTokens, OutputTokens int
 	Prefix                     []msg.PieceHash
+	// Waited is the time since the request arrived.
+	Waited time.Duration
 	// Exclude lists targets that must not be chosen.
 	Exclude []msg.TargetID
+	// Suspect says that a target went down under the request. Suspects are
+	// kept apart from each other.
+	Suspect bool
+	// Over says that the request's account is over its fair share.
+	Over bool
 	// Share is the part of a target's capacity, above 0 and up to 1, that the
 	// request may fill.
 	Share float64
@@ -64,6 +71,8 @@
 	attempts map[msg.AttemptID]*flight
 	leaving  map[msg.HostID]bool
 	index    *manifest.Index
+	// entries is the number of entry daemons, this one included.
+	entries int
 	// hits and sample are buffers of one decision.
 	hits   []cachemap.Hit
 	sample []candidate
@@ -130,6 +139,7 @@
 // Members takes note of the hosts that take no new work, and drops targets
 // that have been silent for long.
 func (r *Router) Members(now msg.Time, ev msg.MembersChanged) {
+	r.entries = len(ev.Entries)
 	r.leaving = make(map[msg.HostID]bool, len(ev.Leaving))
 	for _, h := range ev.Leaving {
 		r.leaving[h] = true
@@ -150,6 +160,7 @@
 	if p == nil || len(p.targets) == 0 {
 		return Decision{Reason: ReasonNoTargets}, false
 	}
+	r.estimateOthers(now, p)
 	d := Decision{Pool: len(p.targets), Policy: r.cfg.Policy}
 	var best *candidate
 	switch r.cfg.Policy {
@@ -182,18 +193,28 @@
 	r.attempts[id] = f
 	t.apply(now, change{at: now, running: 1, prefill: f.prefill, kv: f.kv})
 	t.running++
+	p := r.pools[t.pool]
+	p.sent += float64(f.prefill)
+	if req.Over {
+		p.sentOver += float64(f.prefill)
+	}
+	if req.Suspect {
+		f.suspect = true
+		t.suspects++
+	}
 	if t.kind == msg.TargetEngine {
 		r.cache.Sent(t.id, req.Prefix)
 	}
 }
 
-// Accepted compares the expected cache hit of an attempt with the real one.
+// Accepted compares the expected cache hit of an attempt with the real one,
+// where the target tells it at the begin.
 func (r *Router) Accepted(now msg.Time, id msg.AttemptID, cached int) {
 	f := r.attempts[id]
-	if f == nil || f.began {
+	if f == nil || f.began || cached == 0 {
 		return
 	}
-	r.cache.Observed(f.target.id, f.expected/PieceTokens, cached/PieceTokens)
+	r.observe(f, cached)
 	prefill := max(f.prompt-cached, 0)
 	f.target.apply(now, change{at: now, prefill: prefill - f.prefill})
 	f.prefill = prefill
@@ -210,15 +231,37 @@
 	f.prefill = 0
 }
 
-// End ends the count of an attempt.
-func (r *Router) End(now msg.Time, id msg.AttemptID) {
+func (r *Router) observe(f *flight, cached int) {
+	if f.observed {
+		return
+	}
+	f.observed = true
+	r.cache.Observed(f.target.id, f.expected/PieceTokens, cached/PieceTokens)
+}
+
+// End ends the count of an attempt. Its usage tells the real cache hit.
+func (r *Router) End(now msg.Time, id msg.AttemptID, usage msg.TokenUsage) {
 	f := r.attempts[id]
 	if f == nil {
 		return
 	}
+	if usage.Generated > 0 {
+		r.observe(f, int(usage.Cached))
+	}
 	delete(r.attempts, id)
 	f.target.apply(now, change{at: now, running: -1, prefill: -min(f.prefill, int(f.target.backlog)), kv: -f.kv})
 	f.target.running--
+	if f.suspect {
+		f.target.suspects--
+	}
+}
+
+// OtherSuspect takes note that a target refused a suspect because it runs one
+// of another entry.
+func (r *Router) OtherSuspect(id msg.TargetID, until msg.Time) {
+	if t := r.targets[id]; t != nil {
+		t.suspectUntil = until
+	}
 }
 
 // maxStart bounds the position at which a round robin begins.
@@ -240,5 +283,7 @@
 	// that was expected in the cache, the prefill left, and the KV cache at
 	// the attempt's end.
 	prompt, expected, prefill, kv int
-	began                         bool
+	// began says that the prefill is over, observed that the cache hit is known.
+	began, observed bool
+	suspect         bool
 }
--- a/internal/core/scenario/config_test.go
+++ b/internal/core/scenario/config_test.go
@@ -8,15 +8,15 @@
 
 	"github.com/matryer/is"
 
-	"github.com/verbenaspur/verbenaspur/internal/core"
 	"github.com/verbenaspur/verbenaspur/internal/core/config"
 	"github.com/verbenaspur/verbenaspur/internal/core/exchange"
 	"github.com/verbenaspur/verbenaspur/internal/core/member"
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
+	"github.com/verbenaspur/verbenaspur/internal/core/reducer"
 )
 
-func configParts(n *node) []core.Part {
-	return []core.Part{
+func configParts(n *node) []reducer.Part {
+	return []reducer.Part{
 		config.New(config.Config{Self: n.host.Host, Incarnation: n.inc()}),
 		member.New(member.Config{Self: n.self()}),
 		exchange.New(exchange.Config{Self: n.self()}),
--- a/internal/core/side.go
+++ b/internal/core/side.go
@@ -3,6 +3,8 @@
 import (
 	"github.com/verbenaspur/verbenaspur/internal/core/gate"
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
+	"github.com/verbenaspur/verbenaspur/internal/core/poison"
+	"github.com/verbenaspur/verbenaspur/internal/core/reducer"
 	"github.com/verbenaspur/verbenaspur/internal/core/usage"
 )
 
@@ -16,7 +18,7 @@
 
 // Side is the reducer of a side daemon.
 type Side struct {
-	*Reducer
+	*reducer.Reducer
 	gate     *gate.Gate
 	recorder *usage.Recorder
 
@@ -28,7 +30,7 @@
 // NewSide returns the reducer of a side daemon.
 func NewSide(cfg SideConfig) *Side {
 	s := &Side{gate: gate.New(cfg.Parts.Gate), recorder: usage.NewRecorder(cfg.Parts.Recorder)}
-	s.Reducer = newObserved(cfg.Parts.Observer, s.gate, s.recorder)
+	s.Reducer = newObserved(cfg.Parts.Observer, s.gate, s.recorder, poison.NewWitness())
 	return s
 }
 
--- a/internal/core/stop.go
+++ b/internal/core/stop.go
@@ -32,7 +32,7 @@
 	done   bool
 }
 
-// Step implements [Part].
+// Step implements [reducer.Part].
 func (s *stopper) Step(now msg.Time, ev msg.Event) []msg.Effect {
 	switch ev.(type) {
 	case msg.StopRequested:
--- a/internal/daemon/side.go
+++ b/internal/daemon/side.go
@@ -33,12 +33,12 @@
 	ctx      context.Context
 	wg       sync.WaitGroup
 	ready    func()
-	seen     func(msg.Effect)
+	seen     func(msg.Time, msg.Effect)
 }
 
 // execute carries out one effect of the reducer.
-func (s *side) execute(_ msg.Time, eff msg.Effect) {
-	s.seen(eff)
+func (s *side) execute(now msg.Time, eff msg.Effect) {
+	s.seen(now, eff)
 	switch eff := eff.(type) {
 	case msg.RunAttempt:
 		s.runAttempt(eff.Spec.Attempt)
