--- a/internal/core/core.go
+++ b/internal/core/reducer/reducer.go
@@ -1,10 +1,10 @@
-// Package core composes the reducers of the daemons from their parts.
+// Package reducer composes a reducer from parts.
 //
 // A reducer is pure: its next state and its effects follow from its state,
 // the time and the event. It reads no clock, starts no goroutine, does no I/O
 // and draws random numbers only from the seed that comes with
 // [msg.Started].
-package core
+package reducer
 
 import "github.com/verbenaspur/verbenaspur/internal/core/msg"
 
@@ -21,9 +21,9 @@
 	parts []Part
 }
 
-// NewReducer returns a reducer of the given parts. Each event visits them in
+// New returns a reducer of the given parts. Each event visits them in
 // this order.
-func NewReducer(parts ...Part) *Reducer { return &Reducer{parts: parts} }
+func New(parts ...Part) *Reducer { return &Reducer{parts: parts} }
 
 // Step takes one event and returns the effects for the driver, in order.
 // Events that parts raise are handed to all parts, first raised first, before
@@ -33,7 +33,7 @@
 	queue := []msg.Event{ev}
 	for i := 0; i < len(queue); i++ {
 		if i > maxRaised {
-			panic("core: parts raise events without end")
+			panic("reducer: parts raise events without end")
 		}
 		for _, p := range r.parts {
 			for _, eff := range p.Step(now, queue[i]) {
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -24,6 +24,7 @@
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
 	"github.com/verbenaspur/verbenaspur/internal/identity"
 	"github.com/verbenaspur/verbenaspur/internal/link"
+	"github.com/verbenaspur/verbenaspur/internal/metrics"
 	"github.com/verbenaspur/verbenaspur/internal/platform"
 	"github.com/verbenaspur/verbenaspur/internal/settings"
 	"github.com/verbenaspur/verbenaspur/internal/trace"
@@ -57,6 +58,7 @@
 	pair     *identity.Pair
 	platform *platform.Client
 	registry *prometheus.Registry
+	metrics  *metrics.Metrics
 	recorder *trace.Recorder
 	traceOut *os.File
 	// work ends when the daemon's own goroutines are to end.
@@ -84,6 +86,7 @@
 		registry: prometheus.NewRegistry(),
 		idle:     make(chan struct{}),
 	}
+	p.metrics = metrics.New(p.registry)
 	p.registry.MustRegister(p.platform, collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	p.work, p.stop = context.WithCancel(context.Background())
 	return p, nil
@@ -252,14 +255,17 @@
 }
 
 func (p *process) runEntry(ctx context.Context) error {
-	reducer := core.NewEntry(core.EntryConfig{Self: p.started.Self, Incarnation: p.started.Incarnation})
+	reducer := core.NewEntry(core.EntryConfig{
+		Self: p.started.Self, Incarnation: p.started.Incarnation,
+		Parts: core.PartConfigs{Observer: p.metrics},
+	})
 	stepper, err := p.record(reducer)
 	if err != nil {
 		return err
 	}
 	e := &entry{
 		self: p.started.Self, reducer: reducer, platform: p.platform, log: p.log, ctx: p.work,
-		ready: p.becomeIdle, seen: func(msg.Effect) {},
+		ready: p.becomeIdle, seen: p.metrics.ObserveEffect,
 		exchanges: make(map[msg.RequestID]*exchange),
 		attempts:  make(map[msg.AttemptID]context.CancelCauseFunc),
 		waiting:   make(map[msg.CallID]chan msg.Effect),
@@ -314,14 +320,17 @@
 }
 
 func (p *process) runSide(ctx context.Context) error {
-	reducer := core.NewSide(core.SideConfig{Self: p.started.Self, Incarnation: p.started.Incarnation})
+	reducer := core.NewSide(core.SideConfig{
+		Self: p.started.Self, Incarnation: p.started.Incarnation,
+		Parts: core.PartConfigs{Observer: p.metrics},
+	})
 	stepper, err := p.record(reducer)
 	if err != nil {
 		return err
 	}
 	s := &side{
 		platform: p.platform, log: p.log, ctx: p.work, attempts: newAttemptTable(),
-		ready: p.becomeIdle, seen: func(msg.Effect) {}, target: p.newTarget(),
+		ready: p.becomeIdle, seen: p.metrics.ObserveEffect, target: p.newTarget(),
 	}
 	s.loop = NewLoop(stepper, s.execute)
 	if s.node, err = p.newNode(s); err != nil {
