--- a/internal/proof/engine_test.go
+++ b/internal/proof/engine_test.go
@@ -25,6 +25,7 @@
 	role     msg.Role
 	epoch    msg.Epoch
 	order    msg.OrderID
+	version  string
 	busy     int // orders in execution
 	runs     map[msg.AttemptID]*sideRun
 }
@@ -47,7 +48,7 @@
 	r := msg.LoadReport{
 		Role: e.role, Running: len(e.runs), KVTotal: 1_000_000, MaxBatch: 16,
 		PrefillRate: 20_000, StepTime: stepTime, Order: e.order,
-		Models: []msg.LoadedModel{{Model: "m", Version: "1"}},
+		Models: []msg.LoadedModel{{Model: "m", Version: e.version}},
 	}
 	if e.down {
 		r.Phase = msg.PhaseDown
--- a/internal/proof/fuzz_test.go
+++ b/internal/proof/fuzz_test.go
@@ -196,13 +196,18 @@
 	f.pass(t)
 }
 
-// reconfigure withdraws a key or brings it back.
+// reconfigure withdraws a key or brings it back, or rolls a new model version
+// out.
 func (f *fuzzer) reconfigure(t *rapid.T) {
 	s, p := f.s, f.some(t, msg.HostEntry)
 	if p == nil {
 		return
 	}
-	s.toggleKey("a-2")
+	if rapid.Bool().Draw(t, "new version") {
+		s.version++
+	} else {
+		s.toggleKey("a-2")
+	}
 	s.propose(p, p.gen)
 	f.pass(t)
 }
--- a/internal/proof/mutations_test.go
+++ b/internal/proof/mutations_test.go
@@ -33,6 +33,7 @@
 	stopAtOnce    bool // a planned stop is a kill
 	acceptWritten bool // what is written is called accepted
 	noWait        bool // a challenger takes any lease for released
+	bypassGate    bool // orders go to the engine without the side's gate
 	hideLeaving   bool // entries don't hear that hosts are leaving
 }
 
@@ -81,6 +82,8 @@
 	muts   mutations
 	within int
 	calm   bool
+	// from is the first case that is tried.
+	from int
 }
 
 var mutants = []mutant{
@@ -90,6 +93,7 @@
 	{name: "lost attempts taken as not run", muts: mutations{lostIsNotRun: true}, within: 100},
 	{name: "lost answers taken as no effect", muts: mutations{noReadBack: true}, within: 200},
 	{name: "lost answers taken as done", muts: mutations{assumeDone: true}, within: 200},
+	{name: "orders bypass the side's gate", muts: mutations{bypassGate: true}, within: 200},
 	{name: "leaving hosts not heard of", muts: mutations{hideLeaving: true}, within: 200},
 	{name: "entry keeps no usage records", muts: mutations{recorder: usage.MutateNoRecord}, within: 50},
 	{name: "unconfirmed usage records dropped", muts: mutations{recorder: usage.MutateForgetUnconfirmed}, within: 200},
@@ -137,7 +141,7 @@
 				m.count(t, count)
 				return
 			}
-			for seed := range m.within {
+			for seed := m.from; seed < m.from+m.within; seed++ {
 				if broken := m.caught(seed); broken != "" {
 					t.Logf("caught in case %d: %s", seed+1, broken)
 					return
--- a/internal/proof/orders_test.go
+++ b/internal/proof/orders_test.go
@@ -80,6 +80,10 @@
 	if s.chance(0.05) {
 		delay = s.between(time.Second, 20*time.Second)
 	}
+	if s.muts.bypassGate {
+		s.after(delay, func() { side.local(func() { s.engines[eff.Host].apply(side, eff.Order) }) })
+		return
+	}
 	s.after(delay, func() { side.post(msg.OrderReceived{From: p.self.Host, Order: eff.Order}) })
 }
 
@@ -115,7 +119,13 @@
 			answer(msg.OrderUnknown)
 			return
 		}
-		e.role, e.order = o.Role, o.ID
+		e.order = o.ID
+		switch o.Kind {
+		case msg.OrderSetRole:
+			e.role = o.Role
+		case msg.OrderLoadModel:
+			e.version = o.Version
+		}
 		if s.chance(s.loseRate) {
 			p.later(10*time.Second, func() { p.step(msg.OrderApplied{Order: o.ID, Status: msg.OrderUnknown}) })
 			return
--- a/internal/proof/parts_test.go
+++ b/internal/proof/parts_test.go
@@ -5,10 +5,14 @@
 
 	"github.com/verbenaspur/verbenaspur/internal/core"
 	"github.com/verbenaspur/verbenaspur/internal/core/claim"
+	"github.com/verbenaspur/verbenaspur/internal/core/gate"
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
 	"github.com/verbenaspur/verbenaspur/internal/core/usage"
 )
 
+// longestOrder bounds an order's execution by the engines of the world.
+const longestOrder = 4 * time.Second
+
 // stepper is a reducer.
 type stepper interface {
 	Step(now msg.Time, ev msg.Event) []msg.Effect
@@ -22,6 +26,7 @@
 		Reporter: usage.ReporterConfig{Mutation: m.reporter},
 		Observer: probe{p},
 		Lease:    m.lease,
+		Gate:     gate.Config{LongestOrder: longestOrder},
 	}
 	if p.self.Kind == msg.HostTarget {
 		return core.NewSide(core.SideConfig{Self: p.self, Incarnation: p.inc, Parts: parts})
--- a/internal/proof/sim_test.go
+++ b/internal/proof/sim_test.go
@@ -41,6 +41,7 @@
 	requests   map[msg.RequestID]*callerRequest
 	nextReq    int
 	operations map[string]*operation
+	version    int // of the model
 	nextOp     int
 	changes    map[msg.CallID]*change
 	lastCall   msg.CallID
--- a/internal/proof/world_test.go
+++ b/internal/proof/world_test.go
@@ -28,6 +28,7 @@
 		changes: make(map[msg.CallID]*change), granted: make(map[string]msg.CallID),
 		usage:   &usageInterface{accepted: make(map[usageKey]msg.UsageReport)},
 		targets: &targetInterface{byToken: make(map[string]msg.OrderedTarget), gone: make(map[msg.TargetID]bool)},
+		version: 1,
 		keys:    map[string]string{"a-1": "a", "a-2": "a", "b-1": "b"},
 	}
 	s.oracle = newOracle(s)
@@ -55,7 +56,7 @@
 	host := msg.HostID(id)
 	s.addHost(host, d, msg.HostTarget)
 	s.engines[host] = &engine{
-		s: s, host: host, runs: make(map[msg.AttemptID]*sideRun),
+		s: s, host: host, version: "1", runs: make(map[msg.AttemptID]*sideRun),
 		identity: msg.TargetIdentity{Target: msg.TargetID(id), Pool: pool, Kind: kind},
 	}
 	s.targets.fixed = append(s.targets.fixed, msg.OrderedTarget{Target: msg.TargetID(id), Host: host, Pool: pool, Domain: d, Ready: true, Cost: 1})
@@ -94,7 +95,7 @@
 func (s *sim) manifest() string {
 	var b strings.Builder
 	fmt.Fprintf(&b, "apiVersion: verbenaspur/v1\ndeployment: proof-%d\n", s.lastCall)
-	b.WriteString(manifestHead)
+	fmt.Fprintf(&b, manifestHead, s.version)
 	for _, account := range []string{"a", "b"} {
 		fmt.Fprintf(&b, "  - name: %s\n    weight: 1\n    keys:\n", account)
 		for _, id := range slices.Sorted(maps.Keys(s.keys)) {
@@ -111,7 +112,7 @@
 const manifestHead = `regions:
   - {name: r, failureDomains: [d1, d2]}
 models:
-  - {name: m, version: "1"}
+  - {name: m, version: "%d"}
 pools:
   - name: chat
     kind: engines
