A stopping side daemon stays for the offers that are on their way

Cause: a side daemon without attempts ended at once when asked to stop. An entry that had not heard of it offered a non-idempotent attempt 2 ms before; the refusal never left, the entry gave the side up after 5 s and told the caller 'unknown', though nothing but planned stops had happened. Ruled out: retry budget, poison, router. Now the gate is quiet for 1 s before it ends and the driver waits until the entries have read the ends.

--- a/internal/core/gate/gate.go
+++ b/internal/core/gate/gate.go
@@ -39,6 +39,9 @@
 	// generationLimit is how long an attempt may lag behind the highest known
 	// configuration.
 	generationLimit = 3 * time.Second
+	// stopNotice is the quiet time before a stop, in which offers that are on
+	// their way arrive and are refused.
+	stopNotice = time.Second
 	// queueFactor bounds the attempts on a target, as a multiple of its batch.
 	queueFactor = 2
 )
@@ -60,6 +63,9 @@
 	held     bool
 	stopping bool
 	stopped  bool
+	// busyAt is the last instant at which a stop was asked for, an attempt was
+	// offered or an attempt ended.
+	busyAt msg.Time
 	// drainSince is the last instant without a drain.
 	drainSince msg.Time
 
@@ -124,14 +130,17 @@
 		return g.onTick(now)
 	case msg.StopRequested:
 		g.stopping = true
+		g.busyAt = now
 		return []msg.Effect{g.log(msg.LogInfo, "Stop asked for, draining")}
 	case msg.ConfigChanged:
 		g.hearGeneration(now, ev.Generation)
 	case msg.ConfigFresh:
 		g.hearGeneration(now, ev.Generation)
 	case msg.AttemptOffered:
+		g.busyAt = now
 		return g.onOffered(now, ev)
 	case msg.AttemptClosed:
+		g.busyAt = now
 		g.attempts.close(ev.Attempt)
 	case msg.EntryLost:
 		g.attempts.entryLost(now, ev.Host)
@@ -166,13 +175,23 @@
 	}
 	effs := g.moveAttempts(now)
 	effs = append(effs, g.advanceOrder(now)...)
-	if g.stopping && !g.stopped && g.attempts.none() && g.orders.open == nil {
+	if g.mayStop(now) {
 		g.stopped = true
 		effs = append(effs, g.log(msg.LogInfo, "Drained, ready to stop"), msg.StopReady{})
 	}
 	return effs
 }
 
+// mayStop reports whether nothing is left to do before a stop. Until entries
+// have heard of the stop they may still offer attempts, which have to be told
+// that they do not run, and an answer's end may still be on its way.
+func (g *Gate) mayStop(now msg.Time) bool {
+	if !g.stopping || g.stopped || !g.attempts.none() || g.orders.open != nil {
+		return false
+	}
+	return now-g.busyAt >= stopNotice
+}
+
 // draining reports whether the gate takes no new attempts.
 func (g *Gate) draining() bool {
 	return g.held || g.stopping || (g.orders.open != nil && g.orders.open.drains())
--- a/internal/core/gate/gate_test.go
+++ b/internal/core/gate/gate_test.go
@@ -336,10 +336,28 @@
 	s.wait(time.Minute)
 	is.Equal(count[msg.StopReady](s), 0)
 	s.step(msg.AttemptClosed{Attempt: "a1"})
+	is.Equal(count[msg.StopReady](s), 0)
+	s.wait(stopNotice)
 	is.Equal(count[msg.StopReady](s), 1)
 	is.Equal(last[msg.PublishReport](s).Report.Phase, msg.PhaseDraining)
 }
 
+// An entry that had not heard of the stop offered an attempt, and the side
+// daemon was gone before it could refuse: the outcome was unknown (found by
+// TestPlannedStopsCutNothing, rapid.seed=20262856).
+func TestStopWaitsForOffersOnTheirWay(t *testing.T) {
+	is := is.New(t)
+	s := newSide(time.Second)
+	s.step(msg.StopRequested{})
+	s.wait(stopNotice / 2)
+	s.offer("late", 1, false)
+	is.Equal(count[msg.RefuseAttempt](s), 1)
+	s.wait(stopNotice * 3 / 4)
+	is.Equal(count[msg.StopReady](s), 0) // the refusal is given time to arrive
+	s.wait(stopNotice / 2)
+	is.Equal(count[msg.StopReady](s), 1)
+}
+
 func TestAttemptsOfALostEntryAreStopped(t *testing.T) {
 	is := is.New(t)
 	s := newSide(time.Second)
--- a/internal/daemon/attempt_side.go
+++ b/internal/daemon/attempt_side.go
@@ -255,6 +255,21 @@
 	return t.runs[id]
 }
 
+// attached reports whether any attempt is being read.
+func (t *attemptTable) attached() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, run := range t.runs {
+		run.mu.Lock()
+		reading := run.readers > 0
+		run.mu.Unlock()
+		if reading {
+			return true
+		}
+	}
+	return false
+}
+
 // sweep forgets ended attempts and void ids after their time, and returns the
 // running idempotent ones whose entry daemon has been away for too long.
 func (t *attemptTable) sweep(now time.Time) []*attemptRun {
--- a/internal/daemon/side.go
+++ b/internal/daemon/side.go
@@ -18,6 +18,10 @@
 	sweepInterval = time.Second
 	// cachePoll is the time between two reads of an engine's cache events.
 	cachePoll = 500 * time.Millisecond
+	// handOverLimit bounds the wait for entries to read the ends of attempts
+	// before a stop.
+	handOverLimit = 5 * time.Second
+	handOverPoll  = 20 * time.Millisecond
 	// applySlack is added to an order's timeout before its call is given up.
 	applySlack = time.Second
 )
@@ -125,6 +129,14 @@
 	s.loop.Post(read)
 }
 
+// drainStreams waits until the entries have read the ends of all attempts, at
+// most for handOverLimit.
+func (s *side) drainStreams() {
+	for end := time.Now().Add(handOverLimit); time.Now().Before(end) && s.attempts.attached(); {
+		time.Sleep(handOverPoll)
+	}
+}
+
 // sweep forgets old attempts until the daemon ends.
 func (s *side) sweep() {
 	for s.sleep(sweepInterval) {
@@ -187,10 +199,17 @@
 	done := make(chan struct{})
 	defer close(done)
 	s.wg.Go(func() { st.Beat(done) })
-	s.wg.Go(func() { s.readCallers(st, run) })
+	read := make(chan struct{})
+	s.wg.Go(func() {
+		defer close(read)
+		s.readCallers(st, run)
+	})
 	if err := run.send(st, next); err != nil {
 		st.Abandon()
+		return
 	}
+	// The entry closes its end once it has the whole answer.
+	<-read
 }
 
 // admit finds or starts the attempt that a stream asks for.
@@ -222,7 +241,6 @@
 		}
 		if f.Cancel != nil {
 			run.cancel(errors.WithDetail(errCancelled, f.Cancel.Reason))
-			return
 		}
 	}
 }
