--- a/Makefile
+++ b/Makefile
@@ -37,3 +37,9 @@
 
 clean:
 	rm -rf $(BIN)
+
+# Virtual-time measurement of the role planner; takes some minutes.
+.PHONY: measure-fleet
+measure-fleet:
+	MEASURE_FLEET=1 go test -count=1 -timeout 30m -run 'TestMeasure$$' -v ./internal/core/fleet/measure
+	go test -count=1 -run '^$$' -bench BenchmarkPlan600 ./internal/core/fleet/planner
--- a/internal/core/fleet/decide.go
+++ b/internal/core/fleet/decide.go
@@ -52,7 +52,7 @@
 	return n
 }
 
-// changesAtOnce is the number of targets that may be out for planned changes.
+// changesAtOnce is the number of targets that may be out for a roll-out.
 func (p *pool) changesAtOnce() int {
 	if n := p.spec.Rollout.MaxUnavailable; n > 0 {
 		return n
@@ -60,8 +60,8 @@
 	return max(1, len(p.targets)/changeShare)
 }
 
-// changeShare is the part of a pool that may change at once where the
-// manifest sets no limit: one in this many.
+// changeShare is the part of a pool that a roll-out may take out at once where
+// the manifest sets no limit: one in this many.
 const changeShare = 5
 
 func sortedValues(m map[msg.TargetID]*target) []*target {
--- a/internal/core/fleet/demand/capability.go
+++ b/internal/core/fleet/demand/capability.go
@@ -14,6 +14,9 @@
 const (
 	// StepLimit is the longest time between two tokens of an answer.
 	StepLimit = 49 * time.Millisecond
+	// LongPrompt is the number of prompt tokens that a half-loaded mixed engine
+	// just prefills within the limit for the first token.
+	LongPrompt = 3250
 	// learningWeight is the share of a new observation in the averages.
 	learningWeight = 0.02
 	// batchVariance is the variance of the batch size above which the time
--- a/internal/core/fleet/demand/demand.go
+++ b/internal/core/fleet/demand/demand.go
@@ -31,20 +31,28 @@
 	// horizon, of the total and of prefill minus decode.
 	TotalDeviation float64 `json:"totalDeviation"`
 	MixDeviation   float64 `json:"mixDeviation"`
+	// LongShare is the share of the prefill work that belongs to prompts too
+	// long for a mixed engine to answer in time.
+	LongShare float64 `json:"longShare"`
 }
 
 const (
 	// SampleInterval is the interval between two samples.
 	SampleInterval = time.Second
-	fastConstant   = 4 * time.Second
-	middleConstant = 30 * time.Second
-	slowConstant   = 4 * time.Minute
-	// errorConstant is how long past errors of the predictors count.
-	errorConstant = 5 * time.Minute
-	// errorFloor is the squared error below which predictors are alike.
-	errorFloor = 1e-4
-	// weightPower makes the better predictors count more.
-	weightPower = 2
+	// answerConstant spreads decode work over the time that answers take.
+	answerConstant = 8 * time.Second
+	// longConstant averages the share of long prompts.
+	longConstant = time.Minute
+	fastConstant = 4 * time.Second
+	slowConstant = 4 * time.Minute
+	// memory is how long the persistence of past swings counts, and
+	// spreadMemory how long their size does.
+	memory       = 10 * time.Minute
+	spreadMemory = 2 * time.Minute
+	// priorSamples is the number of samples that count for full persistence.
+	priorSamples = 10
+	// maxPersistence lets a ramp be followed ahead.
+	maxPersistence = 1.5
 )
 
 // Estimator follows the load of one pool. It is not safe for concurrent use.
@@ -52,6 +60,9 @@
 	horizon int // samples
 	total   series
 	mix     series
+	decode  float64
+	long    float64
+	prefill float64
 	next    msg.Time
 	started bool
 }
@@ -65,12 +76,26 @@
 // Due reports whether the next sample is to be taken.
 func (e *Estimator) Due(now msg.Time) bool { return !e.started || now >= e.next }
 
-// Observe takes one sample.
-func (e *Estimator) Observe(now msg.Time, l Load) {
+// Observe takes one sample: the load that arrived, and the part of its
+// prefill that belongs to long prompts.
+func (e *Estimator) Observe(now msg.Time, l Load, long float64) {
+	if !e.started {
+		e.decode = l.Decode
+	}
 	e.started = true
 	e.next = now + SampleInterval
-	e.total.observe(l.Total())
-	e.mix.observe(l.Prefill - l.Decode)
+	e.decode = average(e.decode, l.Decode, decay(answerConstant))
+	e.prefill = average(e.prefill, l.Prefill, decay(longConstant))
+	e.long = average(e.long, long, decay(longConstant))
+	e.total.observe(l.Prefill + e.decode)
+	e.mix.observe(l.Prefill - e.decode)
+}
+
+func (e *Estimator) longShare() float64 {
+	if e.prefill <= 0 {
+		return 0
+	}
+	return min(1, e.long/e.prefill)
 }
 
 // Samples returns the number of samples taken.
@@ -78,14 +103,13 @@
 
 // Forecast returns the load expected over the horizon.
 func (e *Estimator) Forecast() Forecast {
-	total, totalDev := e.total.forecast()
-	mix, mixDev := e.mix.forecast()
 	return Forecast{
-		Mean:           split(total, mix),
+		Mean:           split(e.total.forecast(), e.mix.forecast()),
 		Fast:           split(e.total.fast, e.mix.fast),
 		Slow:           split(e.total.slow, e.mix.slow),
-		TotalDeviation: totalDev,
-		MixDeviation:   mixDev,
+		TotalDeviation: e.total.deviation(),
+		MixDeviation:   e.mix.deviation(),
+		LongShare:      e.longShare(),
 	}
 }
 
@@ -102,93 +126,92 @@
 	return split(f.Mean.Total()+total*f.TotalDeviation, f.Mean.Prefill-f.Mean.Decode+mix*f.MixDeviation)
 }
 
-// predictors of a series. Each predicts the mean over the horizon.
-const (
-	predictFast = iota
-	predictMiddle
-	predictSlow
-	predictTrend
-	predictors
-)
-
-// series is one averaged quantity and the record of its predictors.
+// series is one averaged quantity. Its forecast is the slow average plus the
+// part of the fast one's distance from it that has persisted in the past.
 type series struct {
-	n                  int
-	fast, middle, slow float64
-	// past holds, in a ring, what was predicted and seen over the horizon.
-	past   []point
-	errors [predictors]float64
-	// spread holds, per predictor, the mean squared distance of single
-	// samples from the prediction.
-	spread [predictors]float64
+	n          int
+	fast, slow float64
+	// past is a ring over the horizon.
+	past []point
+	// product and square are the decayed sums of a regression of what came on
+	// the distance between the averages.
+	product, square float64
+	// spread is the mean squared distance of single values from the forecast.
+	spread float64
 }
 
-type point struct {
-	value       float64
-	predictions [predictors]float64
-}
+type point struct{ fast, slow, forecast float64 }
 
 func newSeries(horizon int) series { return series{past: make([]point, horizon)} }
 
 func (s *series) observe(v float64) {
 	if s.n == 0 {
-		s.fast, s.middle, s.slow = v, v, v
+		s.fast, s.slow = v, v
 	}
 	s.fast = average(s.fast, v, s.weight(fastConstant))
-	s.middle = average(s.middle, v, s.weight(middleConstant))
 	s.slow = average(s.slow, v, s.weight(slowConstant))
 	s.score()
-	s.past[s.n%len(s.past)] = point{s.fast, s.predict()}
+	s.past[s.n%len(s.past)] = point{s.fast, s.slow, s.forecast()}
 	s.n++
 }
 
 // weight is the share of a new sample in an average with the given time
 // constant; young averages weigh all samples alike.
 func (s *series) weight(constant time.Duration) float64 {
-	return max(1-math.Exp(-float64(SampleInterval)/float64(constant)), 1/float64(s.n+1))
+	return max(decay(constant), 1/float64(s.n+1))
+}
+
+// decay is the part of an average that one sample replaces.
+func decay(constant time.Duration) float64 {
+	return 1 - math.Exp(-float64(SampleInterval)/float64(constant))
 }
 
 func average(old, v, weight float64) float64 { return old + weight*(v-old) }
 
-// score compares the oldest predictions with what has been seen since.
+// score compares the oldest forecast with what has been seen since.
 func (s *series) score() {
 	if s.n < len(s.past) {
 		return
 	}
+	old := s.past[s.n%len(s.past)]
 	mean, square := 0.0, 0.0
 	for _, p := range s.past {
-		mean += p.value
-		square += p.value * p.value
+		mean += p.fast
+		square += (p.fast - old.forecast) * (p.fast - old.forecast)
 	}
 	mean /= float64(len(s.past))
 	square /= float64(len(s.past))
-	weight := max(1-math.Exp(-float64(SampleInterval)/float64(errorConstant)), 1/float64(s.n-len(s.past)+1))
-	for i, predicted := range s.past[s.n%len(s.past)].predictions {
-		miss := mean - predicted
-		s.errors[i] = average(s.errors[i], miss*miss, weight)
-		s.spread[i] = average(s.spread[i], square-2*predicted*mean+predicted*predicted, weight)
+	distance := old.fast - old.slow
+	keep := 1 - decay(memory)
+	s.product = keep*s.product + distance*(mean-old.slow)
+	s.square = keep*s.square + distance*distance
+	s.spread = average(s.spread, square, max(decay(spreadMemory), 1/float64(s.n-len(s.past)+1)))
+}
+
+// deviation is the expected distance of single values from the forecast: as
+// forecasts missed lately, or as the last values lie around the present one.
+// After a lasting step only one of them is large, in a swing both are.
+func (s *series) deviation() float64 {
+	n := min(s.n, len(s.past))
+	if n == 0 {
+		return 0
+	}
+	forecast, square := s.forecast(), 0.0
+	for _, p := range s.past[:n] {
+		square += (p.fast - forecast) * (p.fast - forecast)
 	}
+	return math.Sqrt(min(s.spread, square/float64(n)))
 }
 
-func (s *series) predict() [predictors]float64 {
-	var p [predictors]float64
-	p[predictFast] = s.fast
-	p[predictMiddle] = s.middle
-	p[predictSlow] = s.slow
-	// The slope shows in how far the averages lag behind each other.
-	slope := (s.fast - s.middle) / (middleConstant - fastConstant).Seconds()
-	p[predictTrend] = s.fast + slope*float64(len(s.past))/2*SampleInterval.Seconds()
-	return p
-}
-
-// forecast combines the predictors by their past errors.
-func (s *series) forecast() (mean, deviation float64) {
-	var weights, variance float64
-	for i, p := range s.predict() {
-		w := 1 / math.Pow(s.errors[i]+errorFloor, weightPower)
-		weights += w
-		mean += w * p
-		variance += w * s.spread[i]
+// persistence is the part of the present distance that is expected to stay
+// over the horizon. Without evidence at its scale all of it is.
+func (s *series) persistence() float64 {
+	distance := s.fast - s.slow
+	prior := priorSamples * distance * distance
+	if prior+s.square == 0 {
+		return 1
 	}
-	return mean / weights, math.Sqrt(max(0, variance/weights))
+	return min(maxPersistence, max(0, (prior+s.product)/(prior+s.square)))
 }
+
+func (s *series) forecast() float64 { return s.slow + s.persistence()*(s.fast-s.slow) }
--- a/internal/core/fleet/measure/measure_test.go
+++ b/internal/core/fleet/measure/measure_test.go
@@ -6,6 +6,8 @@
 	"os"
 	"sync"
 	"testing"
+
+	"github.com/matryer/is"
 )
 
 func steady(share float64) func(float64) float64 {
@@ -96,17 +98,152 @@
 	return b
 }
 
+// ceiling is the share of good answers that the best split for the moment
+// would reach if role changes took no time, by prefill share.
+type ceiling struct{ shares, good []float64 }
+
+func newCeiling(su setup) ceiling {
+	var c ceiling
+	for share := lowShare; share < highShare+0.01; share += 0.15 {
+		su.mix = mix{share: steady(share)}
+		su.length = fullLength / 3
+		c.shares = append(c.shares, share)
+		c.good = append(c.good, best(runAll(su, grid(su.engines, 2))).share())
+	}
+	return c
+}
+
+func (c ceiling) at(share float64) float64 {
+	for i := 1; i < len(c.shares); i++ {
+		if share <= c.shares[i] || i == len(c.shares)-1 {
+			f := (share - c.shares[i-1]) / (c.shares[i] - c.shares[i-1])
+			return c.good[i-1] + min(1, max(0, f))*(c.good[i]-c.good[i-1])
+		}
+	}
+	return c.good[0]
+}
+
+// over averages the ceiling over a mix.
+func (c ceiling) over(m mix) float64 {
+	sum, n := 0.0, 0
+	for t := warmUp; t < warmUp+fullLength; t++ {
+		sum += c.at(m.share(t))
+		n++
+	}
+	return sum / float64(n)
+}
+
+func (r result) share() float64 { return float64(r.good) / float64(r.offered) }
+
+// deployment is one of the fleets that are measured.
+type deployment struct {
+	name    string
+	domains int
+	load    float64
+	faults  faults
+}
+
+// someFaults crashes an engine each minute and every tenth role change.
+var someFaults = faults{crashEvery: 60, changeFails: 0.1}
+
+func deployments() []deployment {
+	return []deployment{
+		{"Taichung, 3 failure domains, load 17, no faults", 3, 17, faults{}},
+		{"Taichung, 3 failure domains, load 20, no faults", 3, 20, faults{}},
+		{"Taichung, 3 failure domains, load 20, faults", 3, 20, someFaults},
+		{"Consortium, 4 failure domains, load 20, faults", 4, 20, someFaults},
+	}
+}
+
+func (d deployment) setup(m mix) setup {
+	return setup{mix: m, engines: 20, domains: d.domains, load: d.load, faults: d.faults, seed: 1, length: fullLength}
+}
+
 func TestMeasure(t *testing.T) {
 	if os.Getenv("MEASURE_FLEET") == "" {
-		t.Skip("set MEASURE_FLEET=1, or run make measure-fleet")
+		t.Skip("a measurement, run by make measure-fleet; TestPlannerThroughAStep keeps its result in CI")
 	}
-	fmt.Printf("%-12s %-18s %8s %8s %8s %8s %6s %6s\n", "mix", "best fixed", "fixed", "mixed", "thresh", "planner", "ch-thr", "ch-pl")
+	for _, d := range deployments() {
+		measureMixes(d)
+		measureOutage(d)
+	}
+}
+
+func measureMixes(d deployment) {
+	fmt.Printf("\n%s\n", d.name)
+	fmt.Printf("%-10s %-14s %6s %6s %6s %6s %6s %6s %6s %6s %6s %8s %8s\n", "mix", "best fixed", "fixed", "mixed",
+		"thresh", "plan", "limit", "p/fix", "p/thr", "ch-thr", "ch-pl", "cost-fix", "cost-pl")
+	c := newCeiling(d.setup(mix{}))
+	thresholdChanges, plannerChanges := 0, 0
 	for _, m := range mixes() {
-		su := setup{mix: m, engines: 20, domains: 3, load: 15, seed: 1, length: fullLength}
-		f := best(runAll(su, grid(20, 2)))
-		rs := runAll(su, []policy{fixed{0, 0, 20}, &threshold{}, newPlanned()})
-		share := func(r result) float64 { return float64(r.good) / float64(r.offered) }
-		fmt.Printf("%-12s %-18s %8.3f %8.3f %8.3f %8.3f %6d %6d\n", m.name, f.policy,
-			share(f), share(rs[0]), share(rs[1]), share(rs[2]), rs[1].changes, rs[2].changes)
+		su := d.setup(m)
+		f := best(runAll(su, grid(su.engines, 2)))
+		rs := runAll(su, []policy{fixed{0, 0, su.engines}, &threshold{}, newPlanned()})
+		mixed, thr, plan := rs[0], rs[1], rs[2]
+		fmt.Printf("%-10s %-14s %6.3f %6.3f %6.3f %6.3f %6.3f %6.2f %6.2f %6d %6d %8.3f %8.3f\n", m.name, f.policy,
+			f.share(), mixed.share(), thr.share(), plan.share(), c.over(m), plan.share()/f.share(), plan.share()/thr.share(),
+			thr.changes, plan.changes, f.cost(su), plan.cost(su))
+		thresholdChanges += thr.changes
+		plannerChanges += plan.changes
+	}
+	fmt.Printf("role changes in all: threshold %d, planner %d\n", thresholdChanges, plannerChanges)
+}
+
+// cost is the price of the engines for a thousand good answers, at one unit
+// for an engine and hour.
+func (r result) cost(su setup) float64 {
+	hours := (su.length - tail) / 3600
+	return float64(su.engines) * hours / float64(r.good) * 1000
+}
+
+// measureOutage takes one failure domain away for five minutes.
+func measureOutage(d deployment) {
+	const at, outage = 400.0, 300.0
+	su := d.setup(mix{share: steady(0.5)})
+	su.load = 12
+	su.faults = faults{domainAt: at, domainFor: outage}
+	ps := []policy{fixed{10, 8, 2}, fixed{0, 0, 20}, &threshold{}, newPlanned()}
+	fmt.Printf("one failure domain out for %.0f s, load %.0f\n", outage, su.load)
+	for _, r := range runAll(su, ps) {
+		before, during := r.rate(at-100, at), r.rate(at, at+outage)
+		late := r.rate(at+outage-100, at+outage)
+		fmt.Printf("%-14s good/s before %5.1f during %5.1f, at its late rate after %3.0f s\n", r.policy, before, during, r.recovery(at, late))
+	}
+}
+
+// rate is the mean number of good answers a second by time of arrival.
+func (r result) rate(from, to float64) float64 {
+	n := 0
+	for _, good := range r.perSecond[int(from):int(to)] {
+		n += good
+	}
+	return float64(n) / (to - from)
+}
+
+// recovery is the time after at until the rate over ten seconds reaches nine
+// tenths of the given one.
+func (r result) recovery(at, rate float64) float64 {
+	for t := at; ; t++ {
+		if r.rate(t, t+10) >= 0.9*rate {
+			return t - at
+		}
+	}
+}
+
+func TestPlannerThroughAStep(t *testing.T) {
+	is := is.New(t)
+	var step mix
+	for _, m := range mixes() {
+		if m.name == "step" {
+			step = m
+		}
+	}
+	for _, f := range []faults{{}, someFaults} {
+		su := deployment{domains: 3, load: 20, faults: f}.setup(step)
+		rs := runAll(su, []policy{newPlanned(), &threshold{}, fixed{0, 0, 20}, fixed{8, 12, 0}, fixed{10, 10, 0}, fixed{6, 14, 0}})
+		plan := rs[0].share()
+		is.True(plan >= 1.25*best(rs[3:]).share())
+		is.True(plan >= 1.02*rs[1].share())
+		is.True(plan >= rs[2].share())
 	}
 }
--- a/internal/core/fleet/measure/model_test.go
+++ b/internal/core/fleet/measure/model_test.go
@@ -39,7 +39,6 @@
 	arrived, first, ended float64
 	prompt, output        int
 	left, got             int
-	onMixed               bool
 	spoilt                bool
 	place                 *engine // holds the reserved place for decoding
 }
@@ -65,6 +64,7 @@
 	id       msg.TargetID
 	domain   msg.FailureDomain
 	role, to msg.Role
+	previous msg.Role
 	state    state
 	queue    []*request // prompts, the first one in progress
 	decoding []*request
@@ -85,6 +85,9 @@
 	return decodeBatch
 }
 
+// fill is the used part of the batch.
+func (e *engine) fill() float64 { return float64(e.reserved) / float64(e.batch()) }
+
 func (e *engine) queued() int {
 	n := 0
 	for _, r := range e.queue {
--- a/internal/core/fleet/measure/policies_test.go
+++ b/internal/core/fleet/measure/policies_test.go
@@ -114,13 +114,13 @@
 func (*planned) roles(n int) []msg.Role { return fixed{0, 0, n}.roles(n) }
 
 func (p *planned) control(s *sim) {
-	p.estimator.Observe(seconds(s.now), s.arrivals)
+	p.estimator.Observe(seconds(s.now), s.arrivals, s.longArrivals)
 	plan := planner.Make(planner.Input{
 		Engines:    p.engines(s),
 		Forecast:   p.estimator.Forecast(),
 		Efficiency: planner.DefaultEfficiency(),
 		Costs:      p.costs,
-		Limits:     planner.Limits{AtOnce: max(1, len(s.engines)/5), PerDomain: max(1, len(s.engines)/5)},
+		Limits:     planner.LimitsFor(len(s.engines), s.domains, 0),
 	})
 	for _, c := range plan.Changes {
 		for _, e := range s.engines {
@@ -143,9 +143,10 @@
 			Available:   e.state == serving,
 			Changing:    e.state == draining || e.state == changing,
 			SinceChange: seconds(s.now - e.changed),
+			Previous:    e.previous,
 		}
 		if pe.Changing {
-			pe.Role = e.to
+			pe.Role, pe.Previous = e.to, e.role
 		}
 		if e.role != msg.RolePrefill {
 			pe.DrainTime = seconds(min(drainLimit, float64(e.reserved)*0.2))
--- a/internal/core/fleet/measure/sim_test.go
+++ b/internal/core/fleet/measure/sim_test.go
@@ -10,8 +10,10 @@
 )
 
 const (
-	warmUp = 120.0
-
+	// A run is warmUp + length seconds. Arrivals of the warm-up are not
+	// counted, nor those of the tail, whose answers may not end in the run.
+	warmUp       = 120.0
+	tail         = 20.0
 	controlEvery = 1.0
 )
 
@@ -64,9 +66,12 @@
 	transfer []*request // on their way to their place, in order of arrival
 	arriveAt []float64
 	arrivals demand.Load // since the last control
-	all      []*request
-	res      result
-	crashAt  float64
+	// longArrivals is the prefill work of prompts that mixed engines can't
+	// answer in time.
+	longArrivals float64
+	all          []*request
+	res          result
+	crashAt      float64
 }
 
 func run(su setup, p policy) result {
@@ -111,7 +116,7 @@
 		case control:
 			s.progress()
 			p.control(s)
-			s.arrivals = demand.Load{}
+			s.arrivals, s.longArrivals = demand.Load{}, 0
 			control += controlEvery
 		case at:
 			s.arrive(sh)
@@ -144,23 +149,28 @@
 	w := sh.work()
 	s.arrivals.Prefill += w.Prefill
 	s.arrivals.Decode += w.Decode
+	if sh.prompt > demand.LongPrompt {
+		s.longArrivals += w.Prefill
+	}
 	s.route(r)
 }
 
 // route places a request, or refuses it when its first token would be late or
-// no place for decoding is left. Dedicated engines go before mixed ones.
+// no place for decoding is left. Long prompts go to dedicated engines first;
+// others where the batches are emptier.
 func (s *sim) route(r *request) {
 	prefill, first := s.bestPrefill(msg.RolePrefill, r)
 	place := s.bestPlace()
-	if first > admitWithin || place == nil {
-		prefill, first = s.bestPrefill(msg.RoleMixed, r)
-		place = prefill
-	}
-	if first > admitWithin || place == nil {
+	mixed, mixedFirst := s.bestPrefill(msg.RoleMixed, r)
+	split := place != nil && first <= admitWithin
+	whole := mixed != nil && mixedFirst <= admitWithin
+	switch {
+	case !split && !whole:
 		return
+	case !split, whole && r.prompt <= demand.LongPrompt && mixed.fill() < place.fill():
+		prefill, place = mixed, mixed
 	}
 	r.place = place
-	r.onMixed = place == prefill
 	place.reserved++
 	prefill.queue = append(prefill.queue, r)
 	prefill.begin(s.now)
@@ -245,7 +255,7 @@
 		s.crash(e, restartTime)
 		return
 	}
-	e.role, e.state, e.changed = e.to, serving, s.now
+	e.previous, e.role, e.state, e.changed = e.role, e.to, serving, s.now
 }
 
 // change starts a role change with a drain.
@@ -320,7 +330,7 @@
 func (s *sim) count() {
 	s.res.perSecond = make([]int, int(warmUp+s.length)+1)
 	for _, r := range s.all {
-		if r.arrived < warmUp || r.arrived > warmUp+s.length-20 {
+		if r.arrived < warmUp || r.arrived > warmUp+s.length-tail {
 			continue
 		}
 		s.res.offered++
--- a/internal/core/fleet/planner/planner.go
+++ b/internal/core/fleet/planner/planner.go
@@ -27,8 +27,10 @@
 	Fixed bool
 	// DrainTime is how long the running work is expected to take.
 	DrainTime time.Duration
-	// SinceChange is the time since the engine's last role change.
+	// SinceChange is the time since the engine's last role change, from
+	// Previous.
 	SinceChange time.Duration
+	Previous    msg.Role
 }
 
 // Limits bounds the changes that may be open.
@@ -38,6 +40,21 @@
 	PerDomain int
 }
 
+// roleShare is the part of a pool that may change roles at once where the
+// manifest sets no limit: one in this many. What a change costs limits it
+// further.
+const roleShare = 2
+
+// LimitsFor returns the limits for a pool. A positive atOnce is the
+// manifest's.
+func LimitsFor(engines, domains, atOnce int) Limits {
+	if atOnce <= 0 {
+		atOnce = max(1, engines/roleShare)
+	}
+	domains = max(1, domains)
+	return Limits{AtOnce: atOnce, PerDomain: (atOnce + domains - 1) / domains}
+}
+
 // Costs describes what a change costs.
 type Costs struct {
 	// ChangeTime is the time that an engine is out for its role change.
@@ -50,6 +67,10 @@
 	Rest time.Duration
 	// Margin is the factor by which the gain must exceed the cost.
 	Margin float64
+	// Reversal is the factor in its place for a change that undoes one of the
+	// last ReversalTime, so that noise does not move engines to and fro.
+	Reversal     float64
+	ReversalTime time.Duration
 }
 
 // DefaultCosts fits engines that change their role within seconds.
@@ -59,7 +80,10 @@
 		ColdTime:   4 * time.Second,
 		Horizon:    time.Minute,
 		Rest:       30 * time.Second,
-		Margin:     1.2,
+		Margin:     2.2,
+
+		Reversal:     5,
+		ReversalTime: time.Minute,
 	}
 }
 
@@ -99,8 +123,12 @@
 type work struct {
 	in        Input
 	scenarios []scenario
+	present   []scenario
 	engines   []Engine
+	// counts are the engines once all open changes are done, serving those
+	// that serve meanwhile.
 	counts    counts
+	serving   counts
 	spread    spread
 	open      int
 	perDomain map[msg.FailureDomain]int
@@ -127,7 +155,7 @@
 }
 
 func newWork(in Input) *work {
-	w := &work{in: in, scenarios: scenarios(in.Forecast), perDomain: make(map[msg.FailureDomain]int), spread: make(spread)}
+	w := &work{in: in, scenarios: scenarios(in.Forecast), present: []scenario{{in.Forecast.Fast, in.Forecast.LongShare, 1}}, perDomain: make(map[msg.FailureDomain]int), spread: make(spread)}
 	w.engines = slices.Clone(in.Engines)
 	slices.SortFunc(w.engines, func(a, b Engine) int { return cmp.Compare(a.ID, b.ID) })
 	for _, e := range w.engines {
@@ -135,6 +163,9 @@
 			w.counts = w.counts.add(e.Role, 1)
 			w.spread[e.Domain] = w.spread[e.Domain].add(e.Role, 1)
 		}
+		if e.Available {
+			w.serving = w.serving.add(e.Role, 1)
+		}
 		if e.Changing {
 			w.open++
 			w.perDomain[e.Domain]++
@@ -160,8 +191,9 @@
 func (w *work) take(i int, to msg.Role) {
 	e := &w.engines[i]
 	w.counts = w.counts.add(e.Role, -1).add(to, 1)
+	w.serving = w.serving.add(e.Role, -1)
 	w.spread[e.Domain] = w.spread[e.Domain].add(e.Role, -1).add(to, 1)
-	e.Role = to
+	e.Previous, e.Role = e.Role, to
 	e.Available, e.Changing = false, true
 	w.open++
 	w.perDomain[e.Domain]++
@@ -183,7 +215,7 @@
 				continue
 			}
 			c := w.price(i, to, w.value(after)-now)
-			if c.Gain <= w.in.Costs.Margin*c.Cost {
+			if c.Gain <= w.margin(from, to)*c.Cost {
 				reason = "no change wins more than it costs"
 				continue
 			}
@@ -195,6 +227,17 @@
 	return best, at, reason
 }
 
+// margin returns the factor by which a change's gain must exceed its cost.
+func (w *work) margin(from, to msg.Role) float64 {
+	for _, e := range w.engines {
+		recent := e.Changing || e.SinceChange < w.in.Costs.ReversalTime
+		if recent && e.Role == from && e.Previous == to {
+			return w.in.Costs.Reversal
+		}
+	}
+	return w.in.Costs.Margin
+}
+
 // cheapest returns the engine of a role whose change costs least, or -1. Only
 // failure domains with the most engines of the role give one up.
 func (w *work) cheapest(from msg.Role) int {
@@ -241,10 +284,11 @@
 
 // leastLoss is the least price of a missing engine, in engine-seconds per
 // second, so that idle pools don't change roles for nothing.
-const leastLoss = 0.05
+const leastLoss = 0.4
 
-// lost is the work that a missing engine of the role costs, in
-// engine-seconds per second.
+// lost is the work that a missing engine of the role costs now, beside those
+// that are out already, in engine-seconds per second.
 func (w *work) lost(r msg.Role) float64 {
-	return w.value(w.counts) - w.value(w.counts.add(r, -1))
+	eff := w.in.Efficiency
+	return eff.value(w.serving, w.present) - eff.value(w.serving.add(r, -1), w.present)
 }
--- a/internal/core/fleet/planner/value.go
+++ b/internal/core/fleet/planner/value.go
@@ -17,7 +17,7 @@
 // DefaultEfficiency fits engines that decode at most one prompt chunk per step
 // in the mixed role.
 func DefaultEfficiency() Efficiency {
-	return Efficiency{Prefill: 0.75, Decode: 0.95, MixedPrefill: 0.5, MixedDecode: 0.65}
+	return Efficiency{Prefill: 0.93, Decode: 0.96, MixedPrefill: 0.2, MixedDecode: 0.5}
 }
 
 // counts is the number of engines in each role.
@@ -25,22 +25,33 @@
 
 func (c counts) total() int { return c.prefill + c.decode + c.mixed }
 
-// served returns the largest share of the load, at most one, that the engines
-// can serve. Each request needs both kinds of work.
-func (e Efficiency) served(c counts, l demand.Load) float64 {
-	if l.Total() <= 0 {
-		return 1
-	}
+// served returns the work that the engines can serve of a load. Each request
+// needs both kinds of work. Long prompts are for dedicated engines alone; what
+// exceeds those is refused without holding up the rest.
+func (e Efficiency) served(c counts, l demand.Load, long float64) float64 {
 	prefill := float64(c.prefill) * e.Prefill
-	decode := float64(c.decode) * e.Decode
-	mixed := float64(c.mixed)
-	if e.fits(prefill, decode, mixed, l, 1) {
+	if longWork := l.Prefill * long; longWork > prefill {
+		l.Prefill -= longWork - prefill
+	}
+	r := room{prefill: prefill, decode: float64(c.decode) * e.Decode, mixed: float64(c.mixed)}
+	return e.share(r, l) * l.Total()
+}
+
+// room is the usable time of the dedicated engines and the mixed engines.
+type room struct{ prefill, decode, mixed float64 }
+
+// shareSteps is the number of halvings in the search for the served share.
+const shareSteps = 12
+
+// share returns the largest share of a load, at most one, that fits.
+func (e Efficiency) share(r room, l demand.Load) float64 {
+	if e.fits(r, l, 1) {
 		return 1
 	}
 	low, high := 0.0, 1.0
-	for range servedSteps {
+	for range shareSteps {
 		mid := (low + high) / 2
-		if e.fits(prefill, decode, mixed, l, mid) {
+		if e.fits(r, l, mid) {
 			low = mid
 		} else {
 			high = mid
@@ -49,27 +60,18 @@
 	return low
 }
 
-// servedSteps is the number of halvings in the search for the served share.
-const servedSteps = 12
-
 // fits reports whether a share of the load fits when mixed engines take what
 // the others can't.
-func (e Efficiency) fits(prefill, decode, mixed float64, l demand.Load, share float64) bool {
-	restPrefill := max(0, share*l.Prefill-prefill)
-	restDecode := max(0, share*l.Decode-decode)
-	need := 0.0
-	if restPrefill > 0 {
-		need += restPrefill / e.MixedPrefill
-	}
-	if restDecode > 0 {
-		need += restDecode / e.MixedDecode
-	}
-	return need <= mixed
+func (e Efficiency) fits(r room, l demand.Load, share float64) bool {
+	need := max(0, share*l.Prefill-r.prefill) / e.MixedPrefill
+	need += max(0, share*l.Decode-r.decode) / e.MixedDecode
+	return need <= r.mixed
 }
 
 // scenario is a possible load and its weight.
 type scenario struct {
 	load   demand.Load
+	long   float64
 	weight float64
 }
 
@@ -83,7 +85,7 @@
 	shifts := []float64{-scenarioShift, 0, scenarioShift}
 	for _, total := range shifts {
 		for _, mix := range shifts {
-			out = append(out, scenario{f.Shifted(total, mix), 1.0 / float64(len(shifts)*len(shifts))})
+			out = append(out, scenario{f.Shifted(total, mix), f.LongShare, 1.0 / float64(len(shifts)*len(shifts))})
 		}
 	}
 	return out
@@ -93,7 +95,7 @@
 func (e Efficiency) value(c counts, ss []scenario) float64 {
 	v := 0.0
 	for _, s := range ss {
-		v += s.weight * e.served(c, s.load) * s.load.Total()
+		v += s.weight * e.served(c, s.load, s.long)
 	}
 	return v
 }
--- a/internal/core/fleet/roles.go
+++ b/internal/core/fleet/roles.go
@@ -46,12 +46,11 @@
 }
 
 func (c *Controller) planInput(now msg.Time, p *pool, rec *Record) planner.Input {
-	atOnce := p.changesAtOnce()
 	in := planner.Input{
 		Forecast:   p.estimator.Forecast(),
 		Efficiency: c.cfg.Efficiency,
 		Costs:      c.cfg.Costs,
-		Limits:     planner.Limits{AtOnce: atOnce, PerDomain: max(1, (atOnce+1)/2)},
+		Limits:     planner.LimitsFor(len(p.targets), len(p.spec.Shape), p.spec.Rollout.MaxUnavailable),
 	}
 	for _, t := range p.sorted() {
 		in.Engines = append(in.Engines, c.planEngine(now, p, rec, t))
--- a/internal/core/fleet/traffic.go
+++ b/internal/core/fleet/traffic.go
@@ -24,12 +24,14 @@
 	last             msg.Time
 }
 
-// tokens is an amount of work, or a rate per second.
-type tokens struct{ prefill, decode float64 }
+// tokens is an amount of work, or a rate per second. Long is the part of
+// prefill that belongs to long prompts.
+type tokens struct{ prefill, decode, long float64 }
 
 const (
-	// sharedValues is the length of a shared entry: prefill and decode rates.
-	sharedValues = 2
+	// sharedValues is the length of a shared entry: the rates of prefill,
+	// decode and long prompts.
+	sharedValues = 3
 	// ratioDecay is the weight that past answers keep after each second.
 	ratioDecay = 0.99
 	// maxOpenRequests bounds the requests whose limits are remembered.
@@ -84,6 +86,9 @@
 	}
 	t.arrived[pool].prefill += float64(ev.PromptTokens)
 	t.arrived[pool].decode += float64(limit)
+	if ev.PromptTokens > demand.LongPrompt {
+		t.arrived[pool].long += float64(ev.PromptTokens)
+	}
 	if len(t.open) < maxOpenRequests {
 		t.open[ev.Req] = limit
 	}
@@ -107,7 +112,7 @@
 	clear(t.others)
 	for _, e := range ev.Value.Entries {
 		if len(e.Values) >= sharedValues {
-			t.others[msg.PoolID(e.Key)] = tokens{float64(e.Values[0]), float64(e.Values[1])}
+			t.others[msg.PoolID(e.Key)] = tokens{float64(e.Values[0]), float64(e.Values[1]), float64(e.Values[2])}
 		}
 	}
 }
@@ -131,7 +136,7 @@
 	fresh := 1 - ratio(t.cached, t.prompts, 0)
 	clear(t.rates)
 	for pool, n := range t.arrived {
-		t.rates[pool] = tokens{n.prefill * fresh / elapsed, n.decode * fill / elapsed}
+		t.rates[pool] = tokens{n.prefill * fresh / elapsed, n.decode * fill / elapsed, n.long * fresh / elapsed}
 		*n = tokens{}
 	}
 	t.asked *= ratioDecay
@@ -147,7 +152,7 @@
 		r := t.rates[pool]
 		v.Entries = append(v.Entries, msg.SharedEntry{
 			Key:    string(pool),
-			Values: []float32{float32(r.prefill), float32(r.decode)},
+			Values: []float32{float32(r.prefill), float32(r.decode), float32(r.long)},
 		})
 	}
 	return v
@@ -162,11 +167,9 @@
 			continue
 		}
 		own, others := c.traffic.rates[name], c.traffic.others[name]
-		p.estimator.Observe(now, c.work(p, own.prefill+others.prefill, own.decode+others.decode))
+		work := p.learner.Capability(c.cfg.Declared)
+		load := work.Work(own.prefill+others.prefill, own.decode+others.decode)
+		p.estimator.Observe(now, load, work.Work(own.long+others.long, 0).Prefill)
 	}
 	return []msg.Effect{msg.Raise{Event: msg.ShareState{Section: msg.SectionDemand, Value: c.traffic.shared()}}}
 }
-
-func (c *Controller) work(p *pool, prefill, decode float64) demand.Load {
-	return p.learner.Capability(c.cfg.Declared).Work(prefill, decode)
-}
