Role planner: crashed engines are expected back for a while

With faults on (an engine crash a minute, a tenth of the role changes failing) the planner answered each crash with role changes. An engine that went down is now counted as coming back for 45 s unless its whole failure domain is out.

--- a/internal/core/fleet/measure/model_test.go
+++ b/internal/core/fleet/measure/model_test.go
@@ -75,6 +75,7 @@
 	stepLen  float64
 	until    float64 // end of drain, change or outage
 	changed  float64 // time of the last role change
+	wentDown float64 // time of the last crash
 	busy     float64
 }
 
--- a/internal/core/fleet/measure/policies_test.go
+++ b/internal/core/fleet/measure/policies_test.go
@@ -144,6 +144,7 @@
 			Changing:    e.state == draining || e.state == changing,
 			SinceChange: seconds(s.now - e.changed),
 			Previous:    e.previous,
+			Down:        seconds(s.now - e.wentDown),
 		}
 		if pe.Changing {
 			pe.Role, pe.Previous = e.to, e.role
--- a/internal/core/fleet/measure/sim_test.go
+++ b/internal/core/fleet/measure/sim_test.go
@@ -312,6 +312,7 @@
 		}
 	}
 	e.queue, e.decoding, e.joining, e.reserved = nil, nil, nil, 0
+	e.wentDown = s.now
 	e.state, e.until, e.stepEnd = down, s.now+outage, math.Inf(1)
 }
 
--- a/internal/core/fleet/planner/planner.go
+++ b/internal/core/fleet/planner/planner.go
@@ -23,6 +23,8 @@
 	// Available says that the engine serves; Changing that it will serve in
 	// Role once its open order is done.
 	Available, Changing bool
+	// Down is how long an engine that is neither has been out.
+	Down time.Duration
 	// Fixed engines keep their role: they are drained, or failed lately.
 	Fixed bool
 	// DrainTime is how long the running work is expected to take.
@@ -159,7 +161,7 @@
 	w.engines = slices.Clone(in.Engines)
 	slices.SortFunc(w.engines, func(a, b Engine) int { return cmp.Compare(a.ID, b.ID) })
 	for _, e := range w.engines {
-		if e.Available || e.Changing {
+		if e.Available || e.Changing || w.returns(e) {
 			w.counts = w.counts.add(e.Role, 1)
 			w.spread[e.Domain] = w.spread[e.Domain].add(e.Role, 1)
 		}
@@ -174,6 +176,19 @@
 	return w
 }
 
+// returnTime is how long an engine that went down is expected back. Crashed
+// engines restart sooner than a role change would pay.
+const returnTime = 45 * time.Second
+
+// returns reports whether a missing engine is expected back: not when its
+// whole failure domain is out.
+func (w *work) returns(e Engine) bool {
+	if e.Available || e.Changing || e.Fixed || e.Down > returnTime {
+		return false
+	}
+	return slices.ContainsFunc(w.engines, func(o Engine) bool { return o.Domain == e.Domain && o.Available })
+}
+
 func (c counts) add(r msg.Role, n int) counts {
 	switch r {
 	case msg.RolePrefill:
--- a/internal/core/fleet/pool.go
+++ b/internal/core/fleet/pool.go
@@ -34,6 +34,8 @@
 	report msg.LoadReport
 	seen   msg.Time
 	lost   bool
+	// served is when the target last took new work.
+	served msg.Time
 	// changed is when the role last changed.
 	changed msg.Time
 	// failures counts orders that failed in a row; none is given before
@@ -81,7 +83,7 @@
 	p := c.pool(ev.Target.Pool)
 	t, ok := p.targets[ev.Target.Target]
 	if !ok {
-		t = &target{id: ev.Target.Target, changed: -c.cfg.Costs.Rest}
+		t = &target{id: ev.Target.Target, changed: -c.cfg.Costs.Rest, served: -forgetAfter}
 		p.targets[t.id] = t
 	}
 	if ok && !t.lost && now-ev.Age < t.seen {
@@ -94,6 +96,9 @@
 	t.report = ev.Report
 	t.seen = now - ev.Age
 	t.lost = false
+	if t.serves(now) {
+		t.served = now
+	}
 	if t.kind == msg.TargetEngine && t.serves(now) {
 		r := ev.Report
 		p.learner.Observe(float64(r.PrefillRate), r.Running, r.MaxBatch, r.StepTime)
--- a/internal/core/fleet/roles.go
+++ b/internal/core/fleet/roles.go
@@ -67,6 +67,10 @@
 		Fixed:       !c.mayChange(now, p, rec, t),
 		SinceChange: now - t.changed,
 	}
+	if !e.Available {
+		e.Down = now - t.served
+		e.Fixed = c.drainReason(p, rec, t) != ""
+	}
 	if t.report.Role != msg.RolePrefill {
 		e.DrainTime = min(drainMax, time.Duration(t.report.Running)*sequenceTime)
 	}
