--- a/internal/core/fleet/market.go
+++ b/internal/core/fleet/market.go
@@ -142,7 +142,7 @@
 		return nil
 	}
 	c.need(p)
-	kept := p.kept(next)
+	kept := p.kept(now, next)
 	switch total := len(kept); {
 	case total < m.needed:
 		m.surplus = false
@@ -181,17 +181,31 @@
 	p.market.reason = fmt.Sprintf("demand %.1f engines, deviation %.1f", f.Mean.Total(), f.TotalDeviation)
 }
 
-// kept returns the listed targets that stay.
-func (p *pool) kept(rec *Record) []msg.OrderedTarget {
+// kept returns the targets that stay: the listed ones, and those that report
+// without being listed, which the target interface did not deliver.
+func (p *pool) kept(now msg.Time, rec *Record) []msg.OrderedTarget {
 	var out []msg.OrderedTarget
+	listed := make(map[msg.TargetID]bool)
 	for _, t := range p.market.listed {
+		listed[t.Target] = true
 		if !t.Leaving && !slices.Contains(rec.Retiring, t.Target) {
 			out = append(out, t)
 		}
 	}
+	for _, t := range p.sorted() {
+		if !listed[t.id] && t.reachable(now) {
+			out = append(out, msg.OrderedTarget{Target: t.id, Domain: t.domain})
+		}
+	}
 	return out
 }
 
+// withdrawable reports whether a target can be given back to the interface
+// that delivered it.
+func (p *pool) withdrawable(id msg.TargetID) bool {
+	return slices.ContainsFunc(p.market.listed, func(t msg.OrderedTarget) bool { return t.Target == id })
+}
+
 // buy adds a purchase in the failure domain that has the fewest targets
 // against its shape: first those under their least number.
 func (p *pool) buy(next *Record, kept []msg.OrderedTarget) {
@@ -266,7 +280,7 @@
 	var best msg.TargetID
 	var domain msg.FailureDomain
 	for _, t := range kept {
-		if have[t.Domain] <= least[t.Domain] {
+		if have[t.Domain] <= least[t.Domain] || !p.withdrawable(t.Target) {
 			continue
 		}
 		if best == "" || have[t.Domain] > have[domain] || (have[t.Domain] == have[domain] && p.running(t.Target) < p.running(best)) {
--- a/internal/core/msg/types.go
+++ b/internal/core/msg/types.go
@@ -10,6 +10,7 @@
 		reflect.TypeFor[ConfigFetch](), reflect.TypeFor[ConfigBody](),
 		reflect.TypeFor[LeaseReleased](),
 		reflect.TypeFor[ExchangePoll](), reflect.TypeFor[ExchangeReply](),
+		reflect.TypeFor[CrashNotice](),
 	}
 }
 
@@ -35,6 +36,7 @@
 		reflect.TypeFor[PeerUp](), reflect.TypeFor[PeerDown](),
 		reflect.TypeFor[ConfigProposed](), reflect.TypeFor[DrainRequested](),
 		reflect.TypeFor[ConfigKnown](), reflect.TypeFor[ConfigHeard](), reflect.TypeFor[HostsHeard](),
+		reflect.TypeFor[AttemptTaken](),
 	}
 }
 
--- a/internal/core/request/arrive.go
+++ b/internal/core/request/arrive.go
@@ -1,11 +1,13 @@
 package request
 
 import (
-	"crypto/subtle"
-	"encoding/hex"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/verbenaspur/verbenaspur/internal/core/keys"
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
+	"github.com/verbenaspur/verbenaspur/internal/core/poison"
 	"github.com/verbenaspur/verbenaspur/internal/manifest"
 )
 
@@ -67,6 +69,10 @@
 	if !r.idempotent && r.arrived.IdempotencyKey == "" {
 		return &refusal{statusBadRequest, CodeKeyRequired, "this operation needs an Idempotency-Key", msg.OutcomeNotRun, 0}
 	}
+	r.fingerprint = fingerprint(r)
+	if s.poison.Strikes(r.fingerprint) >= poison.Limit {
+		return &refusal{statusUnprocessableEntity, CodePoison, "targets went down under this request", msg.OutcomeNotRun, 0}
+	}
 	s.setLimits(r)
 	return nil
 }
@@ -99,6 +105,18 @@
 	return nil
 }
 
+// fingerprint identifies a request by client account, route, call and body. It
+// is never zero.
+func fingerprint(r *request) uint64 {
+	d := xxhash.New()
+	for _, part := range []string{string(r.accountID()), r.route.Name, r.arrived.Method, r.arrived.Path} {
+		_, _ = d.WriteString(part)
+		_, _ = d.Write([]byte{0})
+	}
+	_, _ = d.Write(r.arrived.BodyHash[:])
+	return max(d.Sum64(), 1)
+}
+
 func (s *step) authorize(r *request) *refusal {
 	if r.route.Access == manifest.AccessPublic {
 		return nil
@@ -119,18 +137,11 @@
 
 // checkKey returns the client account of a valid key.
 func (s *step) checkKey(ev *msg.RequestArrived) (*manifest.Account, bool) {
-	ref, ok := s.index.Key(ev.KeyID)
-	if !ok {
-		return nil, false
-	}
-	want, err := hex.DecodeString(ref.Key.Hash)
-	if err != nil || subtle.ConstantTimeCompare(want, ev.KeyDigest[:]) != 1 {
-		return nil, false
-	}
-	if !ref.Key.NotAfter.IsZero() && s.wall.After(ref.Key.NotAfter) {
+	id, status := keys.Check(s.index, ev.KeyID, ev.KeyDigest, s.wall)
+	if status != keys.OK {
 		return nil, false
 	}
-	return ref.Account, true
+	return s.index.Account(string(id)), true
 }
 
 func (s *step) setLimits(r *request) {
@@ -138,6 +149,7 @@
 	if t := r.arrived.Timeout; t > 0 {
 		timeout = min(timeout, t)
 	}
+	r.since = s.now
 	r.deadline = s.now + timeout
 	r.startBy = min(r.deadline, s.now+queueTimeout(r.route))
 	limit := r.route.MaxTokens
@@ -168,7 +180,7 @@
 	case msg.ClaimUnknown:
 		s.refuse(r, refusal{statusConflict, CodeOutcomeUnknown, "an earlier request with this key may have run", msg.OutcomeUnknown, 0})
 	case msg.ClaimExpired:
-		s.refuse(r, refusal{statusConflict, CodeOutcomeUnknown, "the Idempotency-Key is too old; an earlier request with it may have run", msg.OutcomeUnknown, 0})
+		s.refuse(r, refusal{statusConflict, CodeOutcomeUnknown, "the Idempotency-Key is too old to tell whether it ran", msg.OutcomeUnknown, 0})
 	case msg.ClaimUnavailable:
 		s.refuse(r, refusal{statusServiceUnavailable, CodeStoreUnavailable, "the request could not be claimed", msg.OutcomeNotRun, retryClaim})
 	}
--- a/internal/core/request/request.go
+++ b/internal/core/request/request.go
@@ -36,7 +36,9 @@
 	idempotent bool
 	claimed    bool
 	state      state
-	deadline   msg.Time
+	// since is the time of arrival.
+	since    msg.Time
+	deadline msg.Time
 	// startBy bounds the wait for the first attempt.
 	startBy msg.Time
 	// item is the request's place in the queue; charged are the tokens of
@@ -51,6 +53,10 @@
 	exclude []msg.TargetID
 	// tokens is the length of the answer that the caller has.
 	tokens int
+	// fingerprint identifies the request over its resends.
+	fingerprint uint64
+	// crashes counts the targets that went down or were lost under it.
+	crashes int
 	// outcome is what is known about the attempts so far.
 	outcome msg.Outcome
 	// forgetAt bounds the wait in stateAnswered.
@@ -85,6 +91,8 @@
 		OutputTokens: s.outputLeft(r),
 		Prefix:       r.arrived.Prefix,
 		Exclude:      r.exclude,
+		Waited:       s.now - r.since,
+		Suspect:      s.poison.Strikes(r.fingerprint) > 0,
 	}
 	q.Model = r.pool.Model
 	return q
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -25,7 +25,7 @@
 	ctx      context.Context
 	wg       sync.WaitGroup
 	ready    func()
-	seen     func(msg.Effect)
+	seen     func(msg.Time, msg.Effect)
 
 	mu        sync.Mutex
 	exchanges map[msg.RequestID]*exchange
@@ -38,7 +38,7 @@
 
 // execute carries out one effect of the reducer.
 func (e *entry) execute(now msg.Time, eff msg.Effect) {
-	e.seen(eff)
+	e.seen(now, eff)
 	switch eff := eff.(type) {
 	case msg.StartAttempt:
 		e.startAttempt(eff)
--- a/internal/daemon/operators.go
+++ b/internal/daemon/operators.go
@@ -12,7 +12,9 @@
 
 	"github.com/gorilla/mux"
 
+	"github.com/verbenaspur/verbenaspur/internal/core/fleet"
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
+	"github.com/verbenaspur/verbenaspur/internal/core/request"
 	"github.com/verbenaspur/verbenaspur/internal/manifest"
 	"github.com/verbenaspur/verbenaspur/internal/settings"
 )
@@ -41,6 +43,8 @@
 	add(http.MethodPost, "/config", o.propose)
 	add(http.MethodGet, "/history", o.history)
 	add(http.MethodGet, "/status", o.status)
+	add(http.MethodGet, "/explain/{request}", o.explain)
+	add(http.MethodGet, "/plan", o.plan)
 	add(http.MethodPost, "/drain", o.drain)
 }
 
@@ -164,6 +168,28 @@
 	writeJSON(w, http.StatusOK, v)
 }
 
+func (o *operators) explain(w http.ResponseWriter, q *http.Request, _ string) {
+	var v request.Explanation
+	found := false
+	o.e.loop.Query(func(msg.Time) { v, found = o.e.reducer.Explain(msg.RequestID(mux.Vars(q)["request"])) })
+	if !found {
+		writeRefusal(w, badRequest("", http.StatusNotFound, "unknown-request", "this entry daemon remembers no such request; ask the one that served it"))
+		return
+	}
+	writeJSON(w, http.StatusOK, v)
+}
+
+func (o *operators) plan(w http.ResponseWriter, q *http.Request, _ string) {
+	var v fleet.PlanStatus
+	found := false
+	o.e.loop.Query(func(now msg.Time) { v, found = o.e.reducer.Plan(now, msg.PoolID(q.URL.Query().Get("pool"))) })
+	if !found {
+		writeRefusal(w, badRequest("", http.StatusNotFound, "unknown-pool", "the configuration has no such pool"))
+		return
+	}
+	writeJSON(w, http.StatusOK, v)
+}
+
 // drainBody is the body of POST /drain.
 type drainBody struct {
 	Target string `json:"target"`
--- a/internal/proof/parts_test.go
+++ b/internal/proof/parts_test.go
@@ -32,7 +32,7 @@
 // probe is a part that shows the oracle what the parts tell each other.
 type probe struct{ p *proc }
 
-// Step implements core.Part.
+// Step implements reducer.Part.
 func (pr probe) Step(now msg.Time, ev msg.Event) []msg.Effect {
 	o := pr.p.s.oracle
 	if _, ok := ev.(msg.Tick); ok && pr.p.s.muts.alwaysFresh && pr.p.gen > 0 {
