--- a/internal/core/fleet/fleet_test.go
+++ b/internal/core/fleet/fleet_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -240,6 +241,42 @@
 	is.Equal(w.side("t01").gate.Status(w.now).Phase, "draining")
 }
 
+func TestSilentTargetIsReplacedUnlessItsDomainIsCutOff(t *testing.T) {
+	for _, whole := range []bool{false, true} {
+		t.Run(fmt.Sprint(whole), func(t *testing.T) {
+			is := is.New(t)
+			m := testManifest("1", mixedRoles())
+			for i := range m.Pools[0].Shape {
+				m.Pools[0].Shape[i].Min = 3
+			}
+			w := started(m)
+			for _, s := range w.sides {
+				w.listed = append(w.listed, msg.OrderedTarget{Target: s.id, Domain: s.domain, Ready: true})
+			}
+			w.run(time.Minute)
+			for _, s := range w.sides {
+				s.lost = s.id == "t01" || (whole && s.domain == "d1")
+			}
+			w.run(3 * time.Minute)
+			is.Equal(len(w.withdrawn) == 1, !whole)
+			is.Equal(len(w.ordered) == 1, !whole)
+		})
+	}
+}
+
+func TestServicePoolIsDrainedAndKeepsNoRoles(t *testing.T) {
+	is := is.New(t)
+	m := testManifest("2", fixedRoles(2, 3))
+	m.Pools[0].Kind = manifest.PoolService
+	m.Pools[0].Model = ""
+	w := started(m)
+	w.step(w.entries[0], msg.DrainRequested{Call: 1, Target: "t02"})
+	w.run(time.Minute)
+	is.Equal(w.side("t02").gate.Status(w.now).Phase, "draining")
+	is.Equal(w.count(msg.RoleMixed), 6)
+	is.Equal(w.onVersion("1"), 6)
+}
+
 func TestOnlyDrainedTargetsAreWithdrawn(t *testing.T) {
 	is := is.New(t)
 	w := started(testManifest("1", mixedRoles()))
--- a/internal/core/fleet/market.go
+++ b/internal/core/fleet/market.go
@@ -30,6 +30,8 @@
 	known    bool
 	nextList msg.Time
 	leaving  map[msg.TargetID]bool
+	// ready holds when each target was first listed as delivered.
+	ready map[msg.TargetID]msg.Time
 	// calls holds the purchases that are under way by call.
 	calls map[msg.CallID]string
 	again map[string]msg.Time
@@ -43,26 +45,48 @@
 func newMarket() market {
 	return market{
 		leaving: make(map[msg.TargetID]bool),
+		ready:   make(map[msg.TargetID]msg.Time),
 		calls:   make(map[msg.CallID]string),
 		again:   make(map[string]msg.Time),
 	}
 }
 
-func (c *Controller) onTargetsListed(_ msg.Time, ev msg.TargetsListed) {
+func (c *Controller) onTargetsListed(now msg.Time, ev msg.TargetsListed) {
 	p, ok := c.pools[ev.Pool]
 	if !ok || ev.Status != msg.CallOK {
 		return
 	}
 	p.market.listed = ev.Targets
 	p.market.known = true
-	clear(p.market.leaving)
-	for _, t := range ev.Targets {
+	p.market.follow(now)
+}
+
+// follow notes which listed targets leave, and since when each is there.
+func (m *market) follow(now msg.Time) {
+	before := m.ready
+	m.ready = make(map[msg.TargetID]msg.Time)
+	clear(m.leaving)
+	for _, t := range m.listed {
 		if t.Leaving {
-			p.market.leaving[t.Target] = true
+			m.leaving[t.Target] = true
+		}
+		if !t.Ready {
+			continue
+		}
+		m.ready[t.Target] = now
+		if at, ok := before[t.Target]; ok {
+			m.ready[t.Target] = at
 		}
 	}
 }
 
+// settledIn reports whether a target was delivered long enough ago to be
+// heard.
+func (m *market) settledIn(now msg.Time, id msg.TargetID) bool {
+	at, ok := m.ready[id]
+	return ok && now-at > forgetAfter
+}
+
 // sendPurchases sends the recorded purchases that are due.
 func (c *Controller) sendPurchases(now msg.Time, p *pool) []msg.Effect {
 	a := &p.authority
@@ -142,6 +166,7 @@
 		return nil
 	}
 	c.need(p)
+	effs := p.replaceSilent(now, next)
 	kept := p.kept(now, next)
 	switch total := len(kept); {
 	case total < m.needed:
@@ -153,6 +178,29 @@
 		m.surplus = false
 	}
 	p.giveBack(now, next)
+	return effs
+}
+
+// replaceSilent begins to give one target back that was delivered and then
+// fell silent, while others of its failure domain are heard: a cut between
+// this daemon and a whole domain must not cost the domain its targets.
+func (p *pool) replaceSilent(now msg.Time, next *Record) []msg.Effect {
+	if len(next.Retiring) > 0 {
+		return nil
+	}
+	heard := make(map[msg.FailureDomain]bool)
+	for _, t := range p.sorted() {
+		heard[t.domain] = heard[t.domain] || t.reachable(now)
+	}
+	for _, t := range p.market.listed {
+		silent := p.market.settledIn(now, t.Target) && p.gone(now, t.Target)
+		if !silent || t.Leaving || !heard[t.Domain] {
+			continue
+		}
+		next.Retiring = with(next.Retiring, t.Target)
+		return []msg.Effect{logLine(msg.LogWarn, "Silent target is replaced",
+			attr("pool", string(p.name)), attr("target", string(t.Target)), attr("domain", string(t.Domain)))}
+	}
 	return nil
 }
 
--- a/internal/core/fleet/measure/measure_test.go
+++ b/internal/core/fleet/measure/measure_test.go
@@ -106,7 +106,6 @@
 	var c ceiling
 	for share := lowShare; share < highShare+0.01; share += 0.15 {
 		su.mix = mix{share: steady(share)}
-		su.length = fullLength / 3
 		c.shares = append(c.shares, share)
 		c.good = append(c.good, best(runAll(su, grid(su.engines, 2))).share())
 	}
