--- a/internal/core/fleet/fleet_test.go
+++ b/internal/core/fleet/fleet_test.go
@@ -103,6 +103,10 @@
 	is.True(len(open) > 0)
 	w.entries[0].paused = true
 	w.takeOver()
+	w.run(200 * time.Millisecond)
+	for _, o := range w.record().Orders {
+		is.Equal(o.Order.Epoch, w.epoch)
+	}
 	w.run(time.Minute)
 	w.entries[0].paused = false
 	w.run(time.Minute)
@@ -116,6 +120,17 @@
 	is.Equal(changes, 5) // the open orders were carried on, not given twice
 }
 
+func TestRecordOfANewerEpochIsLeftAlone(t *testing.T) {
+	is := is.New(t)
+	w := started(testManifest("1", fixedRoles(2, 3)))
+	w.run(time.Minute)
+	late := w.entries[1]
+	w.step(late, msg.LeaseChanged{Name: "fleet/" + testPool, Held: true, Epoch: 0, Until: w.now + time.Hour})
+	w.run(10 * time.Second)
+	is.Equal(late.ctl.pools[testPool].authority.record, nil)
+	is.Equal(w.record().Epoch, w.epoch)
+}
+
 func TestCrashPartwayConverges(t *testing.T) {
 	is := is.New(t)
 	w := started(testManifest("1", fixedRoles(2, 3)))
