--- a/internal/core/member/member.go
+++ b/internal/core/member/member.go
@@ -52,9 +52,12 @@
 	hosts  []msg.Host
 	digest uint64
 	// heard is the last digest that led to a read.
-	heard   uint64
-	reader  bool
-	connect map[msg.HostID]msg.Connect
+	heard uint64
+	// heardAt is when another daemon last told its digest, and sentAt when the
+	// list was last asked for.
+	heardAt, sentAt msg.Time
+	reader          bool
+	connect         map[msg.HostID]msg.Connect
 }
 
 // New returns the part.
@@ -69,6 +72,9 @@
 		p.rand = rand.New(rand.NewPCG(ev.Seed, uint64(store.PartMember)))
 		return []msg.Effect{p.read(now)}
 	case msg.Tick:
+		if p.alone(now) {
+			p.readAt = min(p.readAt, p.sentAt+readInterval)
+		}
 		if now >= p.readAt {
 			return []msg.Effect{p.read(now)}
 		}
@@ -80,7 +86,13 @@
 	return nil
 }
 
+// alone reports whether no other daemon tells of changes of the host list.
+func (p *Part) alone(now msg.Time) bool {
+	return p.call == 0 && !p.reader && now-p.heardAt > readInterval
+}
+
 func (p *Part) onHeard(now msg.Time, ev msg.HostsHeard) {
+	p.heardAt = now
 	if ev.Digest == 0 || ev.Digest == p.digest || ev.Digest == p.heard {
 		return
 	}
@@ -90,6 +102,7 @@
 
 func (p *Part) read(now msg.Time) msg.Effect {
 	p.seq++
+	p.sentAt = now
 	p.call = msg.CallID(uint64(store.PartMember)<<callShift | p.seq)
 	p.readAt = now + callLimit
 	return msg.ListHosts{Call: p.call}
@@ -130,9 +143,10 @@
 	return slowInterval
 }
 
-// retry is shorter as long as no list is known at all.
+// retry is shorter as long as no list is known at all, and for the daemons
+// that others rely on: leaving hosts must be known within seconds.
 func (p *Part) retry() time.Duration {
-	if p.digest == 0 {
+	if p.digest == 0 || p.reader {
 		return readInterval / 2
 	}
 	return retryInterval
--- a/internal/proof/world_test.go
+++ b/internal/proof/world_test.go
@@ -159,13 +159,15 @@
 
 // setState changes a host's state; the host list shows it with a lag.
 func (s *sim) setState(id msg.HostID, st msg.HostState) {
-	for i := range s.hosts {
-		if s.hosts[i].Host == id {
-			s.hosts[i].State = st
+	set := func(hosts []msg.Host) {
+		for i := range hosts {
+			if hosts[i].Host == id {
+				hosts[i].State = st
+			}
 		}
 	}
-	shown := slices.Clone(s.hosts)
-	s.after(s.between(200*time.Millisecond, 2*time.Second), func() { s.listed = shown })
+	set(s.hosts)
+	s.after(s.between(200*time.Millisecond, 2*time.Second), func() { set(s.listed) })
 }
 
 // heal ends all faults and lets the world come to rest.
