--- a/internal/capacity/control.go
+++ b/internal/capacity/control.go
@@ -44,10 +44,7 @@
 func MeasureControl(size Size) Control {
 	before := heapInUse()
 	w := NewWorld(size, 1)
-	w.Run(settle / 2)
-	first := w.entries()[0]
-	w.deliver(first, msg.ConfigProposed{Call: 1, Author: "measure", Manifest: w.manifest})
-	w.Run(settle / 2)
+	w.propose()
 	w.requests.begin()
 	w.Run(settle / 2)
 	w.metered = true
@@ -63,6 +60,13 @@
 	return c
 }
 
+// propose puts the manifest in force.
+func (w *World) propose() {
+	w.Run(settle / 2)
+	w.deliver(w.entries()[0], msg.ConfigProposed{Call: 1, Author: "measure", Manifest: w.manifest})
+	w.Run(settle / 2)
+}
+
 func sum(nodes []*node) RoleCost {
 	var r RoleCost
 	seconds := metered.Seconds()
--- a/internal/capacity/execute.go
+++ b/internal/capacity/execute.go
@@ -47,6 +47,7 @@
 	default:
 		n.cost.Reads++
 		n.cost.ReadBytes += bytes
+		n.cost.LargestRead = max(n.cost.LargestRead, bytes)
 	}
 }
 
--- a/internal/capacity/measure/main.go
+++ b/internal/capacity/measure/main.go
@@ -28,6 +28,7 @@
 		Commands: []*cli.Command{
 			{Name: "manifest", Usage: "a change of configuration, by accounts", Action: measureManifest},
 			{Name: "control", Usage: "the reducers of whole deployments in virtual time", Action: measureControl},
+			{Name: "usage", Usage: "the reporting of usage, by requests", Action: measureUsage},
 			{
 				Name: "daemon", Usage: "a real entry daemon that faces stand-in peers", Action: measureDaemon,
 				Flags: []cli.Flag{
@@ -73,6 +74,18 @@
 	return nil
 }
 
+// usageRates are small parts of the target rate: the cost shows early.
+var usageRates = []float64{25, 50, 100, 200}
+
+func measureUsage(context.Context, *cli.Command) error {
+	for _, rate := range usageRates {
+		if err := capacity.Write(os.Stdout, capacity.MeasureUsage(rate)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func table(context.Context, *cli.Command) error {
 	points, err := capacity.Read(os.Stdin)
 	if err != nil {
--- a/internal/capacity/world.go
+++ b/internal/capacity/world.go
@@ -72,6 +72,8 @@
 	Reads, Writes   int
 	ReadBytes       int
 	WrittenBytes    int
+	// LargestRead is the largest answer to one read in bytes.
+	LargestRead int
 }
 
 // World is a deployment in virtual time.
