--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 GOLANGCI := $(TOOLS)/golangci-lint
 BIN := bin
 
-.PHONY: all build test unit lint fmt demo serve tools clean
+.PHONY: all build test unit lint fmt demo serve measure-capacity tools clean
 
 all: build
 
@@ -35,5 +35,14 @@
 serve: build
 	demo/serve.sh
 
+# Takes some minutes and a few cores; prints Markdown.
+measure-capacity: build
+	go build -o $(BIN)/ ./internal/capacity/measure
+	$(BIN)/measure manifest >$(BIN)/capacity.jsonl
+	$(BIN)/measure control >>$(BIN)/capacity.jsonl
+	$(BIN)/measure usage >>$(BIN)/capacity.jsonl
+	internal/capacity/measure-daemon.sh >>$(BIN)/capacity.jsonl
+	$(BIN)/measure table <$(BIN)/capacity.jsonl
+
 clean:
 	rm -rf $(BIN)
--- a/internal/ctl/app.go
+++ b/internal/ctl/app.go
@@ -48,7 +48,7 @@
 		ExitErrHandler:        func(context.Context, *cli.Command, error) {},
 		Flags:                 sharedFlags(),
 		Commands: []*cli.Command{
-			validateCommand(), diffCommand(), applyCommand(), historyCommand(),
+			validateCommand(), canonicalCommand(), diffCommand(), applyCommand(), historyCommand(),
 			statusCommand(), explainCommand(), planCommand(), usageCommand(), drainCommand(),
 			accountsCommand(), keysCommand(), certsCommand(), loadCommand(), reportCommand(), replayCommand(),
 		},
--- a/internal/ctl/config.go
+++ b/internal/ctl/config.go
@@ -54,6 +54,33 @@
 	}
 }
 
+func canonicalCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "canonical",
+		Usage:     "print a manifest in the form that daemons read fastest",
+		ArgsUsage: "FILE",
+		UsageText: "verbenaspurctl canonical manifest.yaml > manifest.json",
+		Description: "The canonical form is JSON on one line, without comments. It is YAML too, means the\n" +
+			"same and can be applied like any manifest.",
+		Action: func(_ context.Context, cmd *cli.Command) error {
+			path, err := oneArgument(cmd, "the manifest")
+			if err != nil {
+				return err
+			}
+			m, _, err := readManifest(path)
+			if err != nil {
+				return err
+			}
+			b, err := manifest.Encode(m)
+			if err != nil {
+				return err
+			}
+			_, err = cmd.Root().Writer.Write(b)
+			return errors.Wrap(err, "output")
+		},
+	}
+}
+
 func readManifest(path string) (*manifest.Manifest, []byte, error) {
 	b, err := os.ReadFile(path)
 	if err != nil {
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -191,3 +191,14 @@
 	_, ok = index.Key("township-1")
 	is.True(!ok)
 }
+
+func TestCanonicalFormMeansTheSame(t *testing.T) {
+	is := is.New(t)
+	code, out, _ := run(t, "canonical", demo)
+	is.Equal(code, exitOK)
+	path := filepath.Join(t.TempDir(), "m.json")
+	is.NoErr(os.WriteFile(path, []byte(out), 0o600))
+	code, out, _ = run(t, "diff", "--exit-code", demo, path)
+	is.Equal(code, exitOK)
+	is.True(strings.Contains(out, "no difference"))
+}
