--- a/internal/capacity/control.go
+++ b/internal/capacity/control.go
@@ -32,8 +32,8 @@
 	Size    Size
 	Entries RoleCost
 	Sides   RoleCost
-	// EntryHeap is the mean heap of an entry's reducer, in bytes. It includes
-	// the sides' share, which is small.
+	// Heap is the mean heap of a reducer, in bytes; sides need less than
+	// entries.
 	Heap      float64
 	Finished  int
 	Refused   int
@@ -49,10 +49,10 @@
 	w.Run(settle / 2)
 	w.metered = true
 	began := w.requests
-	w.Run(metered)
+	stepScale := w.runScaled(metered)
 	w.metered = false
 	c := Control{
-		Size: size, Entries: sum(w.entries()), Sides: sum(w.sides()), Unhandled: w.Unhandled,
+		Size: size, Entries: sum(w.entries(), stepScale), Sides: sum(w.sides(), stepScale), Unhandled: w.Unhandled,
 		Finished: w.requests.finished - began.finished, Refused: w.requests.refused - began.refused,
 	}
 	c.Heap = float64(heapInUse()-before) / float64(len(w.order))
@@ -67,12 +67,21 @@
 	w.Run(settle / 2)
 }
 
-func sum(nodes []*node) RoleCost {
+// runScaled advances virtual time and returns what one second on the clock was
+// in processor time. On a busy machine it is less than one; with garbage
+// collection on other cores it is more.
+func (w *World) runScaled(d time.Duration) float64 {
+	cpu, clock := cpuTime(), time.Now()
+	w.Run(d)
+	return (cpuTime() - cpu).Seconds() / time.Since(clock).Seconds()
+}
+
+func sum(nodes []*node, scale float64) RoleCost {
 	var r RoleCost
 	seconds := metered.Seconds()
 	count := float64(len(nodes))
 	for _, n := range nodes {
-		cpu := n.cost.CPU.Seconds() / seconds
+		cpu := n.cost.CPU.Seconds() / seconds * scale
 		bytes := float64(n.cost.Bytes) / seconds
 		r.CPU += cpu / count
 		r.CPUMax = max(r.CPUMax, cpu)
--- a/internal/capacity/execute.go
+++ b/internal/capacity/execute.go
@@ -27,6 +27,16 @@
 		w.answer(n, msg.TargetsListed{Call: eff.Call, Pool: eff.Pool, Targets: w.ordered(eff.Pool)})
 	case msg.ReportUsage:
 		w.answer(n, msg.UsageReported{Call: eff.Call})
+	case msg.OrderTarget:
+		w.answer(n, msg.TargetOrderDone{Call: eff.Call, Status: msg.CallUnavailable})
+	case msg.WithdrawTarget:
+		w.answer(n, msg.TargetOrderDone{Call: eff.Call, Status: msg.CallUnavailable})
+	case msg.SendOrder:
+		w.sendOrder(n, eff)
+	case msg.ApplyOrder:
+		w.at(orderTime, func() { w.deliver(n, msg.OrderApplied{Order: eff.Order.ID}) })
+	case msg.AnswerOrder:
+		w.answerOrder(n, eff)
 	default:
 		if !w.store(n, eff) && !w.requests.execute(n, eff) {
 			w.Unhandled[fmt.Sprintf("%T", eff)]++
@@ -131,6 +141,20 @@
 	w.at(peerLatency, func() { w.deliver(to, msg.PeerReceived{From: n.host.Host, Message: eff.Message}) })
 }
 
+func (w *World) sendOrder(n *node, eff msg.SendOrder) {
+	to := w.nodes[eff.Host]
+	w.sent(n, to, func() int { return encodedSize(eff.Order) })
+	w.at(peerLatency, func() { w.deliver(to, msg.OrderReceived{From: n.host.Host, Order: eff.Order}) })
+}
+
+func (w *World) answerOrder(n *node, eff msg.AnswerOrder) {
+	to, a := w.nodes[eff.To], eff.Answer
+	w.sent(n, to, func() int { return encodedSize(a) })
+	w.at(peerLatency, func() {
+		w.deliver(to, msg.OrderAnswered{Target: n.target.Target, Order: a.Order, Status: a.Status, Reason: a.Reason, Report: a.Report})
+	})
+}
+
 func (w *World) sent(from, to *node, size func() int) {
 	if !w.metered {
 		return
--- a/internal/capacity/usage.go
+++ b/internal/capacity/usage.go
@@ -22,15 +22,16 @@
 	w.Run(usageWarmUp)
 	w.metered = true
 	peak := heapInUse()
-	for began := w.now; w.now-began < usageMetered; {
-		w.Run(time.Second)
+	scale := 0.0
+	for range int(usageMetered / time.Second) {
+		scale += w.runScaled(time.Second) / usageMetered.Seconds()
 		peak = max(peak, heapNow())
 	}
 	w.metered = false
 	runtime.KeepAlive(w)
 	var cpu, read, largest float64
 	for _, n := range w.entries() {
-		cpu = max(cpu, n.cost.CPU.Seconds()/usageMetered.Seconds())
+		cpu = max(cpu, scale*n.cost.CPU.Seconds()/usageMetered.Seconds())
 		read += float64(n.cost.ReadBytes) / usageMetered.Seconds()
 		largest = max(largest, float64(n.cost.LargestRead))
 	}
--- a/internal/capacity/world.go
+++ b/internal/capacity/world.go
@@ -20,7 +20,7 @@
 	peerLatency     = 1500 * time.Microsecond
 	platformLatency = 3 * time.Millisecond
 	targetLatency   = time.Millisecond
-	cacheEvents     = 500 * time.Millisecond
+	orderTime       = 2 * time.Second
 )
 
 const (
