--- a/internal/capacity/peers.go
+++ b/internal/capacity/peers.go
@@ -20,6 +20,11 @@
 	LinkPort = 9000
 	// reportInterval is the time between two load reports of a stand-in side.
 	reportInterval = 500 * time.Millisecond
+	// pollInterval is the time between two polls of a stand-in entry. Every one
+	// that is connected polls, which is more than a real deployment does.
+	pollInterval = 250 * time.Millisecond
+	// replyAge is the age of what a stand-in entry tells, in milliseconds.
+	replyAge = 100
 )
 
 // Peers stands in for all other daemons of a deployment: their ends of the
@@ -88,22 +93,24 @@
 		Host: peer.Host, Addr: front, FailureDomain: string(domain), Region: string(region), Kind: listed, State: "live",
 	})
 	if side {
-		go p.report(node)
+		r := engineReport()
+		go p.repeat(node, reportInterval, &link.Frame{Report: &r})
+		return nil
 	}
+	go p.repeat(node, pollInterval, peerFrame(msg.ExchangePoll{Nonce: 1}))
 	return nil
 }
 
-// report sends load reports to whoever is connected.
-func (p *Peers) report(node *link.Node) {
-	t := time.NewTicker(reportInterval)
+// repeat sends a frame to whoever is connected.
+func (p *Peers) repeat(node *link.Node, interval time.Duration, f *link.Frame) {
+	t := time.NewTicker(interval)
 	defer t.Stop()
 	for {
 		select {
 		case <-p.stop:
 			return
 		case <-t.C:
-			r := engineReport()
-			node.Broadcast(&link.Frame{Report: &r})
+			node.Broadcast(f)
 		}
 	}
 }
@@ -139,8 +146,8 @@
 // Attempt implements [link.Handler]. Stand-in peers run nothing.
 func (h *peerHandler) Attempt(link.Peer, *link.Stream, *link.Frame) {}
 
-// Control implements [link.Handler]. It holds whatever generation the daemon
-// asks about.
+// Control implements [link.Handler]. It holds whatever configuration the
+// daemon asks about.
 func (h *peerHandler) Control(_ link.Peer, _ *link.Hello, f *link.Frame) {
 	if f.Peer == nil {
 		return
@@ -149,8 +156,11 @@
 	if err != nil {
 		return
 	}
-	if q, ok := m.(msg.ConfigQuery); ok {
-		h.node.Broadcast(peerFrame(msg.ConfigHeld(q)))
+	switch m := m.(type) {
+	case msg.ConfigQuery:
+		h.node.Broadcast(peerFrame(msg.ConfigHeld(m)))
+	case msg.ExchangePoll:
+		h.node.Broadcast(peerFrame(msg.ExchangeReply{Nonce: m.Nonce, Config: m.Config, Hosts: m.Hosts, Confirmed: true, AgeMS: replyAge}))
 	}
 }
 
