--- a/internal/ctl/output.go
+++ b/internal/ctl/output.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strings"
 	"text/tabwriter"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/goccy/go-yaml"
@@ -131,7 +132,7 @@
 	case []any:
 		writeList(w, path, v)
 	default:
-		row(w, path, cell(v))
+		row(w, path, cell(path, v))
 	}
 }
 
@@ -145,19 +146,14 @@
 	}
 }
 
+// writeList writes a list of objects as a table, and the lists inside the
+// objects as tables of their own below it.
 func writeList(w io.Writer, path string, list []any) {
-	var columns []string
-	for _, v := range list {
-		fields, ok := v.([]field)
-		if !ok {
-			continue
-		}
-		for _, f := range fields {
-			if !slices.Contains(columns, f.name) {
-				columns = append(columns, f.name)
-			}
-		}
+	if !isObjects(list) {
+		row(w, path, cell(path, list))
+		return
 	}
+	columns := columnsOf(list)
 	row(w)
 	row(w, strings.ToUpper(path))
 	header := make([]any, len(columns))
@@ -168,6 +164,36 @@
 	for _, v := range list {
 		writeRow(w, columns, v)
 	}
+	for _, v := range list {
+		writeInner(w, path, v)
+	}
+}
+
+// columnsOf returns the fields of a list's objects that fit into a cell.
+func columnsOf(list []any) []string {
+	var columns []string
+	for _, v := range list {
+		fields, _ := v.([]field)
+		for _, f := range fields {
+			if inner, ok := f.value.([]any); ok && isObjects(inner) && len(fields) > 1 {
+				continue
+			}
+			if !slices.Contains(columns, f.name) {
+				columns = append(columns, f.name)
+			}
+		}
+	}
+	return columns
+}
+
+// writeInner writes the lists inside one object of a list.
+func writeInner(w io.Writer, path string, v any) {
+	fields, _ := v.([]field)
+	for _, f := range fields {
+		if inner, ok := f.value.([]any); ok && isObjects(inner) && len(fields) > 1 {
+			writeList(w, fmt.Sprintf("%s[%s].%s", path, cell("", fields[0].value), f.name), inner)
+		}
+	}
 }
 
 func writeRow(w io.Writer, columns []string, v any) {
@@ -177,7 +203,7 @@
 		cells[i] = "-"
 		for _, f := range fields {
 			if f.name == c {
-				cells[i] = cell(f.value)
+				cells[i] = cell(f.name, f.value)
 			}
 		}
 	}
@@ -186,12 +212,20 @@
 
 func isNested(v any) bool {
 	if list, ok := v.([]any); ok {
-		return len(list) > 0 && isNested(list[0])
+		return isObjects(list)
 	}
 	_, ok := v.([]field)
 	return ok
 }
 
+func isObjects(list []any) bool {
+	if len(list) == 0 {
+		return false
+	}
+	_, ok := list[0].([]field)
+	return ok
+}
+
 func joinPath(path, name string) string {
 	if path == "" {
 		return name
@@ -199,21 +233,31 @@
 	return path + "." + name
 }
 
-// cell returns a value on one line.
-func cell(v any) string {
+// agoSuffix ends the names of fields that hold durations in nanoseconds.
+const agoSuffix = "Ago"
+
+// cell returns the value of a field on one line.
+func cell(name string, v any) string {
 	switch v := v.(type) {
 	case nil:
 		return "-"
+	case json.Number:
+		if ns, err := v.Int64(); err == nil && strings.HasSuffix(name, agoSuffix) {
+			return time.Duration(ns).Round(time.Millisecond).String()
+		}
 	case []any:
 		parts := make([]string, len(v))
 		for i, e := range v {
-			parts[i] = cell(e)
+			parts[i] = cell(name, e)
+		}
+		if len(parts) == 0 {
+			return "-"
 		}
 		return strings.Join(parts, ",")
 	case []field:
 		parts := make([]string, len(v))
 		for i, f := range v {
-			parts[i] = f.name + "=" + cell(f.value)
+			parts[i] = f.name + "=" + cell(f.name, f.value)
 		}
 		return strings.Join(parts, " ")
 	}
