--- a/internal/metrics/dashboards_test.go
+++ b/internal/metrics/dashboards_test.go
@@ -10,6 +10,8 @@
 	"github.com/goccy/go-yaml"
 	"github.com/matryer/is"
 	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/verbenaspur/verbenaspur/internal/platform"
 )
 
 var metricName = regexp.MustCompile(`verbenaspur_[a-z_]+`)
@@ -23,8 +25,9 @@
 		m.attemptsTotal, m.retries, m.tokens, m.claimsTotal, m.claimSeconds,
 		m.leaseHeld, m.leaseEpoch, m.leaseChanges, m.generation, m.confirmedAge, m.proposals, m.hosts,
 		m.targetCount, m.ordersTotal, m.ordersOpen, m.roleChanges, m.sideAttempts, m.targetCrashes,
-		m.storeCalls, m.storeSeconds, m.targetOrders, m.usageReports, m.usageLag, m.peerMessages, m.peerUp,
+		m.usageReports, m.usageLag, m.peerMessages, m.peerUp,
 		m.logLines, m.stepSeconds, m.eventsHandled,
+		platform.New(platform.Config{}),
 	} {
 		c.Describe(ch)
 	}
--- a/internal/metrics/effects.go
+++ b/internal/metrics/effects.go
@@ -2,21 +2,9 @@
 
 import "github.com/verbenaspur/verbenaspur/internal/core/msg"
 
-// Operations of the object API and the target interface.
-const (
-	opGet      = "get"
-	opList     = "list"
-	opPut      = "put"
-	opDelete   = "delete"
-	opWatch    = "watch"
-	opOrder    = "order"
-	opWithdraw = "withdraw"
-)
-
 // ObserveEffect observes an effect that the driver carries out.
 func (m *Metrics) ObserveEffect(now msg.Time, eff msg.Effect) {
 	m.observeAnswer(now, eff)
-	m.observeCall(now, eff)
 	switch eff := eff.(type) {
 	case msg.LogLine:
 		m.logLines.WithLabelValues(eff.Part, label(logLevelLabels[:], eff.Level)).Inc()
@@ -25,6 +13,8 @@
 	case msg.SendOrder:
 		m.orders[eff.Order.ID] = eff.Order
 		m.ordersOpen.Set(float64(len(m.orders)))
+	case msg.ReportUsage:
+		m.reports[eff.Call] = eff.Report.Window.Add(eff.Report.Length)
 	case msg.ConfigAnswered:
 		m.proposals.WithLabelValues(eff.Status.String()).Inc()
 	case msg.RunAttempt:
@@ -49,24 +39,3 @@
 		m.finish(now, eff.Req)
 	}
 }
-
-func (m *Metrics) observeCall(now msg.Time, eff msg.Effect) {
-	switch eff := eff.(type) {
-	case msg.GetObject:
-		m.calls[eff.Call] = call{opGet, now}
-	case msg.ListObjects:
-		m.calls[eff.Call] = call{opList, now}
-	case msg.PutObject:
-		m.calls[eff.Call] = call{opPut, now}
-	case msg.DeleteObject:
-		m.calls[eff.Call] = call{opDelete, now}
-	case msg.WatchObjects:
-		m.calls[eff.Call] = call{opWatch, now}
-	case msg.OrderTarget:
-		m.calls[eff.Call] = call{opOrder, now}
-	case msg.WithdrawTarget:
-		m.calls[eff.Call] = call{opWithdraw, now}
-	case msg.ReportUsage:
-		m.reports[eff.Call] = eff.Report.Window.Add(eff.Report.Length)
-	}
-}
--- a/internal/metrics/events.go
+++ b/internal/metrics/events.go
@@ -9,11 +9,6 @@
 // sweepInterval is the time between two updates of derived gauges.
 const sweepInterval = time.Second
 
-type call struct {
-	op    string
-	since msg.Time
-}
-
 type targetLabels struct{ pool, role, phase string }
 
 // Step observes an event. It has no effects.
@@ -21,7 +16,7 @@
 	m.eventsHandled.Inc()
 	m.observeRequest(now, ev)
 	m.observeState(now, ev)
-	m.observeResults(now, ev)
+	m.observeResults(ev)
 	return nil
 }
 
@@ -132,40 +127,16 @@
 	}
 }
 
-// observeResults observes the results of calls and orders.
-func (m *Metrics) observeResults(now msg.Time, ev msg.Event) {
+// observeResults observes the results of orders and reports.
+func (m *Metrics) observeResults(ev msg.Event) {
 	switch ev := ev.(type) {
-	case msg.GetDone:
-		m.storeDone(now, ev.Call, ev.Status)
-	case msg.ListDone:
-		m.storeDone(now, ev.Call, ev.Status)
-	case msg.PutDone:
-		m.storeDone(now, ev.Call, ev.Status)
-	case msg.WatchDone:
-		m.storeDone(now, ev.Call, ev.Status)
 	case msg.OrderAnswered:
 		m.onOrderAnswered(ev)
-	case msg.TargetOrderDone:
-		c := m.calls[ev.Call]
-		delete(m.calls, ev.Call)
-		m.targetOrders.WithLabelValues(c.op, label(callStatusLabels[:], ev.Status)).Inc()
 	case msg.UsageReported:
 		m.onUsageReported(ev)
 	}
 }
 
-func (m *Metrics) storeDone(now msg.Time, id msg.CallID, status msg.CallStatus) {
-	c, ok := m.calls[id]
-	if !ok {
-		return
-	}
-	delete(m.calls, id)
-	m.storeCalls.WithLabelValues(c.op, label(callStatusLabels[:], status)).Inc()
-	if c.op != opWatch {
-		m.storeSeconds.WithLabelValues(c.op).Observe((now - c.since).Seconds())
-	}
-}
-
 func (m *Metrics) onOrderAnswered(ev msg.OrderAnswered) {
 	order, ok := m.orders[ev.Order]
 	if !ok {
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -46,7 +46,6 @@
 	requests map[msg.RequestID]*request
 	attempts map[msg.AttemptID]*request
 	claims   map[msg.RequestID]msg.Time
-	calls    map[msg.CallID]call
 	reports  map[msg.CallID]time.Time
 	orders   map[msg.OrderID]msg.Order
 	targets  map[msg.TargetID]targetLabels
@@ -89,9 +88,6 @@
 }
 
 type outsideMetrics struct {
-	storeCalls    *prometheus.CounterVec
-	storeSeconds  *prometheus.HistogramVec
-	targetOrders  *prometheus.CounterVec
 	usageReports  *prometheus.CounterVec
 	usageLag      prometheus.Gauge
 	peerMessages  *prometheus.CounterVec
@@ -111,7 +107,6 @@
 		requests:       make(map[msg.RequestID]*request),
 		attempts:       make(map[msg.AttemptID]*request),
 		claims:         make(map[msg.RequestID]msg.Time),
-		calls:          make(map[msg.CallID]call),
 		reports:        make(map[msg.CallID]time.Time),
 		orders:         make(map[msg.OrderID]msg.Order),
 		targets:        make(map[msg.TargetID]targetLabels),
@@ -157,9 +152,6 @@
 
 func newOutsideMetrics(f factory) outsideMetrics {
 	return outsideMetrics{
-		storeCalls:    f.counters("store_calls_total", "Calls to the platform's object API, each waiting watch one.", "op", "status"),
-		storeSeconds:  f.histograms("store_call_seconds", "Time of calls to the platform's object API.", callBuckets, "op"),
-		targetOrders:  f.counters("target_orders_total", "Orders and withdrawals of targets.", "op", "status"),
 		usageReports:  f.counters("usage_reports_total", "Reports to the usage interface.", "status"),
 		usageLag:      f.gauge("usage_lag_seconds", "Time from the end of the last reported window to its report."),
 		peerMessages:  f.counters("peer_messages_total", "Messages between daemons.", "direction"),
@@ -170,8 +162,26 @@
 	}
 }
 
-// ObserveStep records the time that one reducer step took.
-func (m *Metrics) ObserveStep(d time.Duration) { m.stepSeconds.Observe(d.Seconds()) }
+// Stepper is a reducer.
+type Stepper interface {
+	Step(now msg.Time, ev msg.Event) []msg.Effect
+}
+
+// Timed returns a reducer that records how long each step of inner takes.
+func (m *Metrics) Timed(inner Stepper) Stepper { return timed{m, inner} }
+
+type timed struct {
+	metrics *Metrics
+	inner   Stepper
+}
+
+// Step implements [Stepper].
+func (t timed) Step(now msg.Time, ev msg.Event) []msg.Effect {
+	began := time.Now()
+	effs := t.inner.Step(now, ev)
+	t.metrics.stepSeconds.Observe(time.Since(began).Seconds())
+	return effs
+}
 
 // factory makes metrics in the project's namespace.
 type factory struct{ promauto.Factory }
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -77,11 +77,9 @@
 	is.Equal(testutil.ToFloat64(m.tokens.WithLabelValues("other", "prompt")), 2200.0-maxAccounts)
 }
 
-func TestCallsLeasesAndTargets(t *testing.T) {
+func TestLeasesOrdersAndTargets(t *testing.T) {
 	is := is.New(t)
 	m, reg := newMetrics(1)
-	m.ObserveEffect(0, msg.PutObject{Call: 1})
-	m.Step(5*ms, msg.PutDone{Call: 1, Status: msg.CallConflict})
 	m.Step(0, msg.LeaseChanged{Name: "fleet/p", Held: true, Epoch: 3})
 	m.Step(0, msg.LeaseChanged{Name: "fleet/p", Held: true, Epoch: 3})
 	m.Step(0, msg.TargetReported{Target: msg.TargetIdentity{Target: "t", Pool: "p"}})
@@ -99,14 +97,35 @@
 # HELP verbenaspur_role_changes_total Role changes that took effect.
 # TYPE verbenaspur_role_changes_total counter
 verbenaspur_role_changes_total{role="decode"} 1
-# HELP verbenaspur_store_calls_total Calls to the platform's object API, each waiting watch one.
-# TYPE verbenaspur_store_calls_total counter
-verbenaspur_store_calls_total{op="put",status="conflict"} 1
 # HELP verbenaspur_targets Targets as last reported.
 # TYPE verbenaspur_targets gauge
 verbenaspur_targets{phase="serving",pool="p",role="mixed"} 1
 `
 	is.NoErr(testutil.GatherAndCompare(reg, strings.NewReader(want),
 		"verbenaspur_config_confirmed_age_seconds", "verbenaspur_lease_changes_total",
-		"verbenaspur_role_changes_total", "verbenaspur_store_calls_total", "verbenaspur_targets"))
+		"verbenaspur_role_changes_total", "verbenaspur_targets"))
+}
+
+type countingStepper struct{ steps int }
+
+func (c *countingStepper) Step(msg.Time, msg.Event) []msg.Effect {
+	c.steps++
+	return []msg.Effect{msg.StopReady{}}
+}
+
+func TestTimedStepsAreCounted(t *testing.T) {
+	is := is.New(t)
+	m, reg := newMetrics(0)
+	inner := &countingStepper{}
+	is.Equal(len(m.Timed(inner).Step(0, msg.Tick{})), 1)
+	is.Equal(inner.steps, 1)
+	families, err := reg.Gather()
+	is.NoErr(err)
+	for _, f := range families {
+		if f.GetName() == "verbenaspur_step_seconds" {
+			is.Equal(f.GetMetric()[0].GetHistogram().GetSampleCount(), uint64(1))
+			return
+		}
+	}
+	t.Fatal("no metric of the steps")
 }
