Exchange: silent parents tried besides, not instead; unchanged host list not sent

Cause: with inner daemons of the tree dead, a child that tried its old parent again every 5 s sent its sums there, and they were missing elsewhere: 44 of 44 others were counted by 19 to 41 of 45 daemons, changing all the time. Now it polls a silent daemon besides one that answers.

--- a/internal/core/exchange/exchange.go
+++ b/internal/core/exchange/exchange.go
@@ -37,7 +37,7 @@
 	// silence is how long a polled daemon may owe an answer before another
 	// one is polled besides.
 	silence = 600 * time.Millisecond
-	// avoidFor is how long a silent daemon is not polled.
+	// avoidFor is the time between two trials of a silent daemon.
 	avoidFor = 5 * time.Second
 )
 
@@ -53,7 +53,8 @@
 	hosts  uint64
 	config msg.ConfigKnown
 
-	polls    map[msg.HostID]*poll
+	polls map[msg.HostID]*poll
+	// avoid holds the silent daemons and when to try them again.
 	avoid    map[msg.HostID]msg.Time
 	pollAt   msg.Time
 	rootsAt  msg.Time
@@ -193,30 +194,33 @@
 
 func (p *Part) patience() time.Duration { return max(silence, p.interval()+silence/2) }
 
-// parents returns the daemons to poll: the parent while it answers, else the
-// two next ones in different failure domains.
+// parents returns the daemons to poll: the first that answers, and where that
+// is not the best one, a second in another failure domain besides. Silent ones
+// before it are tried again now and then.
 func (p *Part) parents(now msg.Time) []msg.HostID {
-	var out []msg.Host
-	for _, h := range p.tree.parents {
-		if until, bad := p.avoid[h.Host]; bad && now < until {
-			continue
+	var good, retries []msg.Host
+	for i, h := range p.tree.parents {
+		until, silent := p.avoid[h.Host]
+		switch {
+		case !silent && (len(good) == 0 || good[0].Domain != h.Domain):
+			good = append(good, h)
+		case silent && now >= until && len(good) == 0:
+			retries = append(retries, h)
 		}
-		if len(out) == 1 && out[0].Domain == h.Domain && len(p.tree.parents) > 2 {
-			continue
-		}
-		out = append(out, h)
-		if len(out) == 2 || h.Host == p.tree.parents[0].Host {
+		if len(good) == 2 || len(good) == 1 && i == 0 {
 			break
 		}
 	}
-	ids := make([]msg.HostID, 0, len(out)+1)
-	for _, h := range out {
-		ids = append(ids, h.Host)
-	}
-	if len(ids) == 0 && len(p.tree.parents) > 0 {
+	if len(good) == 0 && len(p.tree.parents) > 0 {
 		// Nobody answers: try them one after the other.
 		p.nextPoll++
-		ids = append(ids, p.tree.parents[p.nextPoll%uint64(len(p.tree.parents))].Host)
+		good = append(good, p.tree.parents[p.nextPoll%uint64(len(p.tree.parents))])
+	}
+	ids := make([]msg.HostID, 0, len(good)+len(retries))
+	for _, h := range append(good, retries...) {
+		if !slices.Contains(ids, h.Host) {
+			ids = append(ids, h.Host)
+		}
 	}
 	return ids
 }
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -59,6 +59,7 @@
 type Client struct {
 	cfg   Config
 	http  *http.Client
+	hosts hostCache
 	calls *prometheus.CounterVec
 	time  *prometheus.HistogramVec
 }
--- a/internal/platform/client_test.go
+++ b/internal/platform/client_test.go
@@ -213,6 +213,30 @@
 	is.Equal(s.Usage()[0].Window, "1970-01-01T00:00:00Z")
 }
 
+func TestUnchangedHostListIsNotSentAgain(t *testing.T) {
+	is := is.New(t)
+	s := standin.New()
+	var sent atomic.Int64
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		rec := httptest.NewRecorder()
+		s.ServeHTTP(rec, r)
+		sent.Add(int64(rec.Body.Len()))
+		w.Header().Set("ETag", rec.Header().Get("ETag"))
+		w.WriteHeader(rec.Code)
+		_, _ = w.Write(rec.Body.Bytes())
+	}))
+	defer srv.Close()
+	c := clientOf(t, srv.URL)
+	hosts := func() []msg.Host { return do[msg.HostsListed](t, c, msg.ListHosts{}).Hosts }
+	s.SetHosts([]standin.Host{{Host: "h1"}})
+	first := hosts()
+	once := sent.Load()
+	is.Equal(hosts(), first)
+	is.Equal(sent.Load(), once)
+	s.SetHosts([]standin.Host{{Host: "h1"}, {Host: "h2"}})
+	is.Equal(len(hosts()), 2)
+}
+
 func TestCallsAreCounted(t *testing.T) {
 	is := is.New(t)
 	c, _ := newPair(t)
--- a/internal/platform/fleet.go
+++ b/internal/platform/fleet.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
@@ -39,14 +40,31 @@
 	return out
 }
 
+// hostCache keeps the last host list, which the platform need not send again
+// while its entity tag holds.
+type hostCache struct {
+	mu    sync.Mutex
+	etag  string
+	hosts []msg.Host
+}
+
 func (s *session) listHosts(eff msg.ListHosts) msg.Event {
+	cache := &s.client.hosts
+	cache.mu.Lock()
+	defer cache.mu.Unlock()
 	var l hostsJSON
-	status := s.do(request{call: "list_hosts", method: http.MethodGet, url: s.client.cfg.Hosts + "/v1/hosts"}, &l)
-	out := msg.HostsListed{Call: eff.Call, Status: status}
-	for _, h := range l.Hosts {
-		out.Hosts = append(out.Hosts, h.host())
+	r := request{call: "list_hosts", method: http.MethodGet, url: s.client.cfg.Hosts + "/v1/hosts", etag: &cache.etag}
+	status := s.do(&r, &l)
+	switch {
+	case status != msg.CallOK:
+		return msg.HostsListed{Call: eff.Call, Status: status}
+	case !r.unchanged:
+		cache.hosts = cache.hosts[:0:0]
+		for _, h := range l.Hosts {
+			cache.hosts = append(cache.hosts, h.host())
+		}
 	}
-	return out
+	return msg.HostsListed{Call: eff.Call, Hosts: cache.hosts}
 }
 
 type targetOrderJSON struct {
@@ -73,7 +91,7 @@
 
 func (s *session) orderTarget(eff msg.OrderTarget) msg.Event {
 	var t targetJSON
-	status := s.do(request{
+	status := s.do(&request{
 		call:     "order_target",
 		method:   http.MethodPost,
 		url:      s.client.cfg.Targets + "/v1/targets",
@@ -87,7 +105,7 @@
 	q := url.Values{}
 	q.Set("token", eff.Token)
 	q.Set("epoch", strconv.FormatUint(uint64(eff.Epoch), 10))
-	status := s.do(request{
+	status := s.do(&request{
 		call:     "withdraw_target",
 		method:   http.MethodDelete,
 		url:      s.client.cfg.Targets + "/v1/targets/" + url.PathEscape(string(eff.Target)) + "?" + q.Encode(),
@@ -99,7 +117,7 @@
 func (s *session) listTargets(eff msg.ListTargets) msg.Event {
 	var l targetsJSON
 	u := s.client.cfg.Targets + "/v1/targets?pool=" + url.QueryEscape(string(eff.Pool))
-	status := s.do(request{call: "list_targets", method: http.MethodGet, url: u}, &l)
+	status := s.do(&request{call: "list_targets", method: http.MethodGet, url: u}, &l)
 	out := msg.TargetsListed{Call: eff.Call, Status: status, Pool: eff.Pool}
 	for _, t := range l.Targets {
 		out.Targets = append(out.Targets, msg.OrderedTarget(t))
@@ -122,7 +140,7 @@
 func (s *session) reportUsage(eff msg.ReportUsage) msg.Event {
 	r := eff.Report
 	window := r.Window.UTC().Format(time.RFC3339)
-	status := s.do(request{
+	status := s.do(&request{
 		call:   "report_usage",
 		method: http.MethodPut,
 		url:    s.client.cfg.Usage + "/v1/usage/" + url.PathEscape(string(r.Account)) + "/" + url.PathEscape(window),
--- a/internal/platform/objects.go
+++ b/internal/platform/objects.go
@@ -52,20 +52,20 @@
 
 func (s *session) getObject(eff msg.GetObject) msg.Event {
 	var o objectJSON
-	status := s.do(request{call: "get_object", method: http.MethodGet, url: s.objectURL(eff.Kind, eff.Name)}, &o)
+	status := s.do(&request{call: "get_object", method: http.MethodGet, url: s.objectURL(eff.Kind, eff.Name)}, &o)
 	return msg.GetDone{Call: eff.Call, Status: status, Object: o.object()}
 }
 
 func (s *session) listObjects(eff msg.ListObjects) msg.Event {
 	u := s.client.cfg.Objects + "/v1/objects/" + url.PathEscape(string(eff.Kind)) + "?prefix=" + url.QueryEscape(eff.Prefix)
 	var l objectsJSON
-	status := s.do(request{call: "list_objects", method: http.MethodGet, url: u}, &l)
+	status := s.do(&request{call: "list_objects", method: http.MethodGet, url: u}, &l)
 	return msg.ListDone{Call: eff.Call, Status: status, Objects: l.objects(), Revision: l.Revision}
 }
 
 func (s *session) putObject(eff msg.PutObject) msg.Event {
 	var v versionJSON
-	status := s.do(request{
+	status := s.do(&request{
 		call:     "put_object",
 		method:   http.MethodPut,
 		url:      s.objectURL(eff.Kind, eff.Name),
@@ -77,7 +77,7 @@
 }
 
 func (s *session) deleteObject(eff msg.DeleteObject) msg.Event {
-	status := s.do(request{
+	status := s.do(&request{
 		call:    "delete_object",
 		method:  http.MethodDelete,
 		url:     s.objectURL(eff.Kind, eff.Name),
@@ -92,6 +92,6 @@
 	q.Set("wait", strconv.FormatInt(eff.Wait.Milliseconds(), 10))
 	u := s.client.cfg.Objects + "/v1/watch/" + url.PathEscape(string(eff.Kind)) + "?" + q.Encode()
 	var l objectsJSON
-	status := s.do(request{call: "watch_objects", method: http.MethodGet, url: u, wait: eff.Wait}, &l)
+	status := s.do(&request{call: "watch_objects", method: http.MethodGet, url: u, wait: eff.Wait}, &l)
 	return msg.WatchDone{Call: eff.Call, Status: status, Objects: l.objects(), Revision: l.Revision}
 }
--- a/internal/platform/session.go
+++ b/internal/platform/session.go
@@ -30,6 +30,11 @@
 	// wait is the time that the platform may hold the call by intent.
 	wait     time.Duration
 	notAfter msg.Time
+	// etag is the entity tag of the last answer, which do replaces; nil where
+	// the answer is not kept.
+	etag *string
+	// unchanged is set by do where the entity tag still holds.
+	unchanged bool
 }
 
 // write reports whether the call changes something.
@@ -37,9 +42,9 @@
 
 // do sends the request, decodes a 2xx answer into out and returns the call's
 // status.
-func (s *session) do(r request, out any) msg.CallStatus {
+func (s *session) do(r *request, out any) msg.CallStatus {
 	started := time.Now()
-	status := s.exchange(&r, out)
+	status := s.exchange(r, out)
 	s.client.calls.WithLabelValues(r.call, statusLabel(status)).Inc()
 	if r.wait == 0 {
 		s.client.time.WithLabelValues(r.call).Observe(time.Since(started).Seconds())
@@ -60,6 +65,10 @@
 		return r.failed(g)
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if r.etag != nil && resp.StatusCode == http.StatusNotModified {
+		r.unchanged = true
+		return msg.CallOK
+	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
 	if status := r.answered(resp.StatusCode); status != msg.CallOK {
 		return status
@@ -67,6 +76,9 @@
 	if err != nil || json.Unmarshal(body, out) != nil {
 		return r.failed(g)
 	}
+	if r.etag != nil {
+		*r.etag = resp.Header.Get("ETag")
+	}
 	return msg.CallOK
 }
 
@@ -89,6 +101,9 @@
 	if r.ifMatch != nil {
 		req.Header.Set("If-Match", formatVersion(*r.ifMatch))
 	}
+	if r.etag != nil && *r.etag != "" {
+		req.Header.Set("If-None-Match", *r.etag)
+	}
 	if s.client.cfg.Token != "" {
 		req.Header.Set("Authorization", "Bearer "+s.client.cfg.Token)
 	}
--- a/internal/standin/platform/fleet.go
+++ b/internal/standin/platform/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"hash/fnv"
 	"net/http"
 	"slices"
 	"strconv"
@@ -61,14 +62,29 @@
 	writeJSON(w, http.StatusOK, struct{}{})
 }
 
-func (s *Server) listHosts(w http.ResponseWriter, _ *http.Request) {
+func (s *Server) listHosts(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	lag := time.Duration(s.faults.HostLagMS) * time.Millisecond
 	list := hostList{Hosts: slices.Clone(s.hosts.at(time.Now().Add(-lag)))}
 	s.mu.Unlock()
+	etag := list.etag()
+	w.Header().Set("ETag", etag)
+	if r.Header.Get("If-None-Match") == etag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
 	writeJSON(w, http.StatusOK, list)
 }
 
+// etag identifies a host list.
+func (l hostList) etag() string {
+	h := fnv.New64a()
+	for _, host := range l.Hosts {
+		_, _ = fmt.Fprintf(h, "%q", host)
+	}
+	return fmt.Sprintf("\"%x\"", h.Sum64())
+}
+
 type targetOrder struct {
 	Pool          string `json:"pool"`
 	FailureDomain string `json:"failureDomain"`
