--- a/internal/core/scenario/world_test.go
+++ b/internal/core/scenario/world_test.go
@@ -9,8 +9,8 @@
 	"slices"
 	"time"
 
-	"github.com/verbenaspur/verbenaspur/internal/core"
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
+	"github.com/verbenaspur/verbenaspur/internal/core/reducer"
 	"github.com/verbenaspur/verbenaspur/internal/wire"
 )
 
@@ -37,7 +37,7 @@
 	hosts  []msg.Host
 	cut    func(from, to msg.HostID) bool
 	store  *platform
-	parts  func(n *node) []core.Part
+	parts  func(n *node) []reducer.Part
 	meters bool
 }
 
@@ -46,8 +46,8 @@
 	world       *world
 	host        msg.Host
 	incarnation int
-	reducer     *core.Reducer
-	parts       []core.Part
+	reducer     *reducer.Reducer
+	parts       []reducer.Part
 	started     time.Duration
 	dead        bool
 	paused      bool
@@ -102,7 +102,7 @@
 	return last
 }
 
-func newWorld(seed uint64, hosts []msg.Host, parts func(n *node) []core.Part) *world {
+func newWorld(seed uint64, hosts []msg.Host, parts func(n *node) []reducer.Part) *world {
 	w := &world{
 		rand:  rand.New(rand.NewPCG(seed, 1)),
 		nodes: make(map[msg.HostID]*node),
@@ -163,7 +163,7 @@
 func (w *world) start(h msg.Host, incarnation int) *node {
 	n := &node{world: w, host: h, incarnation: incarnation, started: w.now}
 	n.parts = w.parts(n)
-	n.reducer = core.NewReducer(append(slices.Clone(n.parts), probe{n})...)
+	n.reducer = reducer.New(append(slices.Clone(n.parts), probe{n})...)
 	w.nodes[h.Host] = n
 	w.order = append(w.order, n)
 	self := msg.Self{Host: h.Host, Domain: h.Domain, Region: h.Region, Kind: h.Kind}
--- a/internal/core/status.go
+++ b/internal/core/status.go
@@ -2,25 +2,37 @@
 
 import (
 	"github.com/verbenaspur/verbenaspur/internal/core/claim"
+	"github.com/verbenaspur/verbenaspur/internal/core/config"
+	"github.com/verbenaspur/verbenaspur/internal/core/fleet"
+	"github.com/verbenaspur/verbenaspur/internal/core/lease"
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
+	"github.com/verbenaspur/verbenaspur/internal/core/usage"
 )
 
 // EntryStatus is what operators see of an entry daemon.
 type EntryStatus struct {
-	Host       msg.HostID     `json:"host"`
-	Generation msg.Generation `json:"generation"`
-	Fresh      bool           `json:"fresh"`
-	Stopping   bool           `json:"stopping"`
-	Claims     claim.Status   `json:"claims"`
+	Host     msg.HostID           `json:"host"`
+	Fresh    bool                 `json:"fresh"`
+	Stopping bool                 `json:"stopping"`
+	Config   config.Status        `json:"config"`
+	Leases   lease.Status         `json:"leases"`
+	Fleet    fleet.Status         `json:"fleet"`
+	Claims   claim.Status         `json:"claims"`
+	Records  usage.RecorderStatus `json:"usageRecords"`
+	Reports  usage.ReporterStatus `json:"usageReports"`
 }
 
 // Status returns what operators see of the entry daemon.
 func (e *Entry) Status(now msg.Time) EntryStatus {
 	return EntryStatus{
-		Host:       e.self.Host,
-		Generation: e.config.Current().Generation,
-		Fresh:      e.Fresh(now),
-		Stopping:   e.Stopping(),
-		Claims:     e.claims.Status(now),
+		Host:     e.self.Host,
+		Fresh:    e.Fresh(now),
+		Stopping: e.Stopping(),
+		Config:   e.config.Status(now),
+		Leases:   e.leases.Status(now),
+		Fleet:    e.fleet.Status(now),
+		Claims:   e.claims.Status(now),
+		Records:  e.recorder.Status(now),
+		Reports:  e.reporter.Status(now),
 	}
 }
--- a/internal/daemon/link_test.go
+++ b/internal/daemon/link_test.go
@@ -127,13 +127,13 @@
 	self := msg.Self{Host: "s1", Domain: "fd", Kind: msg.HostTarget, Target: &msg.TargetIdentity{Target: "t1", Pool: "p"}}
 	b.s = &side{
 		platform: platform.New(platform.Config{}), log: slog.New(slog.DiscardHandler), ctx: ctx,
-		attempts: newAttemptTable(), ready: func() {}, seen: func(msg.Effect) {}, target: target,
+		attempts: newAttemptTable(), ready: func() {}, seen: func(msg.Time, msg.Effect) {}, target: target,
 	}
 	b.s.loop = NewLoop(core.NewSide(core.SideConfig{Self: self}), b.s.execute)
 	b.s.node = newTestNode(t, authority, link.Hello{Host: "s1", Incarnation: "i", Domain: "fd", Target: self.Target}, msg.HostTarget, testSideIP+":"+port, b.s)
 	b.box = newMiddlebox(t, testBoxIP+":"+port, testSideIP+":"+port)
 	b.e = &entry{
-		log: slog.New(slog.DiscardHandler), ctx: ctx, ready: func() {}, seen: func(msg.Effect) {},
+		log: slog.New(slog.DiscardHandler), ctx: ctx, ready: func() {}, seen: func(msg.Time, msg.Effect) {},
 		exchanges: make(map[msg.RequestID]*exchange), attempts: make(map[msg.AttemptID]context.CancelCauseFunc),
 		urls: make(map[msg.TargetID]string),
 	}
