--- a/internal/core/scenario/exchange_test.go
+++ b/internal/core/scenario/exchange_test.go
@@ -7,10 +7,10 @@
 
 	"github.com/matryer/is"
 
-	"github.com/verbenaspur/verbenaspur/internal/core"
 	"github.com/verbenaspur/verbenaspur/internal/core/config"
 	"github.com/verbenaspur/verbenaspur/internal/core/exchange"
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
+	"github.com/verbenaspur/verbenaspur/internal/core/reducer"
 )
 
 // sharer shares a demand of one for one pool, and as many accounts as told.
@@ -34,7 +34,7 @@
 }
 
 func shareWorld(seed uint64, hosts, domains, accounts int) *world {
-	return newWorld(seed, entryHosts(hosts, domains), func(n *node) []core.Part {
+	return newWorld(seed, entryHosts(hosts, domains), func(n *node) []reducer.Part {
 		return append(configParts(n), sharer{accounts})
 	})
 }
--- a/internal/core/scenario/measure_test.go
+++ b/internal/core/scenario/measure_test.go
@@ -8,9 +8,9 @@
 	"testing"
 	"time"
 
-	"github.com/verbenaspur/verbenaspur/internal/core"
 	"github.com/verbenaspur/verbenaspur/internal/core/lease"
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
+	"github.com/verbenaspur/verbenaspur/internal/core/reducer"
 	"github.com/verbenaspur/verbenaspur/internal/manifest"
 )
 
@@ -141,7 +141,7 @@
 		var before, after runtime.MemStats
 		runtime.GC()
 		runtime.ReadMemStats(&before)
-		w := newWorld(7, entryHosts(hosts, 4), func(n *node) []core.Part {
+		w := newWorld(7, entryHosts(hosts, 4), func(n *node) []reducer.Part {
 			parts := append(configParts(n), sharer{accounts: 100})
 			return append(parts, leaseParts(lease.Config{}, leaseNames()...)(n)[0], wanter{leaseNames()})
 		})
