--- a/internal/core/exchange/exchange.go
+++ b/internal/core/exchange/exchange.go
@@ -65,6 +65,8 @@
 	below map[msg.HostID]contribution
 	// beyond is what the parent, or each other root, told last.
 	beyond map[msg.HostID]contribution
+	// told holds the sections that were last raised with contributions.
+	told map[msg.Section]bool
 }
 
 // poll is the state of polling one daemon.
@@ -86,6 +88,7 @@
 		own:    make(map[msg.Section]msg.SharedValue),
 		below:  make(map[msg.HostID]contribution),
 		beyond: make(map[msg.HostID]contribution),
+		told:   make(map[msg.Section]bool),
 	}
 }
 
--- a/internal/core/exchange/sums.go
+++ b/internal/core/exchange/sums.go
@@ -147,13 +147,21 @@
 	return t.sums()
 }
 
-// shared raises the combined state of all other daemons.
+// shared raises the combined state of all other daemons. A section to which
+// nobody contributes any more is raised once more, empty.
 func (p *Part) shared(now msg.Time) []msg.Effect {
 	t := newTotal()
 	p.addBelow(now, t, "")
 	p.addBeyond(now, t)
+	for s := range p.told {
+		t.section(s)
+	}
+	clear(p.told)
 	var effs []msg.Effect
 	for _, s := range t.sums() {
+		if s.Hosts > 0 {
+			p.told[s.Section] = true
+		}
 		effs = append(effs, msg.Raise{Event: msg.SharedState{
 			Section: s.Section,
 			Value:   msg.SharedValue{Entries: s.Entries},
--- a/internal/core/scenario/exchange_test.go
+++ b/internal/core/scenario/exchange_test.go
@@ -79,6 +79,18 @@
 	}
 }
 
+func TestLastContributorsEndIsTold(t *testing.T) {
+	is := is.New(t)
+	w := shareWorld(1, 2, 1, 0)
+	w.run(10 * time.Second)
+	is.True(w.counted(func(*node) int { return 1 }))
+	w.order[0].kill()
+	w.run(15 * time.Second)
+	st, _ := w.order[1].shared(msg.SectionDemand)
+	is.Equal(st.Hosts, 0)
+	is.Equal(len(st.Value.Entries), 0)
+}
+
 func TestLargestEntriesAreKept(t *testing.T) {
 	is := is.New(t)
 	w := shareWorld(2, 20, 4, 300)
