--- a/internal/core/claim/claim.go
+++ b/internal/core/claim/claim.go
@@ -31,10 +31,10 @@
 	// endingDelay is how long a completion may wait for a write that claims
 	// need anyway.
 	endingDelay = 200 * time.Millisecond
-	retryMin     = 50 * time.Millisecond
-	retryMax     = 2 * time.Second
-	maxQueued    = 4096
-	logPart      = "claim"
+	retryMin    = 50 * time.Millisecond
+	retryMax    = 2 * time.Second
+	maxQueued   = 4096
+	logPart     = "claim"
 )
 
 // Mutation switches a safeguard off. Only the proof of the safeguards uses it.
--- a/internal/proof/callers_test.go
+++ b/internal/proof/callers_test.go
@@ -20,15 +20,14 @@
 	entry   *proc
 	arrived time.Duration
 
-	reading  *reader // the attempt whose frames are taken
-	have     int     // tokens that the caller has
-	crossed  bool    // a token stood at the wrong place
-	over     bool
-	whole    bool
-	outcome  msg.Outcome
-	code     string
-	attempts int
-	ranOn    int // starts on a target
+	reading *reader // the attempt whose frames are taken
+	have    int     // tokens that the caller has
+	crossed bool    // a token stood at the wrong place
+	over    bool
+	whole   bool
+	outcome msg.Outcome
+	code    string
+	ranOn   int // starts on a target
 }
 
 // shutdownLimit is the daemon's wait for its callers' handlers.
--- a/internal/proof/oracle_test.go
+++ b/internal/proof/oracle_test.go
@@ -8,10 +8,8 @@
 )
 
 const (
-	// withinSeconds is what "within seconds" and "after a few seconds" mean.
-	withinSeconds = 6 * time.Second
-	// underWay is the longest time of a call that was sent before its limit.
-	underWay = 200 * time.Millisecond
+	// within is what "within seconds" and "after a few seconds" mean.
+	within = 6 * time.Second
 )
 
 // oracle watches the outside interfaces and states the promises.
@@ -80,10 +78,10 @@
 	if r.spec.Account != r.req.account {
 		o.fail("request %s of account %q ran for %q", r.req.id, r.req.account, r.spec.Account)
 	}
-	if at, ok := o.withdrawn[r.req.key]; ok && r.req.key != "" && o.s.now > at+withinSeconds {
+	if at, ok := o.withdrawn[r.req.key]; ok && r.req.key != "" && o.s.now > at+within {
 		o.fail("request %s ran %v after its key was withdrawn", r.req.id, o.s.now-at)
 	}
-	if at, ok := o.leaving[e.host]; ok && o.s.now > max(at, r.req.entry.blind)+withinSeconds {
+	if at, ok := o.leaving[e.host]; ok && o.s.now > max(at, r.req.entry.blind)+within {
 		o.fail("target %s was given new work %v after it began to leave", e.host, o.s.now-at)
 	}
 	if o.notRun[r.req.id] {
@@ -92,7 +90,7 @@
 }
 
 func (o *oracle) delivered(r *callerRequest) {
-	if at, ok := o.withdrawn[r.key]; ok && r.key != "" && o.s.now > at+withinSeconds {
+	if at, ok := o.withdrawn[r.key]; ok && r.key != "" && o.s.now > at+within {
 		o.fail("the stream of request %s goes on %v after its key was withdrawn", r.id, o.s.now-at)
 	}
 }
@@ -103,7 +101,7 @@
 		return
 	}
 	for gen, at := range o.accepted {
-		if eff.Spec.Generation < gen && o.s.now > at+withinSeconds {
+		if eff.Spec.Generation < gen && o.s.now > at+within {
 			o.fail("%s starts work under generation %d, %v after %d was accepted", p.self.Host, eff.Spec.Generation, o.s.now-at, gen)
 		}
 	}
--- a/internal/wire/fuzz_test.go
+++ b/internal/wire/fuzz_test.go
@@ -11,7 +11,8 @@
 // than by an error, and that what it takes keeps its form.
 func FuzzUnmarshalEvent(f *testing.F) {
 	for _, ev := range []msg.Event{
-		msg.Tick{}, msg.CallerGone{Req: "r"},
+		msg.Tick{},
+		msg.CallerGone{Req: "r"},
 		msg.PeerReceived{From: "h", Message: msg.ConfigFetch{}},
 		msg.AttemptEnded{Attempt: "a", Answer: &msg.KeptAnswer{Status: 200, Body: []byte("x")}},
 	} {
