--- a/internal/proof/fuzz_test.go
+++ b/internal/proof/fuzz_test.go
@@ -271,7 +271,7 @@
 		"resend": f.resend, "kill": f.kill, "pause": f.pause, "part": f.part,
 		"platform": f.platform, "crash": f.crash,
 		"corner": f.corner, "split": f.split, "crash and resend": f.crashAndResend,
-		"cut while running": f.cutWhileRunning, "leave": f.leave,
+		"cut while running": f.cutWhileRunning, "leave": f.leave, "lost answers": f.lostAnswers,
 	})
 	return a
 }
--- a/internal/proof/scenes_test.go
+++ b/internal/proof/scenes_test.go
@@ -128,3 +128,19 @@
 	})
 	f.pass(t)
 }
+
+// lostAnswers: the platform's answers are lost while a change and orders are
+// written, after their effect.
+func (f *fuzzer) lostAnswers(t *rapid.T) {
+	s, p := f.s, f.some(t, msg.HostEntry)
+	if p == nil {
+		return
+	}
+	s.loseRate = 0.8
+	s.after(drawTime(t, "for", time.Second, 5*time.Second), func() { s.loseRate = 0 })
+	s.toggleKey("a-2")
+	s.propose(p, p.gen)
+	s.nextOp++
+	s.sendKeyed(p, "b-1", fmt.Sprintf("op-%d", s.nextOp))
+	s.run(drawTime(t, "pause", time.Second, 8*time.Second))
+}
