--- a/demo/check/steps.go
+++ b/demo/check/steps.go
@@ -126,7 +126,14 @@
 	key := fmt.Sprintf("load-%d", time.Now().UnixNano())
 	var first []byte
 	for i, entry := range s.entries {
-		r, err := call{method: http.MethodPost, url: entry + orderPath, key: keyDepot, idempotencyKey: key, body: order}.do(ctx)
+		order := call{method: http.MethodPost, url: entry + orderPath, key: keyDepot, idempotencyKey: key, body: order}
+		r, err := order.do(ctx)
+		for err == nil && r.status == http.StatusConflict && r.header.Get("Retry-After") != "" {
+			// The other entry has yet to learn that the first order is done.
+			fmt.Printf("  %d %s\n", r.status, bytes.TrimSpace(r.body))
+			time.Sleep(time.Second)
+			r, err = order.do(ctx)
+		}
 		if err != nil {
 			return err
 		}
