--- a/internal/capacity/world.go
+++ b/internal/capacity/world.go
@@ -20,7 +20,7 @@
 	peerLatency     = 1500 * time.Microsecond
 	platformLatency = 3 * time.Millisecond
 	targetLatency   = time.Millisecond
-	cacheEvents     = 500 * time.Millisecond
+	orderTime       = 2 * time.Second
 )
 
 const (
@@ -72,6 +72,8 @@
 	Reads, Writes   int
 	ReadBytes       int
 	WrittenBytes    int
+	// LargestRead is the largest answer to one read in bytes.
+	LargestRead int
 }
 
 // World is a deployment in virtual time.
--- a/internal/core/fleet/fleet_test.go
+++ b/internal/core/fleet/fleet_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -102,6 +103,10 @@
 	is.True(len(open) > 0)
 	w.entries[0].paused = true
 	w.takeOver()
+	w.run(200 * time.Millisecond)
+	for _, o := range w.record().Orders {
+		is.Equal(o.Order.Epoch, w.epoch)
+	}
 	w.run(time.Minute)
 	w.entries[0].paused = false
 	w.run(time.Minute)
@@ -115,6 +120,17 @@
 	is.Equal(changes, 5) // the open orders were carried on, not given twice
 }
 
+func TestRecordOfANewerEpochIsLeftAlone(t *testing.T) {
+	is := is.New(t)
+	w := started(testManifest("1", fixedRoles(2, 3)))
+	w.run(time.Minute)
+	late := w.entries[1]
+	w.step(late, msg.LeaseChanged{Name: "fleet/" + testPool, Held: true, Epoch: 0, Until: w.now + time.Hour})
+	w.run(10 * time.Second)
+	is.Equal(late.ctl.pools[testPool].authority.record, nil)
+	is.Equal(w.record().Epoch, w.epoch)
+}
+
 func TestCrashPartwayConverges(t *testing.T) {
 	is := is.New(t)
 	w := started(testManifest("1", fixedRoles(2, 3)))
@@ -206,21 +222,30 @@
 
 func TestTargetsAreOrderedPerDomainOnce(t *testing.T) {
 	is := is.New(t)
-	w := started(testManifest("1", mixedRoles()))
+	m := testManifest("1", mixedRoles())
+	for i := range m.Pools[0].Shape {
+		m.Pools[0].Shape[i].Min = 5
+		m.Pools[0].Shape[i].Max = 6
+	}
+	w := started(m)
 	w.lose = 0.5
 	w.run(2 * time.Minute)
 	domains := map[msg.FailureDomain]int{}
 	for _, l := range w.listed {
 		domains[l.Domain]++
 	}
-	is.Equal(domains, map[msg.FailureDomain]int{"d0": 2, "d1": 2}) // the least numbers, in spite of lost answers
+	is.Equal(domains, map[msg.FailureDomain]int{"d0": 2, "d1": 2}) // three each report already
 }
 
 func TestWithdrawnTargetIsReplacedAndDrained(t *testing.T) {
 	is := is.New(t)
-	w := started(testManifest("1", mixedRoles()))
-	for i, id := range []msg.TargetID{"t00", "t01", "t02", "t03"} {
-		w.listed = append(w.listed, msg.OrderedTarget{Target: id, Domain: w.sides[i].domain, Ready: true})
+	m := testManifest("1", mixedRoles())
+	for i := range m.Pools[0].Shape {
+		m.Pools[0].Shape[i].Min = 3
+	}
+	w := started(m)
+	for _, s := range w.sides {
+		w.listed = append(w.listed, msg.OrderedTarget{Target: s.id, Domain: s.domain, Ready: true})
 	}
 	w.run(10 * time.Second)
 	is.Equal(len(w.ordered), 0)
@@ -231,6 +256,42 @@
 	is.Equal(w.side("t01").gate.Status(w.now).Phase, "draining")
 }
 
+func TestSilentTargetIsReplacedUnlessItsDomainIsCutOff(t *testing.T) {
+	for _, whole := range []bool{false, true} {
+		t.Run(fmt.Sprint(whole), func(t *testing.T) {
+			is := is.New(t)
+			m := testManifest("1", mixedRoles())
+			for i := range m.Pools[0].Shape {
+				m.Pools[0].Shape[i].Min = 3
+			}
+			w := started(m)
+			for _, s := range w.sides {
+				w.listed = append(w.listed, msg.OrderedTarget{Target: s.id, Domain: s.domain, Ready: true})
+			}
+			w.run(time.Minute)
+			for _, s := range w.sides {
+				s.lost = s.id == "t01" || (whole && s.domain == "d1")
+			}
+			w.run(3 * time.Minute)
+			is.Equal(len(w.withdrawn) == 1, !whole)
+			is.Equal(len(w.ordered) == 1, !whole)
+		})
+	}
+}
+
+func TestServicePoolIsDrainedAndKeepsNoRoles(t *testing.T) {
+	is := is.New(t)
+	m := testManifest("2", fixedRoles(2, 3))
+	m.Pools[0].Kind = manifest.PoolService
+	m.Pools[0].Model = ""
+	w := started(m)
+	w.step(w.entries[0], msg.DrainRequested{Call: 1, Target: "t02"})
+	w.run(time.Minute)
+	is.Equal(w.side("t02").gate.Status(w.now).Phase, "draining")
+	is.Equal(w.count(msg.RoleMixed), 6)
+	is.Equal(w.onVersion("1"), 6)
+}
+
 func TestOnlyDrainedTargetsAreWithdrawn(t *testing.T) {
 	is := is.New(t)
 	w := started(testManifest("1", mixedRoles()))
