Addresses of hosts without a kept connection

Cause: with more than 16 entries or 32 target hosts a daemon keeps connections to some only, but the link knew addresses from Connect alone: polls of another parent, queries of voters and attempts on other targets could open none on demand. The new effect Locate tells an address; the daemon's driver, and the drivers of internal/capacity and internal/proof, take it.

--- a/internal/capacity/execute.go
+++ b/internal/capacity/execute.go
@@ -10,7 +10,7 @@
 // execute carries out an effect on the fakes.
 func (w *World) execute(n *node, eff msg.Effect) {
 	switch eff := eff.(type) {
-	case msg.LogLine, msg.ConfigAnswered, msg.Disconnect, msg.FinishRequest, msg.CancelAttempt, msg.StopAttempt:
+	case msg.LogLine, msg.ConfigAnswered, msg.Locate, msg.Disconnect, msg.FinishRequest, msg.CancelAttempt, msg.StopAttempt:
 	case msg.ListHosts:
 		w.count(n, false, 0)
 		w.answer(n, msg.HostsListed{Call: eff.Call, Hosts: w.hosts})
--- a/internal/core/member/connect.go
+++ b/internal/core/member/connect.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"maps"
 	"slices"
 
 	"github.com/verbenaspur/verbenaspur/internal/core/exchange"
@@ -23,23 +24,55 @@
 	entriesPerSide = 2
 )
 
-// connections returns the effects that bring the connections in line with
-// the host list.
+// connections returns the effects that bring the connections, and the
+// addresses of the other hosts, in line with the host list.
 func (p *Part) connections(m msg.MembersChanged) []msg.Effect {
-	var effs []msg.Effect
 	wanted := make(map[msg.HostID]bool)
 	for _, h := range p.wanted(m) {
-		if h.Host == p.cfg.Self.Host {
-			continue
+		wanted[h.Host] = h.Host != p.cfg.Self.Host
+	}
+	var effs []msg.Effect
+	listed := make(map[msg.HostID]bool, len(p.hosts))
+	for _, h := range p.hosts {
+		listed[h.Host] = true
+		if h.Host != p.cfg.Self.Host {
+			effs = append(effs, p.reach(h, wanted[h.Host])...)
 		}
-		wanted[h.Host] = true
-		c := msg.Connect{Host: h.Host, Addr: h.Addr, Kind: h.Kind}
-		if p.connect[h.Host] != c {
-			p.connect[h.Host] = c
-			effs = append(effs, c)
+	}
+	for _, h := range sortedKeys(p.addrs) {
+		if !listed[h] {
+			delete(p.addrs, h)
+			effs = append(effs, p.drop(h)...)
 		}
 	}
-	return append(effs, p.dropOthers(wanted)...)
+	return effs
+}
+
+// reach returns the effects that make a host reachable, by a connection that
+// is kept or on demand.
+func (p *Part) reach(h msg.Host, keep bool) []msg.Effect {
+	var effs []msg.Effect
+	if !keep {
+		effs = p.drop(h.Host)
+	}
+	moved := p.addrs[h.Host] != h.Addr
+	p.addrs[h.Host] = h.Addr
+	switch {
+	case keep && (moved || !p.connect[h.Host]):
+		p.connect[h.Host] = true
+		effs = append(effs, msg.Connect{Host: h.Host, Addr: h.Addr, Kind: h.Kind})
+	case !keep && moved:
+		effs = append(effs, msg.Locate{Host: h.Host, Addr: h.Addr, Kind: h.Kind})
+	}
+	return effs
+}
+
+func (p *Part) drop(h msg.HostID) []msg.Effect {
+	if !p.connect[h] {
+		return nil
+	}
+	delete(p.connect, h)
+	return []msg.Effect{msg.Disconnect{Host: h}}
 }
 
 // wanted returns the hosts to keep connections to. Others are connected to on
@@ -75,18 +108,4 @@
 	return out
 }
 
-func (p *Part) dropOthers(wanted map[msg.HostID]bool) []msg.Effect {
-	var gone []msg.HostID
-	for h := range p.connect {
-		if !wanted[h] {
-			gone = append(gone, h)
-		}
-	}
-	slices.Sort(gone)
-	effs := make([]msg.Effect, 0, len(gone))
-	for _, h := range gone {
-		delete(p.connect, h)
-		effs = append(effs, msg.Disconnect{Host: h})
-	}
-	return effs
-}
+func sortedKeys(m map[msg.HostID]string) []msg.HostID { return slices.Sorted(maps.Keys(m)) }
--- a/internal/core/member/member.go
+++ b/internal/core/member/member.go
@@ -57,12 +57,20 @@
 	// list was last asked for.
 	heardAt, sentAt msg.Time
 	reader          bool
-	connect         map[msg.HostID]msg.Connect
+	// addrs holds the known addresses, and connect the hosts to which a
+	// connection is kept.
+	addrs   map[msg.HostID]string
+	connect map[msg.HostID]bool
 }
 
 // New returns the part.
 func New(cfg Config) *Part {
-	return &Part{cfg: cfg, rand: rand.New(rand.NewPCG(0, 0)), connect: make(map[msg.HostID]msg.Connect)}
+	return &Part{
+		cfg:     cfg,
+		rand:    rand.New(rand.NewPCG(0, 0)),
+		addrs:   make(map[msg.HostID]string),
+		connect: make(map[msg.HostID]bool),
+	}
 }
 
 // Step implements the reducer's part.
--- a/internal/core/member/member_test.go
+++ b/internal/core/member/member_test.go
@@ -104,6 +104,42 @@
 	is.True(p.readAt >= 2*time.Second+slowInterval/2) // the same news again
 }
 
+// Every host can be reached on demand, and a new address is told.
+func TestOtherHostsAreLocated(t *testing.T) {
+	is := is.New(t)
+	list := hosts(60, 50)
+	for i := range list {
+		list[i].Addr = "10.0.0.1"
+	}
+	p := partOf(list[0])
+	reachable := make(map[msg.HostID]bool)
+	for _, eff := range p.list(0, list) {
+		switch eff := eff.(type) {
+		case msg.Connect:
+			reachable[eff.Host] = true
+		case msg.Locate:
+			reachable[eff.Host] = true
+		}
+	}
+	is.Equal(len(reachable), len(list)-1)
+	for i := range list {
+		list[i].Addr = "10.0.0.2"
+	}
+	p.read(0)
+	again := 0
+	for _, eff := range p.list(0, list) {
+		switch eff := eff.(type) {
+		case msg.Connect:
+			again++
+		case msg.Locate:
+			again++
+		case msg.Disconnect:
+			t.Fatalf("%s is dropped", eff.Host)
+		}
+	}
+	is.Equal(again, len(list)-1)
+}
+
 func TestConnectionsOfALargeFleet(t *testing.T) {
 	is := is.New(t)
 	list := hosts(100, 150)
--- a/internal/core/msg/peer.go
+++ b/internal/core/msg/peer.go
@@ -91,6 +91,14 @@
 	Kind HostKind
 }
 
+// Locate tells where a host is that messages or attempts may be sent to, so
+// that a connection can be opened on demand.
+type Locate struct {
+	Host HostID
+	Addr string
+	Kind HostKind
+}
+
 // Disconnect gives up a connection that Connect asked for.
 type Disconnect struct{ Host HostID }
 
@@ -101,6 +109,7 @@
 type PeerDown struct{ Host HostID }
 
 func (Connect) effect()    {}
+func (Locate) effect()     {}
 func (Disconnect) effect() {}
 
 func (PeerUp) event()   {}
--- a/internal/core/msg/types.go
+++ b/internal/core/msg/types.go
@@ -57,5 +57,6 @@
 		reflect.TypeFor[PublishReport](), reflect.TypeFor[ReportUsage](),
 		reflect.TypeFor[Connect](), reflect.TypeFor[Disconnect](),
 		reflect.TypeFor[ConfigAnswered](), reflect.TypeFor[DrainAnswered](),
+		reflect.TypeFor[Locate](),
 	}
 }
--- a/internal/core/scenario/world_test.go
+++ b/internal/core/scenario/world_test.go
@@ -237,7 +237,7 @@
 		n.answers = append(n.answers, eff)
 	case msg.StopReady:
 		n.stopReady = true
-	case msg.LogLine, msg.Connect, msg.Disconnect:
+	case msg.LogLine, msg.Connect, msg.Locate, msg.Disconnect:
 	default:
 		n.world.store.call(n, eff)
 	}
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -68,6 +68,8 @@
 	case msg.Connect:
 		e.node.SetAddr(link.Peer{Kind: eff.Kind, Host: eff.Host}, eff.Addr)
 		e.node.Keep(eff.Host)
+	case msg.Locate:
+		e.node.SetAddr(link.Peer{Kind: eff.Kind, Host: eff.Host}, eff.Addr)
 	case msg.Disconnect:
 		e.node.Drop(eff.Host)
 	case msg.SendPeer:
--- a/internal/proof/platform_test.go
+++ b/internal/proof/platform_test.go
@@ -21,6 +21,7 @@
 		p.sendPeer(eff)
 	case msg.Connect:
 		p.peers[eff.Host] = true
+	case msg.Locate:
 	case msg.Disconnect:
 		delete(p.peers, eff.Host)
 	case msg.ReportUsage:
