--- a/internal/core/entry.go
+++ b/internal/core/entry.go
@@ -4,9 +4,12 @@
 	"github.com/verbenaspur/verbenaspur/internal/core/claim"
 	"github.com/verbenaspur/verbenaspur/internal/core/config"
 	"github.com/verbenaspur/verbenaspur/internal/core/exchange"
+	"github.com/verbenaspur/verbenaspur/internal/core/fleet"
+	"github.com/verbenaspur/verbenaspur/internal/core/gate"
 	"github.com/verbenaspur/verbenaspur/internal/core/lease"
 	"github.com/verbenaspur/verbenaspur/internal/core/member"
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
+	"github.com/verbenaspur/verbenaspur/internal/core/reducer"
 	"github.com/verbenaspur/verbenaspur/internal/core/request"
 	"github.com/verbenaspur/verbenaspur/internal/core/usage"
 	"github.com/verbenaspur/verbenaspur/internal/manifest"
@@ -16,34 +19,53 @@
 type EntryConfig struct {
 	Self        msg.Self
 	Incarnation msg.Incarnation
+	// Parts overrides the configurations of parts, for tests.
+	Parts PartConfigs
+}
+
+// PartConfigs holds configurations of parts. Zero values take defaults.
+type PartConfigs struct {
+	Lease    lease.Config
+	Claim    claim.Config
+	Recorder usage.RecorderConfig
+	Reporter usage.ReporterConfig
+	Gate     gate.Config
+	Fleet    fleet.Config
+	Request  request.Config
+	// Observer is a part that sees each event before the others; nil for none.
+	Observer reducer.Part
 }
 
 // Entry is the reducer of an entry daemon.
 type Entry struct {
-	*Reducer
+	*reducer.Reducer
 	self     msg.Self
 	claims   *claim.Part
 	recorder *usage.Recorder
 	reporter *usage.Reporter
 	leases   *lease.Part
 	config   *config.Part
+	fleet    *fleet.Controller
 	requests *request.Manager
 	state    *state
 }
 
 // NewEntry returns the reducer of an entry daemon.
 func NewEntry(cfg EntryConfig) *Entry {
+	cfg.Parts.Lease.Self, cfg.Parts.Lease.Incarnation = cfg.Self.Host, cfg.Incarnation
 	e := &Entry{
 		self:     cfg.Self,
-		claims:   claim.New(claim.Config{}),
-		recorder: usage.NewRecorder(usage.RecorderConfig{}),
-		reporter: usage.NewReporter(usage.ReporterConfig{}),
-		leases:   lease.New(lease.Config{Self: cfg.Self.Host, Incarnation: cfg.Incarnation}),
+		claims:   claim.New(cfg.Parts.Claim),
+		recorder: usage.NewRecorder(cfg.Parts.Recorder),
+		reporter: usage.NewReporter(cfg.Parts.Reporter),
+		leases:   lease.New(cfg.Parts.Lease),
 		config:   config.New(config.Config{Self: cfg.Self.Host, Incarnation: cfg.Incarnation}),
-		requests: request.New(request.Config{}),
+		fleet:    fleet.New(cfg.Parts.Fleet),
+		requests: request.New(cfg.Parts.Request),
 		state:    &state{},
 	}
-	e.Reducer = NewReducer(
+	e.Reducer = newObserved(
+		cfg.Parts.Observer,
 		e.leases,
 		e.state,
 		member.New(member.Config{Self: cfg.Self}),
@@ -53,11 +75,21 @@
 		e.requests,
 		e.recorder,
 		e.reporter,
-		&stopper{idlers: []idler{e.requests, e.recorder}},
+		e.fleet,
+		&stopper{requests: e.requests, flushers: []idler{e.recorder, e.claims, e.leases}},
 	)
 	return e
 }
 
+// newObserved returns a reducer of the parts behind an observer, if there is
+// one.
+func newObserved(observer reducer.Part, parts ...reducer.Part) *reducer.Reducer {
+	if observer != nil {
+		parts = append([]reducer.Part{observer}, parts...)
+	}
+	return reducer.New(parts...)
+}
+
 // Index returns the configuration in force, or nil.
 func (e *Entry) Index() *manifest.Index { return e.state.index }
 
@@ -67,6 +99,15 @@
 // Fresh reports whether the configuration is confirmed to be the newest.
 func (e *Entry) Fresh(now msg.Time) bool { return now < e.state.freshUntil }
 
+// Explain returns the decisions that were taken for a request, if they are
+// still remembered.
+func (e *Entry) Explain(id msg.RequestID) (request.Explanation, bool) { return e.requests.Explain(id) }
+
+// Plan returns what the planner would do now for a pool.
+func (e *Entry) Plan(now msg.Time, pool msg.PoolID) (fleet.PlanStatus, bool) {
+	return e.fleet.Plan(now, pool)
+}
+
 // Stopping reports whether a graceful shutdown has begun.
 func (e *Entry) Stopping() bool { return e.state.stopping }
 
@@ -80,7 +121,7 @@
 	stopping   bool
 }
 
-// Step implements [Part].
+// Step implements [reducer.Part].
 func (s *state) Step(_ msg.Time, ev msg.Event) []msg.Effect {
 	switch ev := ev.(type) {
 	case msg.ConfigChanged:
--- a/internal/core/side.go
+++ b/internal/core/side.go
@@ -4,6 +4,7 @@
 	"github.com/verbenaspur/verbenaspur/internal/core/gate"
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
 	"github.com/verbenaspur/verbenaspur/internal/core/poison"
+	"github.com/verbenaspur/verbenaspur/internal/core/reducer"
 	"github.com/verbenaspur/verbenaspur/internal/core/usage"
 )
 
@@ -11,11 +12,13 @@
 type SideConfig struct {
 	Self        msg.Self
 	Incarnation msg.Incarnation
+	// Parts overrides the configurations of parts, for tests.
+	Parts PartConfigs
 }
 
 // Side is the reducer of a side daemon.
 type Side struct {
-	*Reducer
+	*reducer.Reducer
 	gate     *gate.Gate
 	recorder *usage.Recorder
 
@@ -25,9 +28,9 @@
 }
 
 // NewSide returns the reducer of a side daemon.
-func NewSide(SideConfig) *Side {
-	s := &Side{gate: gate.New(gate.Config{}), recorder: usage.NewRecorder(usage.RecorderConfig{})}
-	s.Reducer = NewReducer(s.gate, s.recorder, poison.NewWitness())
+func NewSide(cfg SideConfig) *Side {
+	s := &Side{gate: gate.New(cfg.Parts.Gate), recorder: usage.NewRecorder(cfg.Parts.Recorder)}
+	s.Reducer = newObserved(cfg.Parts.Observer, s.gate, s.recorder, poison.NewWitness())
 	return s
 }
 
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -10,12 +10,12 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/testutil"
 
-	"github.com/verbenaspur/verbenaspur/internal/core"
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
+	"github.com/verbenaspur/verbenaspur/internal/core/reducer"
 	"github.com/verbenaspur/verbenaspur/internal/manifest"
 )
 
-var _ core.Part = (*Metrics)(nil)
+var _ reducer.Part = (*Metrics)(nil)
 
 const ms = time.Millisecond
 
