Status of requests; a handed-on attempt marks its target as draining

Cause: with one target left, a moved request went straight back to the target that was draining (TestPlannedStopCutsNoRequest failed). Moves now mark the target, and a request keeps away from targets that failed it for a second. Admission skips its bookkeeping where nothing waits, as at each load report.

--- a/internal/core/admit/account.go
+++ b/internal/core/admit/account.go
@@ -47,8 +47,9 @@
 	bucketTime = 5 * time.Second
 )
 
-func (a *account) advance(now msg.Time, dt float64) {
-	a.own.decay(dt)
+// advance lets time pass; left is what is left of rates.
+func (a *account) advance(now msg.Time, dt, left float64) {
+	a.own.sum *= left
 	if now-a.remoteAt > remoteLimit {
 		a.remote = 0
 		a.remoteWaiting = 0
@@ -91,7 +92,8 @@
 
 func (r *rate) add(v float64) { r.sum += v }
 
-func (r *rate) decay(dt float64) { r.sum *= math.Exp(-dt / rateTime.Seconds()) }
+// decayed is the part of a rate that is left after a time in seconds.
+func decayed(dt float64) float64 { return math.Exp(-dt / rateTime.Seconds()) }
 
 // value is the rate per second.
 func (r *rate) value() float64 { return r.sum / rateTime.Seconds() }
--- a/internal/core/admit/order.go
+++ b/internal/core/admit/order.go
@@ -17,11 +17,11 @@
 // Heads returns up to n requests that are next in turn, at most one of each
 // account. The slice is valid until the next call.
 func (q *Queue) Heads(now msg.Time, n int) []*Item {
-	q.advance(now)
-	q.heads = q.heads[:0]
 	if q.queued == 0 {
 		return nil
 	}
+	q.advance(now)
+	q.heads = q.heads[:0]
 	credit := q.credit(nil)
 	for _, a := range q.sorted {
 		it := a.head()
--- a/internal/core/admit/queue.go
+++ b/internal/core/admit/queue.go
@@ -219,13 +219,14 @@
 		return
 	}
 	q.last = now
+	left := decayed(dt)
 	var remote float64
 	for _, a := range q.sorted {
-		a.advance(now, dt)
+		a.advance(now, dt, left)
 		remote += a.remote
 	}
 	q.serve(remote * dt)
-	q.total.decay(dt)
+	q.total.sum *= left
 }
 
 // serve lets the virtual counter follow service that was given.
--- a/internal/core/request/attempt.go
+++ b/internal/core/request/attempt.go
@@ -13,6 +13,10 @@
 // maxAttempts bounds the attempts of one request; moves do not count.
 const maxAttempts = 4
 
+// excludeFor is the time for which a request keeps away from the targets that
+// failed it, where there are no others.
+const excludeFor = time.Second
+
 // start starts an attempt for a queued request. It reports false where no
 // target can take it now.
 func (s *step) start(p *pool, r *request) bool {
@@ -35,7 +39,7 @@
 	}
 	d, ok := s.router.Pick(s.now, query)
 	if !ok {
-		if d.Candidates == 0 {
+		if d.Candidates == 0 && s.now-r.excludedAt >= excludeFor {
 			r.exclude = nil
 		}
 		return false
@@ -124,7 +128,7 @@
 	if r == nil {
 		return
 	}
-	s.countCrash(r, ev.Result)
+	s.noteTarget(r, ev.Result)
 	s.closeAttempt(r, ev.Usage)
 	if ev.Result != msg.AttemptNotRun {
 		r.outcome = msg.OutcomeUnknown
@@ -134,13 +138,16 @@
 	s.dispatch(s.pool(r.pool.Name))
 }
 
-// countCrash strikes a request whose target went down under it.
-func (s *step) countCrash(r *request, result msg.AttemptResult) {
+// noteTarget keeps what the end of an attempt tells of its target, and strikes
+// a request whose target went down under it.
+func (s *step) noteTarget(r *request, result msg.AttemptResult) {
 	switch result {
 	case msg.AttemptCrashed:
 		r.crashes++
 		s.router.Crashed(r.target)
 		s.effects = append(s.effects, s.poison.Strike(s.now, r.fingerprint, r.attempt)...)
+	case msg.AttemptMoved:
+		s.router.Draining(r.target)
 	case msg.AttemptLost:
 		r.crashes++
 	case msg.AttemptDone:
@@ -211,6 +218,7 @@
 
 func (s *step) retry(r *request) {
 	r.exclude = append(r.exclude, r.target)
+	r.excludedAt = s.now
 	r.startBy = r.deadline
 	s.requeue(r)
 }
--- a/internal/core/request/request.go
+++ b/internal/core/request/request.go
@@ -50,7 +50,8 @@
 	target   msg.TargetID
 	attempts int
 	// exclude lists the targets that failed this request.
-	exclude []msg.TargetID
+	exclude    []msg.TargetID
+	excludedAt msg.Time
 	// tokens is the length of the answer that the caller has.
 	tokens int
 	// fingerprint identifies the request over its resends.
--- a/internal/core/route/filter.go
+++ b/internal/core/route/filter.go
@@ -6,12 +6,30 @@
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
 )
 
+// Count returns the number of a pool's known targets and of those that take
+// attempts.
+func (r *Router) Count(now msg.Time, id msg.PoolID) (targets, serving int) {
+	p := r.pools[id]
+	if p == nil {
+		return 0, 0
+	}
+	for _, t := range p.targets {
+		if t.open(now) {
+			serving++
+		}
+	}
+	return len(p.targets), serving
+}
+
+// open reports whether the target takes attempts at all.
+func (t *target) open(now msg.Time) bool {
+	return !t.lost && !t.leaving && t.load.Phase == msg.PhaseServing && now-t.readAt <= reportLimit
+}
+
 // takes reports whether the target may be given the request at all.
 func (t *target) takes(now msg.Time, req *Request) bool {
 	switch {
-	case t.lost, t.leaving, t.load.Phase != msg.PhaseServing:
-		return false
-	case now-t.readAt > reportLimit:
+	case !t.open(now):
 		return false
 	case req.Suspect && (t.suspects > 0 || now < t.suspectUntil):
 		return false
--- a/internal/core/route/router.go
+++ b/internal/core/route/router.go
@@ -136,6 +136,14 @@
 	}
 }
 
+// Draining takes note that a target hands its attempts on, so that it takes
+// none until a newer report says that it does.
+func (r *Router) Draining(id msg.TargetID) {
+	if t := r.targets[id]; t != nil {
+		t.load.Phase = msg.PhaseDraining
+	}
+}
+
 // Members takes note of the hosts that take no new work, and drops targets
 // that have been silent for long.
 func (r *Router) Members(now msg.Time, ev msg.MembersChanged) {
