--- /dev/null
+++ b/internal/core/request/retry_test.go
@@ -0,0 +1,59 @@
+package request
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/verbenaspur/verbenaspur/internal/core/msg"
+)
+
+// When every attempt fails, retries do not multiply the load.
+func TestFailuresCauseNoRetryStorm(t *testing.T) {
+	is := is.New(t)
+	f := newFixture("t1", "t2", "t3", "t4")
+	const requests = 200
+	attempts := 0
+	for i := range requests {
+		f.chat(msg.RequestID(fmt.Sprintf("r%d", i)))
+		for {
+			start, ok := lastStart(f)
+			if !ok {
+				break
+			}
+			attempts++
+			f.do(msg.AttemptEnded{Attempt: start.Attempt, Result: msg.AttemptFailed})
+		}
+		is.Equal(find[msg.RefuseRequest](t, f).Outcome, msg.OutcomeRun)
+	}
+	is.True(f.Idle())
+	is.True(attempts > requests)       // some retries
+	is.True(attempts < requests*13/10) // the budget: 20 at first, then one for ten requests
+}
+
+func lastStart(f *fixture) (msg.StartAttempt, bool) {
+	for _, eff := range f.effects {
+		if s, ok := eff.(msg.StartAttempt); ok {
+			return s, true
+		}
+	}
+	return msg.StartAttempt{}, false
+}
+
+// A target that refuses attempts is left alone for a while.
+func TestRefusedAttemptGoesElsewhere(t *testing.T) {
+	is := is.New(t)
+	f := newFixture("t1", "t2")
+	f.chat("r1")
+	first := find[msg.StartAttempt](t, f)
+	f.do(msg.AttemptEnded{Attempt: first.Attempt, Result: msg.AttemptNotRun})
+	second := find[msg.StartAttempt](t, f)
+	is.True(second.Target != first.Target)
+	f.do(msg.AttemptEnded{Attempt: second.Attempt, Result: msg.AttemptNotRun})
+	is.Equal(len(f.effects), 0) // both failed it just now
+	f.tick(excludeFor)
+	f.tick(msg.TickInterval)
+	third := find[msg.StartAttempt](t, f)
+	is.True(third.Attempt != second.Attempt)
+}
--- a/internal/measure/requests/measure_test.go
+++ b/internal/measure/requests/measure_test.go
@@ -53,10 +53,12 @@
 	skipUnlessAsked(t)
 	for _, shape := range []Shape{Taichung, Consortium} {
 		for _, oneEntry := range []bool{false, true} {
-			t.Log(FloodTable(shape, Load{
-				Rate: 120, Calls: 100, Flooder: 1, Flood: 10, OneEntry: oneEntry,
-				Warm: 20 * time.Second, Length: 40 * time.Second, Seed: 1,
-			}))
+			for seed := range uint64(2) {
+				t.Log(FloodTable(shape, Load{
+					Rate: 120, Calls: 100, Flooder: 1, Flood: 10, OneEntry: oneEntry,
+					Warm: 20 * time.Second, Length: 40 * time.Second, Seed: seed + 1,
+				}))
+			}
 		}
 	}
 }
