Early refusal measures the rate only while requests wait

Cause: the rate of the last ten seconds is low for want of requests on a quiet account, so that its second waiting request looked hopeless and was refused (TestQuietAccountIsNotRefused, by the old estimate 40 s for a wait of moments). The rate now counts service while requests of the account wait, from one second on.

--- a/internal/core/admit/account.go
+++ b/internal/core/admit/account.go
@@ -33,6 +33,8 @@
 	remote        float64
 	remoteWaiting float64
 	remoteAt      msg.Time
+	// drained is the service since requests wait.
+	drained drain
 	// bucket is the unused part of the account's token limit.
 	bucket float64
 	seen   msg.Time
--- a/internal/core/admit/order.go
+++ b/internal/core/admit/order.go
@@ -114,6 +114,7 @@
 	}
 	q.Remove(it)
 	acc.running++
+	acc.drained.add(q.last, it.Tokens)
 	acc.charge(it.Tokens)
 	q.total.add(it.Tokens)
 	q.serve(it.Tokens)
--- a/internal/core/admit/queue.go
+++ b/internal/core/admit/queue.go
@@ -125,6 +125,9 @@
 }
 
 func (q *Queue) insert(acc *account, it *Item) {
+	if acc.queued == 0 {
+		acc.drained.begin(q.last)
+	}
 	it.account = acc
 	waiting := &acc.waiting[it.Class]
 	if it.order == 0 {
--- a/internal/core/admit/refuse.go
+++ b/internal/core/admit/refuse.go
@@ -49,37 +49,65 @@
 }
 
 // wait estimates the time until a further request of the account starts, from
-// the account's waiting requests and its rate of service. Only the requests
+// the account's waiting requests and the rate at which they are served. Only the requests
 // of the same or a lower class are ahead of it.
 func (q *Queue) wait(a *account, it *Item) time.Duration {
 	ahead := 0.0
 	for class := range it.Class + 1 {
 		ahead += a.tokens[class]
 	}
-	rate := q.entitled(a)
+	rate := a.drained.rate(q.last)
 	if ahead == 0 || rate < minServiceMeasured {
 		return 0
 	}
 	return seconds(ahead / rate)
 }
 
-// entitled is the rate at which this entry can be expected to serve the
-// account: what it got lately or its fair share, if that is more.
-func (q *Queue) entitled(a *account) float64 {
-	share := a.weight / max(q.weights(), a.weight)
-	return max(a.own.value(), q.total.value()*share)
-}
-
 // clearTime estimates the time until the account's waiting requests are
 // served.
 func (q *Queue) clearTime(a *account) time.Duration {
-	rate := q.entitled(a)
+	rate := a.drained.rate(q.last)
 	if rate < minServiceMeasured {
 		return minRetry
 	}
 	return clamp(a.waitingTokens() / rate)
 }
 
+// drain measures how fast an account's requests are served while others of it
+// wait. Service at other times tells nothing of what could be had.
+type drain struct {
+	since  msg.Time
+	tokens float64
+}
+
+const (
+	// drainMin is the time of waiting after which the rate is known, and
+	// drainMax that after which older service counts half.
+	drainMin = time.Second
+	drainMax = 4 * time.Second
+)
+
+// begin starts the measurement when requests begin to wait.
+func (d *drain) begin(now msg.Time) { *d = drain{since: now} }
+
+// add counts service to a waiting request.
+func (d *drain) add(now msg.Time, tokens float64) {
+	d.tokens += tokens
+	if now-d.since > drainMax {
+		d.since += (now - d.since) / 2
+		d.tokens /= 2
+	}
+}
+
+// rate is in tokens a second; zero where it is not known.
+func (d *drain) rate(now msg.Time) float64 {
+	waited := now - d.since
+	if waited < drainMin {
+		return 0
+	}
+	return d.tokens / waited.Seconds()
+}
+
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
 func clamp(s float64) time.Duration {
