--- a/internal/core/admit/queue.go
+++ b/internal/core/admit/queue.go
@@ -125,6 +125,9 @@
 }
 
 func (q *Queue) insert(acc *account, it *Item) {
+	if acc.queued == 0 {
+		acc.drained.begin(q.last)
+	}
 	it.account = acc
 	waiting := &acc.waiting[it.Class]
 	if it.order == 0 {
@@ -219,13 +222,14 @@
 		return
 	}
 	q.last = now
+	left := decayed(dt)
 	var remote float64
 	for _, a := range q.sorted {
-		a.advance(now, dt)
+		a.advance(now, dt, left)
 		remote += a.remote
 	}
 	q.serve(remote * dt)
-	q.total.decay(dt)
+	q.total.sum *= left
 }
 
 // serve lets the virtual counter follow service that was given.
