--- a/internal/strictyaml/decode.go
+++ b/internal/strictyaml/decode.go
@@ -28,7 +28,17 @@
 // Decode reads one YAML document. Unknown fields, repeated fields, anchors,
 // further documents, values that break their validation tag and the faults
 // that check finds are an [*Error]; v is then incomplete and must not be used.
-func Decode[T any](b []byte, v *T, check Check[T]) error {
+func Decode[T any](b []byte, v *T, check Check[T]) (err error) {
+	// The YAML library panics on some malformed documents.
+	defer func() {
+		if r := recover(); r != nil {
+			err = errors.Newf("document can't be decoded: %v", r)
+		}
+	}()
+	return decode(b, v, check)
+}
+
+func decode[T any](b []byte, v *T, check Check[T]) error {
 	file, err := parser.ParseBytes(b, 0)
 	if err != nil {
 		return single(fromYAML(err, nil))
