Drill: planned stops and faults over real processes under load

make drill restarts each engine's side daemon under load, then pauses one, kills one, crashes an engine, freezes another's streams and takes the platform out for 6 s.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 GOLANGCI := $(TOOLS)/golangci-lint
 BIN := bin
 
-.PHONY: all build test unit lint fmt demo serve measure-capacity tools clean
+.PHONY: all drill build test unit lint fmt demo serve measure-capacity tools clean
 
 all: build
 
@@ -46,6 +46,9 @@
 demo: build
 	demo/run.sh
 
+drill: build
+	demo/drill.sh
+
 serve: build
 	demo/serve.sh
 
--- /dev/null
+++ b/demo/drill.sh
@@ -0,0 +1,77 @@
+#!/usr/bin/env bash
+# Starts everything on loopback, puts load on it and brings about failures one
+# after the other; fails if an answer was broken or a planned stop cut one.
+#
+# Planned part: every daemon is stopped and started again, one at a time.
+# Fault part: kills, pauses, an engine's crash, an outage of the platform.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+BIN=$PWD/bin
+RUN=${RUN:-$PWD/run/drill}
+source demo/processes.sh
+trap stop_all EXIT
+
+OUT=$RUN/results
+mkdir -p "$OUT"
+
+load() { # NAME WORKLOAD
+  "$BIN/verbenaspurctl" --server http://127.0.1.1:8080 --server http://127.0.1.2:8080 \
+    load --out "$OUT/$1.json" "$2" >"$OUT/$1.txt" 2>&1
+}
+
+pid_of() { cat "$RUN/$1.pid"; }
+
+restart() { # HOST: a planned stop, then a new process
+  kill -TERM "$(pid_of "$1")"
+  while kill -0 "$(pid_of "$1")" 2>/dev/null; do sleep 0.1; done
+  start "$1" "$BIN/verbenaspurd" --settings "$RUN/$1.yaml"
+  await_url "http://$2:9100/healthz"
+}
+
+reborn() { # HOST: killed, then a new process
+  kill -KILL "$(pid_of "$1")"
+  sleep 1
+  start "$1" "$BIN/verbenaspurd" --settings "$RUN/$1.yaml"
+}
+
+faults() { curl -fsS -o /dev/null -X POST "$1/control/faults" -d "$2"; }
+
+start_all
+await_url http://127.0.1.1:9100/healthz
+await_url http://127.0.1.2:9100/healthz
+ctl apply examples/demo.yaml
+await_url http://127.0.1.1:9100/readyz
+await_url http://127.0.1.2:9100/readyz
+
+echo "drill: planned: every side daemon in turn, under load"
+load planned examples/workloads/drill.yaml & LOAD=$!
+sleep 3
+for line in "${ENGINES[@]}" "${SERVICES[@]}"; do
+  set -- $line
+  [ "$1" = t4 ] && continue # the only instance of its pool
+  restart "$1" "$3"
+  sleep 3
+done
+PLANNED=0
+wait "$LOAD" || PLANNED=$?
+cat "$OUT/planned.txt"
+
+echo "drill: faults: pause, kill, crash, outage of the platform, under load"
+load faults examples/workloads/drill.yaml & LOAD=$!
+sleep 3
+kill -STOP "$(pid_of t1)"; sleep 4; kill -CONT "$(pid_of t1)"
+sleep 2
+reborn t2
+sleep 3
+faults http://127.0.2.3:7100 '{"crash":true,"crashFor":"3s"}'
+sleep 5
+faults http://127.0.2.1:7100 '{"freeze":true}'
+sleep 5
+faults "http://$PLATFORM" '{"down":true}'
+sleep 6
+faults "http://$PLATFORM" '{}'
+FAULTS=0
+wait "$LOAD" || FAULTS=$?
+cat "$OUT/faults.txt"
+echo "drill: exit codes: planned $PLANNED, faults $FAULTS"
+[ "$PLANNED" = 0 ] && [ "$FAULTS" = 0 ]
