--- a/internal/core/fleet/measure/measure_test.go
+++ b/internal/core/fleet/measure/measure_test.go
@@ -26,8 +26,10 @@
 
 const (
 	fullLength = 900.0
-	lowShare   = 0.25
-	highShare  = 0.75
+	// seeds is the number of runs of each policy that are averaged.
+	seeds     = 3
+	lowShare  = 0.25
+	highShare = 0.75
 )
 
 func mixes() []mix {
@@ -104,7 +106,7 @@
 
 func newCeiling(su setup) ceiling {
 	var c ceiling
-	for share := lowShare; share < highShare+0.01; share += 0.15 {
+	for share := lowShare; share < highShare+0.01; share += (highShare - lowShare) / 4 {
 		su.mix = mix{share: steady(share)}
 		c.shares = append(c.shares, share)
 		c.good = append(c.good, best(runAll(su, grid(su.engines, 2))).share())
@@ -176,22 +178,43 @@
 	thresholdChanges, plannerChanges := 0, 0
 	for _, m := range mixes() {
 		su := d.setup(m)
-		f := best(runAll(su, grid(su.engines, 2)))
-		rs := runAll(su, []policy{fixed{0, 0, su.engines}, &threshold{}, newPlanned()})
-		mixed, thr, plan := rs[0], rs[1], rs[2]
+		split := best(runAll(su, grid(su.engines, 2))).split
+		rs := overSeeds(su, func() []policy {
+			return []policy{split, fixed{0, 0, su.engines}, &threshold{}, newPlanned()}
+		})
+		f, mixed, thr, plan := rs[0], rs[1], rs[2], rs[3]
 		fmt.Printf("%-10s %-14s %6.3f %6.3f %6.3f %6.3f %6.3f %6.2f %6.2f %6d %6d %8.3f %8.3f\n", m.name, f.policy,
 			f.share(), mixed.share(), thr.share(), plan.share(), c.over(m), plan.share()/f.share(), plan.share()/thr.share(),
 			thr.changes, plan.changes, f.cost(su), plan.cost(su))
 		thresholdChanges += thr.changes
 		plannerChanges += plan.changes
 	}
-	fmt.Printf("role changes in all: threshold %d, planner %d\n", thresholdChanges, plannerChanges)
+	fmt.Printf("role changes a run, all mixes: threshold %d, planner %d\n", thresholdChanges, plannerChanges)
+}
+
+// overSeeds runs policies with several seeds. Answers are summed; changes are
+// the mean of a run.
+func overSeeds(su setup, policies func() []policy) []result {
+	sums := make([]result, len(policies()))
+	for seed := uint64(1); seed <= seeds; seed++ {
+		su.seed = seed
+		for i, r := range runAll(su, policies()) {
+			sums[i].policy = r.policy
+			sums[i].good += r.good
+			sums[i].offered += r.offered
+			sums[i].changes += r.changes
+		}
+	}
+	for i := range sums {
+		sums[i].changes = (sums[i].changes + seeds/2) / seeds
+	}
+	return sums
 }
 
 // cost is the price of the engines for a thousand good answers, at one unit
 // for an engine and hour.
 func (r result) cost(su setup) float64 {
-	hours := (su.length - tail) / 3600
+	hours := seeds * (su.length - tail) / 3600
 	return float64(su.engines) * hours / float64(r.good) * 1000
 }
 
--- a/internal/core/fleet/measure/sim_test.go
+++ b/internal/core/fleet/measure/sim_test.go
@@ -50,6 +50,7 @@
 // result is what a run showed after its warm-up.
 type result struct {
 	policy  string
+	split   fixed // of a fixed policy
 	good    int
 	offered int
 	changes int
@@ -95,6 +96,7 @@
 	}
 	s.loop(p)
 	s.res.policy = p.name()
+	s.res.split, _ = p.(fixed)
 	s.count()
 	return s.res
 }
