--- a/Makefile
+++ b/Makefile
@@ -42,6 +42,7 @@
 	$(BIN)/measure control >>$(BIN)/capacity.jsonl
 	$(BIN)/measure usage >>$(BIN)/capacity.jsonl
 	internal/capacity/measure-daemon.sh >>$(BIN)/capacity.jsonl
+	FORM=--canonical internal/capacity/measure-daemon.sh >>$(BIN)/capacity.jsonl
 	$(BIN)/measure table <$(BIN)/capacity.jsonl
 
 clean:
--- a/internal/capacity/measure-daemon.sh
+++ b/internal/capacity/measure-daemon.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Measures a real entry daemon that faces stand-in peers, at several shares of
 # the target size. Needs bin/measure and bin/verbenaspurd. Results go to
-# standard output.
+# standard output. FORM=--canonical applies the manifest in that form.
 set -euo pipefail
 cd "$(dirname "$0")/../.."
 RUN=$(mktemp -d)
@@ -11,7 +11,7 @@
   for s in $share; do
     dir="$RUN/$s"
     mkdir -p "$dir"
-    bin/measure daemon --share "$s" --dir "$dir" >"$dir/result" &
+    bin/measure daemon --share "$s" --dir "$dir" ${FORM:-} >"$dir/result" &
     measure=$!
     until [ -f "$dir/daemon.yaml" ]; do
       kill -0 "$measure"
--- a/internal/capacity/measure/daemon.go
+++ b/internal/capacity/measure/daemon.go
@@ -58,7 +58,7 @@
 	if err != nil {
 		return err
 	}
-	if err := applyManifest(ctx, size); err != nil {
+	if err := applyManifest(ctx, size, cmd.Bool(flagCanonical)); err != nil {
 		return err
 	}
 	time.Sleep(settleTime)
@@ -66,7 +66,7 @@
 	if err != nil {
 		return err
 	}
-	return capacity.Write(os.Stdout, cost.Points(size))
+	return capacity.Write(os.Stdout, cost.Points(size, form(cmd.Bool(flagCanonical))))
 }
 
 func servePlatform(peers *capacity.Peers) error {
@@ -119,11 +119,17 @@
 }
 
 // applyManifest proposes the manifest until the daemon takes it.
-func applyManifest(ctx context.Context, size capacity.Size) error {
+func applyManifest(ctx context.Context, size capacity.Size, canonical bool) error {
 	text := capacity.Manifest(size)
-	if _, err := manifest.Decode(text); err != nil {
+	m, err := manifest.Decode(text)
+	if err != nil {
 		return err
 	}
+	if canonical {
+		if text, err = manifest.Encode(m); err != nil {
+			return err
+		}
+	}
 	client := operator.NewClient([]string{"http://" + daemonHTTP}, token, http.DefaultTransport)
 	var last error
 	for end := time.Now().Add(waitLimit); time.Now().Before(end); time.Sleep(500 * time.Millisecond) {
@@ -137,6 +143,14 @@
 	return last
 }
 
+// form names the form of the manifest in results.
+func form(canonical bool) string {
+	if canonical {
+		return "canonical manifest"
+	}
+	return "YAML manifest"
+}
+
 func tokenHash() string {
 	sum := sha256.Sum256([]byte(token))
 	return hex.EncodeToString(sum[:])
--- a/internal/capacity/measure/main.go
+++ b/internal/capacity/measure/main.go
@@ -16,6 +16,8 @@
 	flagShare = "share"
 	flagDir   = "dir"
 	flagOver  = "over"
+
+	flagCanonical = "canonical"
 )
 
 // shares are the measured parts of the target size.
@@ -34,6 +36,7 @@
 				Flags: []cli.Flag{
 					&cli.FloatFlag{Name: flagShare, Usage: "share of the target size", Value: 1},
 					&cli.StringFlag{Name: flagDir, Usage: "directory for settings and certificates", Required: true},
+					&cli.BoolFlag{Name: flagCanonical, Usage: "apply the manifest in its canonical form"},
 					&cli.DurationFlag{Name: flagOver, Usage: "time of the measurement", Value: defaultOver},
 				},
 			},
@@ -65,7 +68,7 @@
 		fmt.Fprintf(os.Stderr, "measure: %d entries, %d sides: %d requests finished, %d refused\n",
 			c.Size.Entries, c.Size.Targets, c.Finished, c.Refused)
 		for what, n := range c.Unhandled {
-			fmt.Fprintf(os.Stderr, "measure: %d effects %s without an answer\n", n, what)
+			fmt.Fprintf(os.Stderr, "measure: %d times %s\n", n, what)
 		}
 		if err := capacity.Write(os.Stdout, c.Points()); err != nil {
 			return err
--- a/internal/capacity/process.go
+++ b/internal/capacity/process.go
@@ -85,17 +85,17 @@
 	}, nil
 }
 
-// Points returns a daemon's cost as points.
-func (c *DaemonCost) Points(size Size) []Point {
+// Points returns a daemon's cost as points; form is the manifest's.
+func (c *DaemonCost) Points(size Size, form string) []Point {
 	peers := float64(size.Entries - 1 + size.Targets)
 	point := func(name, unit string, v float64) Point {
-		return Point{Series{name, "peers", unit, float64(Target.Entries - 1 + Target.Targets)}, peers, v}
+		return Point{Series{"real entry daemon, " + form + ": " + name, "peers", unit, float64(Target.Entries - 1 + Target.Targets)}, peers, v}
 	}
 	return []Point{
-		point("real entry daemon: processor", "% of a core", 100*c.CPU),
-		point("real entry daemon: resident memory", "MB", float64(c.Resident)/1e6),
-		point("real entry daemon: packets sent", "1/s", c.PacketsOut),
-		point("real entry daemon: sent", "KB/s", c.BytesOut/1000),
-		point("real entry daemon: received", "KB/s", c.BytesIn/1000),
+		point("processor", "% of a core", 100*c.CPU),
+		point("resident memory", "MB", float64(c.Resident)/1e6),
+		point("packets sent", "1/s", c.PacketsOut),
+		point("sent", "KB/s", c.BytesOut/1000),
+		point("received", "KB/s", c.BytesIn/1000),
 	}
 }
--- a/internal/capacity/requests.go
+++ b/internal/capacity/requests.go
@@ -23,7 +23,7 @@
 	accounts int
 	sent     int
 	open     map[msg.AttemptID]*request
-	// Finished and Refused count requests by their end.
+	// finished and refused count requests by their end.
 	finished, refused int
 }
 
@@ -68,8 +68,12 @@
 		r.run(eff.Spec.Attempt)
 	case msg.RefuseAttempt:
 		r.end(eff.Attempt, msg.AttemptNotRun)
-	case msg.RefuseRequest, msg.AbortRequest:
+	case msg.RefuseRequest:
 		r.refused++
+		r.w.Unhandled["refusal "+eff.Code]++
+	case msg.AbortRequest:
+		r.refused++
+		r.w.Unhandled["abort "+eff.Code]++
 	default:
 		return false
 	}
--- a/internal/capacity/world.go
+++ b/internal/capacity/world.go
@@ -91,7 +91,8 @@
 	requests requests
 	// metered is set while costs count.
 	metered bool
-	// Unhandled counts effects that the world has no answer to.
+	// Unhandled counts refusals by code, and effects that the world has no
+	// answer to.
 	Unhandled map[string]int
 }
 
