--- a/internal/core/fleet/roles.go
+++ b/internal/core/fleet/roles.go
@@ -46,12 +46,11 @@
 }
 
 func (c *Controller) planInput(now msg.Time, p *pool, rec *Record) planner.Input {
-	atOnce := p.changesAtOnce()
 	in := planner.Input{
 		Forecast:   p.estimator.Forecast(),
 		Efficiency: c.cfg.Efficiency,
 		Costs:      c.cfg.Costs,
-		Limits:     planner.Limits{AtOnce: atOnce, PerDomain: max(1, (atOnce+1)/2)},
+		Limits:     planner.LimitsFor(len(p.targets), len(p.spec.Shape), p.spec.Rollout.MaxUnavailable),
 	}
 	for _, t := range p.sorted() {
 		in.Engines = append(in.Engines, c.planEngine(now, p, rec, t))
@@ -68,6 +67,10 @@
 		Fixed:       !c.mayChange(now, p, rec, t),
 		SinceChange: now - t.changed,
 	}
+	if !e.Available {
+		e.Down = now - t.served
+		e.Fixed = c.drainReason(p, rec, t) != ""
+	}
 	if t.report.Role != msg.RolePrefill {
 		e.DrainTime = min(drainMax, time.Duration(t.report.Running)*sequenceTime)
 	}
