strictyaml: panics of the YAML library and deep nesting are faults, not crashes

A megabyte of brackets took 14 GB in the parser before it was killed; nesting is now bounded on the tokens, before parsing.

--- a/internal/manifest/decode_test.go
+++ b/internal/manifest/decode_test.go
@@ -133,3 +133,26 @@
 		})
 	}
 }
+
+func FuzzDecode(f *testing.F) {
+	f.Add([]byte(valid))
+	f.Add([]byte("{}"))
+	f.Add([]byte("a: &x [*x]"))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		m, err := Decode(b)
+		if err != nil {
+			return
+		}
+		canonical, err := Encode(m)
+		if err != nil {
+			t.Fatalf("valid manifest can't be encoded: %v", err)
+		}
+		again, err := Decode(canonical)
+		if err != nil {
+			t.Fatalf("canonical form is refused: %v", err)
+		}
+		if changes, err := Diff(m, again); err != nil || len(changes) > 0 {
+			t.Fatalf("canonical form differs: %v %v", changes, err)
+		}
+	})
+}
--- a/internal/strictyaml/decode.go
+++ b/internal/strictyaml/decode.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"reflect"
 	"strings"
 
@@ -11,6 +12,7 @@
 	"github.com/go-playground/validator/v10"
 	"github.com/goccy/go-yaml"
 	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/lexer"
 	"github.com/goccy/go-yaml/parser"
 	"github.com/goccy/go-yaml/token"
 )
@@ -28,8 +30,22 @@
 // Decode reads one YAML document. Unknown fields, repeated fields, anchors,
 // further documents, values that break their validation tag and the faults
 // that check finds are an [*Error]; v is then incomplete and must not be used.
-func Decode[T any](b []byte, v *T, check Check[T]) error {
-	file, err := parser.ParseBytes(b, 0)
+func Decode[T any](b []byte, v *T, check Check[T]) (err error) {
+	// The YAML library panics on some malformed documents.
+	defer func() {
+		if r := recover(); r != nil {
+			err = single(Problem{Message: fmt.Sprintf("is not valid YAML: %v", r)})
+		}
+	}()
+	return decode(b, v, check)
+}
+
+func decode[T any](b []byte, v *T, check Check[T]) error {
+	tokens := lexer.Tokenize(string(b))
+	if p, ok := tooDeep(tokens); ok {
+		return single(p)
+	}
+	file, err := parser.Parse(tokens, 0)
 	if err != nil {
 		return single(fromYAML(err, nil))
 	}
