--- a/internal/manifest/decode_test.go
+++ b/internal/manifest/decode_test.go
@@ -134,7 +134,7 @@
 	}
 }
 
-func FuzzDecode(f *testing.F) {
+func FuzzCanonicalForm(f *testing.F) {
 	f.Add([]byte(valid))
 	f.Add([]byte("{}"))
 	f.Add([]byte("a: &x [*x]"))
