Side daemons follow the generation by the exchange; steps are timed

Cause: a side daemon heard of generations from attempts alone, so a stale entry that was the only one to use it was never refused. The side's reducer now has member, exchange and the configuration follower; the link effects of both daemons are carried out by one function.

--- a/internal/core/side.go
+++ b/internal/core/side.go
@@ -1,7 +1,10 @@
 package core
 
 import (
+	"github.com/verbenaspur/verbenaspur/internal/core/config"
+	"github.com/verbenaspur/verbenaspur/internal/core/exchange"
 	"github.com/verbenaspur/verbenaspur/internal/core/gate"
+	"github.com/verbenaspur/verbenaspur/internal/core/member"
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
 	"github.com/verbenaspur/verbenaspur/internal/core/poison"
 	"github.com/verbenaspur/verbenaspur/internal/core/reducer"
@@ -30,7 +33,15 @@
 // NewSide returns the reducer of a side daemon.
 func NewSide(cfg SideConfig) *Side {
 	s := &Side{gate: gate.New(cfg.Parts.Gate), recorder: usage.NewRecorder(cfg.Parts.Recorder)}
-	s.Reducer = newObserved(cfg.Parts.Observer, s.gate, s.recorder, poison.NewWitness())
+	s.Reducer = newObserved(
+		cfg.Parts.Observer,
+		member.New(member.Config{Self: cfg.Self}),
+		exchange.New(exchange.Config{Self: cfg.Self}),
+		config.NewFollower(),
+		s.gate,
+		s.recorder,
+		poison.NewWitness(),
+	)
 	return s
 }
 
--- a/internal/daemon/drive.go
+++ b/internal/daemon/drive.go
@@ -20,6 +20,25 @@
 	})
 }
 
+// executeLink carries out an effect that concerns connections to other
+// daemons. It reports false for other effects.
+func executeLink(ctx context.Context, wg *sync.WaitGroup, n *link.Node, eff msg.Effect) bool {
+	switch eff := eff.(type) {
+	case msg.Connect:
+		n.SetAddr(link.Peer{Kind: eff.Kind, Host: eff.Host}, eff.Addr)
+		n.Keep(eff.Host)
+	case msg.Locate:
+		n.SetAddr(link.Peer{Kind: eff.Kind, Host: eff.Host}, eff.Addr)
+	case msg.Disconnect:
+		n.Drop(eff.Host)
+	case msg.SendPeer:
+		wg.Go(func() { _ = n.SendPeer(ctx, eff.To, eff.Message) })
+	default:
+		return false
+	}
+	return true
+}
+
 func postPeer(l *Loop, log *slog.Logger, p link.Peer, f *link.Frame) {
 	m, err := link.DecodePeer(f)
 	if err != nil {
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -64,16 +64,10 @@
 // executeShared carries out the effects that concern other daemons and the
 // platform.
 func (e *entry) executeShared(_ msg.Time, eff msg.Effect) {
+	if executeLink(e.ctx, &e.wg, e.node, eff) {
+		return
+	}
 	switch eff := eff.(type) {
-	case msg.Connect:
-		e.node.SetAddr(link.Peer{Kind: eff.Kind, Host: eff.Host}, eff.Addr)
-		e.node.Keep(eff.Host)
-	case msg.Locate:
-		e.node.SetAddr(link.Peer{Kind: eff.Kind, Host: eff.Host}, eff.Addr)
-	case msg.Disconnect:
-		e.node.Drop(eff.Host)
-	case msg.SendPeer:
-		e.wg.Go(func() { _ = e.node.SendPeer(e.ctx, eff.To, eff.Message) })
 	case msg.SendOrder:
 		e.wg.Go(func() { e.sendOrder(eff) })
 	case msg.LogLine:
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -271,7 +271,7 @@
 		waiting:   make(map[msg.CallID]chan msg.Effect),
 		urls:      make(map[msg.TargetID]string),
 	}
-	e.loop = NewLoop(stepper, e.execute)
+	e.loop = NewLoop(p.metrics.Timed(stepper), e.execute)
 	if e.node, err = p.newNode(e); err != nil {
 		return err
 	}
@@ -332,7 +332,7 @@
 		platform: p.platform, log: p.log, ctx: p.work, attempts: newAttemptTable(),
 		ready: p.becomeIdle, seen: p.metrics.ObserveEffect, target: p.newTarget(),
 	}
-	s.loop = NewLoop(stepper, s.execute)
+	s.loop = NewLoop(p.metrics.Timed(stepper), s.execute)
 	if s.node, err = p.newNode(s); err != nil {
 		return err
 	}
--- a/internal/daemon/side.go
+++ b/internal/daemon/side.go
@@ -43,6 +43,9 @@
 // execute carries out one effect of the reducer.
 func (s *side) execute(now msg.Time, eff msg.Effect) {
 	s.seen(now, eff)
+	if executeLink(s.ctx, &s.wg, s.node, eff) {
+		return
+	}
 	switch eff := eff.(type) {
 	case msg.RunAttempt:
 		s.runAttempt(eff.Spec.Attempt)
@@ -58,8 +61,6 @@
 		s.wg.Go(func() { s.readTarget(eff.Call) })
 	case msg.PublishReport:
 		s.node.Broadcast(&link.Frame{Report: &eff.Report})
-	case msg.SendPeer:
-		s.wg.Go(func() { _ = s.node.SendPeer(s.ctx, eff.To, eff.Message) })
 	case msg.LogLine:
 		writeLog(s.log, eff)
 	case msg.StopReady:
--- a/internal/proof/oracle_test.go
+++ b/internal/proof/oracle_test.go
@@ -113,6 +113,9 @@
 		o.fail("%s went from generation %d to %d", p.self.Host, p.gen, ev.Generation)
 	}
 	p.gen = ev.Generation
+	if p.self.Kind == msg.HostTarget {
+		return // a side daemon knows the number alone
+	}
 	text := fmt.Sprint(ev.Index.Deployment, len(ev.Index.Accounts), ev.Index.Accounts)
 	if known, ok := o.contents[ev.Generation]; ok && known != text {
 		o.fail("generation %d has two contents", ev.Generation)
