Operators see frozen usage windows and the state of requests

verbenaspurctl usage had nothing to ask; the entry daemon now lists the frozen windows from the platform and says which were reported. Status holds requests, queues and budgets.

--- a/demo/run.sh
+++ b/demo/run.sh
@@ -19,6 +19,9 @@
   --engine http://127.0.2.1:7100 --engine http://127.0.2.2:7100 --engine http://127.0.2.3:7100 \
   --service http://127.0.2.4:7200 --platform "http://$PLATFORM" \
   --operator-token "$OPERATOR_TOKEN" --manifest examples/demo.yaml
+ctl usage --account township-a
+ctl status >/dev/null
+ctl history
 echo "demo: decisions of entry e1:"
 grep -hE 'msg="?(route|fleet|claim|lease): ' "$RUN/e1.log" | tail -n 20
 "$BIN/verbenaspurctl" replay "$RUN/e1.trace"
--- a/internal/core/status.go
+++ b/internal/core/status.go
@@ -6,6 +6,7 @@
 	"github.com/verbenaspur/verbenaspur/internal/core/fleet"
 	"github.com/verbenaspur/verbenaspur/internal/core/lease"
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
+	"github.com/verbenaspur/verbenaspur/internal/core/request"
 	"github.com/verbenaspur/verbenaspur/internal/core/usage"
 )
 
@@ -17,6 +18,7 @@
 	Config   config.Status        `json:"config"`
 	Leases   lease.Status         `json:"leases"`
 	Fleet    fleet.Status         `json:"fleet"`
+	Requests request.Status       `json:"requests"`
 	Claims   claim.Status         `json:"claims"`
 	Records  usage.RecorderStatus `json:"usageRecords"`
 	Reports  usage.ReporterStatus `json:"usageReports"`
@@ -31,6 +33,7 @@
 		Config:   e.config.Status(now),
 		Leases:   e.leases.Status(now),
 		Fleet:    e.fleet.Status(now),
+		Requests: e.requests.Status(now),
 		Claims:   e.claims.Status(now),
 		Records:  e.recorder.Status(now),
 		Reports:  e.reporter.Status(now),
--- a/internal/daemon/operators.go
+++ b/internal/daemon/operators.go
@@ -15,6 +15,7 @@
 	"github.com/verbenaspur/verbenaspur/internal/core/fleet"
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
 	"github.com/verbenaspur/verbenaspur/internal/core/request"
+	"github.com/verbenaspur/verbenaspur/internal/core/usage"
 	"github.com/verbenaspur/verbenaspur/internal/manifest"
 	"github.com/verbenaspur/verbenaspur/internal/settings"
 )
@@ -45,6 +46,7 @@
 	add(http.MethodGet, "/status", o.status)
 	add(http.MethodGet, "/explain/{request}", o.explain)
 	add(http.MethodGet, "/plan", o.plan)
+	add(http.MethodGet, "/usage", o.usage)
 	add(http.MethodPost, "/drain", o.drain)
 }
 
@@ -145,13 +147,12 @@
 }
 
 func (o *operators) history(w http.ResponseWriter, q *http.Request, _ string) {
-	ev, ok := o.e.platform.Do(q.Context(), msg.ListObjects{Kind: msg.KindAudit}, o.e.loop.Now).(msg.ListDone)
-	if !ok || ev.Status != msg.CallOK {
-		writeRefusal(w, badRequest("", http.StatusServiceUnavailable, "platform-unavailable", "the platform's object API does not answer"))
+	objects, ok := o.list(w, q, msg.KindAudit)
+	if !ok {
 		return
 	}
 	v := historyView{Changes: []msg.ConfigChange{}}
-	for _, obj := range ev.Objects {
+	for _, obj := range objects {
 		var env struct {
 			Body msg.ConfigChange `json:"body"`
 		}
@@ -162,6 +163,30 @@
 	writeJSON(w, http.StatusOK, v)
 }
 
+// usageView lists frozen windows of usage.
+type usageView struct {
+	Windows []usage.Window `json:"windows"`
+}
+
+func (o *operators) usage(w http.ResponseWriter, q *http.Request, _ string) {
+	objects, ok := o.list(w, q, msg.KindUsage)
+	if !ok {
+		return
+	}
+	account := msg.AccountID(q.URL.Query().Get("account"))
+	writeJSON(w, http.StatusOK, usageView{Windows: usage.Windows(objects, account)})
+}
+
+// list reads the objects of a kind. It reports false after it has answered.
+func (o *operators) list(w http.ResponseWriter, q *http.Request, kind msg.Kind) ([]msg.Object, bool) {
+	ev, ok := o.e.platform.Do(q.Context(), msg.ListObjects{Kind: kind}, o.e.loop.Now).(msg.ListDone)
+	if !ok || ev.Status != msg.CallOK {
+		writeRefusal(w, badRequest("", http.StatusServiceUnavailable, "platform-unavailable", "the platform's object API does not answer"))
+		return nil, false
+	}
+	return ev.Objects, true
+}
+
 func (o *operators) status(w http.ResponseWriter, _ *http.Request, _ string) {
 	var v any
 	o.e.loop.Query(func(now msg.Time) { v = o.e.reducer.Status(now) })
