A resumed attempt is 'not run' only where that is certain; slower control beats

Cause: a side daemon forgot an ended attempt 10 s after its stream was gone. An entry daemon that was paused for longer came back, the id was unknown, and the answer was 'not run', which would have let a non-idempotent request run twice. Found by reading. The ids of ended attempts are now remembered for 10 minutes and such a resumption is told 'lost'; the entry believes 'not run' only within 5 minutes of the attempt's start. A repeated offer that the gate answers with MayHaveRun is told as lost, too.

A silent control stream is found within 3.5 s in place of 2 s; attempts' own streams keep their 2 s.

--- a/internal/daemon/attempt_entry.go
+++ b/internal/daemon/attempt_entry.go
@@ -57,9 +57,14 @@
 		return notRun(err)
 	}
 	first := &link.Frame{Open: open}
+	began := time.Now()
 	var deadline time.Time
 	for {
 		end, err := r.follow(s, first)
+		if err == nil && end.result == msg.AttemptNotRun && time.Since(began) > rememberFor/2 {
+			// The side daemon may have forgotten that it ran.
+			return attemptEnd{result: msg.AttemptLost, reason: end.reason}
+		}
 		if err == nil {
 			return end
 		}
@@ -174,6 +179,9 @@
 }
 
 func (r *attemptRead) takeEnd(end *link.End) attemptEnd {
+	if end.Result == msg.AttemptLost {
+		return attemptEnd{result: msg.AttemptLost, reason: end.Reason}
+	}
 	if end.Frames != r.next || end.Checksum != r.sum.Sum64() {
 		return attemptEnd{result: msg.AttemptFailed, reason: "answer failed its check", usage: end.Usage}
 	}
--- a/internal/daemon/attempt_side.go
+++ b/internal/daemon/attempt_side.go
@@ -19,9 +19,9 @@
 	// maxUnread is the number of frames by which the target may be ahead of
 	// what was acknowledged before it waits.
 	maxUnread = 4 * link.Credit
-	// voidFor is how long an attempt id that was asked for and not known is
-	// refused.
-	voidFor = 10 * time.Minute
+	// rememberFor is how long the ids of ended attempts, and of those that were
+	// asked for and not known, are remembered.
+	rememberFor = 10 * time.Minute
 )
 
 var errStreamEnded = errors.New("stream ended")
@@ -215,11 +215,17 @@
 type attemptTable struct {
 	mu   sync.Mutex
 	runs map[msg.AttemptID]*attemptRun
-	void map[msg.AttemptID]time.Time
+	// void holds the ids that will never run, and past those that ran and
+	// whose frames are gone.
+	void, past map[msg.AttemptID]time.Time
 }
 
 func newAttemptTable() *attemptTable {
-	return &attemptTable{runs: make(map[msg.AttemptID]*attemptRun), void: make(map[msg.AttemptID]time.Time)}
+	return &attemptTable{
+		runs: make(map[msg.AttemptID]*attemptRun),
+		void: make(map[msg.AttemptID]time.Time),
+		past: make(map[msg.AttemptID]time.Time),
+	}
 }
 
 // open records a new attempt. It returns the known one where the id is known,
@@ -238,15 +244,19 @@
 	return run, true
 }
 
-// resume returns a known attempt. An unknown id becomes void.
-func (t *attemptTable) resume(id msg.AttemptID) *attemptRun {
+// resume returns a known attempt. Of one whose frames are gone it reports that
+// it ran; any other unknown id becomes void.
+func (t *attemptTable) resume(id msg.AttemptID) (run *attemptRun, ran bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	run := t.runs[id]
-	if run == nil {
-		t.void[id] = time.Now()
+	if run := t.runs[id]; run != nil {
+		return run, true
+	}
+	if _, ok := t.past[id]; ok {
+		return nil, true
 	}
-	return run
+	t.void[id] = time.Now()
+	return nil, false
 }
 
 func (t *attemptTable) get(id msg.AttemptID) *attemptRun {
@@ -282,14 +292,20 @@
 		case idle < attemptGrace:
 		case ended:
 			delete(t.runs, id)
+			t.past[id] = now
 		case run.spec.Idempotent:
 			orphans = append(orphans, run)
 		}
 	}
-	for id, at := range t.void {
-		if now.Sub(at) > voidFor {
-			delete(t.void, id)
+	expire(t.void, now)
+	expire(t.past, now)
+	return orphans
+}
+
+func expire(ids map[msg.AttemptID]time.Time, now time.Time) {
+	for id, at := range ids {
+		if now.Sub(at) > rememberFor {
+			delete(ids, id)
 		}
 	}
-	return orphans
 }
--- a/internal/daemon/link_test.go
+++ b/internal/daemon/link_test.go
@@ -328,6 +328,42 @@
 	is.Equal(len(b.target.starts), 0)
 }
 
+// An entry daemon that was paused comes back for an attempt whose frames the
+// side daemon no longer keeps. It ran, so "not run" would be untrue.
+func TestForgottenAttemptIsNotToldAsNotRun(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, &scriptedTarget{tokens: 1, step: time.Millisecond, starts: map[msg.AttemptID]int{}})
+	b.start(t.Context(), "a1").read(1)
+	is.Equal(expectEvent[msg.AttemptEnded](t, b.events).Result, msg.AttemptDone)
+	for b.s.attempts.attached() {
+		time.Sleep(time.Millisecond)
+	}
+	b.s.attempts.sweep(time.Now().Add(2 * attemptGrace))
+	is.True(b.s.attempts.get("a1") == nil)
+	s, _, err := b.e.node.OpenAttempt(t.Context(), "s1", nil)
+	is.NoErr(err)
+	is.NoErr(s.Write(&link.Frame{Resume: &link.AttemptResume{Attempt: "a1"}}, time.Second))
+	f, err := s.Read()
+	is.NoErr(err)
+	is.True(f.Refused == nil)
+	is.Equal(f.End.Result, msg.AttemptLost)
+}
+
+// The side daemon's table may have forgotten an ended attempt that its reducer
+// still remembers.
+func TestRepeatedOfferIsNotToldAsNotRun(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, &scriptedTarget{tokens: 1, step: time.Millisecond, starts: map[msg.AttemptID]int{}})
+	b.start(t.Context(), "a1").read(1)
+	is.Equal(expectEvent[msg.AttemptEnded](t, b.events).Result, msg.AttemptDone)
+	b.s.attempts.mu.Lock()
+	delete(b.s.attempts.runs, "a1")
+	b.s.attempts.mu.Unlock()
+	b.start(t.Context(), "a1")
+	is.Equal(expectEvent[msg.AttemptEnded](t, b.events).Result, msg.AttemptLost)
+	is.Equal(b.target.starts, map[msg.AttemptID]int{"a1": 1})
+}
+
 func TestCancelReachesTheTarget(t *testing.T) {
 	is := is.New(t)
 	b := newBench(t, &scriptedTarget{tokens: 1_000_000, step: time.Millisecond, starts: map[msg.AttemptID]int{}})
--- a/internal/daemon/side.go
+++ b/internal/daemon/side.go
@@ -95,11 +95,20 @@
 	s.loop.Post(msg.AttemptClosed{Attempt: run.spec.Attempt, Result: out.result, Usage: out.usage})
 }
 
+// refuse tells the entry that an attempt does not run here, or that it is not
+// known whether it ran.
 func (s *side) refuse(eff msg.RefuseAttempt) {
-	if run := s.attempts.get(eff.Attempt); run != nil {
-		run.decide(&link.Refused{Code: eff.Code, Reason: eff.Reason, RetryAfter: eff.RetryAfter})
-		run.finish(msg.AttemptNotRun, eff.Reason, msg.TokenUsage{})
+	run := s.attempts.get(eff.Attempt)
+	if run == nil {
+		return
+	}
+	if eff.MayHaveRun {
+		run.decide(nil)
+		run.finish(msg.AttemptLost, eff.Reason, msg.TokenUsage{})
+		return
 	}
+	run.decide(&link.Refused{Code: eff.Code, Reason: eff.Reason, RetryAfter: eff.RetryAfter})
+	run.finish(msg.AttemptNotRun, eff.Reason, msg.TokenUsage{})
 }
 
 func (s *side) stopAttempt(eff msg.StopAttempt) {
@@ -190,9 +199,9 @@
 
 // Attempt implements [link.Handler].
 func (s *side) Attempt(p link.Peer, st *link.Stream, first *link.Frame) {
-	run, next := s.admit(p, first)
+	run, next, other := s.admit(p, first)
 	if run == nil {
-		_ = st.Write(&link.Frame{Refused: &link.Refused{Code: "unknown-attempt", Reason: "attempt is not known here and will not run"}}, 0)
+		_ = st.Write(other, 0)
 		return
 	}
 	run.attach()
@@ -213,20 +222,29 @@
 	<-read
 }
 
-// admit finds or starts the attempt that a stream asks for.
-func (s *side) admit(p link.Peer, first *link.Frame) (*attemptRun, uint64) {
-	if first.Resume != nil {
-		run := s.attempts.resume(first.Resume.Attempt)
-		if run != nil {
-			run.ack(first.Resume.Next)
+// admit finds or starts the attempt that a stream asks for. Without one it
+// returns the answer to the entry.
+func (s *side) admit(p link.Peer, first *link.Frame) (run *attemptRun, next uint64, other *link.Frame) {
+	if first.Open != nil {
+		run, isNew := s.attempts.open(p.Host, first.Open)
+		if isNew {
+			s.loop.Post(msg.AttemptOffered{From: p.Host, Spec: run.spec})
 		}
-		return run, first.Resume.Next
+		return run, 0, unknownAttempt()
 	}
-	run, isNew := s.attempts.open(p.Host, first.Open)
-	if isNew {
-		s.loop.Post(msg.AttemptOffered{From: p.Host, Spec: run.spec})
+	run, ran := s.attempts.resume(first.Resume.Attempt)
+	switch {
+	case run != nil:
+		run.ack(first.Resume.Next)
+		return run, first.Resume.Next, nil
+	case ran:
+		return nil, 0, &link.Frame{End: &link.End{Result: msg.AttemptLost, Reason: "the answer is no longer kept"}}
 	}
-	return run, 0
+	return nil, 0, unknownAttempt()
+}
+
+func unknownAttempt() *link.Frame {
+	return &link.Frame{Refused: &link.Refused{Code: "unknown-attempt", Reason: "attempt is not known here and will not run"}}
 }
 
 // readCallers takes acknowledgements, and waits for the entry to stop the
--- a/internal/link/conn.go
+++ b/internal/link/conn.go
@@ -110,7 +110,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "control stream")
 	}
-	control := newStream(s, nil)
+	control := newControl(s)
 	if err := control.Write(&Frame{Hello: &n.cfg.Hello}, writeLimit); err != nil {
 		return nil, errors.Wrap(err, "hello")
 	}
@@ -247,7 +247,7 @@
 		_ = q.CloseWithError(codeUnknownPeer, "no control stream")
 		return
 	}
-	control := newStream(s, nil)
+	control := newControl(s)
 	if err := control.Write(&Frame{Hello: &n.cfg.Hello}, writeLimit); err != nil {
 		_ = q.CloseWithError(codeUnknownPeer, "no hello")
 		return
--- a/internal/link/frame.go
+++ b/internal/link/frame.go
@@ -21,11 +21,15 @@
 )
 
 const (
-	// HeartbeatInterval is the time between heartbeats on an idle stream.
+	// HeartbeatInterval is the time between heartbeats on an attempt's stream.
 	HeartbeatInterval = 500 * time.Millisecond
-	// SilenceLimit is the time without any frame after which a stream is
-	// given up.
+	// SilenceLimit is the time without any frame after which an attempt's
+	// stream is given up.
 	SilenceLimit = 2 * time.Second
+	// ControlInterval and ControlLimit are the same for control streams, of
+	// which a daemon has many that are mostly idle.
+	ControlInterval = time.Second
+	ControlLimit    = 3500 * time.Millisecond
 	// writeLimit bounds the wait for flow control of one control frame.
 	writeLimit = 2 * time.Second
 	// lengthBytes is the size of the length that stands before each frame.
--- a/internal/link/stream.go
+++ b/internal/link/stream.go
@@ -12,10 +12,21 @@
 type Stream struct {
 	s   *quic.Stream
 	via *conn
-	mu  sync.Mutex
+	// beat and silence are the time between heartbeats and the longest time
+	// without any frame.
+	beat, silence time.Duration
+	mu            sync.Mutex
 }
 
-func newStream(s *quic.Stream, via *conn) *Stream { return &Stream{s: s, via: via} }
+// newStream returns the stream of an attempt.
+func newStream(s *quic.Stream, via *conn) *Stream {
+	return &Stream{s: s, via: via, beat: HeartbeatInterval, silence: SilenceLimit}
+}
+
+// newControl returns a control stream.
+func newControl(s *quic.Stream) *Stream {
+	return &Stream{s: s, beat: ControlInterval, silence: ControlLimit}
+}
 
 // Write writes a frame. It fails when the other end takes nothing for limit;
 // zero waits as long as the connection lives.
@@ -41,10 +52,10 @@
 }
 
 // Read returns the next frame that is not a heartbeat. It fails when nothing
-// at all arrives for [SilenceLimit].
+// at all arrives for the stream's silence limit.
 func (s *Stream) Read() (*Frame, error) {
 	for {
-		if err := s.s.SetReadDeadline(time.Now().Add(SilenceLimit)); err != nil {
+		if err := s.s.SetReadDeadline(time.Now().Add(s.silence)); err != nil {
 			return nil, err
 		}
 		f, err := readFrame(s.s)
@@ -56,7 +67,7 @@
 
 // Beat writes heartbeats until the stream ends or done is closed.
 func (s *Stream) Beat(done <-chan struct{}) {
-	t := time.NewTicker(HeartbeatInterval)
+	t := time.NewTicker(s.beat)
 	defer t.Stop()
 	for {
 		select {
