--- a/internal/link/frame.go
+++ b/internal/link/frame.go
@@ -26,10 +26,12 @@
 	// SilenceLimit is the time without any frame after which an attempt's
 	// stream is given up.
 	SilenceLimit = 2 * time.Second
-	// ControlInterval and ControlLimit are the same for control streams, of
+	// ControlInterval is the time between heartbeats on a control stream, of
 	// which a daemon has many that are mostly idle.
 	ControlInterval = time.Second
-	ControlLimit    = 3500 * time.Millisecond
+	// ControlLimit is the time without any frame after which a control stream
+	// is given up.
+	ControlLimit = 3500 * time.Millisecond
 	// writeLimit bounds the wait for flow control of one control frame.
 	writeLimit = 2 * time.Second
 	// lengthBytes is the size of the length that stands before each frame.
