--- a/internal/daemon/engine.go
+++ b/internal/daemon/engine.go
@@ -11,6 +11,7 @@
 	"net/url"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -129,12 +130,23 @@
 		return engineRefused(resp)
 	}
 	out := readEvents(ctx, resp.Body, a)
-	if out.result != msg.AttemptDone {
-		e.cancel(a.spec.Attempt)
+	if out.result == msg.AttemptDone {
+		return out
+	}
+	if errors.Is(out.cause, errSilent) && e.answers(ctx) {
+		// The connection is at fault and not the engine.
+		out.result = msg.AttemptMoved
 	}
+	e.cancel(a.spec.Attempt)
 	return out
 }
 
+// answers reports whether the engine answers on another connection.
+func (e *engineClient) answers(ctx context.Context) bool {
+	_, err := e.read(ctx)
+	return err == nil
+}
+
 // callFailed is the outcome of a call that brought no answer.
 func callFailed(ctx context.Context, err error) attemptOutcome {
 	if out, stopped := stopOutcome(ctx, msg.TokenUsage{}); stopped {
@@ -157,7 +169,11 @@
 
 // readEvents turns a stream of server-sent events into frames.
 func readEvents(ctx context.Context, body io.ReadCloser, a *attemptRun) attemptOutcome {
-	watchdog := time.AfterFunc(engineSilence, func() { _ = body.Close() })
+	var silent atomic.Bool
+	watchdog := time.AfterFunc(engineSilence, func() {
+		silent.Store(true)
+		_ = body.Close()
+	})
 	defer watchdog.Stop()
 	var usage msg.TokenUsage
 	lines := bufio.NewScanner(body)
@@ -175,13 +191,16 @@
 			if out, stopped := stopOutcome(ctx, usage); stopped {
 				return out
 			}
-			return attemptOutcome{msg.AttemptFailed, err.Error(), usage}
+			return attemptOutcome{result: msg.AttemptFailed, reason: err.Error(), usage: usage}
 		}
 	}
 	if out, stopped := stopOutcome(ctx, usage); stopped {
 		return out
 	}
-	return attemptOutcome{msg.AttemptCrashed, "stream ended early", usage}
+	if silent.Load() {
+		return attemptOutcome{msg.AttemptCrashed, errSilent.Error(), usage, errSilent}
+	}
+	return attemptOutcome{result: msg.AttemptCrashed, reason: "stream ended early", usage: usage}
 }
 
 // addChunk adds one data event to the attempt.
--- /dev/null
+++ b/internal/daemon/engine_test.go
@@ -0,0 +1,59 @@
+package daemon
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/verbenaspur/verbenaspur/internal/core/msg"
+	"github.com/verbenaspur/verbenaspur/internal/link"
+	"github.com/verbenaspur/verbenaspur/internal/standin/engine"
+)
+
+// runOn runs an attempt on a stand-in engine and disturbs it after its first
+// token.
+func runOn(t *testing.T, fault string) attemptOutcome {
+	t.Helper()
+	srv := startServer(t, engine.New(engine.Config{}))
+	client := &engineClient{base: srv.URL, http: newTargetHTTP(true)}
+	a := newAttemptRun("e1", &link.AttemptOpen{
+		Spec:    msg.AttemptSpec{Attempt: "a1", Idempotent: true, MaxTokens: 10_000},
+		Payload: link.Payload{Method: http.MethodPost, Path: "/v1/chat/completions", Body: []byte(chat("x", 10_000, true))},
+	})
+	done := make(chan attemptOutcome, 1)
+	go func() { done <- client.run(t.Context(), a) }()
+	for {
+		frames, _, changed := a.after(0)
+		if len(frames) > 0 {
+			break
+		}
+		<-changed
+	}
+	resp, err := http.Post(srv.URL+"/control/faults", "application/json", strings.NewReader(fault))
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = resp.Body.Close()
+	select {
+	case out := <-done:
+		return out
+	case <-time.After(time.Minute):
+		t.Fatal("the attempt did not end")
+		return attemptOutcome{}
+	}
+}
+
+// A stream that goes silent while the engine answers on new connections is no
+// crash: it must not count against the requests that ran there.
+func TestSilentStreamOfALiveEngineMoves(t *testing.T) {
+	is := is.New(t)
+	is.Equal(runOn(t, `{"freeze":true}`).result, msg.AttemptMoved)
+}
+
+func TestStreamOfACrashedEngineIsACrash(t *testing.T) {
+	is := is.New(t)
+	is.Equal(runOn(t, `{"crash":true}`).result, msg.AttemptCrashed)
+}
--- a/internal/daemon/target.go
+++ b/internal/daemon/target.go
@@ -8,11 +8,12 @@
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
 )
 
-// Causes for which an attempt is stopped.
+// Causes for which an attempt ends before its answer does.
 var (
 	errMoved     = errors.New("target is draining")
 	errCancelled = errors.New("cancelled")
 	errTimeout   = errors.New("attempt timed out")
+	errSilent    = errors.New("stream of the target went silent")
 )
 
 // attemptOutcome says how a target's run ended.
@@ -20,6 +21,8 @@
 	result msg.AttemptResult
 	reason string
 	usage  msg.TokenUsage
+	// cause is the error behind a crash, where it matters.
+	cause error
 }
 
 // targetClient talks to the target beside a side daemon.
@@ -41,9 +44,9 @@
 	case cause == nil:
 		return attemptOutcome{}, false
 	case errors.Is(cause, errMoved):
-		return attemptOutcome{msg.AttemptMoved, cause.Error(), usage}, true
+		return attemptOutcome{result: msg.AttemptMoved, reason: cause.Error(), usage: usage}, true
 	case errors.Is(cause, errTimeout):
-		return attemptOutcome{msg.AttemptFailed, cause.Error(), usage}, true
+		return attemptOutcome{result: msg.AttemptFailed, reason: cause.Error(), usage: usage}, true
 	}
-	return attemptOutcome{msg.AttemptCancelled, cause.Error(), usage}, true
+	return attemptOutcome{result: msg.AttemptCancelled, reason: cause.Error(), usage: usage}, true
 }
