--- a/Makefile
+++ b/Makefile
@@ -38,6 +38,8 @@
 	go test -run '^$$' -fuzz FuzzDecode -fuzztime $(FUZZ_TIME) ./internal/manifest
 	go test -run '^$$' -fuzz FuzzUnmarshalEvent -fuzztime $(FUZZ_TIME) ./internal/wire
 	go test -run '^$$' -fuzz FuzzUnmarshalPeer -fuzztime $(FUZZ_TIME) ./internal/wire
+	go test -run '^$$' -fuzz FuzzReadFrame -fuzztime $(FUZZ_TIME) ./internal/link
+	go test -run '^$$' -fuzz FuzzParseOpenAI -fuzztime $(FUZZ_TIME) ./internal/daemon
 
 # Counts in how many of 40 cases each mutant of docs/PROMISES.md is caught.
 mutants:
