--- /dev/null
+++ b/internal/daemon/bench_test.go
@@ -0,0 +1,292 @@
+package daemon
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/verbenaspur/verbenaspur/internal/core"
+	"github.com/verbenaspur/verbenaspur/internal/core/msg"
+	"github.com/verbenaspur/verbenaspur/internal/identity"
+	"github.com/verbenaspur/verbenaspur/internal/link"
+	"github.com/verbenaspur/verbenaspur/internal/platform"
+)
+
+// scriptedTarget answers each attempt with numbered tokens, one per step.
+type scriptedTarget struct {
+	tokens int
+	step   time.Duration
+	mu     sync.Mutex
+	starts map[msg.AttemptID]int
+}
+
+func (f *scriptedTarget) run(ctx context.Context, a *attemptRun) attemptOutcome {
+	f.mu.Lock()
+	f.starts[a.spec.Attempt]++
+	f.mu.Unlock()
+	for i := a.payload.ResumeTokens; i < f.tokens; i++ {
+		select {
+		case <-time.After(f.step):
+		case <-ctx.Done():
+			out, _ := stopOutcome(ctx, msg.TokenUsage{})
+			return out
+		}
+		if err := a.add(&link.Frame{Chunk: &link.Chunk{Text: token(i), Tokens: 1}}); err != nil {
+			return attemptOutcome{result: msg.AttemptCancelled, reason: err.Error()}
+		}
+	}
+	return attemptOutcome{result: msg.AttemptDone, usage: msg.TokenUsage{Generated: int64(f.tokens)}}
+}
+
+func (f *scriptedTarget) read(context.Context) (msg.TargetRead, error) {
+	return msg.TargetRead{Report: msg.LoadReport{MaxBatch: 8}}, nil
+}
+
+func (f *scriptedTarget) cacheEvents(context.Context, uint64) ([]msg.CacheEvent, error) {
+	return nil, nil
+}
+
+func (f *scriptedTarget) apply(_ context.Context, o msg.Order) msg.OrderApplied {
+	return msg.OrderApplied{Order: o.ID, Status: msg.OrderDone}
+}
+
+func token(i int) string { return fmt.Sprintf("t%d ", i) }
+
+func wholeText(n int) string {
+	var b strings.Builder
+	for i := range n {
+		b.WriteString(token(i))
+	}
+	return b.String()
+}
+
+// eventSink is a reducer that passes every event on to a test.
+type eventSink chan msg.Event
+
+func (s eventSink) Step(_ msg.Time, ev msg.Event) []msg.Effect {
+	if _, tick := ev.(msg.Tick); !tick {
+		s <- ev
+	}
+	return nil
+}
+
+// expectEvent waits for an event of type T, passing over others.
+func expectEvent[T msg.Event](t *testing.T, s eventSink) T {
+	t.Helper()
+	timeout := time.After(30 * time.Second)
+	for {
+		select {
+		case ev := <-s:
+			if want, ok := ev.(T); ok {
+				return want
+			}
+		case <-timeout:
+			var zero T
+			t.Fatalf("no %T came", zero)
+		}
+	}
+}
+
+// bench is an entry daemon's and a side daemon's end of a link, with a
+// forgetful middlebox between them.
+type bench struct {
+	e      *entry
+	s      *side
+	target *scriptedTarget
+	events eventSink
+	box    *middlebox
+	dir    string
+}
+
+const (
+	testSideIP = "127.0.90.1"
+	testBoxIP  = "127.0.90.2"
+	testAddr   = "127.0.90.3"
+)
+
+func newBench(t *testing.T, target *scriptedTarget) *bench {
+	t.Helper()
+	b := &bench{target: target, events: make(eventSink, 4096), dir: t.TempDir()}
+	authority, err := identity.OpenAuthority(b.dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	port := freePort(t)
+	ctx, stop := context.WithCancel(context.Background())
+	self := msg.Self{Host: "s1", Domain: "fd", Kind: msg.HostTarget, Target: &msg.TargetIdentity{Target: "t1", Pool: "p"}}
+	b.s = &side{
+		platform: platform.New(platform.Config{}), log: slog.New(slog.DiscardHandler), ctx: ctx,
+		attempts: newAttemptTable(), ready: func() {}, seen: func(msg.Time, msg.Effect) {}, target: target,
+	}
+	b.s.loop = NewLoop(core.NewSide(core.SideConfig{Self: self}), b.s.execute)
+	b.s.node = newTestNode(t, authority, link.Hello{Host: "s1", Incarnation: "i", Domain: "fd", Target: self.Target}, msg.HostTarget, testSideIP+":"+port, b.s)
+	b.box = newMiddlebox(t, testBoxIP+":"+port, testSideIP+":"+port)
+	b.e = &entry{
+		log: slog.New(slog.DiscardHandler), ctx: ctx, ready: func() {}, seen: func(msg.Time, msg.Effect) {},
+		exchanges: make(map[msg.RequestID]*exchange), attempts: make(map[msg.AttemptID]context.CancelCauseFunc),
+		urls: make(map[msg.TargetID]string),
+	}
+	b.e.loop = NewLoop(b.events, b.e.execute)
+	b.e.node = newTestNode(t, authority, link.Hello{Host: "e1", Incarnation: "j", Domain: "fd"}, msg.HostEntry, testAddr+":"+port, b.e)
+	b.e.node.SetAddr(link.Peer{Kind: msg.HostTarget, Host: "s1"}, testBoxIP)
+	go b.s.loop.Run(ctx, msg.Started{Self: self, Incarnation: "i"})
+	go b.e.loop.Run(ctx, msg.Started{})
+	t.Cleanup(func() {
+		stop()
+		b.e.node.Close()
+		b.s.node.Close()
+	})
+	return b
+}
+
+func newTestNode(t *testing.T, a *identity.Authority, hello link.Hello, kind msg.HostKind, addr string, h link.Handler) *link.Node {
+	t.Helper()
+	files, err := a.Issue(identityOf(link.Peer{Kind: kind, Host: hello.Host}), netip.MustParseAddrPort(addr).Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	pair, err := identity.LoadPair(files)
+	if err != nil {
+		t.Fatal(err)
+	}
+	n, err := link.New(link.Config{
+		Hello: hello, Kind: kind, Addr: addr, Handler: h, Log: slog.New(slog.DiscardHandler),
+		ServerTLS: identity.TLSServer(pair, link.Protocol),
+		ClientTLS: func(want link.Peer) *tls.Config {
+			return identity.TLSClient(pair, link.Protocol, identityOf(want))
+		},
+		Identify: identify,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return n
+}
+
+func freePort(t *testing.T) string {
+	t.Helper()
+	c, err := net.ListenPacket("udp", testSideIP+":0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	_, port, err := net.SplitHostPort(c.LocalAddr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return port
+}
+
+// start begins an attempt and returns its exchange.
+func (b *bench) start(ctx context.Context, id msg.AttemptID) *exchange {
+	x := newExchange(ctx, msg.RequestID("r-"+id), true, link.Payload{Method: "POST", Path: "/x"})
+	b.e.open(x)
+	b.e.loop.Query(func(now msg.Time) {
+		b.e.execute(now, msg.StartAttempt{
+			Req: x.id, Attempt: id, Target: "t1", Host: "s1",
+			Spec: msg.AttemptSpec{Attempt: id, Idempotent: true, Timeout: time.Minute},
+		})
+	})
+	return x
+}
+
+// read collects n chunks of an answer.
+func (x *exchange) read(n int) string {
+	var text strings.Builder
+	for range n {
+		text.WriteString((<-x.chunks).Text)
+	}
+	return text.String()
+}
+
+// middlebox relays datagrams and can forget the flows that it has.
+type middlebox struct {
+	sock  *net.UDPConn
+	to    *net.UDPAddr
+	mu    sync.Mutex
+	flows map[netip.AddrPort]*net.UDPConn
+	gone  map[netip.AddrPort]bool
+}
+
+func newMiddlebox(t *testing.T, listen, to string) *middlebox {
+	t.Helper()
+	sock, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(netip.MustParseAddrPort(listen)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	m := &middlebox{
+		sock: sock, to: net.UDPAddrFromAddrPort(netip.MustParseAddrPort(to)),
+		flows: make(map[netip.AddrPort]*net.UDPConn), gone: make(map[netip.AddrPort]bool),
+	}
+	go m.relay()
+	t.Cleanup(func() {
+		_ = sock.Close()
+		m.forget()
+	})
+	return m
+}
+
+func (m *middlebox) relay() {
+	buf := make([]byte, 2048)
+	for {
+		n, from, err := m.sock.ReadFromUDPAddrPort(buf)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			continue
+		}
+		if flow := m.flow(from); flow != nil {
+			_, _ = flow.Write(buf[:n])
+		}
+	}
+}
+
+func (m *middlebox) flow(from netip.AddrPort) *net.UDPConn {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.gone[from] {
+		return nil
+	}
+	if f := m.flows[from]; f != nil {
+		return f
+	}
+	f, err := net.DialUDP("udp", nil, m.to)
+	if err != nil {
+		return nil
+	}
+	m.flows[from] = f
+	go func() {
+		buf := make([]byte, 2048)
+		for {
+			n, err := f.Read(buf)
+			if err != nil {
+				return
+			}
+			_, _ = m.sock.WriteToUDPAddrPort(buf[:n], from)
+		}
+	}()
+	return f
+}
+
+// forget drops all present flows for good, silently. New ones work. It
+// returns their number.
+func (m *middlebox) forget() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	n := len(m.flows)
+	for from, f := range m.flows {
+		m.gone[from] = true
+		_ = f.Close()
+	}
+	clear(m.flows)
+	return n
+}
--- a/internal/daemon/callers.go
+++ b/internal/daemon/callers.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -223,6 +224,6 @@
 			}
 		}
 	})
-	slices.SortFunc(list.Data, func(a, b modelLine) int { return compare(a.ID, b.ID) })
+	slices.SortFunc(list.Data, func(a, b modelLine) int { return strings.Compare(a.ID, b.ID) })
 	writeJSON(w, http.StatusOK, list)
 }
--- /dev/null
+++ b/internal/daemon/run_entry.go
@@ -0,0 +1,68 @@
+package daemon
+
+import (
+	"context"
+
+	"github.com/gorilla/mux"
+
+	"github.com/verbenaspur/verbenaspur/internal/core"
+	"github.com/verbenaspur/verbenaspur/internal/core/msg"
+)
+
+// runEntry runs an entry daemon.
+func (p *process) runEntry(ctx context.Context) error {
+	reducer := core.NewEntry(core.EntryConfig{
+		Self: p.started.Self, Incarnation: p.started.Incarnation,
+		Parts: core.PartConfigs{Observer: p.metrics},
+	})
+	stepper, err := p.record(reducer)
+	if err != nil {
+		return err
+	}
+	e := &entry{
+		self: p.started.Self, reducer: reducer, platform: p.platform, log: p.log, ctx: p.work,
+		ready: p.becomeIdle, seen: p.metrics.ObserveEffect,
+		exchanges: make(map[msg.RequestID]*exchange),
+		attempts:  make(map[msg.AttemptID]context.CancelCauseFunc),
+		waiting:   make(map[msg.CallID]chan msg.Effect),
+		urls:      make(map[msg.TargetID]string),
+	}
+	e.loop = NewLoop(p.metrics.Timed(stepper), e.execute)
+	if e.node, err = p.newNode(e); err != nil {
+		return err
+	}
+	loopCtx, stopLoop := context.WithCancel(context.Background())
+	defer stopLoop()
+	go e.loop.Run(loopCtx, p.started)
+	ready := func() bool { return e.isReady() }
+	ops, err := p.serveOps(ready)
+	if err != nil {
+		return err
+	}
+	r := mux.NewRouter()
+	p.healthRoutes(r, ready)
+	(&operators{e: e, known: p.settings.Operators}).routes(r)
+	(&callers{e: e}).routes(r)
+	srv := newServer(r)
+	if err := p.serve(p.settings.Listen.HTTP, srv, p.settings.TLS.HTTPCert, p.settings.TLS.HTTPKey); err != nil {
+		return err
+	}
+	p.log.Info("daemon: started", "role", "entry", "host", p.settings.Host, "http", p.settings.Listen.HTTP, "link", p.settings.Listen.Link)
+	p.await(ctx, e.loop)
+	p.shutdown(srv, ops)
+	p.stop()
+	e.node.Close()
+	stopLoop()
+	e.wg.Wait()
+	p.log.Info("daemon: stopped")
+	return nil
+}
+
+// isReady reports whether the platform's balancer may send callers here.
+func (e *entry) isReady() bool {
+	ok := false
+	e.loop.Query(func(now msg.Time) {
+		ok = e.reducer.Index() != nil && e.reducer.Fresh(now) && !e.reducer.Stopping()
+	})
+	return ok
+}
--- /dev/null
+++ b/internal/daemon/run_side.go
@@ -0,0 +1,55 @@
+package daemon
+
+import (
+	"context"
+
+	"github.com/verbenaspur/verbenaspur/internal/core"
+	"github.com/verbenaspur/verbenaspur/internal/settings"
+)
+
+// runSide runs a side daemon.
+func (p *process) runSide(ctx context.Context) error {
+	reducer := core.NewSide(core.SideConfig{
+		Self: p.started.Self, Incarnation: p.started.Incarnation,
+		Parts: core.PartConfigs{Observer: p.metrics},
+	})
+	stepper, err := p.record(reducer)
+	if err != nil {
+		return err
+	}
+	s := &side{
+		platform: p.platform, log: p.log, ctx: p.work, attempts: newAttemptTable(),
+		ready: p.becomeIdle, seen: p.metrics.ObserveEffect, target: p.newTarget(),
+	}
+	s.loop = NewLoop(p.metrics.Timed(stepper), s.execute)
+	if s.node, err = p.newNode(s); err != nil {
+		return err
+	}
+	loopCtx, stopLoop := context.WithCancel(context.Background())
+	defer stopLoop()
+	go s.loop.Run(loopCtx, p.started)
+	s.wg.Go(s.sweep)
+	s.wg.Go(s.pollCache)
+	ops, err := p.serveOps(func() bool { return ctx.Err() == nil })
+	if err != nil {
+		return err
+	}
+	p.log.Info("daemon: started", "role", "side", "host", p.settings.Host, "target", p.settings.Target.ID, "link", p.settings.Listen.Link)
+	p.await(ctx, s.loop)
+	s.drainStreams()
+	p.shutdown(ops)
+	p.stop()
+	s.node.Close()
+	stopLoop()
+	s.wg.Wait()
+	p.log.Info("daemon: stopped")
+	return nil
+}
+
+func (p *process) newTarget() targetClient {
+	t := p.settings.Target
+	if t.Kind == settings.TargetService {
+		return &serviceClient{base: t.URL, http: newTargetHTTP(true), once: newTargetHTTP(false)}
+	}
+	return &engineClient{base: t.URL, http: newTargetHTTP(true)}
+}
--- /dev/null
+++ b/internal/daemon/serve.go
@@ -0,0 +1,65 @@
+package daemon
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+	"github.com/gorilla/mux"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+)
+
+// serve runs an HTTP server on an address until the work ends.
+func (p *process) serve(addr string, srv *http.Server, tlsCert, tlsKey string) error {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return errors.Wrap(err, "listen")
+	}
+	srv.ErrorLog = slog.NewLogLogger(p.log.Handler(), slog.LevelDebug)
+	go func() {
+		if tlsCert != "" {
+			err = srv.ServeTLS(ln, tlsCert, tlsKey)
+		} else {
+			err = srv.Serve(ln)
+		}
+		if !errors.Is(err, http.ErrServerClosed) {
+			p.log.Error("daemon: HTTP server ended", "addr", addr, "reason", err.Error())
+		}
+	}()
+	return nil
+}
+
+// serveOps serves health checks and metrics.
+func (p *process) serveOps(ready func() bool) (*http.Server, error) {
+	r := mux.NewRouter()
+	p.healthRoutes(r, ready)
+	srv := newServer(r)
+	if p.settings.Listen.Ops == "" {
+		return srv, nil
+	}
+	return srv, p.serve(p.settings.Listen.Ops, srv, "", "")
+}
+
+func (p *process) healthRoutes(r *mux.Router, ready func() bool) {
+	r.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	r.HandleFunc("/readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if !ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		w.WriteHeader(http.StatusOK)
+	})
+	r.Handle("/metrics", promhttp.HandlerFor(p.registry, promhttp.HandlerOpts{}))
+}
+
+// shutdown ends HTTP servers when their open calls are over, or after
+// shutdownLimit.
+func (p *process) shutdown(servers ...*http.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownLimit)
+	defer cancel()
+	for _, s := range servers {
+		_ = s.Shutdown(ctx)
+	}
+}
