--- a/cmd/verbenaspurd/main.go
+++ b/cmd/verbenaspurd/main.go
@@ -10,6 +10,7 @@
 	"os/signal"
 	"syscall"
 
+	"github.com/cockroachdb/errors"
 	"github.com/urfave/cli/v3"
 
 	"github.com/verbenaspur/verbenaspur/internal/daemon"
@@ -22,10 +23,11 @@
 		Usage:     "run an entry or side daemon",
 		UsageText: "verbenaspurd --settings FILE",
 		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "settings", Usage: "read settings from `FILE`", Required: true},
+			&cli.StringFlag{Name: "settings", Usage: "read settings from `FILE`"},
 			&cli.BoolFlag{Name: "check", Usage: "check the settings and exit"},
 		},
-		Action: run,
+		Action:   run,
+		Commands: []*cli.Command{directCommand()},
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
@@ -36,6 +38,9 @@
 }
 
 func run(ctx context.Context, cmd *cli.Command) error {
+	if cmd.String("settings") == "" {
+		return errors.New("--settings is missing")
+	}
 	s, err := settings.Load(cmd.String("settings"))
 	if err != nil {
 		return err
--- /dev/null
+++ b/internal/core/direct.go
@@ -0,0 +1,73 @@
+package core
+
+import (
+	"time"
+
+	"github.com/verbenaspur/verbenaspur/internal/core/catalog"
+	"github.com/verbenaspur/verbenaspur/internal/core/direct"
+	"github.com/verbenaspur/verbenaspur/internal/core/lease"
+	"github.com/verbenaspur/verbenaspur/internal/core/meter"
+	"github.com/verbenaspur/verbenaspur/internal/core/msg"
+	"github.com/verbenaspur/verbenaspur/internal/core/reducer"
+	"github.com/verbenaspur/verbenaspur/internal/core/roster"
+)
+
+// DirectConfig configures the reducer of an entry daemon that drives its
+// targets itself.
+type DirectConfig struct {
+	Self        msg.Self
+	Incarnation msg.Incarnation
+	// PeerAddr is where the other entry daemons reach this one.
+	PeerAddr string
+	Requests direct.Config
+	// UsageWindow is the length of a usage window; zero where no usage is
+	// reported.
+	UsageWindow time.Duration
+	// LeaseTurn is the time within which two holders must not take turns.
+	LeaseTurn time.Duration
+	// Observer is a part that sees each event before the others; nil for none.
+	Observer reducer.Part
+}
+
+// Lease times of the direct path. A window's report is due within seconds, so
+// a holder that was lost has to be followed sooner than on the other path.
+const (
+	directLeaseLength = 3500 * time.Millisecond
+	directLeaseMargin = 700 * time.Millisecond
+	directLeaseRenew  = 1200 * time.Millisecond
+	directObserve     = 1500 * time.Millisecond
+	directCallLimit   = 1600 * time.Millisecond
+)
+
+// Direct is the reducer of an entry daemon that drives its targets itself.
+type Direct struct {
+	*reducer.Reducer
+	requests *direct.Manager
+}
+
+// NewDirect returns the reducer.
+func NewDirect(cfg DirectConfig) *Direct {
+	d := &Direct{requests: direct.New(cfg.Requests)}
+	leases := lease.New(lease.Config{
+		Self: cfg.Self.Host, Incarnation: cfg.Incarnation,
+		Length: directLeaseLength, Margin: directLeaseMargin, Renew: directLeaseRenew,
+		Observe: directObserve, CallDeadline: directCallLimit,
+	})
+	members := roster.New(cfg.Self, cfg.Incarnation, cfg.PeerAddr)
+	flushers := []idler{leases, members}
+	parts := []reducer.Part{leases, members, catalog.New(catalog.Config{}), d.requests}
+	if cfg.UsageWindow > 0 {
+		usage := meter.New(meter.Config{
+			Self: cfg.Self.Host, Incarnation: cfg.Incarnation,
+			Window: cfg.UsageWindow, Settling: cfg.LeaseTurn,
+		})
+		parts = append(parts, usage)
+		flushers = append(flushers, usage)
+	}
+	parts = append(parts, &stopper{requests: d.requests, flushers: flushers})
+	d.Reducer = newObserved(cfg.Observer, parts...)
+	return d
+}
+
+// Idle reports whether no request is open.
+func (d *Direct) Idle() bool { return d.requests.Idle() }
--- /dev/null
+++ b/internal/core/direct/direct.go
@@ -0,0 +1,192 @@
+// Package direct manages callers' requests on an entry daemon that drives its
+// targets itself: route and key, placement, attempts, retries and the end.
+//
+// It answers a load whose prompts share long parts, so that a request's cost
+// depends on what each engine has cached, in front of a fleet that is short:
+// placement looks for the earliest first token, counting the work that is open
+// at each engine and the way in which a cached part can reach it. A request
+// that no engine can serve in a useful time is refused at once.
+package direct
+
+import (
+	"cmp"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/verbenaspur/verbenaspur/internal/core/msg"
+	"github.com/verbenaspur/verbenaspur/internal/core/poison"
+)
+
+const partName = "request"
+
+// Config configures a manager.
+type Config struct {
+	// FreshFor is how long after a read of the configuration left a key that
+	// it holds may be accepted.
+	FreshFor time.Duration
+	// DecideFor is how long after it a request may be answered as unknown or
+	// unauthorized.
+	DecideFor time.Duration
+	// RetryRatio, RetryWindow and RetrySlack bound the arrivals at a service
+	// beyond the first of each request, over all entry daemons.
+	RetryRatio  float64
+	RetryWindow time.Duration
+	RetrySlack  float64
+}
+
+// Manager is the part of an entry's reducer that owns the requests.
+type Manager struct {
+	cfg         Config
+	self        msg.Self
+	incarnation msg.Incarnation
+	rand        *rand.Rand
+	wall        time.Time
+	seq         uint64
+	stopping    bool
+	ready       bool
+
+	table    *table
+	freshAt  msg.Time
+	hasFresh bool
+
+	targets  map[msg.TargetID]*target
+	services map[msg.ServiceID][]*target
+	entries  []msg.Host
+	caches   *caches
+	budgets  map[msg.ServiceID]*budget
+	poison   *poison.Ledger
+
+	requests map[msg.RequestID]*request
+	attempts map[msg.AttemptID]*attempt
+	share    share
+}
+
+// New returns a manager without a configuration, which refuses all requests.
+func New(cfg Config) *Manager {
+	return &Manager{
+		cfg:      cfg,
+		rand:     rand.New(rand.NewPCG(0, 0)),
+		targets:  make(map[msg.TargetID]*target),
+		services: make(map[msg.ServiceID][]*target),
+		caches:   newCaches(),
+		budgets:  make(map[msg.ServiceID]*budget),
+		poison:   poison.New(),
+		requests: make(map[msg.RequestID]*request),
+		attempts: make(map[msg.AttemptID]*attempt),
+		share:    newShare(),
+	}
+}
+
+// Idle reports whether no request is open.
+func (m *Manager) Idle() bool { return len(m.requests) == 0 }
+
+// Step takes one event.
+func (m *Manager) Step(now msg.Time, ev msg.Event) []msg.Effect {
+	s := &step{Manager: m, now: now}
+	s.effects = append(s.effects, m.poison.Step(now, ev)...)
+	s.take(ev)
+	return s.effects
+}
+
+// step is the handling of one event.
+type step struct {
+	*Manager
+	now     msg.Time
+	effects []msg.Effect
+}
+
+func (s *step) emit(e msg.Effect)  { s.effects = append(s.effects, e) }
+func (s *step) raise(ev msg.Event) { s.emit(msg.Raise{Event: ev}) }
+
+func (s *step) take(ev msg.Event) {
+	switch ev := ev.(type) {
+	case msg.DirectArrived:
+		s.onArrived(ev)
+	case msg.CallerGone:
+		s.onCallerGone(ev)
+	case msg.DirectBegan:
+		s.onBegan(ev)
+	case msg.DirectEnded:
+		s.onEnded(ev)
+	case msg.Tick:
+		s.onTick(ev)
+	default:
+		s.takeState(ev)
+	}
+}
+
+// takeState takes events that change what the manager knows.
+func (s *step) takeState(ev msg.Event) {
+	switch ev := ev.(type) {
+	case msg.Started:
+		s.self = ev.Self
+		s.incarnation = ev.Incarnation
+		s.wall = ev.Wall
+		s.rand = rand.New(rand.NewPCG(ev.Seed, 0))
+	case msg.StopRequested:
+		s.stopping = true
+		s.updateReady()
+	case msg.RoutesChanged:
+		s.table = newTable(ev.Table)
+		s.updateReady()
+	case msg.RoutesFresh:
+		s.freshAt = max(s.freshAt, ev.At)
+		s.hasFresh = true
+		s.updateReady()
+	case msg.InstancesChanged:
+		s.onInstances(ev)
+	case msg.MembersChanged:
+		s.entries = ev.Entries
+		s.share.keep(ev.Entries)
+	case msg.PeerReceived:
+		if d, ok := ev.Message.(msg.LoadDigest); ok {
+			s.onDigest(ev.From, d)
+		}
+	}
+}
+
+func (s *step) onTick(ev msg.Tick) {
+	s.wall = ev.Wall
+	for _, r := range s.overdue() {
+		s.expire(r)
+	}
+	s.tellShare()
+	s.updateReady()
+}
+
+// overdue returns the requests whose time is over, in order of arrival.
+func (s *step) overdue() []*request {
+	var list []*request
+	for _, r := range s.requests {
+		if s.now >= r.deadline {
+			list = append(list, r)
+		}
+	}
+	slices.SortFunc(list, func(a, b *request) int { return cmp.Compare(a.arrived.Req, b.arrived.Req) })
+	return list
+}
+
+// updateReady tells the balancer whether this daemon can serve: it knows a
+// configuration that was confirmed lately and is not stopping.
+func (s *step) updateReady() {
+	ready := s.table != nil && !s.stopping && s.fresh(s.cfg.FreshFor)
+	if ready == s.ready {
+		return
+	}
+	s.ready = ready
+	s.emit(msg.SetReady{Ready: ready})
+	s.log("ready changed", attr("ready", ready), attr("config_age_ms", ms(s.now-s.freshAt)))
+}
+
+// fresh reports whether the configuration was confirmed within a limit.
+func (s *step) fresh(limit time.Duration) bool {
+	return s.hasFresh && s.now-s.freshAt < limit
+}
+
+// nextAttempt returns an id that no other attempt of the deployment has.
+func (s *step) nextAttempt() msg.AttemptID {
+	s.seq++
+	return msg.AttemptID(fmt.Sprintf("%s.%s.%d", s.self.Host, s.incarnation, s.seq))
+}
--- /dev/null
+++ b/internal/core/direct/end.go
@@ -0,0 +1,226 @@
+package direct
+
+import (
+	"time"
+
+	"github.com/verbenaspur/verbenaspur/internal/core/msg"
+)
+
+const (
+	// maxSends bounds the attempts of one request, whatever they came to.
+	maxSends = 4
+	// leastLeft is the time that a further attempt must have.
+	leastLeft = 40 * time.Millisecond
+)
+
+func (s *step) onEnded(ev msg.DirectEnded) {
+	a := s.attempts[ev.Attempt]
+	if a == nil {
+		return
+	}
+	delete(s.attempts, ev.Attempt)
+	s.learn(a, ev)
+	r := a.req
+	if r == nil {
+		if ev.Result == msg.DirectPrefilled {
+			s.emit(msg.FreeHandle{Addr: a.target.Addr, Handle: ev.Handle})
+		}
+		return
+	}
+	r.attempt = nil
+	r.lastEvent = max(r.lastEvent, ev.LastEvent)
+	r.streaming = r.streaming || ev.Streaming
+	s.logRequest(r, "attempt ended",
+		attr("attempt", a.id), attr("target", a.target.Target), attr("result", ev.Result),
+		attr("status", ev.Status), attr("took_ms", ms(s.now-a.since)), attr("reason", ev.Reason),
+	)
+	s.settle(r, a, ev)
+}
+
+// learn keeps what an attempt's end tells of its target.
+func (s *step) learn(a *attempt, ev msg.DirectEnded) {
+	t := a.target
+	if ev.Load != nil {
+		t.load = ev.Load
+		t.loadAt = s.now
+	}
+	switch ev.Result {
+	case msg.DirectDone, msg.DirectPrefilled:
+		t.firstToken(s.now, a)
+		t.outcome(true)
+		if a.chain == nil && a.work == 0 {
+			t.latencyOf(s.now - a.since)
+		}
+		if ev.Result == msg.DirectPrefilled {
+			s.cached(a)
+		}
+	case msg.DirectFailed:
+		t.outcome(false)
+	case msg.DirectNotRun:
+		t.outcome(false)
+	case msg.DirectUnreached:
+		t.outcome(false)
+		t.unreached(s.now)
+		s.strike(t)
+	case msg.DirectBroken:
+		t.outcome(false)
+		if a.step != msg.StepPrefill {
+			t.broken = append(t.broken, brokenAttempt{s.now, a.id, a.fingerprint})
+		}
+	}
+	t.end(s.now, a)
+}
+
+// settle decides what follows the end of a request's attempt.
+func (s *step) settle(r *request, a *attempt, ev msg.DirectEnded) {
+	prefill := a.step == msg.StepPrefill
+	switch ev.Result {
+	case msg.DirectDone:
+		s.countRun(r)
+		s.emit(msg.FinishRequest{Req: r.arrived.Req})
+		s.forget(r)
+		return
+	case msg.DirectPrefilled:
+		r.handle = ev.Handle
+		r.source = a.target.Target
+		r.prefills++
+		s.next(r, false)
+		return
+	case msg.DirectUnreached:
+		r.exclude = append(r.exclude, a.target.Target)
+		s.next(r, false)
+		return
+	case msg.DirectNotRun:
+		r.exclude = append(r.exclude, a.target.Target)
+		s.next(r, true)
+		return
+	case msg.DirectFailed:
+		if prefill {
+			r.exclude = append(r.exclude, a.target.Target)
+			s.next(r, true)
+			return
+		}
+		s.countRun(r)
+		r.runs++
+		r.mayRun = true
+		if r.route.Repeat == msg.RepeatSafe && s.mayRepeat(r) {
+			r.exclude = append(r.exclude, a.target.Target)
+			s.next(r, true)
+			return
+		}
+		s.emit(msg.PassAnswer{Req: r.arrived.Req})
+		s.forget(r)
+		return
+	case msg.DirectBroken:
+		r.exclude = append(r.exclude, a.target.Target)
+		if prefill {
+			s.next(r, true)
+			return
+		}
+		r.runs++
+		r.mayRun = true
+		if s.repeatable(r) && s.mayRepeat(r) {
+			s.next(r, true)
+			return
+		}
+	case msg.DirectCancelled:
+	}
+	s.giveUp(r, "broken")
+}
+
+// repeatable reports whether a request may run once more after a run that
+// broke off.
+func (s *step) repeatable(r *request) bool {
+	if r.route.Repeat == msg.RepeatSafe {
+		return true
+	}
+	return r.route.Repeat == msg.RepeatStream && r.route.Resumable
+}
+
+// mayRepeat reports whether the route allows another run.
+func (s *step) mayRepeat(r *request) bool { return r.runs < r.route.Attempts }
+
+// next starts the request's next attempt or ends it. Paid says that the
+// attempt draws on the budget of repeats.
+func (s *step) next(r *request, paid bool) {
+	switch {
+	case r.sends >= maxSends || s.left(r) < leastLeft:
+		s.giveUp(r, "no-time")
+		return
+	case paid && !s.budget(r.service).spend(s.now, s.cfg, len(s.entries)):
+		s.giveUp(r, "no-budget")
+		return
+	}
+	if ref := s.place(r); ref != nil {
+		s.giveUp(r, ref.code)
+	}
+}
+
+// giveUp ends a request that can't be served.
+func (s *step) giveUp(r *request, code string) {
+	ref := refusal{statusUnavailable, code, retrySoon}
+	if r.mayRun {
+		ref = refusal{statusBadGateway, code, 0}
+	}
+	s.refuse(r, ref)
+}
+
+// refuse answers a request that is not served and closes its books.
+func (s *step) refuse(r *request, ref refusal) {
+	outcome := msg.OutcomeNotRun
+	if r.mayRun {
+		outcome = msg.OutcomeUnknown
+	}
+	if r.streaming {
+		s.emit(msg.AbortRequest{Req: r.arrived.Req, Code: ref.code, Outcome: outcome})
+	} else {
+		s.emit(msg.RefuseRequest{Req: r.arrived.Req, Status: ref.status, Code: ref.code, Outcome: outcome, RetryAfter: ref.retryAfter})
+	}
+	route := msg.RouteID("")
+	if r.route != nil {
+		route = r.route.Name
+	}
+	s.logRequest(r, "refused",
+		attr("status", ref.status), attr("code", ref.code), attr("outcome", outcome), attr("route", route),
+		attr("config_age_ms", ms(s.now-s.freshAt)), attr("retry_after_ms", ms(ref.retryAfter)),
+	)
+	s.forget(r)
+}
+
+// forget closes the books on a request. An attempt that is still open is
+// cancelled.
+func (s *step) forget(r *request) {
+	if a := r.attempt; a != nil {
+		a.req = nil
+		r.attempt = nil
+		s.emit(msg.CancelAttempt{Attempt: a.id, Reason: "the request is over"})
+	}
+	if r.handle != "" {
+		if source := s.targets[r.source]; source != nil {
+			s.emit(msg.FreeHandle{Addr: source.Addr, Handle: r.handle})
+		}
+		r.handle = ""
+	}
+	delete(s.requests, r.arrived.Req)
+}
+
+func (s *step) onCallerGone(ev msg.CallerGone) {
+	r := s.requests[ev.Req]
+	if r == nil {
+		return
+	}
+	s.logRequest(r, "caller left")
+	s.forget(r)
+}
+
+// expire ends a request whose time is over.
+func (s *step) expire(r *request) {
+	if r.attempt != nil && r.attempt.step != msg.StepPrefill {
+		r.mayRun = true
+	}
+	ref := refusal{statusTimeout, "timeout", 0}
+	if !r.mayRun {
+		ref = refusal{statusUnavailable, "timeout", retrySoon}
+	}
+	s.refuse(r, ref)
+}
--- /dev/null
+++ b/internal/core/direct/place.go
@@ -0,0 +1,188 @@
+package direct
+
+import (
+	"slices"
+	"time"
+
+	"github.com/verbenaspur/verbenaspur/internal/core/msg"
+)
+
+const (
+	// tooLate is the multiple of a request's objective up to which a late
+	// first token is still offered.
+	tooLate = 2.0
+	// logged is the number of losing candidates in a log line.
+	logged = 2
+	// spread is the part of a cost that is drawn at random, so that daemons
+	// with the same picture do not all choose the same target.
+	spread = 3 * time.Millisecond
+)
+
+// candidate is one way to serve a request.
+type candidate struct {
+	target *target
+	step   msg.DirectStep
+	// from is a target whose cached prefix is fetched first, or nil.
+	from *target
+	// work is the prefill at the target, wait the time until it begins and
+	// cost the expected time to the first token, weighed by the target's
+	// failures.
+	work, wait, cost time.Duration
+}
+
+// place chooses a target for the request's next attempt and starts it. It
+// returns a refusal where there is none, or none in time.
+func (s *step) place(r *request) *refusal {
+	if !s.keyHolds(r) {
+		return &refusal{statusUnavailable, "stale-config", retryElsewhere}
+	}
+	list := s.candidates(r)
+	if len(list) == 0 {
+		return &refusal{statusUnavailable, "no-target", retrySoon}
+	}
+	slices.SortFunc(list, func(a, b candidate) int { return int(a.cost - b.cost) })
+	best := list[0]
+	late := s.now - r.since + best.cost - time.Duration(tooLate*float64(r.route.Objective))
+	if r.generation() && r.handle == "" && r.runs == 0 && late > 0 {
+		return &refusal{statusUnavailable, "overloaded", max(late, retrySoon)}
+	}
+	s.start(r, best, list)
+	return nil
+}
+
+// candidates filters the service's targets and scores each.
+func (s *step) candidates(r *request) []candidate {
+	all := s.services[r.service]
+	list := make([]candidate, 0, len(all))
+	for _, t := range all {
+		if !t.usable(s.now) || slices.Contains(r.exclude, t.Target) {
+			continue
+		}
+		c, ok := s.score(r, t)
+		if ok {
+			c.cost += time.Duration(s.rand.Float64() * float64(spread))
+			list = append(list, c)
+		}
+	}
+	return list
+}
+
+// score returns the way in which a target can serve the request's next step.
+func (s *step) score(r *request, t *target) (candidate, bool) {
+	switch {
+	case !r.generation():
+		return s.scorePlain(t), true
+	case r.handle != "":
+		return s.scoreDecode(r, t)
+	}
+	return s.scoreRead(r, t)
+}
+
+// scorePlain scores a target of a plain service by the work that is open.
+func (s *step) scorePlain(t *target) candidate {
+	open := len(t.open) + s.share.open(t.Target)
+	slots := max(t.Slots, 1)
+	latency := max(t.latency, time.Millisecond)
+	wait := time.Duration(float64(latency) * float64(open) / float64(slots))
+	c := candidate{target: t, step: msg.StepWhole, wait: wait, cost: wait + latency}
+	c.cost = penalize(c.cost, t)
+	return c
+}
+
+// scoreDecode scores an engine that goes on from a prompt read elsewhere.
+func (s *step) scoreDecode(r *request, t *target) (candidate, bool) {
+	if t.Role == msg.RolePrefill {
+		return candidate{}, false
+	}
+	source := s.targets[r.source]
+	far := source != nil && source.Domain != t.Domain
+	c := candidate{target: t, step: msg.StepDecode, wait: s.wait(t)}
+	c.cost = c.wait/4 + transferTime(s.engine(t), r.arrived.PromptTokens, far) + time.Duration(len(t.open))*time.Millisecond
+	if s.caches.held(t.Target, r.chain) > 0 {
+		c.cost -= time.Millisecond
+	}
+	c.cost = penalize(c.cost, t)
+	return c, true
+}
+
+// scoreRead scores an engine that reads the prompt: one that decodes goes on
+// with the request, one that prefills hands it on.
+func (s *step) scoreRead(r *request, t *target) (candidate, bool) {
+	c := candidate{target: t, step: msg.StepWhole, wait: s.wait(t)}
+	cached := s.caches.held(t.Target, r.chain)
+	from, held := s.bestHolder(r, t, cached)
+	var fetch time.Duration
+	if from != nil {
+		c.from = from
+		fetch = transferTime(s.engine(t), held-cached, from.Domain != t.Domain)
+		cached = held
+	}
+	c.work = time.Duration(t.slow * float64(readTime(t.Role, r.arrived.PromptTokens, cached)))
+	c.cost = hop + firstToken + c.wait + fetch + c.work
+	if t.Role == msg.RolePrefill {
+		if r.route.Repeat != msg.RepeatStream || r.lastEvent > 0 {
+			return candidate{}, false
+		}
+		c.step = msg.StepPrefill
+		c.cost += hop + transferTime(s.engine(t), r.arrived.PromptTokens, true)
+	}
+	c.cost = penalize(c.cost, t)
+	return c, true
+}
+
+// bestHolder returns the engine that holds the longest prefix of the prompt,
+// if it is longer than what t holds itself.
+func (s *step) bestHolder(r *request, t *target, cached int) (*target, int) {
+	for i := len(r.chain) - 1; i >= 0; i-- {
+		if r.chain[i].tokens <= cached || r.chain[i].tokens < minShared {
+			return nil, 0
+		}
+		if h := s.holder(r.chain[i].id, t); h != nil {
+			return h, r.chain[i].tokens
+		}
+	}
+	return nil, 0
+}
+
+// holder returns an engine other than t that holds a prefix, one of t's
+// failure domain first.
+func (s *step) holder(chain uint64, t *target) *target {
+	var best *target
+	for id := range s.caches.holders[chain] {
+		h := s.targets[id]
+		if h == nil || h == t || h.gone || s.now < h.avoidUntil {
+			continue
+		}
+		if best == nil || better(h, best, t) {
+			best = h
+		}
+	}
+	return best
+}
+
+func better(h, best, t *target) bool {
+	if near := h.Domain == t.Domain; near != (best.Domain == t.Domain) {
+		return near
+	}
+	return h.Target < best.Target
+}
+
+// wait is the time until a target begins with new work, counting what all
+// daemons sent.
+func (s *step) wait(t *target) time.Duration {
+	return t.backlog(s.now) + s.share.backlog(s.now, t.Target)
+}
+
+func (s *step) engine(t *target) *msg.EngineSpec {
+	if spec := s.table.services[t.Service]; spec != nil {
+		return spec.Engine
+	}
+	return nil
+}
+
+// penalize weighs a cost by the target's failures: an attempt that fails has
+// to be made again, or is lost.
+func penalize(cost time.Duration, t *target) time.Duration {
+	const weight = 6
+	return time.Duration(float64(cost) * (1 + weight*t.failing*t.failing))
+}
--- /dev/null
+++ b/internal/core/direct/request.go
@@ -0,0 +1,107 @@
+package direct
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/verbenaspur/verbenaspur/internal/core/msg"
+)
+
+// request is one open request.
+type request struct {
+	arrived  msg.DirectArrived
+	route    *msg.DirectRoute
+	account  *msg.DirectAccount // nil on public routes
+	service  msg.ServiceID
+	since    msg.Time
+	deadline msg.Time
+	// chain identifies the prompt up to each part that others may share.
+	chain []chainPart
+
+	attempt *attempt
+	// runs counts the attempts that may have run, sends all that were sent
+	// and prefills those that only read the prompt.
+	runs, sends, prefills int
+	// mayRun says that a run of this request can't be ruled out.
+	mayRun bool
+	// counted says that its run was counted for usage.
+	counted bool
+	// handle names the prompt that was read at source.
+	handle string
+	source msg.TargetID
+	// lastEvent is the last event that the caller has and streaming says that
+	// the answer has begun.
+	lastEvent int64
+	streaming bool
+	// exclude lists the targets that failed this request.
+	exclude     []msg.TargetID
+	fingerprint uint64
+}
+
+// chainPart is a prompt up to and with one of its shared parts.
+type chainPart struct {
+	id     uint64
+	tokens int // of the whole prefix
+}
+
+// attempt is one call of a target.
+type attempt struct {
+	id     msg.AttemptID
+	req    *request // nil once the request is over
+	target *target
+	step   msg.DirectStep
+	since  msg.Time
+	// work is the prefill that it asks of the target and expected the time
+	// to its first token.
+	work, expected time.Duration
+	// began says that the first token, or the answer, has come.
+	began       bool
+	chain       []chainPart
+	fingerprint uint64
+}
+
+func (r *request) accountID() msg.AccountID {
+	if r.account == nil {
+		return ""
+	}
+	return r.account.Account
+}
+
+// priority is the request's rank, 0 first.
+func (r *request) priority() int {
+	if r.account != nil && r.account.HasPriority {
+		return r.account.Priority
+	}
+	return r.route.Priority
+}
+
+// generation reports whether the request is a prompt for a model engine.
+func (r *request) generation() bool { return r.arrived.PromptTokens > 0 }
+
+// chainOf identifies the prefixes of a prompt that end with a shared part.
+// The last part belongs to the request or its session.
+func chainOf(parts []msg.PromptPart) []chainPart {
+	if len(parts) < 2 {
+		return nil
+	}
+	chain := make([]chainPart, 0, len(parts)-1)
+	var id uint64
+	tokens := 0
+	for _, p := range parts[:len(parts)-1] {
+		id = id*0x9e3779b97f4a7c15 + p.ID + 1
+		tokens += p.Tokens
+		chain = append(chain, chainPart{id, tokens})
+	}
+	return chain
+}
+
+// fingerprintOf identifies a request over its resends.
+func fingerprintOf(r *request) uint64 {
+	d := xxhash.New()
+	for _, part := range []string{string(r.accountID()), r.arrived.Method, r.arrived.Host, r.arrived.Path} {
+		_, _ = d.WriteString(part)
+		_, _ = d.Write([]byte{0})
+	}
+	return max(d.Sum64()^r.arrived.BodyHash, 1)
+}
--- /dev/null
+++ b/internal/core/direct/start.go
@@ -0,0 +1,120 @@
+package direct
+
+import (
+	"strings"
+	"time"
+
+	"github.com/verbenaspur/verbenaspur/internal/core/msg"
+)
+
+// maxPriority is the last rank that engines know.
+const maxPriority = 9
+
+// start starts an attempt by the chosen candidate.
+func (s *step) start(r *request, c candidate, list []candidate) {
+	a := &attempt{
+		id: s.nextAttempt(), req: r, target: c.target, step: c.step, since: s.now,
+		work: c.work, expected: c.cost, chain: r.chain, fingerprint: r.fingerprint,
+	}
+	r.attempt = a
+	r.sends++
+	s.attempts[a.id] = a
+	c.target.begin(s.now, a)
+	spec := msg.DirectSpec{
+		Step: c.step, Target: c.target.Target, Addr: c.target.Addr, Service: r.service,
+		Repeat: r.route.Repeat, Account: r.accountID(), Deadline: r.deadline, Priority: -1,
+		LastEvent: r.lastEvent, ConnLimit: s.connLimit(r.service),
+	}
+	if r.generation() {
+		spec.Priority = min(r.priority(), maxPriority)
+	}
+	if c.from != nil {
+		spec.CacheFrom = c.from.Addr
+	}
+	if c.step == msg.StepDecode {
+		spec.Handle = r.handle
+		if source := s.targets[r.source]; source != nil {
+			spec.HandleAddr = source.Addr
+		}
+		r.handle = ""
+	}
+	s.emit(msg.StartDirect{Req: r.arrived.Req, Attempt: a.id, Spec: spec})
+	s.logPlaced(r, a, c, list)
+}
+
+// connLimit is this daemon's part of the connections that a target takes.
+func (s *step) connLimit(id msg.ServiceID) int {
+	spec := s.table.services[id]
+	if spec == nil || spec.MaxConns == 0 {
+		return 0
+	}
+	return max(spec.MaxConns/max(len(s.entries), 1), 1)
+}
+
+func (s *step) logPlaced(r *request, a *attempt, c candidate, list []candidate) {
+	from := ""
+	if c.from != nil {
+		from = string(c.from.Target)
+	}
+	s.logRequest(r, "placed",
+		attr("attempt", a.id), attr("target", c.target.Target), attr("step", c.step),
+		attr("route", r.route.Name), attr("version", s.table.version), attr("tokens", r.arrived.PromptTokens),
+		attr("cost_ms", ms(c.cost)), attr("wait_ms", ms(c.wait)), attr("work_ms", ms(c.work)),
+		attr("fetch_from", from), attr("candidates", len(list)), attr("losers", losers(list)),
+	)
+}
+
+// losers names the next best candidates with their costs.
+func losers(list []candidate) string {
+	var b strings.Builder
+	for i := 1; i < len(list) && i <= logged; i++ {
+		if i > 1 {
+			b.WriteByte(' ')
+		}
+		b.WriteString(string(list[i].target.Target))
+		b.WriteByte('=')
+		b.WriteString(ms(list[i].cost))
+	}
+	return b.String()
+}
+
+func (s *step) onBegan(ev msg.DirectBegan) {
+	a := s.attempts[ev.Attempt]
+	if a == nil {
+		return
+	}
+	a.target.firstToken(s.now, a)
+	s.cached(a)
+	if a.req != nil {
+		a.req.streaming = true
+		a.req.mayRun = true
+		s.countRun(a.req)
+	}
+}
+
+// cached notes that a target now holds the attempt's prefixes.
+func (s *step) cached(a *attempt) {
+	spec := s.engine(a.target)
+	if spec == nil || a.target.gone {
+		return
+	}
+	for _, p := range a.chain {
+		if p.tokens < minShared {
+			continue
+		}
+		s.caches.add(a.target.Target, spec.CacheTokens, p.id, p.tokens)
+		s.share.cached = append(s.share.cached, msg.CachedPart{Target: a.target.Target, Chain: p.id, Tokens: p.tokens})
+	}
+}
+
+// countRun counts a request's run for usage, once.
+func (s *step) countRun(r *request) {
+	if r.counted {
+		return
+	}
+	r.counted = true
+	s.raise(msg.RunCounted{Account: r.accountID(), Wall: s.wall})
+}
+
+// left is the time that a request still has.
+func (s *step) left(r *request) time.Duration { return r.deadline - s.now }
--- /dev/null
+++ b/internal/core/direct/target.go
@@ -0,0 +1,206 @@
+package direct
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/verbenaspur/verbenaspur/internal/core/msg"
+)
+
+const (
+	// avoidFirst and avoidMax bound the time for which a target that could
+	// not be reached gets no request.
+	avoidFirst = 300 * time.Millisecond
+	avoidMax   = 3 * time.Second
+	// crashWindow is the time within which a broken answer and the target's
+	// end belong together.
+	crashWindow = 1500 * time.Millisecond
+	// outcomeWeight is the weight of one outcome in a target's failure share.
+	outcomeWeight = 0.12
+	// speedWeight is the weight of one observation in a target's speed.
+	speedWeight = 0.2
+	slowest     = 8.0
+	fastest     = 0.6
+	// overdueAfter is how far past its expected first token an attempt makes
+	// its target suspect.
+	overdueAfter = 150 * time.Millisecond
+)
+
+// target is what is known of one target.
+type target struct {
+	msg.Instance
+	// gone says that the platform no longer lists it.
+	gone bool
+	open map[msg.AttemptID]*attempt
+	// backlogUntil is when the prefill work that this daemon sent is expected
+	// to be done.
+	backlogUntil msg.Time
+	// slow is the factor by which its first tokens come later than expected.
+	slow float64
+	// failing is the weighted share of attempts that it failed.
+	failing    float64
+	avoidUntil msg.Time
+	avoidFor   time.Duration
+	// latency is the weighted time of an answer of a plain service.
+	latency time.Duration
+	load    *msg.TargetLoad
+	loadAt  msg.Time
+	// broken holds the attempts whose answers broke off lately.
+	broken []brokenAttempt
+}
+
+type brokenAttempt struct {
+	at          msg.Time
+	attempt     msg.AttemptID
+	fingerprint uint64
+}
+
+func newTarget(in msg.Instance) *target {
+	return &target{Instance: in, open: make(map[msg.AttemptID]*attempt), slow: 1}
+}
+
+// usable reports whether the target takes new attempts.
+func (t *target) usable(now msg.Time) bool {
+	return !t.gone && !t.Draining && now >= t.avoidUntil
+}
+
+// waiting returns the prefill work that was sent and has given no token yet.
+func (t *target) waiting() time.Duration {
+	var sum time.Duration
+	for _, a := range t.open {
+		if !a.began {
+			sum += a.work
+		}
+	}
+	return sum
+}
+
+// backlog is the time until the work that this daemon sent is expected to be
+// done. Work that is overdue is not.
+func (t *target) backlog(now msg.Time) time.Duration {
+	b := max(t.backlogUntil-now, 0)
+	for _, a := range t.open {
+		if late := now - a.since - a.expected; !a.began && late > overdueAfter {
+			b = max(b, late)
+		}
+	}
+	return b
+}
+
+// begin counts an attempt.
+func (t *target) begin(now msg.Time, a *attempt) {
+	t.open[a.id] = a
+	t.backlogUntil = max(t.backlogUntil, now) + a.work
+}
+
+// firstToken takes an attempt's work off the backlog and learns from the time
+// that it took.
+func (t *target) firstToken(now msg.Time, a *attempt) {
+	if a.began {
+		return
+	}
+	a.began = true
+	t.backlogUntil = now + t.waiting()
+	t.avoidFor = 0
+	if a.expected > 0 {
+		ratio := t.slow * float64(now-a.since) / float64(a.expected)
+		t.slow += speedWeight * (min(max(ratio, fastest), slowest) - t.slow)
+	}
+}
+
+// end forgets an attempt.
+func (t *target) end(now msg.Time, a *attempt) {
+	delete(t.open, a.id)
+	if !a.began {
+		a.began = true
+		t.backlogUntil = now + t.waiting()
+	}
+}
+
+// outcome learns from an attempt's end.
+func (t *target) outcome(ok bool) {
+	v := 1.0
+	if ok {
+		v = 0
+	}
+	t.failing += outcomeWeight * (v - t.failing)
+}
+
+// unreached keeps requests away for a while, longer each time.
+func (t *target) unreached(now msg.Time) {
+	t.avoidFor = min(max(2*t.avoidFor, avoidFirst), avoidMax)
+	t.avoidUntil = now + t.avoidFor
+}
+
+func (t *target) latencyOf(d time.Duration) {
+	if t.latency == 0 {
+		t.latency = d
+		return
+	}
+	t.latency += time.Duration(speedWeight * float64(d-t.latency))
+}
+
+// crashed returns the attempts that were lost with the target.
+func (t *target) crashed(now msg.Time) []brokenAttempt {
+	lost := slices.DeleteFunc(t.broken, func(b brokenAttempt) bool { return now-b.at > crashWindow })
+	t.broken = nil
+	return lost
+}
+
+// onInstances takes the list of targets.
+func (s *step) onInstances(ev msg.InstancesChanged) {
+	listed := make(map[msg.TargetID]bool, len(ev.Instances))
+	for _, in := range ev.Instances {
+		listed[in.Target] = true
+		t := s.targets[in.Target]
+		if t == nil || t.Addr != in.Addr || t.Service != in.Service {
+			t = newTarget(in)
+			s.targets[in.Target] = t
+		}
+		if t.Born != in.Born && t.Born != 0 {
+			s.reborn(t)
+		}
+		t.Instance = in
+		t.gone = false
+	}
+	for id, t := range s.targets {
+		if !listed[id] {
+			t.gone = true
+			s.strike(t)
+			s.caches.forget(id)
+			delete(s.targets, id)
+		}
+	}
+	s.services = make(map[msg.ServiceID][]*target)
+	for _, in := range ev.Instances {
+		s.services[in.Service] = append(s.services[in.Service], s.targets[in.Target])
+	}
+	for _, list := range s.services {
+		slices.SortFunc(list, func(a, b *target) int { return cmp.Compare(a.Target, b.Target) })
+	}
+}
+
+// reborn forgets what a target held in a former life.
+func (s *step) reborn(t *target) {
+	s.strike(t)
+	s.caches.forget(t.Target)
+	t.slow = 1
+	t.failing = 0
+	t.avoidUntil = 0
+	t.avoidFor = 0
+}
+
+// strike counts a target's end against the requests that it ran.
+func (s *step) strike(t *target) {
+	for _, b := range t.crashed(s.now) {
+		s.effects = append(s.effects, s.poison.Strike(s.now, b.fingerprint, b.attempt)...)
+		s.log("target went down under a request", attr("target", t.Target), attr("attempt", b.attempt))
+	}
+}
+
+// round returns whole milliseconds for the digest and logs.
+func round(d time.Duration) float32 {
+	return float32(math.Round(float64(d) / float64(time.Millisecond)))
+}
--- a/internal/core/msg/store.go
+++ b/internal/core/msg/store.go
@@ -15,6 +15,12 @@
 	KindPoison Kind = "poison"
 	KindAudit  Kind = "audit"
 	KindDrain  Kind = "drain"
+	// KindEntry holds one object for each entry daemon without a host list.
+	KindEntry Kind = "entry"
+	// KindRuns holds each entry daemon's runs by window, and KindWindow the
+	// frozen windows.
+	KindRuns   Kind = "runs"
+	KindWindow Kind = "window"
 )
 
 // Object is one object of the platform's object API.
--- a/internal/core/msg/types.go
+++ b/internal/core/msg/types.go
@@ -11,6 +11,7 @@
 		reflect.TypeFor[LeaseReleased](),
 		reflect.TypeFor[ExchangePoll](), reflect.TypeFor[ExchangeReply](),
 		reflect.TypeFor[CrashNotice](),
+		reflect.TypeFor[LoadDigest](),
 	}
 }
 
@@ -37,6 +38,10 @@
 		reflect.TypeFor[ConfigProposed](), reflect.TypeFor[DrainRequested](),
 		reflect.TypeFor[ConfigKnown](), reflect.TypeFor[ConfigHeard](), reflect.TypeFor[HostsHeard](),
 		reflect.TypeFor[AttemptTaken](),
+		reflect.TypeFor[RoutesRead](), reflect.TypeFor[InstancesRead](), reflect.TypeFor[RoutesChanged](),
+		reflect.TypeFor[RoutesFresh](), reflect.TypeFor[InstancesChanged](), reflect.TypeFor[DirectArrived](),
+		reflect.TypeFor[DirectBegan](), reflect.TypeFor[DirectEnded](), reflect.TypeFor[WindowReported](),
+		reflect.TypeFor[RunCounted](),
 	}
 }
 
@@ -58,5 +63,8 @@
 		reflect.TypeFor[Connect](), reflect.TypeFor[Disconnect](),
 		reflect.TypeFor[ConfigAnswered](), reflect.TypeFor[DrainAnswered](),
 		reflect.TypeFor[Locate](),
+		reflect.TypeFor[ReadRoutes](), reflect.TypeFor[ReadInstances](), reflect.TypeFor[StartDirect](),
+		reflect.TypeFor[PassAnswer](), reflect.TypeFor[FreeHandle](), reflect.TypeFor[SetReady](),
+		reflect.TypeFor[ReportWindow](),
 	}
 }
--- /dev/null
+++ b/internal/core/roster/roster.go
@@ -0,0 +1,229 @@
+// Package roster is the part of an entry daemon's reducer that finds the
+// other entry daemons where the platform has no host list: each keeps an
+// object of its own at the platform and reads those of the others.
+package roster
+
+import (
+	"cmp"
+	"encoding/json"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/verbenaspur/verbenaspur/internal/core/msg"
+	"github.com/verbenaspur/verbenaspur/internal/core/store"
+)
+
+const (
+	// writeEvery and readEvery are the times between two writes of the own
+	// record and between two reads of all.
+	writeEvery = 4 * time.Second
+	readEvery  = 4 * time.Second
+	// readSoon is the time between reads of a young process, which has to
+	// find its peers.
+	readSoon = time.Second
+	youth    = 6 * time.Second
+	// retryEvery is the time between a failed call and the next.
+	retryEvery = 300 * time.Millisecond
+	// silence is the time without a sign of life after which a daemon counts
+	// as gone.
+	silence = 3*writeEvery - time.Second
+)
+
+const (
+	tagRead uint64 = iota + 1
+	tagWrite
+	tagOwn
+)
+
+// record is the body of an entry daemon's object.
+type record struct {
+	Addr        string            `json:"addr"`
+	Domain      msg.FailureDomain `json:"domain"`
+	Region      msg.Region        `json:"region"`
+	Incarnation msg.Incarnation   `json:"incarnation"`
+	// Beat grows with each write.
+	Beat    uint64 `json:"beat"`
+	Leaving bool   `json:"leaving,omitempty"`
+}
+
+// peer is what is known of another entry daemon.
+type peer struct {
+	host    msg.Host
+	version msg.Version
+	leaving bool
+	// alive is the last sign of life.
+	alive msg.Time
+}
+
+// Part is the roster part.
+type Part struct {
+	self        msg.Self
+	incarnation msg.Incarnation
+	addr        string
+	store       *store.Client
+
+	beat    uint64
+	version msg.Version
+	writing bool
+	writeAt msg.Time
+	reading bool
+	readAt  msg.Time
+	leaving bool
+	// told says that the others were told of the stop.
+	told bool
+
+	peers map[msg.HostID]*peer
+	last  []msg.Host
+	begun bool
+}
+
+// New returns the part. Addr is where the other daemons reach this one.
+func New(self msg.Self, incarnation msg.Incarnation, addr string) *Part {
+	return &Part{
+		self: self, incarnation: incarnation, addr: addr,
+		store: store.New(store.PartRoster, string(self.Host)+"/"+string(incarnation)),
+		peers: make(map[msg.HostID]*peer),
+	}
+}
+
+// Idle reports whether nothing is left to be told before a stop.
+func (p *Part) Idle() bool { return !p.leaving || p.told }
+
+// Step implements the reducer's part.
+func (p *Part) Step(now msg.Time, ev msg.Event) []msg.Effect {
+	results, effs := p.store.Step(now, ev)
+	for _, r := range results {
+		effs = append(effs, p.onResult(now, r)...)
+	}
+	switch ev := ev.(type) {
+	case msg.PeerReceived:
+		if o := p.peers[ev.From]; o != nil {
+			o.alive = now
+		}
+	case msg.StopRequested:
+		p.leaving = true
+		p.writeAt = now
+	case msg.Tick:
+		effs = append(effs, p.onTick(now)...)
+	}
+	return effs
+}
+
+func (p *Part) onTick(now msg.Time) []msg.Effect {
+	var effs []msg.Effect
+	if !p.writing && now >= p.writeAt && !p.told {
+		effs = append(effs, p.write(now))
+	}
+	if !p.reading && now >= p.readAt {
+		p.reading = true
+		effs = append(effs, p.store.List(tagRead, msg.KindEntry, ""))
+	}
+	return append(effs, p.publish(now)...)
+}
+
+func (p *Part) write(now msg.Time) msg.Effect {
+	p.writing = true
+	p.beat++
+	rec := record{
+		Addr: p.addr, Domain: p.self.Domain, Region: p.self.Region,
+		Incarnation: p.incarnation, Beat: p.beat, Leaving: p.leaving,
+	}
+	return p.store.Put(now, tagWrite, msg.KindEntry, string(p.self.Host), rec, p.version, now+writeEvery)
+}
+
+func (p *Part) onResult(now msg.Time, r store.Result) []msg.Effect {
+	switch r.Tag {
+	case tagRead:
+		p.reading = false
+		p.onList(now, r)
+	case tagOwn:
+		p.writing = false
+		p.writeAt = now
+		if r.Status == msg.CallOK || r.Status == msg.CallNotFound {
+			p.version = r.Object.Version
+		}
+	case tagWrite:
+		return p.onWrite(now, r)
+	}
+	return nil
+}
+
+func (p *Part) onWrite(now msg.Time, r store.Result) []msg.Effect {
+	p.writing = false
+	switch r.Status {
+	case msg.CallOK:
+		p.version = r.Object.Version
+		p.writeAt = now + writeEvery
+		p.told = p.leaving
+		return nil
+	case msg.CallConflict, msg.CallNotFound, msg.CallUnknown:
+		// A former process on this host wrote it, or somebody removed it.
+		p.writing = true
+		return []msg.Effect{p.store.Get(tagOwn, msg.KindEntry, string(p.self.Host))}
+	}
+	p.writeAt = now + retryEvery
+	return nil
+}
+
+func (p *Part) onList(now msg.Time, r store.Result) {
+	if r.Status != msg.CallOK {
+		p.readAt = now + retryEvery
+		return
+	}
+	p.readAt = now + readEvery
+	if now < youth {
+		p.readAt = now + readSoon
+	}
+	for _, o := range r.Objects {
+		p.learn(now, o)
+	}
+}
+
+func (p *Part) learn(now msg.Time, o msg.Object) {
+	id := msg.HostID(o.Name)
+	if id == p.self.Host {
+		return
+	}
+	var rec record
+	if json.Unmarshal(o.Value, &rec) != nil {
+		return
+	}
+	known := p.peers[id]
+	if known == nil {
+		known = &peer{}
+		p.peers[id] = known
+	}
+	if known.version == o.Version {
+		return
+	}
+	known.version = o.Version
+	known.alive = now
+	known.leaving = rec.Leaving
+	known.host = msg.Host{Host: id, Addr: rec.Addr, Domain: rec.Domain, Region: rec.Region, Kind: msg.HostEntry}
+}
+
+// publish raises the set of live daemons where it has changed.
+func (p *Part) publish(now msg.Time) []msg.Effect {
+	list := []msg.Host{{Host: p.self.Host, Addr: p.addr, Domain: p.self.Domain, Region: p.self.Region, Kind: msg.HostEntry}}
+	for _, o := range p.peers {
+		// A silent one is remembered, so that its old object is no news.
+		if !o.leaving && now-o.alive <= silence {
+			list = append(list, o.host)
+		}
+	}
+	slices.SortFunc(list, func(a, b msg.Host) int { return cmp.Compare(a.Host, b.Host) })
+	if p.begun && slices.Equal(list, p.last) {
+		return nil
+	}
+	p.begun = true
+	p.last = list
+	effs := []msg.Effect{
+		msg.Raise{Event: msg.MembersChanged{Entries: list}},
+		msg.LogLine{Part: "roster", Text: "entries changed", Attrs: []msg.Attr{{Key: "count", Value: strconv.Itoa(len(list))}}},
+	}
+	for _, h := range list {
+		effs = append(effs, msg.Locate{Kind: msg.HostEntry, Host: h.Host, Addr: h.Addr})
+	}
+	return effs
+}
--- a/internal/core/store/store.go
+++ b/internal/core/store/store.go
@@ -34,6 +34,9 @@
 	PartPoison
 	PartOperator
 	PartUsageReport
+	PartRoster
+	PartRuns
+	PartWindows
 )
 
 const (
--- /dev/null
+++ b/internal/daemon/datagrams.go
@@ -0,0 +1,115 @@
+package daemon
+
+import (
+	"log/slog"
+	"net"
+	"reflect"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/verbenaspur/verbenaspur/internal/core/msg"
+	"github.com/verbenaspur/verbenaspur/internal/wire"
+)
+
+// maxDatagram bounds a message between entry daemons in bytes.
+const maxDatagram = 60 << 10
+
+// datagrams carries peer messages that may be lost, one a UDP datagram. It
+// serves networks on which only the deployment's own hosts can send; the
+// sender's name is not proved.
+type datagrams struct {
+	conn *net.UDPConn
+	self msg.HostID
+	log  *slog.Logger
+
+	mu    sync.Mutex
+	addrs map[msg.HostID]*net.UDPAddr
+}
+
+// datagram is a message on the wire.
+type datagram struct {
+	From msg.HostID `cbor:"1,keyasint"`
+	// Message is an encoded peer message.
+	Message []byte `cbor:"2,keyasint"`
+}
+
+func newDatagrams(addr string, self msg.HostID, log *slog.Logger) (*datagrams, error) {
+	udp, err := net.ResolveUDPAddr("udp4", addr)
+	if err != nil {
+		return nil, errors.Wrap(err, "peers")
+	}
+	conn, err := net.ListenUDP("udp4", udp)
+	if err != nil {
+		return nil, errors.Wrap(err, "peers")
+	}
+	return &datagrams{conn: conn, self: self, log: log, addrs: make(map[msg.HostID]*net.UDPAddr)}, nil
+}
+
+// locate sets a daemon's address.
+func (d *datagrams) locate(eff msg.Locate) {
+	addr, err := net.ResolveUDPAddr("udp4", eff.Addr)
+	if err != nil {
+		d.log.Warn("peers: bad address", "host", string(eff.Host), "reason", err.Error())
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.addrs[eff.Host] = addr
+}
+
+// send sends a message. A datagram that can't leave is lost like any other.
+func (d *datagrams) send(eff msg.SendPeer) {
+	d.mu.Lock()
+	addr := d.addrs[eff.To]
+	d.mu.Unlock()
+	if addr == nil {
+		return
+	}
+	b, err := wire.Marshal(eff.Message)
+	if err == nil {
+		b, err = wire.Marshal(datagram{d.self, b})
+	}
+	if err != nil || len(b) > maxDatagram {
+		d.log.Warn("peers: message not sent", "host", string(eff.To), "bytes", len(b))
+		return
+	}
+	_, _ = d.conn.WriteToUDP(b, addr)
+}
+
+// receive hands each message to f until the connection is closed.
+func (d *datagrams) receive(f func(msg.HostID, msg.PeerMessage)) {
+	buf := make([]byte, maxDatagram)
+	for {
+		n, _, err := d.conn.ReadFromUDP(buf)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			continue
+		}
+		from, m, err := decodeDatagram(buf[:n])
+		if err != nil {
+			d.log.Warn("peers: message dropped", "reason", err.Error())
+			continue
+		}
+		f(from, m)
+	}
+}
+
+func decodeDatagram(b []byte) (msg.HostID, msg.PeerMessage, error) {
+	var dg datagram
+	if err := wire.Unmarshal(b, &dg); err != nil {
+		return "", nil, err
+	}
+	m, err := wire.UnmarshalPeer(dg.Message)
+	if err != nil {
+		return "", nil, err
+	}
+	if v := reflect.ValueOf(m); v.Kind() == reflect.Pointer {
+		m, _ = v.Elem().Interface().(msg.PeerMessage)
+	}
+	return dg.From, m, nil
+}
+
+func (d *datagrams) close() { _ = d.conn.Close() }
--- /dev/null
+++ b/internal/daemon/direct_exchange.go
@@ -0,0 +1,254 @@
+package daemon
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/verbenaspur/verbenaspur/internal/core/msg"
+	"github.com/verbenaspur/verbenaspur/internal/kept"
+	"github.com/verbenaspur/verbenaspur/internal/sse"
+	"github.com/verbenaspur/verbenaspur/platform"
+)
+
+const (
+	// maxHeld bounds an answer that is held back until it is whole; a longer
+	// one is passed on as it comes.
+	maxHeld = 256 << 10
+	// callerStall bounds a stream to a caller that does not read.
+	callerStall = 30 * time.Second
+)
+
+// directExchange is a caller's request at the driver. Its goroutine is the
+// caller's handler, which carries out one command of the reducer at a time.
+type directExchange struct {
+	front    *directFront
+	id       msg.RequestID
+	call     *platform.Call
+	w        http.ResponseWriter
+	control  *http.ResponseController
+	commands chan msg.Effect
+
+	// began says that the head of the answer has left.
+	began bool
+	// failure is the target's failure that may be passed on.
+	failure *heldAnswer
+	// lastEvent is the last event that the caller has.
+	lastEvent int64
+}
+
+// heldAnswer is a whole answer of a target.
+type heldAnswer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// serve carries out commands until the request is over.
+func (x *directExchange) serve(ctx context.Context) {
+	x.lastEvent = x.call.Arrived.LastEvent
+	defer func() { _ = x.control.SetWriteDeadline(time.Time{}) }()
+	for {
+		select {
+		case eff := <-x.commands:
+			if x.carryOut(ctx, eff) {
+				return
+			}
+		case <-ctx.Done():
+			x.front.loop.Post(msg.CallerGone{Req: x.id})
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
+
+// carryOut carries out a command and reports whether the request is over.
+func (x *directExchange) carryOut(ctx context.Context, eff msg.Effect) bool {
+	switch eff := eff.(type) {
+	case msg.StartDirect:
+		x.attempt(ctx, eff)
+		return false
+	case msg.RefuseRequest:
+		if x.began {
+			panic(http.ErrAbortHandler)
+		}
+		x.call.Refuse(x.w, eff.Status, eff.Code, eff.RetryAfter)
+	case msg.PassAnswer:
+		if x.began || x.failure == nil {
+			panic(http.ErrAbortHandler)
+		}
+		x.write(x.failure)
+	case msg.AbortRequest:
+		// The caller must not take the answer for a whole one.
+		panic(http.ErrAbortHandler)
+	}
+	return true
+}
+
+func (x *directExchange) write(a *heldAnswer) {
+	platform.CopyHead(x.w.Header(), a.header)
+	x.w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
+	x.began = true
+	x.w.WriteHeader(a.status)
+	_, _ = x.w.Write(a.body)
+}
+
+// attempt runs an attempt and reports its end.
+func (x *directExchange) attempt(ctx context.Context, eff msg.StartDirect) {
+	f := x.front
+	ctx, cancel := context.WithCancel(ctx)
+	f.mu.Lock()
+	f.attempts[eff.Attempt] = cancel
+	f.mu.Unlock()
+	end := x.run(ctx, &eff)
+	f.mu.Lock()
+	delete(f.attempts, eff.Attempt)
+	f.mu.Unlock()
+	if ctx.Err() != nil && end.Result == msg.DirectBroken {
+		end.Result = msg.DirectCancelled
+	}
+	cancel()
+	end.Attempt = eff.Attempt
+	end.LastEvent = x.lastEvent
+	end.Streaming = x.began
+	f.loop.Post(end)
+}
+
+// broken is the end of an attempt without a whole answer.
+func broken(err error) msg.DirectEnded {
+	return msg.DirectEnded{Result: msg.DirectBroken, Reason: err.Error()}
+}
+
+func (x *directExchange) run(ctx context.Context, eff *msg.StartDirect) msg.DirectEnded {
+	f := x.front
+	left := eff.Spec.Deadline - f.loop.Now()
+	if left <= 0 {
+		return msg.DirectEnded{Result: msg.DirectNotRun, Reason: "no time left"}
+	}
+	req := x.call.Request(&eff.Spec, left)
+	a, err := f.pool.Do(ctx, eff.Spec.Addr, req)
+	if errors.Is(err, kept.ErrNotSent) {
+		f.pool.Forget(eff.Spec.Addr)
+		return msg.DirectEnded{Result: msg.DirectUnreached, Reason: err.Error()}
+	}
+	if err != nil {
+		return broken(err)
+	}
+	reply := platform.ReadReply(a, eff.Spec.Step)
+	end := x.receive(eff, a, reply)
+	end.Status = reply.Status
+	end.Load = reply.Load
+	return end
+}
+
+// receive takes the body of a target's answer.
+func (x *directExchange) receive(eff *msg.StartDirect, a *kept.Answer, reply platform.Reply) msg.DirectEnded {
+	if reply.Kind == platform.ReplyStream {
+		return x.stream(eff, a)
+	}
+	body, err := io.ReadAll(io.LimitReader(a.Body, maxHeld+1))
+	if err == nil && len(body) > maxHeld && reply.Kind == platform.ReplyAnswer {
+		return x.long(a, body)
+	}
+	a.Close(err == nil && len(body) <= maxHeld)
+	switch {
+	case reply.Kind == platform.ReplyNotRun:
+		return msg.DirectEnded{Result: msg.DirectNotRun, Reason: "refused by the target"}
+	case err != nil:
+		return broken(err)
+	}
+	switch reply.Kind {
+	case platform.ReplyHandle:
+		handle, err := platform.HandleOf(body)
+		if err != nil {
+			return broken(err)
+		}
+		return msg.DirectEnded{Result: msg.DirectPrefilled, Handle: handle}
+	case platform.ReplyFailure:
+		x.failure = &heldAnswer{a.StatusCode, a.Header, body}
+		return msg.DirectEnded{Result: msg.DirectFailed, Reason: "failure of the target"}
+	case platform.ReplyOdd:
+		return msg.DirectEnded{Result: msg.DirectBroken, Reason: "answer must not be passed on"}
+	}
+	x.write(&heldAnswer{a.StatusCode, a.Header, body})
+	return msg.DirectEnded{Result: msg.DirectDone}
+}
+
+// long passes on an answer that is too long to be held.
+func (x *directExchange) long(a *kept.Answer, head []byte) msg.DirectEnded {
+	platform.CopyHead(x.w.Header(), a.Header)
+	if a.ContentLength >= 0 {
+		x.w.Header().Set("Content-Length", strconv.FormatInt(a.ContentLength, 10))
+	}
+	x.began = true
+	x.w.WriteHeader(a.StatusCode)
+	_, err := x.w.Write(head)
+	if err == nil {
+		_, err = io.Copy(x.w, a.Body)
+	}
+	a.Close(err == nil)
+	if err != nil {
+		return broken(err)
+	}
+	return msg.DirectEnded{Result: msg.DirectDone}
+}
+
+// stream passes on whole events as they come.
+func (x *directExchange) stream(eff *msg.StartDirect, a *kept.Answer) msg.DirectEnded {
+	events := sse.NewReader(a.Body)
+	for first := true; ; first = false {
+		ev, err := events.Next()
+		if errors.Is(err, io.EOF) {
+			a.Close(true)
+			return x.endStream(a, first)
+		}
+		if err != nil {
+			a.Close(false)
+			return broken(err)
+		}
+		if first {
+			x.front.loop.Post(msg.DirectBegan{Attempt: eff.Attempt})
+		}
+		if ev.HasID && ev.ID <= x.lastEvent && x.lastEvent > 0 {
+			continue
+		}
+		if err := x.pass(a, ev, !events.Buffered()); err != nil {
+			a.Close(false)
+			return broken(err)
+		}
+		if ev.HasID {
+			x.lastEvent = ev.ID
+		}
+	}
+}
+
+func (x *directExchange) endStream(a *kept.Answer, empty bool) msg.DirectEnded {
+	if empty && !x.began {
+		x.begin(a)
+	}
+	return msg.DirectEnded{Result: msg.DirectDone}
+}
+
+func (x *directExchange) begin(a *kept.Answer) {
+	platform.CopyHead(x.w.Header(), a.Header)
+	x.began = true
+	_ = x.control.SetWriteDeadline(time.Now().Add(callerStall))
+	x.w.WriteHeader(a.StatusCode)
+}
+
+// pass writes an event to the caller.
+func (x *directExchange) pass(a *kept.Answer, ev sse.Event, flush bool) error {
+	if !x.began {
+		x.begin(a)
+	}
+	if _, err := x.w.Write(ev.Raw); err != nil {
+		return err
+	}
+	if !flush {
+		return nil
+	}
+	return x.control.Flush()
+}
--- /dev/null
+++ b/internal/daemon/direct_front.go
@@ -0,0 +1,159 @@
+package daemon
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/verbenaspur/verbenaspur/internal/core/msg"
+	"github.com/verbenaspur/verbenaspur/internal/kept"
+	"github.com/verbenaspur/verbenaspur/platform"
+)
+
+// defaultMaxBody bounds a caller's body before a configuration is known.
+const defaultMaxBody = 4 << 20
+
+// directFront drives the reducer of the direct path: it serves callers and
+// carries out effects.
+type directFront struct {
+	loop    *Loop
+	client  *platform.Client
+	pool    *kept.Pool
+	peers   *datagrams
+	log     *slog.Logger
+	ctx     context.Context
+	stopped func()
+
+	ready   atomic.Bool
+	maxBody atomic.Int64
+	lastReq atomic.Uint64
+
+	mu        sync.Mutex
+	exchanges map[msg.RequestID]*directExchange
+	attempts  map[msg.AttemptID]context.CancelFunc
+}
+
+// execute carries out one effect of the reducer.
+func (f *directFront) execute(_ msg.Time, eff msg.Effect) {
+	switch eff := eff.(type) {
+	case msg.StartDirect:
+		f.deliver(eff.Req, eff)
+	case msg.RefuseRequest:
+		f.deliver(eff.Req, eff)
+	case msg.AbortRequest:
+		f.deliver(eff.Req, eff)
+	case msg.FinishRequest:
+		f.deliver(eff.Req, eff)
+	case msg.PassAnswer:
+		f.deliver(eff.Req, eff)
+	case msg.CancelAttempt:
+		f.cancel(eff.Attempt)
+	case msg.FreeHandle:
+		go f.freeHandle(eff)
+	case msg.SetReady:
+		f.ready.Store(eff.Ready)
+	case msg.LogLine:
+		writeLog(f.log, eff)
+	case msg.StopReady:
+		f.stopped()
+	default:
+		f.executeOutside(eff)
+	}
+}
+
+// executeOutside carries out the effects that concern the platform and the
+// other daemons.
+func (f *directFront) executeOutside(eff msg.Effect) {
+	switch eff := eff.(type) {
+	case msg.SendPeer:
+		f.peers.send(eff)
+	case msg.Locate:
+		f.peers.locate(eff)
+	default:
+		go func() { f.loop.Post(f.client.Do(f.ctx, eff, f.loop.Now)) }()
+	}
+}
+
+// deliver hands an effect to the exchange of its request. What ends the
+// request also ends its attempt.
+func (f *directFront) deliver(id msg.RequestID, eff msg.Effect) {
+	f.mu.Lock()
+	x := f.exchanges[id]
+	f.mu.Unlock()
+	if x == nil {
+		return
+	}
+	x.commands <- eff
+}
+
+func (f *directFront) cancel(id msg.AttemptID) {
+	f.mu.Lock()
+	cancel := f.attempts[id]
+	f.mu.Unlock()
+	if cancel != nil {
+		cancel()
+	}
+}
+
+func (f *directFront) freeHandle(eff msg.FreeHandle) {
+	a, err := f.pool.Do(f.ctx, eff.Addr, platform.FreeRequest(eff))
+	if err != nil {
+		f.log.Info("request: handle not freed", "addr", eff.Addr, "reason", err.Error())
+		return
+	}
+	a.Close(false)
+}
+
+// serveReady answers the balancer.
+func (f *directFront) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if !f.ready.Load() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// ServeHTTP serves one request of a caller.
+func (f *directFront) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	limit := f.maxBody.Load()
+	if limit == 0 {
+		limit = defaultMaxBody
+	}
+	call, err := platform.ReadCall(r, limit)
+	switch {
+	case errors.Is(err, platform.ErrTooLarge):
+		w.Header().Set("Connection", "close")
+		platform.WriteFailure(w, http.StatusRequestEntityTooLarge, "body-too-large", 0)
+		return
+	case errors.Is(err, platform.ErrMalformed):
+		platform.WriteFailure(w, http.StatusBadRequest, "malformed", 0)
+		return
+	case err != nil:
+		// The caller left in the middle of its request.
+		panic(http.ErrAbortHandler)
+	}
+	x := f.open(call, w)
+	defer f.close(x)
+	f.loop.Post(call.Arrived)
+	x.serve(r.Context())
+}
+
+// open records a caller's request.
+func (f *directFront) open(call *platform.Call, w http.ResponseWriter) *directExchange {
+	id := msg.RequestID(strconv.FormatUint(f.lastReq.Add(1), 10))
+	call.Arrived.Req = id
+	x := &directExchange{front: f, id: id, call: call, w: w, control: http.NewResponseController(w), commands: make(chan msg.Effect, 16)}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.exchanges[id] = x
+	return x
+}
+
+func (f *directFront) close(x *directExchange) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.exchanges, x.id)
+}
--- a/internal/daemon/loop.go
+++ b/internal/daemon/loop.go
@@ -18,7 +18,8 @@
 type Loop struct {
 	reducer trace.Stepper
 	execute func(now msg.Time, eff msg.Effect)
-	start   time.Time
+	clock   func() msg.Time
+	wall    func() time.Time
 	events  chan msg.Event
 	queries chan func(now msg.Time)
 	stopped chan struct{}
@@ -27,18 +28,26 @@
 // NewLoop returns a loop. Execute is called on the loop's goroutine and must
 // not block or post events from it.
 func NewLoop(reducer trace.Stepper, execute func(now msg.Time, eff msg.Effect)) *Loop {
+	start := time.Now()
+	clock := func() msg.Time { return time.Since(start) }
+	return newLoop(reducer, execute, clock, func() time.Time { return time.Now().UTC() })
+}
+
+// newLoop returns a loop with the given clock and wall clock.
+func newLoop(reducer trace.Stepper, execute func(now msg.Time, eff msg.Effect), clock func() msg.Time, wall func() time.Time) *Loop {
 	return &Loop{
 		reducer: reducer,
 		execute: execute,
-		start:   time.Now(),
+		clock:   clock,
+		wall:    wall,
 		events:  make(chan msg.Event, eventBuffer),
 		queries: make(chan func(msg.Time)),
 		stopped: make(chan struct{}),
 	}
 }
 
-// Now returns the time on the process's monotonic clock.
-func (l *Loop) Now() msg.Time { return time.Since(l.start) }
+// Now returns the time on the process's clock.
+func (l *Loop) Now() msg.Time { return l.clock() }
 
 // Post hands an event to the reducer. It waits while the buffer is full and
 // drops the event once the loop has ended.
@@ -74,7 +83,7 @@
 		case q := <-l.queries:
 			q(l.Now())
 		case <-ticker.C:
-			l.step(msg.Tick{Wall: time.Now().UTC()})
+			l.step(msg.Tick{Wall: l.wall()})
 		case <-ctx.Done():
 			return
 		}
