--- a/cmd/verbenaspurd/direct.go
+++ b/cmd/verbenaspurd/direct.go
@@ -36,15 +36,14 @@
 			return err
 		}
 	}
-	s, err := platform.LoadSettings(path)
-	if err != nil {
-		return err
-	}
 	if cmd.Bool("check") {
+		if _, err := platform.LoadSettings(path); err != nil {
+			return err
+		}
 		fmt.Println("settings are valid")
 		return nil
 	}
 	out := jsonlog.New(os.Stdout)
 	defer out.Close()
-	return daemon.RunDirect(ctx, s, cmd.String("metrics"), out.Logger(slog.LevelInfo))
+	return daemon.RunDirect(ctx, path, cmd.String("metrics"), out.Logger(slog.LevelInfo))
 }
--- a/internal/core/direct.go
+++ b/internal/core/direct.go
@@ -19,7 +19,7 @@
 	Incarnation msg.Incarnation
 	// PeerAddr is where the other entry daemons reach this one.
 	PeerAddr string
-	Requests direct.Config
+	Limits   msg.DirectLimits
 	// UsageWindow is the length of a usage window; zero where no usage is
 	// reported.
 	UsageWindow time.Duration
@@ -47,7 +47,7 @@
 
 // NewDirect returns the reducer.
 func NewDirect(cfg DirectConfig) *Direct {
-	d := &Direct{requests: direct.New(cfg.Requests)}
+	d := &Direct{requests: direct.New(cfg.Limits)}
 	leases := lease.New(lease.Config{
 		Self: cfg.Self.Host, Incarnation: cfg.Incarnation,
 		Length: directLeaseLength, Margin: directLeaseMargin, Renew: directLeaseRenew,
--- a/internal/core/direct/arrive.go
+++ b/internal/core/direct/arrive.go
@@ -90,7 +90,7 @@
 	if r.route.Public || !s.table.accounts {
 		return nil
 	}
-	if !s.fresh(s.cfg.FreshFor) {
+	if !s.fresh(s.limits.FreshFor) {
 		return &refusal{statusUnavailable, "stale-config", retryElsewhere}
 	}
 	r.account = s.table.keys[r.arrived.Key]
@@ -101,7 +101,7 @@
 }
 
 func (s *step) denied(status int, code string) *refusal {
-	if !s.fresh(s.cfg.DecideFor) {
+	if !s.fresh(s.limits.DecideFor) {
 		return &refusal{statusUnavailable, "stale-config", retryElsewhere}
 	}
 	return &refusal{status, code, 0}
@@ -114,5 +114,5 @@
 		return true
 	}
 	now := s.table.keys[r.arrived.Key]
-	return s.fresh(s.cfg.FreshFor) && now != nil && now.Account == r.account.Account
+	return s.fresh(s.limits.FreshFor) && now != nil && now.Account == r.account.Account
 }
--- a/internal/core/direct/budget.go
+++ b/internal/core/direct/budget.go
@@ -29,11 +29,11 @@
 func (b *budget) arrived(now msg.Time) { b.requests = append(b.requests, now) }
 
 // spend counts a repeat and reports true where it is within the allowance.
-func (b *budget) spend(now msg.Time, cfg Config, daemons int) bool {
-	b.requests = since(b.requests, now-cfg.RetryWindow)
-	b.repeats = since(b.repeats, now-cfg.RetryWindow)
-	slack := cfg.RetrySlack / float64(max(daemons, 1)+1)
-	allowed := budgetMargin * (cfg.RetryRatio*float64(len(b.requests)) + slack)
+func (b *budget) spend(now msg.Time, limits msg.DirectLimits, daemons int) bool {
+	b.requests = since(b.requests, now-limits.RetryWindow)
+	b.repeats = since(b.repeats, now-limits.RetryWindow)
+	slack := limits.RetrySlack / float64(max(daemons, 1)+1)
+	allowed := budgetMargin * (limits.RetryRatio*float64(len(b.requests)) + slack)
 	if float64(len(b.repeats)+1) > allowed {
 		return false
 	}
--- a/internal/core/direct/direct.go
+++ b/internal/core/direct/direct.go
@@ -21,24 +21,9 @@
 
 const partName = "request"
 
-// Config configures a manager.
-type Config struct {
-	// FreshFor is how long after a read of the configuration left a key that
-	// it holds may be accepted.
-	FreshFor time.Duration
-	// DecideFor is how long after it a request may be answered as unknown or
-	// unauthorized.
-	DecideFor time.Duration
-	// RetryRatio, RetryWindow and RetrySlack bound the arrivals at a service
-	// beyond the first of each request, over all entry daemons.
-	RetryRatio  float64
-	RetryWindow time.Duration
-	RetrySlack  float64
-}
-
 // Manager is the part of an entry's reducer that owns the requests.
 type Manager struct {
-	cfg         Config
+	limits      msg.DirectLimits
 	self        msg.Self
 	incarnation msg.Incarnation
 	rand        *rand.Rand
@@ -64,9 +49,9 @@
 }
 
 // New returns a manager without a configuration, which refuses all requests.
-func New(cfg Config) *Manager {
+func New(limits msg.DirectLimits) *Manager {
 	return &Manager{
-		cfg:      cfg,
+		limits:   limits,
 		rand:     rand.New(rand.NewPCG(0, 0)),
 		targets:  make(map[msg.TargetID]*target),
 		services: make(map[msg.ServiceID][]*target),
@@ -128,6 +113,8 @@
 	case msg.StopRequested:
 		s.stopping = true
 		s.updateReady()
+	case msg.LimitsChanged:
+		s.limits = ev.Limits
 	case msg.RoutesChanged:
 		s.table = newTable(ev.Table)
 		s.updateReady()
@@ -171,7 +158,7 @@
 // updateReady tells the balancer whether this daemon can serve: it knows a
 // configuration that was confirmed lately and is not stopping.
 func (s *step) updateReady() {
-	ready := s.table != nil && !s.stopping && s.fresh(s.cfg.FreshFor)
+	ready := s.table != nil && !s.stopping && s.fresh(s.limits.FreshFor)
 	if ready == s.ready {
 		return
 	}
--- a/internal/core/direct/end.go
+++ b/internal/core/direct/end.go
@@ -147,7 +147,7 @@
 	case r.sends >= maxSends || s.left(r) < leastLeft:
 		s.giveUp(r, "no-time")
 		return
-	case paid && !s.budget(r.service).spend(s.now, s.cfg, len(s.entries)):
+	case paid && !s.budget(r.service).spend(s.now, s.limits, len(s.entries)):
 		s.giveUp(r, "no-budget")
 		return
 	}
--- a/internal/core/msg/direct.go
+++ b/internal/core/msg/direct.go
@@ -111,6 +111,24 @@
 	Born int64
 }
 
+// DirectLimits holds the limits to which the direct path keeps.
+type DirectLimits struct {
+	// FreshFor is how long after a read of the configuration left a key that
+	// it holds may be accepted.
+	FreshFor time.Duration
+	// DecideFor is how long after it a request may be answered as unknown or
+	// unauthorized.
+	DecideFor time.Duration
+	// RetryRatio, RetryWindow and RetrySlack bound the arrivals at a service
+	// beyond the first of each request, over all entry daemons.
+	RetryRatio  float64
+	RetryWindow time.Duration
+	RetrySlack  float64
+}
+
+// LimitsChanged brings the limits of changed settings.
+type LimitsChanged struct{ Limits DirectLimits }
+
 // ReadRoutes reads the configuration. [RoutesRead] answers it.
 type ReadRoutes struct{ Call CallID }
 
@@ -340,6 +358,7 @@
 func (DirectEnded) event()      {}
 func (WindowReported) event()   {}
 func (RunCounted) event()       {}
+func (LimitsChanged) event()    {}
 
 func (ReadRoutes) effect()    {}
 func (ReadInstances) effect() {}
--- a/internal/core/msg/types.go
+++ b/internal/core/msg/types.go
@@ -41,7 +41,7 @@
 		reflect.TypeFor[RoutesRead](), reflect.TypeFor[InstancesRead](), reflect.TypeFor[RoutesChanged](),
 		reflect.TypeFor[RoutesFresh](), reflect.TypeFor[InstancesChanged](), reflect.TypeFor[DirectArrived](),
 		reflect.TypeFor[DirectBegan](), reflect.TypeFor[DirectEnded](), reflect.TypeFor[WindowReported](),
-		reflect.TypeFor[RunCounted](),
+		reflect.TypeFor[RunCounted](), reflect.TypeFor[LimitsChanged](),
 	}
 }
 
--- a/internal/daemon/direct_run.go
+++ b/internal/daemon/direct_run.go
@@ -18,7 +18,6 @@
 
 	"github.com/verbenaspur/verbenaspur/internal/bootclock"
 	"github.com/verbenaspur/verbenaspur/internal/core"
-	"github.com/verbenaspur/verbenaspur/internal/core/direct"
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
 	"github.com/verbenaspur/verbenaspur/internal/kept"
 	"github.com/verbenaspur/verbenaspur/internal/metrics"
@@ -42,9 +41,13 @@
 	keyMargin = 0.75
 )
 
-// RunDirect runs an entry daemon that drives its targets itself, until ctx
-// ends and the graceful shutdown that follows is over.
-func RunDirect(ctx context.Context, s *platform.Settings, metricsAddr string, log *slog.Logger) error {
+// RunDirect runs an entry daemon that drives its targets itself, with the
+// settings file at path, until ctx ends and the graceful shutdown that follows is over.
+func RunDirect(ctx context.Context, path, metricsAddr string, log *slog.Logger) error {
+	s, err := platform.LoadSettings(path)
+	if err != nil {
+		return err
+	}
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
 	d, err := newDirect(s, log)
 	if err != nil {
@@ -58,6 +61,7 @@
 	go d.loop.Run(d.work, d.started)
 	go d.receivePeers()
 	go d.sweepConnections()
+	go d.followSettings(path)
 	select {
 	case <-ctx.Done():
 	case err := <-d.failed:
@@ -134,11 +138,7 @@
 func directConfig(s *platform.Settings, started msg.Started, watch *metrics.Direct) core.DirectConfig {
 	cfg := core.DirectConfig{
 		Self: started.Self, Incarnation: started.Incarnation, PeerAddr: s.PeerAddr(),
-		Requests: direct.Config{
-			FreshFor:   time.Duration(keyMargin * float64(s.Bounds.KeyStops)),
-			DecideFor:  s.Bounds.ConfigInForce,
-			RetryRatio: s.Bounds.RetryRatio, RetryWindow: s.Bounds.RetryWindow, RetrySlack: s.Bounds.RetrySlack,
-		},
+		Limits:    directLimits(s),
 		LeaseTurn: s.Bounds.LeaseTurn,
 		Observer:  watch,
 	}
@@ -148,6 +148,16 @@
 	return cfg
 }
 
+func directLimits(s *platform.Settings) msg.DirectLimits {
+	return msg.DirectLimits{
+		FreshFor:    time.Duration(keyMargin * float64(s.Bounds.KeyStops)),
+		DecideFor:   s.Bounds.ConfigInForce,
+		RetryRatio:  s.Bounds.RetryRatio,
+		RetryWindow: s.Bounds.RetryWindow,
+		RetrySlack:  s.Bounds.RetrySlack,
+	}
+}
+
 func openedConnections(pool *kept.Pool) prometheus.Collector {
 	return prometheus.NewCounterFunc(prometheus.CounterOpts{
 		Name: "verbenaspur_target_connections_opened_total",
