Direct path: a digest that comes before the configuration is no crash

Cause: a daemon that has read its targets and not yet its configuration looked up an engine's memory in no configuration (nil) when a peer's digest came. TestDigestBeforeConfiguration failed with that stack before. Ruled out: the poison ledger and the lease part, which see no configuration.

--- a/internal/core/direct/place.go
+++ b/internal/core/direct/place.go
@@ -173,7 +173,11 @@
 	return t.backlog(s.now) + s.share.backlog(s.now, t.Target)
 }
 
+// engine returns what the configuration says of a target's engines, or nil.
 func (s *step) engine(t *target) *msg.EngineSpec {
+	if s.table == nil {
+		return nil
+	}
 	if spec := s.table.services[t.Service]; spec != nil {
 		return spec.Engine
 	}
--- /dev/null
+++ b/internal/core/direct/share_test.go
@@ -0,0 +1,58 @@
+package direct
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/verbenaspur/verbenaspur/internal/core/msg"
+)
+
+// A digest may arrive when the targets are known and the configuration is not
+// yet, as in the first moments of a restarted daemon.
+func TestDigestBeforeConfiguration(t *testing.T) {
+	w := newWorld(t)
+	w.list(testInstances()...)
+	w.step(msg.PeerReceived{From: "entry-2", Message: msg.LoadDigest{Cached: []msg.CachedPart{{Target: "dec-1", Chain: 7, Tokens: 900}}}})
+	w.is.Equal(w.m.caches.held("dec-1", []chainPart{{7, 900}}), 0) // nothing is known of the engine's memory
+}
+
+func TestDigestCountsAndAges(t *testing.T) {
+	w := readyWorld(t)
+	w.step(msg.PeerReceived{From: "entry-2", Message: msg.LoadDigest{
+		Targets: []msg.TargetDigest{{Target: "dec-1", BacklogMS: 500, Open: 3}},
+		Cached:  []msg.CachedPart{{Target: "dec-2", Chain: 7, Tokens: 900}},
+	}})
+	w.is.Equal(w.m.share.backlog(w.now, "dec-1"), 500*time.Millisecond)
+	w.is.Equal(w.m.share.open("dec-1"), 3)
+	w.is.Equal(w.m.caches.held("dec-2", []chainPart{{7, 900}}), 900)
+	w.now += 200 * time.Millisecond
+	w.is.Equal(w.m.share.backlog(w.now, "dec-1"), 300*time.Millisecond) // work told is done meanwhile
+	w.step(msg.MembersChanged{Entries: []msg.Host{{Host: "entry-1"}}})
+	w.is.Equal(w.m.share.open("dec-1"), 0) // entry-2 is gone
+}
+
+func TestDigestIsSentOnNews(t *testing.T) {
+	is := is.New(t)
+	w := readyWorld(t)
+	w.step(msg.MembersChanged{Entries: []msg.Host{{Host: "entry-1"}, {Host: "entry-2"}}})
+	w.pass(2 * time.Second)
+	w.arrive("/chat/x", prompt(1, 2000, 100))
+	a := w.started().Attempt
+	w.now += 100 * time.Millisecond
+	w.step(msg.Tick{})
+	sent, ok := find[msg.SendPeer](w)
+	is.True(ok)
+	is.Equal(sent.To, msg.HostID("entry-2"))
+	d, _ := sent.Message.(msg.LoadDigest)
+	is.Equal(len(d.Targets), 1)
+	is.Equal(d.Targets[0].Open, 1)
+	w.step(msg.DirectBegan{Attempt: a})
+	w.now += 100 * time.Millisecond
+	w.step(msg.Tick{})
+	sent, ok = find[msg.SendPeer](w)
+	is.True(ok)
+	d, _ = sent.Message.(msg.LoadDigest)
+	is.Equal(len(d.Cached), 1) // the engine now holds the shared part
+}
