Direct path: as few engines decode as the running streams need

Cause: prompts to read bind (utilisation of the two worst windows), and an engine that decodes reads at half the speed; 12 of 18 decoded from the start.

--- a/internal/core/direct.go
+++ b/internal/core/direct.go
@@ -9,6 +9,7 @@
 	"github.com/verbenaspur/verbenaspur/internal/core/meter"
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
 	"github.com/verbenaspur/verbenaspur/internal/core/reducer"
+	"github.com/verbenaspur/verbenaspur/internal/core/roles"
 	"github.com/verbenaspur/verbenaspur/internal/core/roster"
 )
 
@@ -64,6 +65,7 @@
 		parts = append(parts, usage)
 		flushers = append(flushers, usage)
 	}
+	parts = append(parts, roles.New(roles.Config{Self: cfg.Self.Host, Settling: cfg.LeaseTurn}))
 	parts = append(parts, &stopper{requests: d.requests, flushers: flushers})
 	d.Reducer = newObserved(cfg.Observer, parts...)
 	return d
--- a/internal/core/direct/direct.go
+++ b/internal/core/direct/direct.go
@@ -127,6 +127,10 @@
 	case msg.MembersChanged:
 		s.entries = ev.Entries
 		s.share.keep(ev.Entries)
+	case msg.TargetChanging:
+		s.changing(ev.Target, ev.For)
+		s.share.changing[ev.Target] = true
+		s.share.toldAt = 0
 	case msg.PeerReceived:
 		if d, ok := ev.Message.(msg.LoadDigest); ok {
 			s.onDigest(ev.From, d)
@@ -140,6 +144,7 @@
 		s.expire(r)
 	}
 	s.tellShare()
+	s.tellDemand()
 	s.updateReady()
 }
 
--- a/internal/core/direct/request.go
+++ b/internal/core/direct/request.go
@@ -55,6 +55,8 @@
 	// work is the prefill that it asks of the target and expected the time
 	// to its first token.
 	work, expected time.Duration
+	// tokens is the memory that it takes at the target.
+	tokens int
 	// began says that the first token, or the answer, has come.
 	began       bool
 	chain       []chainPart
--- a/internal/core/direct/share.go
+++ b/internal/core/direct/share.go
@@ -14,6 +14,8 @@
 	tellAtLeast = time.Second
 	// digestAge is the age at which a digest no longer counts.
 	digestAge = 2500 * time.Millisecond
+	// demandEvery is the time between two sums of what engines decode.
+	demandEvery = 500 * time.Millisecond
 	// maxTold bounds the cached parts in one digest.
 	maxTold = 48
 )
@@ -24,6 +26,9 @@
 	told   []msg.TargetDigest
 	cached []msg.CachedPart
 	peers  map[msg.HostID]*peerLoad
+	// changing holds the targets that this daemon told to change.
+	changing map[msg.TargetID]bool
+	demandAt msg.Time
 }
 
 type peerLoad struct {
@@ -31,7 +36,9 @@
 	targets map[msg.TargetID]msg.TargetDigest
 }
 
-func newShare() share { return share{peers: make(map[msg.HostID]*peerLoad)} }
+func newShare() share {
+	return share{peers: make(map[msg.HostID]*peerLoad), changing: make(map[msg.TargetID]bool)}
+}
 
 // keep drops the digests of daemons that are no members.
 func (sh *share) keep(entries []msg.Host) {
@@ -56,6 +63,24 @@
 	return sum
 }
 
+// running is the number of the other daemons' attempts that a target decodes.
+func (sh *share) running(id msg.TargetID) int {
+	n := 0
+	for _, p := range sh.peers {
+		n += p.targets[id].Running
+	}
+	return n
+}
+
+// tokens is the memory that they take.
+func (sh *share) tokens(id msg.TargetID) int {
+	n := 0
+	for _, p := range sh.peers {
+		n += p.targets[id].Tokens
+	}
+	return n
+}
+
 // open is the number of the other daemons' attempts at a target.
 func (sh *share) open(id msg.TargetID) int {
 	n := 0
@@ -71,6 +96,9 @@
 		p.targets[t.Target] = t
 	}
 	s.share.peers[from] = p
+	for _, c := range d.Changing {
+		s.changing(c.Target, time.Duration(c.MS)*time.Millisecond)
+	}
 	for _, c := range d.Cached {
 		t := s.targets[c.Target]
 		if t == nil {
@@ -97,7 +125,45 @@
 	s.share.told = digest
 	for _, h := range s.entries {
 		if h.Host != s.self.Host {
-			s.emit(msg.SendPeer{To: h.Host, Message: msg.LoadDigest{Targets: digest, Cached: told}})
+			s.emit(msg.SendPeer{To: h.Host, Message: msg.LoadDigest{Targets: digest, Cached: told, Changing: s.changes()}})
+		}
+	}
+}
+
+// changes lists the targets that this daemon has told to change their role.
+func (s *step) changes() []msg.ChangingTarget {
+	var list []msg.ChangingTarget
+	for id := range s.share.changing {
+		t := s.targets[id]
+		if t == nil || s.now >= t.changingUntil {
+			delete(s.share.changing, id)
+			continue
+		}
+		list = append(list, msg.ChangingTarget{Target: id, MS: (t.changingUntil - s.now).Milliseconds()})
+	}
+	slices.SortFunc(list, func(a, b msg.ChangingTarget) int { return cmp.Compare(a.Target, b.Target) })
+	return list
+}
+
+// tellDemand raises what the engines of each service are decoding, now and
+// then.
+func (s *step) tellDemand() {
+	if s.now < s.share.demandAt {
+		return
+	}
+	s.share.demandAt = s.now + demandEvery
+	for id, list := range s.services {
+		d := msg.DemandSeen{Service: id}
+		for _, t := range list {
+			if t.Role != msg.RoleDecode {
+				continue
+			}
+			running, tokens := t.running()
+			d.Streams += running + s.share.running(t.Target)
+			d.Tokens += tokens + s.share.tokens(t.Target)
+		}
+		if d.Streams > 0 {
+			s.raise(d)
 		}
 	}
 }
@@ -107,7 +173,10 @@
 	var list []msg.TargetDigest
 	for id, t := range s.targets {
 		if len(t.open) > 0 {
-			list = append(list, msg.TargetDigest{Target: id, BacklogMS: round(t.backlog(s.now)), Open: len(t.open)})
+			running, tokens := t.running()
+			list = append(list, msg.TargetDigest{
+				Target: id, BacklogMS: round(t.backlog(s.now)), Open: len(t.open), Running: running, Tokens: tokens,
+			})
 		}
 	}
 	slices.SortFunc(list, func(a, b msg.TargetDigest) int { return cmp.Compare(a.Target, b.Target) })
--- a/internal/core/direct/start.go
+++ b/internal/core/direct/start.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"fmt"
 	"strings"
 	"time"
 
@@ -14,7 +15,7 @@
 func (s *step) start(r *request, c candidate, list []candidate) {
 	a := &attempt{
 		id: s.nextAttempt(), req: r, target: c.target, step: c.step, since: s.now,
-		work: c.work, expected: c.cost, chain: r.chain, fingerprint: r.fingerprint,
+		work: c.work, expected: c.cost, tokens: r.arrived.PromptTokens, chain: r.chain, fingerprint: r.fingerprint,
 	}
 	r.attempt = a
 	r.sends++
@@ -89,6 +90,10 @@
 		a.req.streaming = true
 		a.req.mayRun = true
 		s.countRun(a.req)
+		s.logRequest(a.req, "first token",
+			attr("attempt", a.id), attr("target", a.target.Target), attr("took_ms", ms(s.now-a.since)),
+			attr("expected_ms", ms(a.expected)), attr("slow", fmt.Sprintf("%.2f", a.target.slow)),
+		)
 	}
 }
 
--- a/internal/core/direct/target.go
+++ b/internal/core/direct/target.go
@@ -43,6 +43,8 @@
 	failing    float64
 	avoidUntil msg.Time
 	avoidFor   time.Duration
+	// changingUntil is when a change of its role is expected to be over.
+	changingUntil msg.Time
 	// latency is the weighted time of an answer of a plain service.
 	latency time.Duration
 	load    *msg.TargetLoad
@@ -63,7 +65,7 @@
 
 // usable reports whether the target takes new attempts.
 func (t *target) usable(now msg.Time) bool {
-	return !t.gone && !t.Draining && now >= t.avoidUntil
+	return !t.gone && !t.Draining && now >= t.avoidUntil && now >= t.changingUntil
 }
 
 // waiting returns the prefill work that was sent and has given no token yet.
@@ -77,6 +79,18 @@
 	return sum
 }
 
+// running returns the number of attempts that the target decodes and the
+// memory in tokens that they take.
+func (t *target) running() (n, tokens int) {
+	for _, a := range t.open {
+		if a.began {
+			n++
+			tokens += a.tokens
+		}
+	}
+	return n, tokens
+}
+
 // backlog is the time until the work that this daemon sent is expected to be
 // done. Work that is overdue is not.
 func (t *target) backlog(now msg.Time) time.Duration {
@@ -162,6 +176,10 @@
 		if t.Born != in.Born && t.Born != 0 {
 			s.reborn(t)
 		}
+		if t.Role != in.Role {
+			t.changingUntil = 0
+			s.caches.forget(in.Target)
+		}
 		t.Instance = in
 		t.gone = false
 	}
@@ -192,6 +210,13 @@
 	t.avoidFor = 0
 }
 
+// changing keeps requests away from a target that changes its role.
+func (s *step) changing(id msg.TargetID, d time.Duration) {
+	if t := s.targets[id]; t != nil {
+		t.changingUntil = s.now + d
+	}
+}
+
 // strike counts a target's end against the requests that it ran.
 func (s *step) strike(t *target) {
 	for _, b := range t.crashed(s.now) {
--- a/internal/core/msg/direct.go
+++ b/internal/core/msg/direct.go
@@ -324,13 +324,53 @@
 	Reason string
 }
 
+// DemandSeen is raised now and then with what the engines of a service are
+// decoding, over all entry daemons.
+type DemandSeen struct {
+	Service ServiceID
+	// Streams are the running requests and Tokens the memory that they hold.
+	Streams, Tokens int
+}
+
+// OrderRole orders an engine to change its role. [RoleOrdered] answers it.
+type OrderRole struct {
+	Call   CallID
+	Target TargetID
+	Addr   string
+	Role   Role
+	Holder HostID
+	Epoch  Epoch
+	// NotAfter is the instant after which the order must not leave.
+	NotAfter Time
+}
+
+// RoleOrdered is the result of OrderRole.
+type RoleOrdered struct {
+	Call   CallID
+	Status OrderStatus
+	Reason string
+}
+
+// TargetChanging is raised when a target is about to change its role and
+// takes no requests for a while.
+type TargetChanging struct {
+	Target TargetID
+	For    time.Duration
+}
+
 // LoadDigest tells the other entry daemons what this one has open.
 type LoadDigest struct {
 	Targets []TargetDigest `cbor:"1,keyasint,omitempty"`
 	// Cached lists the prompt parts that targets came to hold.
 	Cached []CachedPart `cbor:"2,keyasint,omitempty"`
-	// Strikes lists the requests that brought a target down.
-	Strikes []Strike `cbor:"3,keyasint,omitempty"`
+	// Changing lists the targets that change their role.
+	Changing []ChangingTarget `cbor:"3,keyasint,omitempty"`
+}
+
+// ChangingTarget is a target that takes no requests for some milliseconds.
+type ChangingTarget struct {
+	Target TargetID `cbor:"1,keyasint"`
+	MS     int64    `cbor:"2,keyasint"`
 }
 
 // TargetDigest is one daemon's work at a target.
@@ -339,6 +379,9 @@
 	// BacklogMS is the prefill work in milliseconds.
 	BacklogMS float32 `cbor:"2,keyasint"`
 	Open      int     `cbor:"3,keyasint"`
+	// Running counts those that are decoding, and Tokens their memory.
+	Running int `cbor:"4,keyasint"`
+	Tokens  int `cbor:"5,keyasint"`
 }
 
 // CachedPart tells that a target holds a prompt up to and with a part.
@@ -359,6 +402,9 @@
 func (WindowReported) event()   {}
 func (RunCounted) event()       {}
 func (LimitsChanged) event()    {}
+func (DemandSeen) event()       {}
+func (RoleOrdered) event()      {}
+func (TargetChanging) event()   {}
 
 func (ReadRoutes) effect()    {}
 func (ReadInstances) effect() {}
@@ -367,5 +413,6 @@
 func (FreeHandle) effect()    {}
 func (SetReady) effect()      {}
 func (ReportWindow) effect()  {}
+func (OrderRole) effect()     {}
 
 func (LoadDigest) peerMessage() {}
--- a/internal/core/msg/types.go
+++ b/internal/core/msg/types.go
@@ -42,6 +42,7 @@
 		reflect.TypeFor[RoutesFresh](), reflect.TypeFor[InstancesChanged](), reflect.TypeFor[DirectArrived](),
 		reflect.TypeFor[DirectBegan](), reflect.TypeFor[DirectEnded](), reflect.TypeFor[WindowReported](),
 		reflect.TypeFor[RunCounted](), reflect.TypeFor[LimitsChanged](),
+		reflect.TypeFor[DemandSeen](), reflect.TypeFor[RoleOrdered](), reflect.TypeFor[TargetChanging](),
 	}
 }
 
@@ -65,6 +66,6 @@
 		reflect.TypeFor[Locate](),
 		reflect.TypeFor[ReadRoutes](), reflect.TypeFor[ReadInstances](), reflect.TypeFor[StartDirect](),
 		reflect.TypeFor[PassAnswer](), reflect.TypeFor[FreeHandle](), reflect.TypeFor[SetReady](),
-		reflect.TypeFor[ReportWindow](),
+		reflect.TypeFor[ReportWindow](), reflect.TypeFor[OrderRole](),
 	}
 }
--- /dev/null
+++ b/internal/core/roles/roles.go
@@ -0,0 +1,312 @@
+// Package roles is the part of an entry daemon's reducer that decides which
+// engines read prompts and which decode.
+//
+// An engine that prefills reads prompts twice as fast as one that decodes and
+// reads beside it, so as few engines decode as the running streams need, with
+// room for the loss of some. The holder of a lease gives the orders, one at a
+// time, and leaves an engine alone after an order whose fate is unknown until
+// the order can no longer be applied.
+package roles
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/verbenaspur/verbenaspur/internal/core/msg"
+)
+
+const partName = "roles"
+
+// LeaseName is the lease under which orders are given.
+const LeaseName msg.LeaseName = "roles"
+
+const (
+	// slotFill and memoryFill are the parts of a decoding engine's slots and
+	// memory that running streams may take: cached prompts need the rest.
+	slotFill   = 0.35
+	memoryFill = 0.3
+	// decodeShare is the least part of a service's engines that decodes: the
+	// loss of a few must leave some.
+	decodeShare = 0.3
+	// demandWeight is the weight of a fall in demand; a rise counts at once.
+	demandWeight = 0.02
+	// slack is the number of engines by which demand may be missed before
+	// another order is given.
+	slack = 1
+	// changeTime is how long an engine takes no requests for an order.
+	changeTime = 3500 * time.Millisecond
+	// lateOrder is how long an order without an answer may still be applied.
+	lateOrder = 13 * time.Second
+	// settleTime is how long an engine is left alone after an order.
+	settleTime = 6 * time.Second
+	// changeEvery is the least time between two decisions once the service
+	// runs as planned.
+	changeEvery = time.Second
+)
+
+// Config configures the part.
+type Config struct {
+	Self msg.HostID
+	// Settling is the time for which a new holder of the lease does not act.
+	Settling time.Duration
+}
+
+// Part is the roles part.
+type Part struct {
+	cfg      Config
+	engines  map[msg.ServiceID]*msg.EngineSpec
+	services map[msg.ServiceID][]msg.Instance
+	demand   map[msg.ServiceID]*demand
+	// leave holds until when an engine gets no order.
+	leave map[msg.TargetID]msg.Time
+
+	held     bool
+	epoch    msg.Epoch
+	until    msg.Time
+	actAt    msg.Time
+	decideAt msg.Time
+
+	lastCall msg.CallID
+	open     bool
+	ordered  msg.TargetID
+	role     msg.Role
+	// told holds the roles that engines were told and the list does not show
+	// yet, and until when they count.
+	told map[msg.TargetID]toldRole
+}
+
+type toldRole struct {
+	role  msg.Role
+	until msg.Time
+}
+
+// demand is what a service's engines decode, weighted over time.
+type demand struct{ streams, tokens float64 }
+
+// New returns the part.
+func New(cfg Config) *Part {
+	return &Part{
+		cfg:      cfg,
+		engines:  make(map[msg.ServiceID]*msg.EngineSpec),
+		services: make(map[msg.ServiceID][]msg.Instance),
+		demand:   make(map[msg.ServiceID]*demand),
+		leave:    make(map[msg.TargetID]msg.Time),
+		told:     make(map[msg.TargetID]toldRole),
+	}
+}
+
+// Step implements the reducer's part.
+func (p *Part) Step(now msg.Time, ev msg.Event) []msg.Effect {
+	switch ev := ev.(type) {
+	case msg.Started:
+		return []msg.Effect{msg.Raise{Event: msg.LeaseWanted{Name: LeaseName, Want: true}}}
+	case msg.RoutesChanged:
+		p.onRoutes(ev)
+	case msg.InstancesChanged:
+		p.onInstances(ev)
+	case msg.DemandSeen:
+		p.onDemand(ev)
+	case msg.LeaseChanged:
+		p.onLease(now, ev)
+	case msg.RoleOrdered:
+		return p.onOrdered(now, ev)
+	case msg.Tick:
+		return p.onTick(now)
+	}
+	return nil
+}
+
+func (p *Part) onRoutes(ev msg.RoutesChanged) {
+	p.engines = make(map[msg.ServiceID]*msg.EngineSpec)
+	for _, s := range ev.Table.Services {
+		if s.Engine != nil {
+			p.engines[s.Service] = s.Engine
+		}
+	}
+}
+
+func (p *Part) onInstances(ev msg.InstancesChanged) {
+	p.services = make(map[msg.ServiceID][]msg.Instance)
+	for _, in := range ev.Instances {
+		if !in.Draining && in.Role != msg.RoleMixed {
+			p.services[in.Service] = append(p.services[in.Service], in)
+		}
+	}
+}
+
+func (p *Part) onDemand(ev msg.DemandSeen) {
+	d := p.demand[ev.Service]
+	if d == nil {
+		d = &demand{}
+		p.demand[ev.Service] = d
+	}
+	d.streams = follow(d.streams, float64(ev.Streams))
+	d.tokens = follow(d.tokens, float64(ev.Tokens))
+}
+
+// follow takes a rise at once and a fall slowly.
+func follow(old, v float64) float64 {
+	if v > old {
+		return v
+	}
+	return old + demandWeight*(v-old)
+}
+
+func (p *Part) onLease(now msg.Time, ev msg.LeaseChanged) {
+	if ev.Name != LeaseName {
+		return
+	}
+	if ev.Held && (!p.held || ev.Epoch != p.epoch) {
+		p.actAt = now + p.cfg.Settling
+	}
+	p.held = ev.Held
+	p.epoch = ev.Epoch
+	p.until = ev.Until
+}
+
+func (p *Part) onTick(now msg.Time) []msg.Effect {
+	if !p.held || now >= p.until || now < p.actAt || now < p.decideAt || p.open {
+		return nil
+	}
+	p.decideAt = now + changeEvery/4
+	ids := make([]msg.ServiceID, 0, len(p.services))
+	for id := range p.services {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	for _, id := range ids {
+		if effs := p.decide(now, id); effs != nil {
+			return effs
+		}
+	}
+	return nil
+}
+
+// decide orders one engine of a service to change where that brings the
+// number of those that decode nearer to what is needed.
+func (p *Part) decide(now msg.Time, id msg.ServiceID) []msg.Effect {
+	spec := p.engines[id]
+	list := p.assumed(now, id)
+	if spec == nil || len(list) < 2 {
+		return nil
+	}
+	decoding := 0
+	for _, in := range list {
+		if in.Role == msg.RoleDecode {
+			decoding++
+		}
+	}
+	want := p.wanted(spec, id, list)
+	role := msg.RolePrefill
+	switch {
+	case decoding > want:
+	case decoding < want-slack, decoding < want && decoding < domains(list):
+		role = msg.RoleDecode
+	default:
+		return nil
+	}
+	in, ok := p.choose(now, list, role)
+	if !ok {
+		return nil
+	}
+	return p.order(now, in, role, decoding, want)
+}
+
+// assumed lists a service's engines with the roles that they were told.
+func (p *Part) assumed(now msg.Time, id msg.ServiceID) []msg.Instance {
+	list := slices.Clone(p.services[id])
+	for i := range list {
+		t, ok := p.told[list[i].Target]
+		switch {
+		case ok && (now >= t.until || list[i].Role == t.role):
+			delete(p.told, list[i].Target)
+		case ok:
+			list[i].Role = t.role
+		}
+	}
+	return list
+}
+
+// wanted is the number of engines that are to decode.
+func (p *Part) wanted(spec *msg.EngineSpec, id msg.ServiceID, list []msg.Instance) int {
+	need := math.Ceil(decodeShare * float64(len(list)))
+	if d := p.demand[id]; d != nil {
+		need = max(need, math.Ceil(d.streams/(slotFill*float64(max(spec.Slots, 1)))))
+		need = max(need, math.Ceil(d.tokens/(memoryFill*float64(max(spec.CacheTokens, 1)))))
+	}
+	return min(max(int(need), domains(list)), len(list)-1)
+}
+
+func domains(list []msg.Instance) int {
+	seen := make(map[msg.FailureDomain]bool)
+	for _, in := range list {
+		seen[in.Domain] = true
+	}
+	return len(seen)
+}
+
+// choose picks an engine to change to a role: one of the failure domain that
+// has most of the other role.
+func (p *Part) choose(now msg.Time, list []msg.Instance, role msg.Role) (msg.Instance, bool) {
+	count := make(map[msg.FailureDomain]int)
+	var free []msg.Instance
+	for _, in := range list {
+		if in.Role == role {
+			continue
+		}
+		count[in.Domain]++
+		if now >= p.leave[in.Target] {
+			free = append(free, in)
+		}
+	}
+	if len(free) == 0 {
+		return msg.Instance{}, false
+	}
+	return slices.MinFunc(free, func(a, b msg.Instance) int {
+		return cmp.Or(cmp.Compare(count[b.Domain], count[a.Domain]), cmp.Compare(a.Target, b.Target))
+	}), true
+}
+
+func (p *Part) order(now msg.Time, in msg.Instance, role msg.Role, decoding, want int) []msg.Effect {
+	p.lastCall++
+	p.open = true
+	p.ordered = in.Target
+	p.role = role
+	p.leave[in.Target] = now + settleTime
+	return []msg.Effect{
+		msg.Raise{Event: msg.TargetChanging{Target: in.Target, For: changeTime}},
+		msg.OrderRole{
+			Call: p.lastCall, Target: in.Target, Addr: in.Addr, Role: role,
+			Holder: p.cfg.Self, Epoch: p.epoch, NotAfter: p.until,
+		},
+		msg.LogLine{Part: partName, Text: "role change ordered", Attrs: []msg.Attr{
+			{Key: "target", Value: string(in.Target)},
+			{Key: "role", Value: role.String()},
+			{Key: "epoch", Value: strconv.FormatUint(uint64(p.epoch), 10)},
+			{Key: "decoding", Value: strconv.Itoa(decoding)},
+			{Key: "wanted", Value: strconv.Itoa(want)},
+		}},
+	}
+}
+
+func (p *Part) onOrdered(now msg.Time, ev msg.RoleOrdered) []msg.Effect {
+	if ev.Call != p.lastCall {
+		return nil
+	}
+	p.open = false
+	if ev.Status == msg.OrderUnknown {
+		p.leave[p.ordered] = now + lateOrder
+	}
+	if ev.Status == msg.OrderDone || ev.Status == msg.OrderUnknown {
+		// The list shows the new role only when the change is over.
+		p.told[p.ordered] = toldRole{p.role, p.leave[p.ordered]}
+	}
+	return []msg.Effect{msg.LogLine{Part: partName, Text: "role change answered", Attrs: []msg.Attr{
+		{Key: "target", Value: string(p.ordered)},
+		{Key: "status", Value: [...]string{"done", "stale", "busy", "unready", "failed", "unknown"}[ev.Status]},
+		{Key: "reason", Value: ev.Reason},
+	}}}
+}
