Direct path: second prefills and the runs after them draw on the budget; three engines decode

A connection that never opened was counted though nothing arrived. A safe request's failure was replaced by 502 when no other target was left, though the target's answer was at hand.

Kept: 0.15 and at least three, so that the loss of two leaves one.

--- a/internal/core/direct/end.go
+++ b/internal/core/direct/end.go
@@ -8,7 +8,7 @@
 
 const (
 	// maxSends bounds the attempts of one request, whatever they came to.
-	maxSends = 4
+	maxSends = 5
 	// leastLeft is the time that a further attempt must have.
 	leastLeft = 40 * time.Millisecond
 )
@@ -83,49 +83,47 @@
 	case msg.DirectPrefilled:
 		r.handle = ev.Handle
 		r.source = a.target.Target
-		r.prefills++
-		s.next(r, false)
+		s.next(r)
 		return
 	case msg.DirectUnreached:
+		r.sent(a.step, -1)
 		r.exclude = append(r.exclude, a.target.Target)
-		s.next(r, false)
+		s.next(r)
 		return
 	case msg.DirectNotRun:
 		r.exclude = append(r.exclude, a.target.Target)
-		s.next(r, true)
+		s.next(r)
 		return
 	case msg.DirectFailed:
 		if prefill {
 			r.exclude = append(r.exclude, a.target.Target)
-			s.next(r, true)
+			s.next(r)
 			return
 		}
 		s.countRun(r)
 		r.runs++
 		r.mayRun = true
+		r.held = true
 		if r.route.Repeat == msg.RepeatSafe && s.mayRepeat(r) {
 			r.exclude = append(r.exclude, a.target.Target)
-			s.next(r, true)
+			s.next(r)
 			return
 		}
-		s.emit(msg.PassAnswer{Req: r.arrived.Req})
-		s.forget(r)
-		return
 	case msg.DirectBroken:
 		r.exclude = append(r.exclude, a.target.Target)
 		if prefill {
-			s.next(r, true)
+			s.next(r)
 			return
 		}
 		r.runs++
 		r.mayRun = true
 		if s.repeatable(r) && s.mayRepeat(r) {
-			s.next(r, true)
+			s.next(r)
 			return
 		}
 	case msg.DirectCancelled:
 	}
-	s.giveUp(r, "broken")
+	s.giveUp(r, ev.Result.String())
 }
 
 // repeatable reports whether a request may run once more after a run that
@@ -140,24 +138,26 @@
 // mayRepeat reports whether the route allows another run.
 func (s *step) mayRepeat(r *request) bool { return r.runs < r.route.Attempts }
 
-// next starts the request's next attempt or ends it. Paid says that the
-// attempt draws on the budget of repeats.
-func (s *step) next(r *request, paid bool) {
-	switch {
-	case r.sends >= maxSends || s.left(r) < leastLeft:
+// next starts the request's next attempt or ends it.
+func (s *step) next(r *request) {
+	if r.sends >= maxSends || s.left(r) < leastLeft {
 		s.giveUp(r, "no-time")
 		return
-	case paid && !s.budget(r.service).spend(s.now, s.limits, len(s.entries)):
-		s.giveUp(r, "no-budget")
-		return
 	}
 	if ref := s.place(r); ref != nil {
 		s.giveUp(r, ref.code)
 	}
 }
 
-// giveUp ends a request that can't be served.
+// giveUp ends a request that can't be served: with a target's own failure
+// where there is one.
 func (s *step) giveUp(r *request, code string) {
+	if r.held && !r.streaming {
+		s.emit(msg.PassAnswer{Req: r.arrived.Req})
+		s.logRequest(r, "failure passed on", attr("code", code), attr("route", r.route.Name))
+		s.forget(r)
+		return
+	}
 	ref := refusal{statusUnavailable, code, retrySoon}
 	if r.mayRun {
 		ref = refusal{statusBadGateway, code, 0}
--- a/internal/core/direct/place.go
+++ b/internal/core/direct/place.go
@@ -46,6 +46,9 @@
 	if r.generation() && r.handle == "" && r.runs == 0 && late > 0 {
 		return &refusal{statusUnavailable, "overloaded", max(late, retrySoon)}
 	}
+	if r.repeats(best.step) && !s.budget(r.service).spend(s.now, s.limits, len(s.entries)) {
+		return &refusal{statusUnavailable, "no-budget", retrySoon}
+	}
 	s.start(r, best, list)
 	return nil
 }
--- a/internal/core/direct/request.go
+++ b/internal/core/direct/request.go
@@ -20,11 +20,13 @@
 	chain []chainPart
 
 	attempt *attempt
-	// runs counts the attempts that may have run, sends all that were sent
-	// and prefills those that only read the prompt.
-	runs, sends, prefills int
+	// runs counts the attempts that may have run, sends all that were sent,
+	// and calls and prefills those that arrived, apart from each other.
+	runs, sends, calls, prefills int
 	// mayRun says that a run of this request can't be ruled out.
 	mayRun bool
+	// held says that the driver holds a failure of a target to be passed on.
+	held bool
 	// counted says that its run was counted for usage.
 	counted bool
 	// handle names the prompt that was read at source.
@@ -78,6 +80,24 @@
 	return r.route.Priority
 }
 
+// repeats reports whether an attempt of a step is an arrival beyond the
+// request's first: the first prefill and the first run are not.
+func (r *request) repeats(step msg.DirectStep) bool {
+	if step == msg.StepPrefill {
+		return r.prefills > 0
+	}
+	return r.calls > 0
+}
+
+// sent counts an attempt's arrival, or takes it back with -1.
+func (r *request) sent(step msg.DirectStep, n int) {
+	if step == msg.StepPrefill {
+		r.prefills += n
+		return
+	}
+	r.calls += n
+}
+
 // generation reports whether the request is a prompt for a model engine.
 func (r *request) generation() bool { return r.arrived.PromptTokens > 0 }
 
--- a/internal/core/direct/start.go
+++ b/internal/core/direct/start.go
@@ -19,6 +19,7 @@
 	}
 	r.attempt = a
 	r.sends++
+	r.sent(c.step, 1)
 	s.attempts[a.id] = a
 	c.target.begin(s.now, a)
 	spec := msg.DirectSpec{
--- a/internal/core/roles/roles.go
+++ b/internal/core/roles/roles.go
@@ -26,11 +26,13 @@
 const (
 	// slotFill and memoryFill are the parts of a decoding engine's slots and
 	// memory that running streams may take: cached prompts need the rest.
-	slotFill   = 0.35
-	memoryFill = 0.3
+	slotFill   = 0.6
+	memoryFill = 0.5
 	// decodeShare is the least part of a service's engines that decodes: the
 	// loss of a few must leave some.
-	decodeShare = 0.3
+	decodeShare = 0.15
+	// least is the number of engines that decode at the least.
+	least = 3
 	// demandWeight is the weight of a fall in demand; a rise counts at once.
 	demandWeight = 0.02
 	// slack is the number of engines by which demand may be missed before
@@ -203,7 +205,7 @@
 	role := msg.RolePrefill
 	switch {
 	case decoding > want:
-	case decoding < want-slack, decoding < want && decoding < domains(list):
+	case decoding < want-slack, decoding < want && decoding < least:
 		role = msg.RoleDecode
 	default:
 		return nil
@@ -237,15 +239,7 @@
 		need = max(need, math.Ceil(d.streams/(slotFill*float64(max(spec.Slots, 1)))))
 		need = max(need, math.Ceil(d.tokens/(memoryFill*float64(max(spec.CacheTokens, 1)))))
 	}
-	return min(max(int(need), domains(list)), len(list)-1)
-}
-
-func domains(list []msg.Instance) int {
-	seen := make(map[msg.FailureDomain]bool)
-	for _, in := range list {
-		seen[in.Domain] = true
-	}
-	return len(seen)
+	return min(max(int(need), least), len(list)-1)
 }
 
 // choose picks an engine to change to a role: one of the failure domain that
