--- a/internal/core/direct/world_test.go
+++ b/internal/core/direct/world_test.go
@@ -19,7 +19,6 @@
 	now msg.Time
 	// effects holds the effects of the last step.
 	effects []msg.Effect
-	version uint64
 	reqs    int
 }
 
