Fewer calls of the store; a new lease holder acts at once; an outage is failed reads

Reads now follow half of the bound that they serve and back off to 600 ms; the list of entries may lag.

--- a/internal/core/catalog/catalog.go
+++ b/internal/core/catalog/catalog.go
@@ -17,17 +17,21 @@
 
 // Defaults of [Config].
 const (
-	DefaultRoutesEvery    = 900 * time.Millisecond
-	DefaultInstancesEvery = 600 * time.Millisecond
-	// DefaultOutage is the time without a list after which missing targets
-	// may have lapsed at the platform instead of having left.
+	DefaultRoutesEvery    = time.Second
+	DefaultInstancesEvery = time.Second
+	// DefaultOutage is the time in which reads failed after which missing
+	// targets may have lapsed at the platform instead of having left.
 	DefaultOutage = 1500 * time.Millisecond
 	// DefaultReturn is how long such targets have to register again.
 	DefaultReturn = 2 * time.Second
 )
 
-// retryEvery is the time between a failed read and the next.
-const retryEvery = 150 * time.Millisecond
+// retryFirst and retryMost bound the time between a failed read and the next,
+// which doubles.
+const (
+	retryFirst = 150 * time.Millisecond
+	retryMost  = 600 * time.Millisecond
+)
 
 // Config configures the part. Zero durations select the defaults.
 type Config struct {
@@ -56,6 +60,7 @@
 	// fail.
 	down  bool
 	since msg.Time
+	wait  time.Duration
 }
 
 // Part is the catalog part.
@@ -121,6 +126,11 @@
 // answered closes a poll's call and logs where reads begin or end to fail.
 func (l *poll) answered(now msg.Time, ok bool, what, reason string) []msg.Effect {
 	l.call = 0
+	l.wait = min(max(2*l.wait, retryFirst), retryMost)
+	l.next = now + l.wait
+	if ok {
+		l.wait = 0
+	}
 	wasDown := l.down
 	l.down = !ok
 	if wasDown == l.down {
@@ -148,7 +158,6 @@
 	ok := ev.Status == msg.CallOK && ev.Table != nil
 	effs := p.routes.answered(now, ok, "routes", ev.Reason)
 	if !ok {
-		p.routes.next = now + retryEvery
 		return effs
 	}
 	p.routes.next = max(ev.Sent+p.cfg.RoutesEvery, now)
--- a/internal/core/catalog/instances.go
+++ b/internal/core/catalog/instances.go
@@ -12,16 +12,16 @@
 		return nil
 	}
 	ok := ev.Status == msg.CallOK
+	wasDown := p.list.down
 	effs := p.list.answered(now, ok, "targets", ev.Reason)
 	if !ok {
-		p.list.next = now + retryEvery
 		return effs
 	}
 	p.list.next = max(ev.Sent+p.cfg.InstancesEvery, now)
 	if ev.Revision < p.revision {
 		return append(effs, msg.LogLine{Part: partName, Level: msg.LogError, Text: "list of targets is older than the last one"})
 	}
-	if p.listed != 0 && ev.Sent-p.listed > p.cfg.Outage {
+	if wasDown && p.listed != 0 && ev.Sent-p.listed > p.cfg.Outage {
 		p.graceUntil = now + p.cfg.Return
 	}
 	p.revision = ev.Revision
--- a/internal/core/direct.go
+++ b/internal/core/direct.go
@@ -21,6 +21,7 @@
 	// PeerAddr is where the other entry daemons reach this one.
 	PeerAddr string
 	Limits   msg.DirectLimits
+	Catalog  catalog.Config
 	// UsageWindow is the length of a usage window; zero where no usage is
 	// reported.
 	UsageWindow time.Duration
@@ -33,11 +34,15 @@
 // Lease times of the direct path. A window's report is due within seconds, so
 // a holder that was lost has to be followed sooner than on the other path.
 const (
-	directLeaseLength = 3500 * time.Millisecond
-	directLeaseMargin = 700 * time.Millisecond
-	directLeaseRenew  = 1200 * time.Millisecond
-	directObserve     = 1500 * time.Millisecond
-	directCallLimit   = 1600 * time.Millisecond
+	directLeaseLength = 3 * time.Second
+	directLeaseMargin = 600 * time.Millisecond
+	directLeaseRenew  = time.Second
+	directObserve     = 1200 * time.Millisecond
+	// directCallLimit bounds the calls under a lease, and turnSlack is by how
+	// much two hand-overs take longer than the time within which holders must
+	// not take turns.
+	directCallLimit = 1600 * time.Millisecond
+	turnSlack       = 200 * time.Millisecond
 )
 
 // Direct is the reducer of an entry daemon that drives its targets itself.
@@ -52,20 +57,23 @@
 	leases := lease.New(lease.Config{
 		Self: cfg.Self.Host, Incarnation: cfg.Incarnation,
 		Length: directLeaseLength, Margin: directLeaseMargin, Renew: directLeaseRenew,
-		Observe: directObserve, CallDeadline: directCallLimit,
+		Observe: directObserve,
+		// A lease that was given up is closed for this long: a holder that
+		// comes back after another one does so after two such times.
+		CallDeadline: max(directCallLimit, (cfg.LeaseTurn+turnSlack)/2),
 	})
 	members := roster.New(cfg.Self, cfg.Incarnation, cfg.PeerAddr)
 	flushers := []idler{leases, members}
-	parts := []reducer.Part{leases, members, catalog.New(catalog.Config{}), d.requests}
+	parts := []reducer.Part{leases, members, catalog.New(cfg.Catalog), d.requests}
 	if cfg.UsageWindow > 0 {
 		usage := meter.New(meter.Config{
 			Self: cfg.Self.Host, Incarnation: cfg.Incarnation,
-			Window: cfg.UsageWindow, Settling: cfg.LeaseTurn,
+			Window: cfg.UsageWindow,
 		})
 		parts = append(parts, usage)
 		flushers = append(flushers, usage)
 	}
-	parts = append(parts, roles.New(roles.Config{Self: cfg.Self.Host, Settling: cfg.LeaseTurn}))
+	parts = append(parts, roles.New(roles.Config{Self: cfg.Self.Host}))
 	parts = append(parts, &stopper{requests: d.requests, flushers: flushers})
 	d.Reducer = newObserved(cfg.Observer, parts...)
 	return d
--- a/internal/core/meter/meter.go
+++ b/internal/core/meter/meter.go
@@ -56,9 +56,6 @@
 	Incarnation msg.Incarnation
 	// Window is the length of a usage window.
 	Window time.Duration
-	// Settling is the time for which a new holder of the lease does not act,
-	// so that two holders never take turns faster than the platform allows.
-	Settling time.Duration
 }
 
 // Part is the meter part.
--- a/internal/core/meter/report.go
+++ b/internal/core/meter/report.go
@@ -26,6 +26,9 @@
 	Windows map[int64]counts `json:"windows"`
 	// Last is the highest window that was frozen.
 	Last int64 `json:"last"`
+	// Reported is the highest window up to which all were reported when the
+	// object was written.
+	Reported int64 `json:"reported"`
 }
 
 // reporter is the part's state under the lease.
@@ -36,7 +39,6 @@
 	held  bool
 	epoch msg.Epoch
 	until msg.Time
-	actAt msg.Time
 
 	// known says that record is the object as it stands at the version stored.
 	known  bool
@@ -65,7 +67,7 @@
 		p.entries = ev.Entries
 	case msg.LeaseChanged:
 		if ev.Name == LeaseName {
-			p.onLease(now, ev)
+			p.onLease(ev)
 		}
 	case msg.WindowReported:
 		if ev.Call == p.lastCall {
@@ -75,9 +77,8 @@
 	return effs
 }
 
-func (p *Part) onLease(now msg.Time, ev msg.LeaseChanged) {
+func (p *Part) onLease(ev msg.LeaseChanged) {
 	if ev.Held && (!p.held || ev.Epoch != p.epoch) {
-		p.actAt = now + p.cfg.Settling
 		p.known = false
 		p.sent = make(map[int64]bool)
 	}
@@ -88,7 +89,7 @@
 
 // advance takes the holder's next step.
 func (p *Part) advance(now msg.Time) []msg.Effect {
-	if !p.held || now >= p.until || now < p.actAt || now < p.nextAt || p.open {
+	if !p.held || now >= p.until || now < p.nextAt || p.open {
 		return nil
 	}
 	if !p.known {
@@ -118,7 +119,7 @@
 func (p *Part) unsent() (int64, bool) {
 	var best int64
 	for w := range p.record.Windows {
-		if !p.sent[w] && (best == 0 || w < best) {
+		if w > p.record.Reported && !p.sent[w] && (best == 0 || w < best) {
 			best = w
 		}
 	}
@@ -234,7 +235,8 @@
 }
 
 func (p *Part) freeze(now msg.Time, window int64, sum counts, complete bool) []msg.Effect {
-	next := frozenRecord{Windows: make(map[int64]counts), Last: window}
+	// All that was frozen before has been reported by now: see unsent.
+	next := frozenRecord{Windows: make(map[int64]counts), Last: window, Reported: p.record.Last}
 	for w, c := range p.record.Windows {
 		if w > window-keepFrozen {
 			next.Windows[w] = c
--- a/internal/core/roles/roles.go
+++ b/internal/core/roles/roles.go
@@ -50,11 +50,7 @@
 )
 
 // Config configures the part.
-type Config struct {
-	Self msg.HostID
-	// Settling is the time for which a new holder of the lease does not act.
-	Settling time.Duration
-}
+type Config struct{ Self msg.HostID }
 
 // Part is the roles part.
 type Part struct {
@@ -68,7 +64,6 @@
 	held     bool
 	epoch    msg.Epoch
 	until    msg.Time
-	actAt    msg.Time
 	decideAt msg.Time
 
 	lastCall msg.CallID
@@ -112,7 +107,7 @@
 	case msg.DemandSeen:
 		p.onDemand(ev)
 	case msg.LeaseChanged:
-		p.onLease(now, ev)
+		p.onLease(ev)
 	case msg.RoleOrdered:
 		return p.onOrdered(now, ev)
 	case msg.Tick:
@@ -157,20 +152,17 @@
 	return old + demandWeight*(v-old)
 }
 
-func (p *Part) onLease(now msg.Time, ev msg.LeaseChanged) {
+func (p *Part) onLease(ev msg.LeaseChanged) {
 	if ev.Name != LeaseName {
 		return
 	}
-	if ev.Held && (!p.held || ev.Epoch != p.epoch) {
-		p.actAt = now + p.cfg.Settling
-	}
 	p.held = ev.Held
 	p.epoch = ev.Epoch
 	p.until = ev.Until
 }
 
 func (p *Part) onTick(now msg.Time) []msg.Effect {
-	if !p.held || now >= p.until || now < p.actAt || now < p.decideAt || p.open {
+	if !p.held || now >= p.until || now < p.decideAt || p.open {
 		return nil
 	}
 	p.decideAt = now + changeEvery/4
--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -17,8 +17,8 @@
 const (
 	// writeEvery and readEvery are the times between two writes of the own
 	// record and between two reads of all.
-	writeEvery = 4 * time.Second
-	readEvery  = 4 * time.Second
+	writeEvery = 5 * time.Second
+	readEvery  = 3 * time.Second
 	// readSoon is the time between reads of a young process, which has to
 	// find its peers.
 	readSoon = time.Second
@@ -28,6 +28,8 @@
 	// silence is the time without a sign of life after which a daemon counts
 	// as gone.
 	silence = 3*writeEvery - time.Second
+	// quiet is the same for one whose messages have been heard.
+	quiet = 4 * time.Second
 )
 
 const (
@@ -52,8 +54,18 @@
 	host    msg.Host
 	version msg.Version
 	leaving bool
-	// alive is the last sign of life.
+	// alive is the last sign of life, and heard says that it was a message.
 	alive msg.Time
+	heard bool
+}
+
+// live reports whether the daemon counts as running.
+func (o *peer) live(now msg.Time) bool {
+	limit := silence
+	if o.heard {
+		limit = quiet
+	}
+	return !o.leaving && now-o.alive <= limit
 }
 
 // Part is the roster part.
@@ -100,6 +112,7 @@
 	case msg.PeerReceived:
 		if o := p.peers[ev.From]; o != nil {
 			o.alive = now
+			o.heard = true
 		}
 	case msg.StopRequested:
 		p.leaving = true
@@ -117,7 +130,7 @@
 	}
 	if !p.reading && now >= p.readAt {
 		p.reading = true
-		effs = append(effs, p.store.List(tagRead, msg.KindEntry, ""))
+		effs = append(effs, p.store.ListLagging(tagRead, msg.KindEntry))
 	}
 	return append(effs, p.publish(now)...)
 }
@@ -194,11 +207,12 @@
 		known = &peer{}
 		p.peers[id] = known
 	}
-	if known.version == o.Version {
+	if o.Version <= known.version {
 		return
 	}
 	known.version = o.Version
 	known.alive = now
+	known.heard = false
 	known.leaving = rec.Leaving
 	known.host = msg.Host{Host: id, Addr: rec.Addr, Domain: rec.Domain, Region: rec.Region, Kind: msg.HostEntry}
 }
@@ -208,7 +222,7 @@
 	list := []msg.Host{{Host: p.self.Host, Addr: p.addr, Domain: p.self.Domain, Region: p.self.Region, Kind: msg.HostEntry}}
 	for _, o := range p.peers {
 		// A silent one is remembered, so that its old object is no news.
-		if !o.leaving && now-o.alive <= silence {
+		if o.live(now) {
 			list = append(list, o.host)
 		}
 	}
--- a/internal/core/store/store.go
+++ b/internal/core/store/store.go
@@ -140,6 +140,12 @@
 	return msg.ListObjects{Call: id, Kind: kind, Prefix: prefix}
 }
 
+// ListLagging reads the objects of a kind as they were up to some seconds ago.
+func (c *Client) ListLagging(tag uint64, kind msg.Kind) msg.Effect {
+	id := c.open(&call{tag: tag, op: OpList})
+	return msg.ListObjects{Call: id, Kind: kind, MayLag: true}
+}
+
 // Watch waits for changes of a kind.
 func (c *Client) Watch(tag uint64, kind msg.Kind, since msg.Revision, wait time.Duration) msg.Effect {
 	id := c.open(&call{tag: tag, op: OpWatch})
--- a/internal/daemon/direct_run.go
+++ b/internal/daemon/direct_run.go
@@ -18,6 +18,7 @@
 
 	"github.com/verbenaspur/verbenaspur/internal/bootclock"
 	"github.com/verbenaspur/verbenaspur/internal/core"
+	"github.com/verbenaspur/verbenaspur/internal/core/catalog"
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
 	"github.com/verbenaspur/verbenaspur/internal/kept"
 	"github.com/verbenaspur/verbenaspur/internal/metrics"
@@ -138,7 +139,11 @@
 func directConfig(s *platform.Settings, started msg.Started, watch *metrics.Direct) core.DirectConfig {
 	cfg := core.DirectConfig{
 		Self: started.Self, Incarnation: started.Incarnation, PeerAddr: s.PeerAddr(),
-		Limits:    directLimits(s),
+		Limits: directLimits(s),
+		Catalog: catalog.Config{
+			RoutesEvery:    readEvery(s.Bounds.ConfigInForce),
+			InstancesEvery: readEvery(s.Bounds.Leaving),
+		},
 		LeaseTurn: s.Bounds.LeaseTurn,
 		Observer:  watch,
 	}
@@ -148,6 +153,10 @@
 	return cfg
 }
 
+// readEvery is how often something is read of which a change must be in force
+// within a limit: often enough that one read may fail.
+func readEvery(limit time.Duration) time.Duration { return limit / 2 }
+
 func directLimits(s *platform.Settings) msg.DirectLimits {
 	return msg.DirectLimits{
 		FreshFor:    time.Duration(keyMargin * float64(s.Bounds.KeyStops)),
