Usage: counts are told to the lease's candidates, a median clock; caches by part; four engines decode

Mended: at least four and a fifth of the engines decode; counts go to the candidates of the usage lease by datagram every second, and a window waits 7.5 s of the 10 for them; what engines hold is followed by part id, listed by one entry for each engine at its start and told to entries that join; the wall clock is the median of the entries' clocks.

--- a/internal/core/direct.go
+++ b/internal/core/direct.go
@@ -25,6 +25,8 @@
 	// UsageWindow is the length of a usage window; zero where no usage is
 	// reported.
 	UsageWindow time.Duration
+	// UsageCollect is how long after its end a window waits for counts.
+	UsageCollect time.Duration
 	// LeaseTurn is the time within which two holders must not take turns.
 	LeaseTurn time.Duration
 	// Observer is a part that sees each event before the others; nil for none.
@@ -68,7 +70,7 @@
 	if cfg.UsageWindow > 0 {
 		usage := meter.New(meter.Config{
 			Self: cfg.Self.Host, Incarnation: cfg.Incarnation,
-			Window: cfg.UsageWindow,
+			Window: cfg.UsageWindow, Collect: cfg.UsageCollect,
 		})
 		parts = append(parts, usage)
 		flushers = append(flushers, usage)
--- a/internal/core/direct/arrive.go
+++ b/internal/core/direct/arrive.go
@@ -40,7 +40,7 @@
 }
 
 func (s *step) onArrived(ev msg.DirectArrived) {
-	r := &request{arrived: ev, since: s.now, lastEvent: ev.LastEvent, chain: chainOf(ev.Parts)}
+	r := &request{arrived: ev, since: s.now, lastEvent: ev.LastEvent, parts: sharedParts(ev.Parts)}
 	if ref := s.accept(r); ref != nil {
 		s.refuse(r, *ref)
 		return
--- a/internal/core/direct/direct.go
+++ b/internal/core/direct/direct.go
@@ -29,6 +29,7 @@
 	rand        *rand.Rand
 	wall        time.Time
 	seq         uint64
+	lastCall    msg.CallID
 	stopping    bool
 	ready       bool
 
@@ -125,8 +126,11 @@
 	case msg.InstancesChanged:
 		s.onInstances(ev)
 	case msg.MembersChanged:
+		s.greet(ev.Entries)
 		s.entries = ev.Entries
 		s.share.keep(ev.Entries)
+	case msg.CacheRead:
+		s.onCacheRead(ev)
 	case msg.TargetChanging:
 		s.changing(ev.Target, ev.For)
 		s.share.changing[ev.Target] = true
@@ -145,6 +149,7 @@
 	}
 	s.tellShare()
 	s.tellDemand()
+	s.listCaches()
 	s.updateReady()
 }
 
--- a/internal/core/direct/end.go
+++ b/internal/core/direct/end.go
@@ -48,7 +48,7 @@
 	case msg.DirectDone, msg.DirectPrefilled:
 		t.firstToken(s.now, a)
 		t.outcome(true)
-		if a.chain == nil && a.work == 0 {
+		if a.parts == nil && a.work == 0 {
 			t.latencyOf(s.now - a.since)
 		}
 		if ev.Result == msg.DirectPrefilled {
@@ -122,6 +122,10 @@
 			return
 		}
 	case msg.DirectCancelled:
+		// Only the caller's leaving cancels the attempt of an open request.
+		s.logRequest(r, "caller left")
+		s.forget(r)
+		return
 	}
 	s.giveUp(r, ev.Result.String())
 }
--- a/internal/core/direct/place.go
+++ b/internal/core/direct/place.go
@@ -101,7 +101,7 @@
 	far := source != nil && source.Domain != t.Domain
 	c := candidate{target: t, step: msg.StepDecode, wait: s.wait(t)}
 	c.cost = c.wait/4 + transferTime(s.engine(t), r.arrived.PromptTokens, far) + time.Duration(len(t.open))*time.Millisecond
-	if s.caches.held(t.Target, r.chain) > 0 {
+	if s.caches.held(t.Target, r.parts) > 0 {
 		c.cost -= time.Millisecond
 	}
 	c.cost = penalize(c.cost, t)
@@ -112,7 +112,7 @@
 // with the request, one that prefills hands it on.
 func (s *step) scoreRead(r *request, t *target) (candidate, bool) {
 	c := candidate{target: t, step: msg.StepWhole, wait: s.wait(t)}
-	cached := s.caches.held(t.Target, r.chain)
+	cached := s.caches.held(t.Target, r.parts)
 	from, held := s.bestHolder(r, t, cached)
 	var fetch time.Duration
 	if from != nil {
@@ -134,36 +134,31 @@
 }
 
 // bestHolder returns the engine that holds the longest prefix of the prompt,
-// if it is longer than what t holds itself.
+// if it is longer than what t holds itself: one of t's failure domain first.
 func (s *step) bestHolder(r *request, t *target, cached int) (*target, int) {
-	for i := len(r.chain) - 1; i >= 0; i-- {
-		if r.chain[i].tokens <= cached || r.chain[i].tokens < minShared {
-			return nil, 0
-		}
-		if h := s.holder(r.chain[i].id, t); h != nil {
-			return h, r.chain[i].tokens
-		}
+	if len(r.parts) == 0 {
+		return nil, 0
 	}
-	return nil, 0
-}
-
-// holder returns an engine other than t that holds a prefix, one of t's
-// failure domain first.
-func (s *step) holder(chain uint64, t *target) *target {
 	var best *target
-	for id := range s.caches.holders[chain] {
+	most := cached
+	for id := range s.caches.holders[r.parts[0].ID] {
 		h := s.targets[id]
-		if h == nil || h == t || h.gone || s.now < h.avoidUntil {
+		if h == nil || h == t || s.now < h.avoidUntil {
 			continue
 		}
-		if best == nil || better(h, best, t) {
+		held := s.caches.held(id, r.parts)
+		if held > most || held == most && best != nil && nearer(h, best, t) {
 			best = h
+			most = held
 		}
 	}
-	return best
+	if most-cached < minShared {
+		return nil, 0
+	}
+	return best, most
 }
 
-func better(h, best, t *target) bool {
+func nearer(h, best, t *target) bool {
 	if near := h.Domain == t.Domain; near != (best.Domain == t.Domain) {
 		return near
 	}
--- a/internal/core/direct/request.go
+++ b/internal/core/direct/request.go
@@ -16,8 +16,9 @@
 	service  msg.ServiceID
 	since    msg.Time
 	deadline msg.Time
-	// chain identifies the prompt up to each part that others may share.
-	chain []chainPart
+	// parts are those that other prompts may share: all but the last, which
+	// belongs to the request or its session.
+	parts []msg.PromptPart
 
 	attempt *attempt
 	// runs counts the attempts that may have run, sends all that were sent,
@@ -41,12 +42,6 @@
 	fingerprint uint64
 }
 
-// chainPart is a prompt up to and with one of its shared parts.
-type chainPart struct {
-	id     uint64
-	tokens int // of the whole prefix
-}
-
 // attempt is one call of a target.
 type attempt struct {
 	id     msg.AttemptID
@@ -61,7 +56,7 @@
 	tokens int
 	// began says that the first token, or the answer, has come.
 	began       bool
-	chain       []chainPart
+	parts       []msg.PromptPart
 	fingerprint uint64
 }
 
@@ -101,21 +96,12 @@
 // generation reports whether the request is a prompt for a model engine.
 func (r *request) generation() bool { return r.arrived.PromptTokens > 0 }
 
-// chainOf identifies the prefixes of a prompt that end with a shared part.
-// The last part belongs to the request or its session.
-func chainOf(parts []msg.PromptPart) []chainPart {
+// sharedParts returns the parts of a prompt that others may share.
+func sharedParts(parts []msg.PromptPart) []msg.PromptPart {
 	if len(parts) < 2 {
 		return nil
 	}
-	chain := make([]chainPart, 0, len(parts)-1)
-	var id uint64
-	tokens := 0
-	for _, p := range parts[:len(parts)-1] {
-		id = id*0x9e3779b97f4a7c15 + p.ID + 1
-		tokens += p.Tokens
-		chain = append(chain, chainPart{id, tokens})
-	}
-	return chain
+	return parts[:len(parts)-1]
 }
 
 // fingerprintOf identifies a request over its resends.
--- a/internal/core/direct/share.go
+++ b/internal/core/direct/share.go
@@ -17,7 +17,10 @@
 	// demandEvery is the time between two sums of what engines decode.
 	demandEvery = 500 * time.Millisecond
 	// maxTold bounds the cached parts in one digest.
-	maxTold = 48
+	maxTold = 200
+	// listAfter is the age of a process at which it asks engines what they
+	// hold: it knows the other daemons by then.
+	listAfter = 1200 * time.Millisecond
 )
 
 // share is what the entry daemons tell each other of their work.
@@ -40,6 +43,23 @@
 	return share{peers: make(map[msg.HostID]*peerLoad), changing: make(map[msg.TargetID]bool)}
 }
 
+// greet tells daemons that have joined what engines hold.
+func (s *step) greet(entries []msg.Host) {
+	var parts []msg.CachedPart
+	for _, h := range entries {
+		known := slices.ContainsFunc(s.entries, func(o msg.Host) bool { return o.Host == h.Host })
+		if known || h.Host == s.self.Host || s.table == nil {
+			continue
+		}
+		if parts == nil {
+			parts = s.caches.all()
+		}
+		for chunk := range slices.Chunk(parts, maxTold) {
+			s.emit(msg.SendPeer{To: h.Host, Message: msg.LoadDigest{WallMS: s.wall.UnixMilli(), Targets: s.share.told, Cached: chunk}})
+		}
+	}
+}
+
 // keep drops the digests of daemons that are no members.
 func (sh *share) keep(entries []msg.Host) {
 	for id := range sh.peers {
@@ -100,13 +120,7 @@
 		s.changing(c.Target, time.Duration(c.MS)*time.Millisecond)
 	}
 	for _, c := range d.Cached {
-		t := s.targets[c.Target]
-		if t == nil {
-			continue
-		}
-		if spec := s.engine(t); spec != nil {
-			s.caches.add(c.Target, spec.CacheTokens, c.Chain, c.Tokens)
-		}
+		s.learnPart(c.Target, msg.PromptPart{ID: c.Part, Tokens: c.Tokens})
 	}
 }
 
@@ -125,7 +139,9 @@
 	s.share.told = digest
 	for _, h := range s.entries {
 		if h.Host != s.self.Host {
-			s.emit(msg.SendPeer{To: h.Host, Message: msg.LoadDigest{Targets: digest, Cached: told, Changing: s.changes()}})
+			s.emit(msg.SendPeer{To: h.Host, Message: msg.LoadDigest{
+				WallMS: s.wall.UnixMilli(), Targets: digest, Cached: told, Changing: s.changes(),
+			}})
 		}
 	}
 }
--- a/internal/core/direct/share_test.go
+++ b/internal/core/direct/share_test.go
@@ -14,19 +14,19 @@
 func TestDigestBeforeConfiguration(t *testing.T) {
 	w := newWorld(t)
 	w.list(testInstances()...)
-	w.step(msg.PeerReceived{From: "entry-2", Message: msg.LoadDigest{Cached: []msg.CachedPart{{Target: "dec-1", Chain: 7, Tokens: 900}}}})
-	w.is.Equal(w.m.caches.held("dec-1", []chainPart{{7, 900}}), 0) // nothing is known of the engine's memory
+	w.step(msg.PeerReceived{From: "entry-2", Message: msg.LoadDigest{Cached: []msg.CachedPart{{Target: "dec-1", Part: 7, Tokens: 900}}}})
+	w.is.Equal(w.m.caches.held("dec-1", []msg.PromptPart{{ID: 7, Tokens: 900}}), 0) // nothing is known of the engine's memory
 }
 
 func TestDigestCountsAndAges(t *testing.T) {
 	w := readyWorld(t)
 	w.step(msg.PeerReceived{From: "entry-2", Message: msg.LoadDigest{
 		Targets: []msg.TargetDigest{{Target: "dec-1", BacklogMS: 500, Open: 3}},
-		Cached:  []msg.CachedPart{{Target: "dec-2", Chain: 7, Tokens: 900}},
+		Cached:  []msg.CachedPart{{Target: "dec-2", Part: 7, Tokens: 900}},
 	}})
 	w.is.Equal(w.m.share.backlog(w.now, "dec-1"), 500*time.Millisecond)
 	w.is.Equal(w.m.share.open("dec-1"), 3)
-	w.is.Equal(w.m.caches.held("dec-2", []chainPart{{7, 900}}), 900)
+	w.is.Equal(w.m.caches.held("dec-2", []msg.PromptPart{{ID: 7, Tokens: 900}}), 900)
 	w.now += 200 * time.Millisecond
 	w.is.Equal(w.m.share.backlog(w.now, "dec-1"), 300*time.Millisecond) // work told is done meanwhile
 	w.step(msg.MembersChanged{Entries: []msg.Host{{Host: "entry-1"}}})
--- a/internal/core/direct/start.go
+++ b/internal/core/direct/start.go
@@ -15,7 +15,7 @@
 func (s *step) start(r *request, c candidate, list []candidate) {
 	a := &attempt{
 		id: s.nextAttempt(), req: r, target: c.target, step: c.step, since: s.now,
-		work: c.work, expected: c.cost, tokens: r.arrived.PromptTokens, chain: r.chain, fingerprint: r.fingerprint,
+		work: c.work, expected: c.cost, tokens: r.arrived.PromptTokens, parts: r.parts, fingerprint: r.fingerprint,
 	}
 	r.attempt = a
 	r.sends++
@@ -60,7 +60,7 @@
 	}
 	s.logRequest(r, "placed",
 		attr("attempt", a.id), attr("target", c.target.Target), attr("step", c.step),
-		attr("route", r.route.Name), attr("version", s.table.version), attr("tokens", r.arrived.PromptTokens),
+		attr("route", r.route.Name), attr("account", r.accountID()), attr("version", s.table.version), attr("tokens", r.arrived.PromptTokens),
 		attr("cost_ms", ms(c.cost)), attr("wait_ms", ms(c.wait)), attr("work_ms", ms(c.work)),
 		attr("fetch_from", from), attr("candidates", len(list)), attr("losers", losers(list)),
 	)
@@ -98,21 +98,6 @@
 	}
 }
 
-// cached notes that a target now holds the attempt's prefixes.
-func (s *step) cached(a *attempt) {
-	spec := s.engine(a.target)
-	if spec == nil || a.target.gone {
-		return
-	}
-	for _, p := range a.chain {
-		if p.tokens < minShared {
-			continue
-		}
-		s.caches.add(a.target.Target, spec.CacheTokens, p.id, p.tokens)
-		s.share.cached = append(s.share.cached, msg.CachedPart{Target: a.target.Target, Chain: p.id, Tokens: p.tokens})
-	}
-}
-
 // countRun counts a request's run for usage, once.
 func (s *step) countRun(r *request) {
 	if r.counted {
--- a/internal/core/direct/target.go
+++ b/internal/core/direct/target.go
@@ -45,6 +45,8 @@
 	avoidFor   time.Duration
 	// changingUntil is when a change of its role is expected to be over.
 	changingUntil msg.Time
+	// listed says that what it holds was asked for.
+	listed bool
 	// latency is the weighted time of an answer of a plain service.
 	latency time.Duration
 	load    *msg.TargetLoad
@@ -204,6 +206,7 @@
 func (s *step) reborn(t *target) {
 	s.strike(t)
 	s.caches.forget(t.Target)
+	t.listed = true // a new life begins with nothing
 	t.slow = 1
 	t.failing = 0
 	t.avoidUntil = 0
--- a/internal/core/meter/meter.go
+++ b/internal/core/meter/meter.go
@@ -24,14 +24,13 @@
 	// keepWindows is the number of windows that a daemon's object holds.
 	keepWindows = 5
 	// flushEvery bounds the counts that a killed daemon loses.
-	flushEvery = 2 * time.Second
+	flushEvery = 2500 * time.Millisecond
 	// settle is the time after a window's end at which its counts are final:
 	// answers that began in it have been seen.
 	settle = 250 * time.Millisecond
-	// collectAfter and collectUntil bound the wait for the daemons' counts
-	// after a window's end.
+	// collectAfter is the time after a window's end at which the daemons'
+	// counts are first looked for.
 	collectAfter = 600 * time.Millisecond
-	collectUntil = 5 * time.Second
 	retryEvery   = 400 * time.Millisecond
 )
 
@@ -56,13 +55,18 @@
 	Incarnation msg.Incarnation
 	// Window is the length of a usage window.
 	Window time.Duration
+	// Collect is how long after a window's end the holder waits for the
+	// counts of daemons that can't be heard.
+	Collect time.Duration
 }
 
 // Part is the meter part.
 type Part struct {
 	cfg   Config
 	store *store.Client
-	wall  time.Time
+	// raw is this process's wall clock and wall the time by those of all.
+	raw, wall time.Time
+	clock     clock
 	// since is the wall time at which this process began to count.
 	since time.Time
 
@@ -78,6 +82,11 @@
 	written     int64
 	stopping    bool
 
+	// heard holds the counts that other daemons told.
+	heard  map[msg.HostID]ownRecord
+	tellAt msg.Time
+	untold bool
+
 	reporter
 }
 
@@ -89,6 +98,8 @@
 		store:    store.New(store.PartRuns, writer),
 		before:   make(map[int64]counts),
 		own:      make(map[int64]counts),
+		clock:    newClock(),
+		heard:    make(map[msg.HostID]ownRecord),
 		reporter: newReporter(writer),
 	}
 }
@@ -105,6 +116,7 @@
 	effs = append(effs, p.stepReporter(now, ev)...)
 	switch ev := ev.(type) {
 	case msg.Started:
+		p.raw = ev.Wall
 		p.wall = ev.Wall
 		p.since = ev.Wall
 		p.busy = true
@@ -114,12 +126,21 @@
 		)
 	case msg.RunCounted:
 		p.count(ev)
+	case msg.PeerReceived:
+		if d, ok := ev.Message.(msg.LoadDigest); ok {
+			p.clock.heard(now, ev.From, d.WallMS, p.raw)
+		}
+		if m, ok := ev.Message.(msg.RunCounts); ok {
+			p.hear(ev.From, m)
+		}
 	case msg.StopRequested:
 		p.stopping = true
 	case msg.Tick:
-		p.wall = ev.Wall
+		p.raw = ev.Wall
+		p.wall = ev.Wall.Add(p.clock.correction(now))
 		effs = append(effs, p.onTick(now)...)
 		effs = append(effs, p.advance(now)...)
+		effs = append(effs, p.tell(now)...)
 	}
 	return effs
 }
@@ -134,16 +155,19 @@
 	if ev.Account == "" {
 		return
 	}
-	w := p.windowOf(ev.Wall)
+	w := p.windowOf(ev.Wall.Add(p.wall.Sub(p.raw)))
 	if p.own[w] == nil {
 		p.own[w] = make(counts)
 	}
 	p.own[w][ev.Account]++
 	p.dirty = true
+	p.untold = true
 }
 
 func (p *Part) onTick(now msg.Time) []msg.Effect {
-	p.through = p.windowOf(p.wall.Add(-settle)) - 1
+	through := p.windowOf(p.wall.Add(-settle)) - 1
+	p.untold = p.untold || through != p.through
+	p.through = through
 	if p.busy || (now < p.flushAt && !p.stopping) {
 		return nil
 	}
--- a/internal/core/meter/report.go
+++ b/internal/core/meter/report.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"slices"
 	"strconv"
+	"strings"
 
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
 	"github.com/verbenaspur/verbenaspur/internal/core/store"
@@ -197,12 +198,13 @@
 			records[msg.HostID(o.Name)] = rec
 		}
 	}
+	p.merge(records)
 	window := p.firstWindow(records)
 	if !p.held || now >= p.until {
 		return nil
 	}
 	complete := p.complete(records, window)
-	if !complete && p.wall.Before(p.endOf(window).Add(collectUntil)) {
+	if !complete && p.wall.Before(p.endOf(window).Add(p.cfg.Collect)) {
 		p.nextAt = now + retryEvery
 		return nil
 	}
@@ -210,7 +212,7 @@
 	for _, rec := range records {
 		sum = addCounts(sum, rec.Windows[window])
 	}
-	return p.freeze(now, window, sum, complete)
+	return p.freeze(now, window, sum, records)
 }
 
 // firstWindow is the next window to freeze. Before the first one, it is the
@@ -234,7 +236,8 @@
 	return !slices.ContainsFunc(p.entries, func(h msg.Host) bool { return records[h.Host].Through < window })
 }
 
-func (p *Part) freeze(now msg.Time, window int64, sum counts, complete bool) []msg.Effect {
+func (p *Part) freeze(now msg.Time, window int64, sum counts, records map[msg.HostID]ownRecord) []msg.Effect {
+	complete := p.complete(records, window)
 	// All that was frozen before has been reported by now: see unsent.
 	next := frozenRecord{Windows: make(map[int64]counts), Last: window, Reported: p.record.Last}
 	for w, c := range p.record.Windows {
@@ -255,10 +258,25 @@
 			{Key: "window", Value: strconv.FormatInt(window, 10)},
 			{Key: "runs", Value: strconv.FormatInt(total, 10)},
 			{Key: "complete", Value: strconv.FormatBool(complete)},
+			{Key: "daemons", Value: contributions(records, window)},
 		}},
 	}
 }
 
+// contributions lists the runs that each daemon counted.
+func contributions(records map[msg.HostID]ownRecord, window int64) string {
+	var parts []string
+	for id, rec := range records {
+		var n int64
+		for _, v := range rec.Windows[window] {
+			n += v
+		}
+		parts = append(parts, string(id)+"="+strconv.FormatInt(n, 10))
+	}
+	slices.Sort(parts)
+	return strings.Join(parts, " ")
+}
+
 func (p *Part) onFreeze(now msg.Time, r store.Result) {
 	if r.Status == msg.CallOK && !r.Superseded {
 		p.stored = r.Object.Version
--- a/internal/core/msg/direct.go
+++ b/internal/core/msg/direct.go
@@ -292,6 +292,21 @@
 // PassAnswer ends a request with the failure that its target answered.
 type PassAnswer struct{ Req RequestID }
 
+// ReadCache reads what an engine holds. [CacheRead] answers it.
+type ReadCache struct {
+	Call   CallID
+	Target TargetID
+	Addr   string
+}
+
+// CacheRead is the result of ReadCache.
+type CacheRead struct {
+	Call   CallID
+	Status CallStatus
+	Target TargetID
+	Parts  []PromptPart
+}
+
 // FreeHandle frees a prefilled prompt that nobody will take.
 type FreeHandle struct{ Addr, Handle string }
 
@@ -360,6 +375,9 @@
 
 // LoadDigest tells the other entry daemons what this one has open.
 type LoadDigest struct {
+	// WallMS is the sender's wall clock in Unix milliseconds, as its start set
+	// it.
+	WallMS  int64          `cbor:"4,keyasint"`
 	Targets []TargetDigest `cbor:"1,keyasint,omitempty"`
 	// Cached lists the prompt parts that targets came to hold.
 	Cached []CachedPart `cbor:"2,keyasint,omitempty"`
@@ -373,6 +391,20 @@
 	MS     int64    `cbor:"2,keyasint"`
 }
 
+// RunCounts tells the sender's runs by usage window, for daemons that may have
+// to report them when the platform can't be reached by the sender.
+type RunCounts struct {
+	Windows []WindowRuns `cbor:"1,keyasint"`
+	// Through is the last window whose counts are complete.
+	Through int64 `cbor:"2,keyasint"`
+}
+
+// WindowRuns counts the runs of a window by client account.
+type WindowRuns struct {
+	Window int64               `cbor:"1,keyasint"`
+	Counts map[AccountID]int64 `cbor:"2,keyasint"`
+}
+
 // TargetDigest is one daemon's work at a target.
 type TargetDigest struct {
 	Target TargetID `cbor:"1,keyasint"`
@@ -384,10 +416,10 @@
 	Tokens  int `cbor:"5,keyasint"`
 }
 
-// CachedPart tells that a target holds a prompt up to and with a part.
+// CachedPart tells that a target holds a part of prompts.
 type CachedPart struct {
 	Target TargetID `cbor:"1,keyasint"`
-	Chain  uint64   `cbor:"2,keyasint"`
+	Part   uint64   `cbor:"2,keyasint"`
 	Tokens int      `cbor:"3,keyasint"`
 }
 
@@ -405,6 +437,7 @@
 func (DemandSeen) event()       {}
 func (RoleOrdered) event()      {}
 func (TargetChanging) event()   {}
+func (CacheRead) event()        {}
 
 func (ReadRoutes) effect()    {}
 func (ReadInstances) effect() {}
@@ -414,5 +447,7 @@
 func (SetReady) effect()      {}
 func (ReportWindow) effect()  {}
 func (OrderRole) effect()     {}
+func (ReadCache) effect()     {}
 
 func (LoadDigest) peerMessage() {}
+func (RunCounts) peerMessage()  {}
--- a/internal/core/msg/types.go
+++ b/internal/core/msg/types.go
@@ -11,7 +11,7 @@
 		reflect.TypeFor[LeaseReleased](),
 		reflect.TypeFor[ExchangePoll](), reflect.TypeFor[ExchangeReply](),
 		reflect.TypeFor[CrashNotice](),
-		reflect.TypeFor[LoadDigest](),
+		reflect.TypeFor[LoadDigest](), reflect.TypeFor[RunCounts](),
 	}
 }
 
@@ -43,6 +43,7 @@
 		reflect.TypeFor[DirectBegan](), reflect.TypeFor[DirectEnded](), reflect.TypeFor[WindowReported](),
 		reflect.TypeFor[RunCounted](), reflect.TypeFor[LimitsChanged](),
 		reflect.TypeFor[DemandSeen](), reflect.TypeFor[RoleOrdered](), reflect.TypeFor[TargetChanging](),
+		reflect.TypeFor[CacheRead](),
 	}
 }
 
@@ -67,5 +68,6 @@
 		reflect.TypeFor[ReadRoutes](), reflect.TypeFor[ReadInstances](), reflect.TypeFor[StartDirect](),
 		reflect.TypeFor[PassAnswer](), reflect.TypeFor[FreeHandle](), reflect.TypeFor[SetReady](),
 		reflect.TypeFor[ReportWindow](), reflect.TypeFor[OrderRole](),
+		reflect.TypeFor[ReadCache](),
 	}
 }
--- a/internal/core/roles/roles.go
+++ b/internal/core/roles/roles.go
@@ -30,9 +30,9 @@
 	memoryFill = 0.5
 	// decodeShare is the least part of a service's engines that decodes: the
 	// loss of a few must leave some.
-	decodeShare = 0.15
+	decodeShare = 0.2
 	// least is the number of engines that decode at the least.
-	least = 3
+	least = 4
 	// demandWeight is the weight of a fall in demand; a rise counts at once.
 	demandWeight = 0.02
 	// slack is the number of engines by which demand may be missed before
--- a/internal/daemon/direct_run.go
+++ b/internal/daemon/direct_run.go
@@ -40,6 +40,9 @@
 	// keyMargin is the part of the time in which a withdrawn key must stop
 	// for which a confirmation of the configuration is good.
 	keyMargin = 0.75
+	// collectShare is the part of the time until a usage report is due for
+	// which counts are awaited; the rest is for the report.
+	collectShare = 0.75
 )
 
 // RunDirect runs an entry daemon that drives its targets itself, with the
@@ -149,6 +152,7 @@
 	}
 	if s.DutiesAddr != "" {
 		cfg.UsageWindow = s.Bounds.UsageWindow
+		cfg.UsageCollect = time.Duration(collectShare * float64(s.Bounds.UsageDue))
 	}
 	return cfg
 }
