--- /dev/null
+++ b/internal/core/direct/place_test.go
@@ -0,0 +1,126 @@
+package direct
+
+import (
+	"testing"
+	"time"
+
+	"github.com/verbenaspur/verbenaspur/internal/core/msg"
+)
+
+// A shared part is read once: a request that comes later goes where it is held
+// or fetches it from there.
+func TestSharedPartIsFetchedNotReadAgain(t *testing.T) {
+	w := readyWorld(t)
+	w.arrive("/chat/x", prompt(1, 20_000, 500))
+	a := w.started()
+	w.end(a.Attempt, msg.DirectPrefilled, func(ev *msg.DirectEnded) { ev.Handle = "h" })
+	b := w.started()
+	w.step(msg.DirectBegan{Attempt: b.Attempt})
+	w.end(b.Attempt, msg.DirectDone)
+	for range 6 {
+		w.arrive("/chat/x", prompt(1, 20_000, 500))
+		c := w.started()
+		held := c.Spec.Target == a.Spec.Target || c.Spec.Target == b.Spec.Target
+		w.is.True(held || c.Spec.CacheFrom != "")
+	}
+}
+
+func TestBusyEngineIsLeftForAnother(t *testing.T) {
+	w := readyWorld(t)
+	w.step(msg.PeerReceived{From: "entry-2", Message: msg.LoadDigest{Targets: []msg.TargetDigest{{Target: "pre-1", BacklogMS: 900}, {Target: "dec-1", BacklogMS: 900}}}})
+	w.arrive("/chat/x", prompt(1, 3000, 500))
+	w.is.Equal(w.started().Spec.Target, msg.TargetID("dec-2"))
+}
+
+func TestLeavingAndChangingTargetsGetNothing(t *testing.T) {
+	w := readyWorld(t)
+	list := testInstances()
+	list[0].Draining = true
+	w.list(list...)
+	for range 5 {
+		w.arrive("/lookup/x")
+		w.is.Equal(w.started().Spec.Target, msg.TargetID("app-2"))
+	}
+	w.step(msg.TargetChanging{Target: "dec-1", For: 3 * time.Second})
+	w.step(msg.TargetChanging{Target: "pre-1", For: 3 * time.Second})
+	w.arrive("/chat/x", prompt(1, 300, 50))
+	w.is.Equal(w.started().Spec.Target, msg.TargetID("dec-2"))
+}
+
+func TestFailingTargetIsAvoided(t *testing.T) {
+	w := readyWorld(t)
+	for range 12 {
+		w.m.targets["app-1"].outcome(false)
+	}
+	first := 0
+	for range 10 {
+		w.arrive("/lookup/x")
+		a := w.started()
+		if a.Spec.Target == "app-1" {
+			first++
+		}
+		w.now += 5 * time.Millisecond
+		w.end(a.Attempt, msg.DirectDone)
+	}
+	w.is.True(first <= 2) // one that fails half of its requests is tried now and then
+}
+
+func TestUnreachedTargetIsLeftAloneForAWhile(t *testing.T) {
+	w := readyWorld(t)
+	w.arrive("/lookup/x")
+	a := w.started()
+	w.end(a.Attempt, msg.DirectUnreached)
+	w.is.True(w.started().Spec.Target != a.Spec.Target)
+	w.is.True(!w.m.targets[a.Spec.Target].usable(w.now))
+	w.is.True(w.m.targets[a.Spec.Target].usable(w.now + avoidFirst))
+}
+
+// The picture of an engine drops what was not used for longest.
+func TestCachePictureIsBounded(t *testing.T) {
+	c := newCaches()
+	for i := range uint64(100) {
+		c.add("e", 10_000, i, 1000)
+	}
+	is := readyWorld(t).is
+	is.Equal(c.engines["e"].tokens, 7000)
+	is.Equal(c.held("e", []msg.PromptPart{{ID: 99, Tokens: 1000}}), 1000)
+	is.Equal(c.held("e", []msg.PromptPart{{ID: 0, Tokens: 1000}}), 0)
+	is.Equal(len(c.holders), 7)
+	c.forget("e")
+	is.Equal(len(c.holders), 0)
+}
+
+// A part counts only with all parts before it.
+func TestHeldPrefixIsUnbroken(t *testing.T) {
+	c := newCaches()
+	c.add("e", 100_000, 2, 500)
+	is := readyWorld(t).is
+	parts := []msg.PromptPart{{ID: 1, Tokens: 300}, {ID: 2, Tokens: 500}}
+	is.Equal(c.held("e", parts), 0)
+	c.add("e", 100_000, 1, 300)
+	is.Equal(c.held("e", parts), 800)
+}
+
+// One daemon asks each engine what it holds, and those that join are told.
+func TestCachesAreListedOnceAndTold(t *testing.T) {
+	w := readyWorld(t)
+	w.step(msg.MembersChanged{Entries: []msg.Host{{Host: "entry-1"}}})
+	asked := map[msg.TargetID]int{}
+	for range 30 {
+		w.now += 100 * time.Millisecond
+		w.step(msg.RoutesFresh{At: w.now})
+		w.step(msg.Tick{})
+		for _, eff := range w.effects {
+			if r, ok := eff.(msg.ReadCache); ok {
+				asked[r.Target]++
+			}
+		}
+	}
+	w.is.Equal(asked, map[msg.TargetID]int{"dec-1": 1, "dec-2": 1, "pre-1": 1})
+	w.step(msg.CacheRead{Target: "dec-1", Parts: []msg.PromptPart{{ID: 5, Tokens: 4000}, {ID: 6, Tokens: 3}}})
+	w.step(msg.MembersChanged{Entries: []msg.Host{{Host: "entry-1"}, {Host: "entry-2"}}})
+	sent, ok := find[msg.SendPeer](w)
+	w.is.True(ok)
+	d, _ := sent.Message.(msg.LoadDigest)
+	w.is.Equal(d.Cached, []msg.CachedPart{{Target: "dec-1", Part: 5, Tokens: 4000}}) // small parts are not followed
+}
--- /dev/null
+++ b/internal/core/direct/request_test.go
@@ -0,0 +1,200 @@
+package direct
+
+import (
+	"testing"
+	"time"
+
+	"github.com/verbenaspur/verbenaspur/internal/core/msg"
+	"github.com/verbenaspur/verbenaspur/internal/core/poison"
+)
+
+func TestKeyIsCheckedAgainBeforeEachAttempt(t *testing.T) {
+	w := readyWorld(t)
+	w.arrive("/chat/x", prompt(1, 100, 100), func(ev *msg.DirectArrived) { ev.Timeout = 9 * time.Second })
+	a := w.started().Attempt
+	w.now += testLimits.FreshFor + time.Millisecond // no read of the configuration is this young
+	w.end(a, msg.DirectNotRun)
+	ref := w.refused()
+	w.is.Equal(ref.Status, 503)
+	w.is.Equal(ref.Code, "stale-config")
+	w.is.Equal(ref.Outcome, msg.OutcomeNotRun)
+}
+
+func TestStaleConfigurationDeniesNothing(t *testing.T) {
+	w := readyWorld(t)
+	w.arrive("/nowhere/x")
+	w.is.Equal(w.refused().Status, 404)
+	w.arrive("/chat/x", func(ev *msg.DirectArrived) { ev.Key = "wrong" })
+	w.is.Equal(w.refused().Status, 401)
+	w.now += testLimits.DecideFor + time.Millisecond
+	w.arrive("/nowhere/x")
+	w.is.Equal(w.refused().Status, 503)
+	w.arrive("/chat/x", func(ev *msg.DirectArrived) { ev.Key = "wrong" })
+	w.is.Equal(w.refused().Status, 503)
+	w.now += testLimits.FreshFor
+	w.arrive("/open/x")
+	w.started() // a public route needs no key
+}
+
+func TestNoConfigurationIsNotReady(t *testing.T) {
+	w := newWorld(t)
+	w.arrive("/chat/x")
+	w.is.Equal(w.refused().Status, 503)
+	w.is.True(w.refused().RetryAfter > 0)
+	w.is.True(!w.m.ready)
+	w.configure(testTable())
+	w.is.True(w.m.ready)
+	w.now += testLimits.FreshFor + time.Millisecond
+	w.step(msg.Tick{})
+	w.is.True(!w.m.ready) // it could refuse keyed requests only
+}
+
+func TestLongestPrefixWins(t *testing.T) {
+	table := testTable()
+	deep := table.Routes[4]
+	deep.Name, deep.Prefix = "deep", "/open/deep/"
+	table.Routes = append(table.Routes, deep)
+	tab := newTable(table)
+	is := readyWorld(t).is
+	is.Equal(tab.route("H", "/open/deep/x").Name, msg.RouteID("deep"))
+	is.Equal(tab.route("h", "/open/x").Name, msg.RouteID("open"))
+	is.Equal(tab.route("h", "/open"), nil) // a prefix ends with its slash
+	is.Equal(tab.route("other", "/open/x"), nil)
+}
+
+func TestSharesFollowWeights(t *testing.T) {
+	table := testTable()
+	table.Routes[0].Shares = []msg.ServiceShare{{Service: "llm", Weight: 90}, {Service: "app", Weight: 10}}
+	tab := newTable(table)
+	is := readyWorld(t).is
+	is.Equal(tab.service(&table.Routes[0], 0.89), msg.ServiceID("llm"))
+	is.Equal(tab.service(&table.Routes[0], 0.91), msg.ServiceID("app"))
+}
+
+func TestUnsafeRequestIsNeverSentAgainAfterItMayHaveRun(t *testing.T) {
+	w := readyWorld(t)
+	w.arrive("/order/x")
+	w.end(w.started().Attempt, msg.DirectBroken)
+	ref := w.refused()
+	w.is.Equal(ref.Status, 502) // promises nothing
+	w.is.Equal(ref.Outcome, msg.OutcomeUnknown)
+	w.arrive("/order/x")
+	w.end(w.started().Attempt, msg.DirectNotRun)
+	w.started() // it certainly did not run
+}
+
+func TestTimeoutTellsWhetherItMayHaveRun(t *testing.T) {
+	w := readyWorld(t)
+	w.arrive("/order/x")
+	w.pass(2100 * time.Millisecond)
+	// The refusal came with an earlier tick: no request is open.
+	w.is.True(w.m.Idle())
+	w.arrive("/chat/x", prompt(1, 30_000, 4000))
+	w.is.Equal(w.started().Spec.Step, msg.StepPrefill)
+	w.now += 5 * time.Second
+	w.step(msg.RoutesFresh{At: w.now})
+	w.step(msg.Tick{})
+	w.is.Equal(w.refused().Status, 503) // reading the prompt is not a run
+}
+
+func TestBrokenStreamIsResumedWhereTheRouteAllows(t *testing.T) {
+	w := readyWorld(t)
+	w.list(testInstances()[:4]...) // without the engine that prefills
+	w.arrive("/resume/x", prompt(1, 300, 100))
+	a := w.started()
+	w.step(msg.DirectBegan{Attempt: a.Attempt})
+	w.end(a.Attempt, msg.DirectBroken, func(ev *msg.DirectEnded) { ev.LastEvent, ev.Streaming = 17, true })
+	b := w.started()
+	w.is.Equal(b.Spec.LastEvent, int64(17))
+	w.is.True(b.Spec.Target != a.Spec.Target)
+	w.end(b.Attempt, msg.DirectBroken, func(ev *msg.DirectEnded) { ev.LastEvent, ev.Streaming = 20, true })
+	_, aborted := find[msg.AbortRequest](w)
+	w.is.True(aborted) // two targets have run it
+
+	w.arrive("/chat/x", prompt(2, 300, 100))
+	a = w.started()
+	w.step(msg.DirectBegan{Attempt: a.Attempt})
+	w.end(a.Attempt, msg.DirectBroken, func(ev *msg.DirectEnded) { ev.Streaming = true })
+	_, aborted = find[msg.AbortRequest](w)
+	w.is.True(aborted)
+}
+
+func TestCallerGoneCancelsAndFrees(t *testing.T) {
+	w := readyWorld(t)
+	id := w.arrive("/chat/x", prompt(1, 30_000, 4000))
+	a := w.started()
+	w.step(msg.CallerGone{Req: id})
+	cancel, ok := find[msg.CancelAttempt](w)
+	w.is.True(ok)
+	w.is.Equal(cancel.Attempt, a.Attempt)
+	w.end(a.Attempt, msg.DirectPrefilled, func(ev *msg.DirectEnded) { ev.Handle = "h1" })
+	free, ok := find[msg.FreeHandle](w)
+	w.is.True(ok) // the prompt was read before the call could be stopped
+	w.is.Equal(free.Handle, "h1")
+}
+
+func TestUsageCountsEachRequestOnce(t *testing.T) {
+	w := readyWorld(t)
+	counted := func() int {
+		n := 0
+		for _, eff := range w.effects {
+			if r, ok := eff.(msg.Raise); ok {
+				if c, ok := r.Event.(msg.RunCounted); ok && c.Account == "acme" {
+					n++
+				}
+			}
+		}
+		return n
+	}
+	w.list(testInstances()[:4]...)
+	w.arrive("/resume/x", prompt(1, 300, 100))
+	a := w.started()
+	w.step(msg.DirectBegan{Attempt: a.Attempt})
+	w.is.Equal(counted(), 1)
+	w.end(a.Attempt, msg.DirectBroken, func(ev *msg.DirectEnded) { ev.Streaming = true })
+	w.step(msg.DirectBegan{Attempt: w.started().Attempt})
+	w.is.Equal(counted(), 0)
+}
+
+// A request that brings two targets down is not sent to a third one, whoever
+// sends it again; bystanders on a target that stays up are not struck.
+func TestRequestThatBringsTargetsDown(t *testing.T) {
+	w := readyWorld(t)
+	body := func(ev *msg.DirectArrived) { ev.BodyHash = 99 }
+	for range poison.Limit {
+		w.arrive("/order/x", body)
+		a := w.started()
+		w.end(a.Attempt, msg.DirectBroken)
+		w.now += 200 * time.Millisecond
+		list := testInstances()
+		for i := range list {
+			if list[i].Target == a.Spec.Target {
+				list[i].Born = int64(w.now) // it is in a new life
+			}
+		}
+		w.m.targets[a.Spec.Target].Born = 1
+		w.list(list...)
+	}
+	w.arrive("/order/x", body)
+	w.is.Equal(w.refused().Code, "poison")
+	w.arrive("/order/x")
+	w.end(w.started().Attempt, msg.DirectBroken)
+	w.arrive("/order/x")
+	w.started()
+}
+
+func TestOverloadIsRefusedAtOnceWithAdvice(t *testing.T) {
+	w := readyWorld(t)
+	var ref msg.RefuseRequest
+	for range 60 {
+		w.arrive("/chat/x", prompt(uint64(w.reqs+10), 10_000, 2000))
+		if r, ok := find[msg.RefuseRequest](w); ok {
+			ref = r
+			break
+		}
+	}
+	w.is.Equal(ref.Code, "overloaded")
+	w.is.Equal(ref.Outcome, msg.OutcomeNotRun)
+	w.is.True(ref.RetryAfter > 0)
+	w.pass(4 * time.Second)
+}
