--- a/internal/daemon/direct_exchange.go
+++ b/internal/daemon/direct_exchange.go
@@ -207,6 +207,7 @@
 		}
 		if err != nil {
 			a.Close(false)
+			x.flush()
 			return broken(err)
 		}
 		if first {
@@ -239,6 +240,14 @@
 	x.w.WriteHeader(a.StatusCode)
 }
 
+// flush sends the events that wait for a later one, when none comes.
+func (x *directExchange) flush() {
+	if x.began {
+		// A caller that has left shows at the next write.
+		_ = x.control.Flush()
+	}
+}
+
 // pass writes an event to the caller.
 func (x *directExchange) pass(a *kept.Answer, ev sse.Event, flush bool) error {
 	if !x.began {
--- a/internal/daemon/direct_run.go
+++ b/internal/daemon/direct_run.go
@@ -62,10 +62,7 @@
 	if err := d.listen(metricsAddr); err != nil {
 		return err
 	}
-	go d.loop.Run(d.work, d.started)
-	go d.receivePeers()
-	go d.sweepConnections()
-	go d.followSettings(path)
+	d.start(path)
 	select {
 	case <-ctx.Done():
 	case err := <-d.failed:
@@ -178,6 +175,14 @@
 	}, func() float64 { return float64(pool.Opened.Load()) })
 }
 
+// start starts the daemon's own goroutines.
+func (d *directProcess) start(path string) {
+	go d.loop.Run(d.work, d.started)
+	go d.receivePeers()
+	go d.sweepConnections()
+	go d.followSettings(path)
+}
+
 // listen opens the listeners for callers, the balancer and metrics.
 func (d *directProcess) listen(metricsAddr string) error {
 	ops := mux.NewRouter()
--- /dev/null
+++ b/internal/sse/sse_test.go
@@ -0,0 +1,51 @@
+package sse
+
+import (
+	"io"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+)
+
+func TestWholeEvents(t *testing.T) {
+	is := is.New(t)
+	r := NewReader(strings.NewReader("id: 3\ndata: a\n\nx-versions: 2\r\nid:4\r\ndata: b\r\n\r\n: note\n\n"))
+	ev, err := r.Next()
+	is.NoErr(err)
+	is.Equal(string(ev.Raw), "id: 3\ndata: a\n\n")
+	is.Equal(ev.ID, int64(3))
+	ev, err = r.Next()
+	is.NoErr(err)
+	is.Equal(ev.ID, int64(4))
+	ev, err = r.Next()
+	is.NoErr(err)
+	is.True(!ev.HasID)
+	_, err = r.Next()
+	is.Equal(err, io.EOF)
+}
+
+// A target may stop in the middle of an event.
+func TestPartialEventIsNoEvent(t *testing.T) {
+	is := is.New(t)
+	r := NewReader(strings.NewReader("id: 1\ndata: a\n\nid: 2\ndata:"))
+	_, err := r.Next()
+	is.NoErr(err)
+	_, err = r.Next()
+	is.True(errors.Is(err, ErrPartial))
+}
+
+func TestLongLineIsOneEvent(t *testing.T) {
+	is := is.New(t)
+	text := "data: " + strings.Repeat("x", 10_000) + "\n\n"
+	ev, err := NewReader(strings.NewReader(text)).Next()
+	is.NoErr(err)
+	is.Equal(string(ev.Raw), text)
+}
+
+func TestEventIsBounded(t *testing.T) {
+	is := is.New(t)
+	_, err := NewReader(strings.NewReader(strings.Repeat("x", 2*maxEvent))).Next()
+	is.True(err != nil)
+}
