--- a/internal/core/direct/end.go
+++ b/internal/core/direct/end.go
@@ -78,7 +78,7 @@
 	case msg.DirectDone:
 		s.countRun(r)
 		s.emit(msg.FinishRequest{Req: r.arrived.Req})
-		s.forget(r)
+		s.close(r, msg.EndAnswered, "")
 		return
 	case msg.DirectPrefilled:
 		r.handle = ev.Handle
@@ -124,7 +124,7 @@
 	case msg.DirectCancelled:
 		// Only the caller's leaving cancels the attempt of an open request.
 		s.logRequest(r, "caller left")
-		s.forget(r)
+		s.close(r, msg.EndLeft, "")
 		return
 	}
 	s.giveUp(r, ev.Result.String())
@@ -159,7 +159,7 @@
 	if r.held && !r.streaming {
 		s.emit(msg.PassAnswer{Req: r.arrived.Req})
 		s.logRequest(r, "failure passed on", attr("code", code), attr("route", r.route.Name))
-		s.forget(r)
+		s.close(r, msg.EndFailure, code)
 		return
 	}
 	ref := refusal{statusUnavailable, code, retrySoon}
@@ -175,7 +175,9 @@
 	if r.mayRun {
 		outcome = msg.OutcomeUnknown
 	}
+	end := msg.EndRefused
 	if r.streaming {
+		end = msg.EndAborted
 		s.emit(msg.AbortRequest{Req: r.arrived.Req, Code: ref.code, Outcome: outcome})
 	} else {
 		s.emit(msg.RefuseRequest{Req: r.arrived.Req, Status: ref.status, Code: ref.code, Outcome: outcome, RetryAfter: ref.retryAfter})
@@ -188,12 +190,13 @@
 		attr("status", ref.status), attr("code", ref.code), attr("outcome", outcome), attr("route", route),
 		attr("config_age_ms", ms(s.now-s.freshAt)), attr("retry_after_ms", ms(ref.retryAfter)),
 	)
-	s.forget(r)
+	s.close(r, end, ref.code)
 }
 
-// forget closes the books on a request. An attempt that is still open is
+// close closes the books on a request. An attempt that is still open is
 // cancelled.
-func (s *step) forget(r *request) {
+func (s *step) close(r *request, end msg.RequestEnd, code string) {
+	s.raise(msg.DirectClosed{Req: r.arrived.Req, End: end, Code: code, Waited: s.now - r.since})
 	if a := r.attempt; a != nil {
 		a.req = nil
 		r.attempt = nil
@@ -214,7 +217,7 @@
 		return
 	}
 	s.logRequest(r, "caller left")
-	s.forget(r)
+	s.close(r, msg.EndLeft, "")
 }
 
 // expire ends a request whose time is over.
--- a/internal/core/direct/start.go
+++ b/internal/core/direct/start.go
@@ -91,6 +91,7 @@
 		a.req.streaming = true
 		a.req.mayRun = true
 		s.countRun(a.req)
+		s.raise(msg.FirstToken{Route: a.req.route.Name, Waited: s.now - a.req.since})
 		s.logRequest(a.req, "first token",
 			attr("attempt", a.id), attr("target", a.target.Target), attr("took_ms", ms(s.now-a.since)),
 			attr("expected_ms", ms(a.expected)), attr("slow", fmt.Sprintf("%.2f", a.target.slow)),
--- a/internal/core/msg/direct.go
+++ b/internal/core/msg/direct.go
@@ -317,6 +317,45 @@
 	Wall    time.Time
 }
 
+// RequestEnd says how a request of the direct path ended.
+type RequestEnd uint8
+
+// Ends of requests.
+const (
+	// EndAnswered means that the caller has the whole answer.
+	EndAnswered RequestEnd = iota
+	// EndFailure means that the caller has a target's failure.
+	EndFailure
+	// EndRefused means that the caller was told that it is not served.
+	EndRefused
+	// EndAborted means that the answer broke off.
+	EndAborted
+	// EndLeft means that the caller left.
+	EndLeft
+)
+
+// String returns the end's name in metrics.
+func (e RequestEnd) String() string {
+	return [...]string{"answered", "failure", "refused", "aborted", "left"}[e]
+}
+
+// DirectClosed is raised when a request is over.
+type DirectClosed struct {
+	Req RequestID
+	End RequestEnd
+	// Code tells why it was not served; empty otherwise.
+	Code string
+	// Waited is the time from its arrival.
+	Waited time.Duration
+}
+
+// FirstToken is raised when a stream's first token has come.
+type FirstToken struct {
+	Route RouteID
+	// Waited is the time from the request's arrival.
+	Waited time.Duration
+}
+
 // SetReady tells the platform's balancer whether this daemon takes requests.
 type SetReady struct{ Ready bool }
 
@@ -438,6 +477,8 @@
 func (RoleOrdered) event()      {}
 func (TargetChanging) event()   {}
 func (CacheRead) event()        {}
+func (DirectClosed) event()     {}
+func (FirstToken) event()       {}
 
 func (ReadRoutes) effect()    {}
 func (ReadInstances) effect() {}
--- a/internal/core/msg/types.go
+++ b/internal/core/msg/types.go
@@ -43,7 +43,7 @@
 		reflect.TypeFor[DirectBegan](), reflect.TypeFor[DirectEnded](), reflect.TypeFor[WindowReported](),
 		reflect.TypeFor[RunCounted](), reflect.TypeFor[LimitsChanged](),
 		reflect.TypeFor[DemandSeen](), reflect.TypeFor[RoleOrdered](), reflect.TypeFor[TargetChanging](),
-		reflect.TypeFor[CacheRead](),
+		reflect.TypeFor[CacheRead](), reflect.TypeFor[DirectClosed](), reflect.TypeFor[FirstToken](),
 	}
 }
 
--- a/internal/metrics/direct.go
+++ b/internal/metrics/direct.go
@@ -12,7 +12,10 @@
 type Direct struct {
 	arrivals   prometheus.Counter
 	attempts   *prometheus.CounterVec
-	callerGone prometheus.Counter
+	closed     *prometheus.CounterVec
+	seconds    *prometheus.HistogramVec
+	firstToken prometheus.Histogram
+	reads      *prometheus.CounterVec
 	routes     prometheus.Gauge
 	confirmed  prometheus.Gauge
 	targets    *prometheus.GaugeVec
@@ -31,7 +34,10 @@
 	return &Direct{
 		arrivals:   f.counter("direct_requests_total", "Requests of callers that arrived."),
 		attempts:   f.counters("direct_attempts_total", "Attempts that ended, by result.", "result"),
-		callerGone: f.counter("direct_callers_gone_total", "Callers that left before the end."),
+		closed:     f.counters("direct_closed_total", "Requests that are over, by end and, where they were not served, by reason.", "end", "code"),
+		seconds:    f.histograms("direct_request_seconds", "Time from arrival to the end of a request, by end.", waitBuckets, "end"),
+		firstToken: f.histogram("direct_first_token_seconds", "Time from arrival to the first token.", firstTokenBuckets),
+		reads:      f.counters("direct_reads_total", "Reads of the configuration and the list of targets, by status.", "read", "status"),
 		routes:     f.gauge("direct_config_version", "Version of the configuration in force here."),
 		confirmed:  f.gauge("direct_config_age_seconds", "Time since the configuration was confirmed to be the newest."),
 		targets:    f.gauges("direct_targets", "Targets as listed.", "service", "role", "state"),
@@ -49,8 +55,11 @@
 	switch ev := ev.(type) {
 	case msg.DirectArrived:
 		d.arrivals.Inc()
-	case msg.CallerGone:
-		d.callerGone.Inc()
+	case msg.DirectClosed:
+		d.closed.WithLabelValues(ev.End.String(), ev.Code).Inc()
+		d.seconds.WithLabelValues(ev.End.String()).Observe(ev.Waited.Seconds())
+	case msg.FirstToken:
+		d.firstToken.Observe(ev.Waited.Seconds())
 	case msg.DirectEnded:
 		d.attempts.WithLabelValues(ev.Result.String()).Inc()
 	case msg.RunCounted:
@@ -79,7 +88,11 @@
 			d.leaseHeld.Set(1)
 		}
 	case msg.WindowReported:
-		d.windows.WithLabelValues([...]string{"ok", "conflict", "not_found", "rejected", "unavailable", "unknown"}[ev.Status]).Inc()
+		d.windows.WithLabelValues(label(callStatusLabels[:], ev.Status)).Inc()
+	case msg.RoutesRead:
+		d.reads.WithLabelValues("routes", label(callStatusLabels[:], ev.Status)).Inc()
+	case msg.InstancesRead:
+		d.reads.WithLabelValues("targets", label(callStatusLabels[:], ev.Status)).Inc()
 	}
 }
 
--- /dev/null
+++ b/internal/metrics/direct_test.go
@@ -0,0 +1,50 @@
+package metrics
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/testutil"
+
+	"github.com/verbenaspur/verbenaspur/internal/core/msg"
+)
+
+func TestDirectMetrics(t *testing.T) {
+	is := is.New(t)
+	reg := prometheus.NewRegistry()
+	d := NewDirect(reg)
+	for _, ev := range []msg.Event{
+		msg.DirectArrived{Req: "1"},
+		msg.FirstToken{Waited: 100 * time.Millisecond},
+		msg.DirectEnded{Result: msg.DirectDone},
+		msg.DirectClosed{Req: "1", End: msg.EndAnswered, Waited: time.Second},
+		msg.DirectClosed{Req: "2", End: msg.EndRefused, Code: "overloaded"},
+		msg.RoutesChanged{Table: &msg.RouteTable{Version: 7}},
+		msg.RoutesFresh{At: time.Second},
+		msg.InstancesChanged{Instances: []msg.Instance{{Service: "s", Role: msg.RoleDecode}, {Service: "s", Role: msg.RoleDecode, Draining: true}}},
+		msg.LeaseChanged{Held: true},
+		msg.RunCounted{Account: "x"},
+		msg.WindowReported{Status: msg.CallOK},
+	} {
+		is.Equal(len(d.Step(3*time.Second, ev)), 0)
+	}
+	d.Step(3*time.Second, msg.Tick{})
+	const want = `
+# HELP verbenaspur_direct_closed_total Requests that are over, by end and, where they were not served, by reason.
+# TYPE verbenaspur_direct_closed_total counter
+verbenaspur_direct_closed_total{code="",end="answered"} 1
+verbenaspur_direct_closed_total{code="overloaded",end="refused"} 1
+# HELP verbenaspur_direct_config_age_seconds Time since the configuration was confirmed to be the newest.
+# TYPE verbenaspur_direct_config_age_seconds gauge
+verbenaspur_direct_config_age_seconds 2
+# HELP verbenaspur_direct_targets Targets as listed.
+# TYPE verbenaspur_direct_targets gauge
+verbenaspur_direct_targets{role="decode",service="s",state="draining"} 1
+verbenaspur_direct_targets{role="decode",service="s",state="ready"} 1
+`
+	is.NoErr(testutil.GatherAndCompare(reg, strings.NewReader(want),
+		"verbenaspur_direct_closed_total", "verbenaspur_direct_config_age_seconds", "verbenaspur_direct_targets"))
+}
