--- a/internal/core/direct/arrive.go
+++ b/internal/core/direct/arrive.go
@@ -107,12 +107,18 @@
 	return &refusal{status, code, 0}
 }
 
-// keyHolds reports whether the request's key may still be used, as checked
-// right before an attempt.
-func (s *step) keyHolds(r *request) bool {
+// checkKey returns a refusal where the request's key may no longer be used. It
+// is asked right before each attempt.
+func (s *step) checkKey(r *request) *refusal {
 	if r.account == nil {
-		return true
+		return nil
+	}
+	if !s.fresh(s.limits.FreshFor) {
+		return &refusal{statusUnavailable, "stale-config", retryElsewhere}
 	}
 	now := s.table.keys[r.arrived.Key]
-	return s.fresh(s.limits.FreshFor) && now != nil && now.Account == r.account.Account
+	if now == nil || now.Account != r.account.Account {
+		return s.denied(statusUnauthorized, "key-withdrawn")
+	}
+	return nil
 }
--- a/internal/core/direct/end.go
+++ b/internal/core/direct/end.go
@@ -87,10 +87,14 @@
 		return
 	case msg.DirectUnreached:
 		r.sent(a.step, -1)
+		r.handle = a.handle
 		r.exclude = append(r.exclude, a.target.Target)
 		s.next(r)
 		return
 	case msg.DirectNotRun:
+		if ev.Misdirected {
+			r.handle = a.handle
+		}
 		r.exclude = append(r.exclude, a.target.Target)
 		s.next(r)
 		return
@@ -148,8 +152,13 @@
 		s.giveUp(r, "no-time")
 		return
 	}
-	if ref := s.place(r); ref != nil {
+	ref := s.place(r)
+	switch {
+	case ref == nil:
+	case r.mayRun:
 		s.giveUp(r, ref.code)
+	default:
+		s.refuse(r, *ref)
 	}
 }
 
--- a/internal/core/direct/fuzz_test.go
+++ b/internal/core/direct/fuzz_test.go
@@ -308,6 +308,7 @@
 	switch ev.Result {
 	case msg.DirectUnreached:
 		f.calls--
+		f.handle = a.spec.Handle // nobody was asked for it
 	case msg.DirectFailed:
 		f.held = true
 		f.runs++
--- a/internal/core/direct/place.go
+++ b/internal/core/direct/place.go
@@ -33,8 +33,8 @@
 // place chooses a target for the request's next attempt and starts it. It
 // returns a refusal where there is none, or none in time.
 func (s *step) place(r *request) *refusal {
-	if !s.keyHolds(r) {
-		return &refusal{statusUnavailable, "stale-config", retryElsewhere}
+	if ref := s.checkKey(r); ref != nil {
+		return ref
 	}
 	list := s.candidates(r)
 	if len(list) == 0 {
--- a/internal/core/direct/request.go
+++ b/internal/core/direct/request.go
@@ -52,6 +52,8 @@
 	// work is the prefill that it asks of the target and expected the time
 	// to its first token.
 	work, expected time.Duration
+	// handle is the one that it goes on from.
+	handle string
 	// tokens is the memory that it takes at the target.
 	tokens int
 	// began says that the first token, or the answer, has come.
--- a/internal/core/direct/request_test.go
+++ b/internal/core/direct/request_test.go
@@ -198,3 +198,44 @@
 	w.is.True(ref.RetryAfter > 0)
 	w.pass(4 * time.Second)
 }
+
+// A handle that no engine has been asked for is still good: after a connection
+// that never opened, or an answer for another target, the prompt is not read
+// again.
+func TestHandleIsKeptWhereNobodyTookIt(t *testing.T) {
+	w := readyWorld(t)
+	w.arrive("/chat/x", prompt(1, 30_000, 4000))
+	w.end(w.started().Attempt, msg.DirectPrefilled, func(ev *msg.DirectEnded) { ev.Handle = "h" })
+	a := w.started()
+	w.end(a.Attempt, msg.DirectUnreached)
+	b := w.started()
+	w.is.Equal(b.Spec.Step, msg.StepDecode)
+	w.is.Equal(b.Spec.Handle, "h")
+	w.is.True(b.Spec.Target != a.Spec.Target)
+}
+
+// A key that is withdrawn while its request is under way: the caller is told
+// so, and not to come back.
+func TestKeyWithdrawnBetweenTwoAttempts(t *testing.T) {
+	w := readyWorld(t)
+	w.arrive("/chat/x", prompt(1, 30_000, 4000))
+	a := w.started().Attempt
+	table := testTable()
+	table.Version = 2
+	table.Accounts[0].Keys = []string{"other"}
+	w.configure(table)
+	w.end(a, msg.DirectPrefilled, func(ev *msg.DirectEnded) { ev.Handle = "h" })
+	w.is.Equal(w.refused().Status, 401)
+	w.is.Equal(w.refused().Code, "key-withdrawn")
+}
+
+// The time to go on from a handle says nothing of how fast a target reads.
+func TestSpeedIsLearntFromReading(t *testing.T) {
+	w := readyWorld(t)
+	w.arrive("/chat/x", prompt(1, 30_000, 4000))
+	w.end(w.started().Attempt, msg.DirectPrefilled, func(ev *msg.DirectEnded) { ev.Handle = "h" })
+	a := w.started()
+	w.now += 100 * time.Millisecond
+	w.step(msg.DirectBegan{Attempt: a.Attempt})
+	w.is.Equal(w.m.targets[a.Spec.Target].slow, 1.0)
+}
--- a/internal/core/direct/start.go
+++ b/internal/core/direct/start.go
@@ -38,6 +38,7 @@
 		if source := s.targets[r.source]; source != nil {
 			spec.HandleAddr = source.Addr
 		}
+		a.handle = r.handle
 		r.handle = ""
 	}
 	s.emit(msg.StartDirect{Req: r.arrived.Req, Attempt: a.id, Spec: spec})
--- a/internal/core/direct/target.go
+++ b/internal/core/direct/target.go
@@ -120,7 +120,7 @@
 	a.began = true
 	t.backlogUntil = now + t.waiting()
 	t.avoidFor = 0
-	if a.expected > 0 {
+	if a.work > 0 {
 		ratio := t.slow * float64(now-a.since) / float64(a.expected)
 		t.slow += speedWeight * (min(max(ratio, fastest), slowest) - t.slow)
 	}
--- a/internal/core/msg/direct.go
+++ b/internal/core/msg/direct.go
@@ -282,6 +282,8 @@
 	// Status is the HTTP status of the target's answer; zero without one.
 	Status int
 	Handle string
+	// Misdirected says that another target than the one meant did not run it.
+	Misdirected bool
 	// LastEvent is the last whole event that the caller has.
 	LastEvent int64
 	// Streaming says that the caller has a part of the answer.
--- a/internal/daemon/direct_exchange.go
+++ b/internal/daemon/direct_exchange.go
@@ -156,7 +156,7 @@
 	a.Close(err == nil && len(body) <= maxHeld)
 	switch {
 	case reply.Kind == platform.ReplyNotRun:
-		return msg.DirectEnded{Result: msg.DirectNotRun, Reason: "refused by the target"}
+		return msg.DirectEnded{Result: msg.DirectNotRun, Reason: "refused by the target", Misdirected: reply.Misdirected}
 	case err != nil:
 		return broken(err)
 	}
