--- a/internal/core/direct/place.go
+++ b/internal/core/direct/place.go
@@ -83,7 +83,7 @@
 
 // scorePlain scores a target of a plain service by the work that is open.
 func (s *step) scorePlain(t *target) candidate {
-	open := len(t.open) + s.share.open(t.Target)
+	open := len(t.open) + s.share.open(t.Target).Open
 	slots := max(t.Slots, 1)
 	latency := max(t.latency, time.Millisecond)
 	wait := time.Duration(float64(latency) * float64(open) / float64(slots))
--- a/internal/core/direct/share.go
+++ b/internal/core/direct/share.go
@@ -83,31 +83,16 @@
 	return sum
 }
 
-// running is the number of the other daemons' attempts that a target decodes.
-func (sh *share) running(id msg.TargetID) int {
-	n := 0
+// open sums up the other daemons' attempts at a target.
+func (sh *share) open(id msg.TargetID) msg.TargetDigest {
+	sum := msg.TargetDigest{Target: id}
 	for _, p := range sh.peers {
-		n += p.targets[id].Running
+		t := p.targets[id]
+		sum.Open += t.Open
+		sum.Running += t.Running
+		sum.Tokens += t.Tokens
 	}
-	return n
-}
-
-// tokens is the memory that they take.
-func (sh *share) tokens(id msg.TargetID) int {
-	n := 0
-	for _, p := range sh.peers {
-		n += p.targets[id].Tokens
-	}
-	return n
-}
-
-// open is the number of the other daemons' attempts at a target.
-func (sh *share) open(id msg.TargetID) int {
-	n := 0
-	for _, p := range sh.peers {
-		n += p.targets[id].Open
-	}
-	return n
+	return sum
 }
 
 func (s *step) onDigest(from msg.HostID, d msg.LoadDigest) {
@@ -175,8 +160,9 @@
 				continue
 			}
 			running, tokens := t.running()
-			d.Streams += running + s.share.running(t.Target)
-			d.Tokens += tokens + s.share.tokens(t.Target)
+			others := s.share.open(t.Target)
+			d.Streams += running + others.Running
+			d.Tokens += tokens + others.Tokens
 		}
 		if d.Streams > 0 {
 			s.raise(d)
--- a/internal/core/direct/share_test.go
+++ b/internal/core/direct/share_test.go
@@ -25,12 +25,12 @@
 		Cached:  []msg.CachedPart{{Target: "dec-2", Part: 7, Tokens: 900}},
 	}})
 	w.is.Equal(w.m.share.backlog(w.now, "dec-1"), 500*time.Millisecond)
-	w.is.Equal(w.m.share.open("dec-1"), 3)
+	w.is.Equal(w.m.share.open("dec-1").Open, 3)
 	w.is.Equal(w.m.caches.held("dec-2", []msg.PromptPart{{ID: 7, Tokens: 900}}), 900)
 	w.now += 200 * time.Millisecond
 	w.is.Equal(w.m.share.backlog(w.now, "dec-1"), 300*time.Millisecond) // work told is done meanwhile
 	w.step(msg.MembersChanged{Entries: []msg.Host{{Host: "entry-1"}}})
-	w.is.Equal(w.m.share.open("dec-1"), 0) // entry-2 is gone
+	w.is.Equal(w.m.share.open("dec-1").Open, 0) // entry-2 is gone
 }
 
 func TestDigestIsSentOnNews(t *testing.T) {
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -28,6 +28,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/verbenaspur/verbenaspur/internal/callmetrics"
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
 )
 
@@ -60,8 +61,7 @@
 	cfg   Config
 	http  *http.Client
 	hosts hostCache
-	calls *prometheus.CounterVec
-	time  *prometheus.HistogramVec
+	calls *callmetrics.Calls
 }
 
 // New returns a client with connections of its own.
@@ -70,31 +70,17 @@
 		cfg.Timeout = defaultTimeout
 	}
 	return &Client{
-		cfg:  cfg,
-		http: &http.Client{Transport: newTransport(), CheckRedirect: refuseRedirect},
-		calls: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "verbenaspur_platform_calls_total",
-			Help: "Calls of the platform by kind and result.",
-		}, []string{"call", "status"}),
-		time: prometheus.NewHistogramVec(prometheus.HistogramOpts{
-			Name:    "verbenaspur_platform_call_duration_seconds",
-			Help:    "Duration of calls of the platform, watches excepted.",
-			Buckets: prometheus.ExponentialBuckets(0.001, 2, 13),
-		}, []string{"call"}),
+		cfg:   cfg,
+		http:  &http.Client{Transport: newTransport(), CheckRedirect: refuseRedirect},
+		calls: callmetrics.New(),
 	}
 }
 
 // Describe implements [prometheus.Collector].
-func (c *Client) Describe(ch chan<- *prometheus.Desc) {
-	c.calls.Describe(ch)
-	c.time.Describe(ch)
-}
+func (c *Client) Describe(ch chan<- *prometheus.Desc) { c.calls.Describe(ch) }
 
 // Collect implements [prometheus.Collector].
-func (c *Client) Collect(ch chan<- prometheus.Metric) {
-	c.calls.Collect(ch)
-	c.time.Collect(ch)
-}
+func (c *Client) Collect(ch chan<- prometheus.Metric) { c.calls.Collect(ch) }
 
 // Close closes idle connections.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
--- a/internal/platform/session.go
+++ b/internal/platform/session.go
@@ -45,9 +45,9 @@
 func (s *session) do(r *request, out any) msg.CallStatus {
 	started := time.Now()
 	status := s.exchange(r, out)
-	s.client.calls.WithLabelValues(r.call, statusLabel(status)).Inc()
+	s.client.calls.Count(r.call, status)
 	if r.wait == 0 {
-		s.client.time.WithLabelValues(r.call).Observe(time.Since(started).Seconds())
+		s.client.calls.Time(r.call, time.Since(started))
 	}
 	return status
 }
@@ -136,7 +136,3 @@
 	}
 	return msg.CallUnavailable
 }
-
-func statusLabel(s msg.CallStatus) string {
-	return [...]string{"ok", "conflict", "not_found", "rejected", "unavailable", "unknown"}[s]
-}
