Reading a prompt between tokens costs the streams of a decoding engine: weighed, not learned by accident

The ranking now adds the reading time times a weight for engines that decode; the expected time, by which a request is refused, does not hold it.

--- a/internal/core/direct/place.go
+++ b/internal/core/direct/place.go
@@ -11,6 +11,9 @@
 	// tooLate is the multiple of a request's objective up to which a late
 	// first token is still offered.
 	tooLate = 2.0
+	// readWeight is what a prompt costs the streams of an engine that decodes
+	// and reads it between their tokens, in times of reading it.
+	readWeight = 5
 	// logged is the number of losing candidates in a log line.
 	logged = 2
 	// spread is the part of a cost that is drawn at random, so that daemons
@@ -25,9 +28,11 @@
 	// from is a target whose cached prefix is fetched first, or nil.
 	from *target
 	// work is the prefill at the target, wait the time until it begins and
-	// cost the expected time to the first token, weighed by the target's
-	// failures.
-	work, wait, cost time.Duration
+	// expected the time to the first token.
+	work, wait, expected time.Duration
+	// cost ranks the candidates: the expected time, weighed by the target's
+	// failures, and what the work costs others.
+	cost time.Duration
 }
 
 // place chooses a target for the request's next attempt and starts it. It
@@ -42,7 +47,7 @@
 	}
 	slices.SortFunc(list, func(a, b candidate) int { return int(a.cost - b.cost) })
 	best := list[0]
-	late := s.now - r.since + best.cost - time.Duration(tooLate*float64(r.route.Objective))
+	late := s.now - r.since + best.expected - time.Duration(tooLate*float64(r.route.Objective))
 	if r.generation() && r.handle == "" && r.runs == 0 && late > 0 {
 		return &refusal{statusUnavailable, "overloaded", max(late, retrySoon)}
 	}
@@ -87,8 +92,8 @@
 	slots := max(t.Slots, 1)
 	latency := max(t.latency, time.Millisecond)
 	wait := time.Duration(float64(latency) * float64(open) / float64(slots))
-	c := candidate{target: t, step: msg.StepWhole, wait: wait, cost: wait + latency}
-	c.cost = penalize(c.cost, t)
+	c := candidate{target: t, step: msg.StepWhole, wait: wait, expected: wait + latency}
+	c.cost = penalize(c.expected, t)
 	return c
 }
 
@@ -100,11 +105,8 @@
 	source := s.targets[r.source]
 	far := source != nil && source.Domain != t.Domain
 	c := candidate{target: t, step: msg.StepDecode, wait: s.wait(t)}
-	c.cost = c.wait/4 + transferTime(s.engine(t), r.arrived.PromptTokens, far) + time.Duration(len(t.open))*time.Millisecond
-	if s.caches.held(t.Target, r.parts) > 0 {
-		c.cost -= time.Millisecond
-	}
-	c.cost = penalize(c.cost, t)
+	c.expected = c.wait/4 + transferTime(s.engine(t), r.arrived.PromptTokens, far) + time.Duration(len(t.open))*time.Millisecond
+	c.cost = penalize(c.expected, t)
 	return c, true
 }
 
@@ -121,15 +123,18 @@
 		cached = held
 	}
 	c.work = time.Duration(t.slow * float64(readTime(t.Role, r.arrived.PromptTokens, cached)))
-	c.cost = hop + firstToken + c.wait + fetch + c.work
+	c.expected = hop + firstToken + c.wait + fetch + c.work
 	if t.Role == msg.RolePrefill {
 		if r.route.Repeat != msg.RepeatStream || r.lastEvent > 0 {
 			return candidate{}, false
 		}
 		c.step = msg.StepPrefill
-		c.cost += hop + transferTime(s.engine(t), r.arrived.PromptTokens, true)
+		c.expected += hop + transferTime(s.engine(t), r.arrived.PromptTokens, true)
+	}
+	c.cost = penalize(c.expected, t)
+	if t.Role == msg.RoleDecode {
+		c.cost += readWeight * c.work
 	}
-	c.cost = penalize(c.cost, t)
 	return c, true
 }
 
--- a/internal/core/direct/start.go
+++ b/internal/core/direct/start.go
@@ -15,7 +15,7 @@
 func (s *step) start(r *request, c candidate, list []candidate) {
 	a := &attempt{
 		id: s.nextAttempt(), req: r, target: c.target, step: c.step, since: s.now,
-		work: c.work, expected: c.cost, tokens: r.arrived.PromptTokens, parts: r.parts, fingerprint: r.fingerprint,
+		work: c.work, expected: c.expected, tokens: r.arrived.PromptTokens, parts: r.parts, fingerprint: r.fingerprint,
 	}
 	r.attempt = a
 	r.sends++
@@ -62,7 +62,7 @@
 	s.logRequest(r, "placed",
 		attr("attempt", a.id), attr("target", c.target.Target), attr("step", c.step),
 		attr("route", r.route.Name), attr("account", r.accountID()), attr("version", s.table.version), attr("tokens", r.arrived.PromptTokens),
-		attr("cost_ms", ms(c.cost)), attr("wait_ms", ms(c.wait)), attr("work_ms", ms(c.work)),
+		attr("cost_ms", ms(c.cost)), attr("expected_ms", ms(c.expected)), attr("wait_ms", ms(c.wait)), attr("work_ms", ms(c.work)),
 		attr("fetch_from", from), attr("candidates", len(list)), attr("losers", losers(list)),
 	)
 }
