Callers' body limit follows the configuration; connection limits and told load count in placement

Fields that were decoded and used nowhere: the body limit was a constant, the connection limit of a target was passed to the driver and not kept, the load that targets tell was stored only.

--- a/internal/core/direct/direct.go
+++ b/internal/core/direct/direct.go
@@ -118,6 +118,7 @@
 		s.limits = ev.Limits
 	case msg.RoutesChanged:
 		s.table = newTable(ev.Table)
+		s.emit(msg.SetCallerLimits{Limits: ev.Table.Limits})
 		s.updateReady()
 	case msg.RoutesFresh:
 		s.freshAt = max(s.freshAt, ev.At)
--- a/internal/core/direct/place.go
+++ b/internal/core/direct/place.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -61,9 +62,10 @@
 // candidates filters the service's targets and scores each.
 func (s *step) candidates(r *request) []candidate {
 	all := s.services[r.service]
+	most := s.connLimit(r.service)
 	list := make([]candidate, 0, len(all))
 	for _, t := range all {
-		if !t.usable(s.now) || slices.Contains(r.exclude, t.Target) {
+		if !t.usable(s.now) || slices.Contains(r.exclude, t.Target) || len(t.open) >= most {
 			continue
 		}
 		c, ok := s.score(r, t)
@@ -75,6 +77,15 @@
 	return list
 }
 
+// connLimit is this daemon's part of the connections that a target takes.
+func (s *step) connLimit(id msg.ServiceID) int {
+	spec := s.table.services[id]
+	if spec == nil || spec.MaxConns == 0 {
+		return math.MaxInt
+	}
+	return max(spec.MaxConns/max(len(s.entries), 1), 1)
+}
+
 // score returns the way in which a target can serve the request's next step.
 func (s *step) score(r *request, t *target) (candidate, bool) {
 	switch {
@@ -88,7 +99,7 @@
 
 // scorePlain scores a target of a plain service by the work that is open.
 func (s *step) scorePlain(t *target) candidate {
-	open := len(t.open) + s.share.open(t.Target).Open
+	open := max(len(t.open)+s.share.open(t.Target).Open, t.told(s.now))
 	slots := max(t.Slots, 1)
 	latency := max(t.latency, time.Millisecond)
 	wait := time.Duration(float64(latency) * float64(open) / float64(slots))
--- a/internal/core/direct/place_test.go
+++ b/internal/core/direct/place_test.go
@@ -124,3 +124,38 @@
 	d, _ := sent.Message.(msg.LoadDigest)
 	w.is.Equal(d.Cached, []msg.CachedPart{{Target: "dec-1", Part: 5, Tokens: 4000}}) // small parts are not followed
 }
+
+// A target resets the connections beyond its limit, which all daemons share.
+func TestConnectionLimitIsShared(t *testing.T) {
+	w := newWorld(t)
+	table := testTable()
+	table.Services[1].MaxConns = 4
+	w.configure(table)
+	w.list(testInstances()[:1]...)
+	w.step(msg.MembersChanged{Entries: []msg.Host{{Host: "entry-1"}, {Host: "entry-2"}}})
+	for range 2 {
+		w.arrive("/lookup/x")
+		w.started()
+	}
+	w.arrive("/lookup/x")
+	w.is.Equal(w.refused().Code, "no-target")
+}
+
+// What a target tells of others' work counts for a moment.
+func TestToldLoadCounts(t *testing.T) {
+	w := readyWorld(t)
+	for range 2 {
+		w.arrive("/lookup/x")
+		a := w.started()
+		w.now += 10 * time.Millisecond
+		w.end(a.Attempt, msg.DirectDone, func(ev *msg.DirectEnded) {
+			if a.Spec.Target == "app-1" {
+				ev.Load = &msg.TargetLoad{Running: 6, Waiting: 9, Slots: 6}
+			}
+		})
+	}
+	for range 4 {
+		w.arrive("/lookup/x")
+		w.is.Equal(w.started().Spec.Target, msg.TargetID("app-2"))
+	}
+}
--- a/internal/core/direct/start.go
+++ b/internal/core/direct/start.go
@@ -25,7 +25,7 @@
 	spec := msg.DirectSpec{
 		Step: c.step, Target: c.target.Target, Addr: c.target.Addr, Service: r.service,
 		Repeat: r.route.Repeat, Account: r.accountID(), Deadline: r.deadline, Priority: -1,
-		LastEvent: r.lastEvent, ConnLimit: s.connLimit(r.service),
+		LastEvent: r.lastEvent,
 	}
 	if r.generation() {
 		spec.Priority = min(r.priority(), maxPriority)
@@ -45,15 +45,6 @@
 	s.logPlaced(r, a, c, list)
 }
 
-// connLimit is this daemon's part of the connections that a target takes.
-func (s *step) connLimit(id msg.ServiceID) int {
-	spec := s.table.services[id]
-	if spec == nil || spec.MaxConns == 0 {
-		return 0
-	}
-	return max(spec.MaxConns/max(len(s.entries), 1), 1)
-}
-
 func (s *step) logPlaced(r *request, a *attempt, c candidate, list []candidate) {
 	from := ""
 	if c.from != nil {
--- a/internal/core/direct/target.go
+++ b/internal/core/direct/target.go
@@ -22,7 +22,9 @@
 	// speedWeight is the weight of one observation in a target's speed.
 	speedWeight = 0.2
 	slowest     = 8.0
-	fastest     = 0.6
+	// loadAge is the age at which a load that a target told no longer counts.
+	loadAge = 150 * time.Millisecond
+	fastest = 0.6
 	// overdueAfter is how far past its expected first token an attempt makes
 	// its target suspect.
 	overdueAfter = 150 * time.Millisecond
@@ -49,8 +51,9 @@
 	listed bool
 	// latency is the weighted time of an answer of a plain service.
 	latency time.Duration
-	load    *msg.TargetLoad
-	loadAt  msg.Time
+	// load is what the target last told, at loadAt.
+	load   *msg.TargetLoad
+	loadAt msg.Time
 	// broken holds the attempts whose answers broke off lately.
 	broken []brokenAttempt
 }
@@ -135,6 +138,15 @@
 	}
 }
 
+// told is the number of requests that the target said it has, if it said so a
+// moment ago.
+func (t *target) told(now msg.Time) int {
+	if t.load == nil || now-t.loadAt > loadAge {
+		return 0
+	}
+	return t.load.Running + t.load.Waiting
+}
+
 // outcome learns from an attempt's end.
 func (t *target) outcome(ok bool) {
 	v := 1.0
--- a/internal/core/msg/direct.go
+++ b/internal/core/msg/direct.go
@@ -230,8 +230,6 @@
 	Handle, HandleAddr string
 	// LastEvent resumes a stream after this event.
 	LastEvent int64
-	// ConnLimit bounds this daemon's connections to the target.
-	ConnLimit int
 }
 
 // StartDirect runs an attempt. [DirectEnded] answers it.
@@ -361,6 +359,9 @@
 // SetReady tells the platform's balancer whether this daemon takes requests.
 type SetReady struct{ Ready bool }
 
+// SetCallerLimits tells the driver what callers may send.
+type SetCallerLimits struct{ Limits CallerLimits }
+
 // ReportWindow reports the requests of a usage window. [WindowReported]
 // answers it.
 type ReportWindow struct {
@@ -482,15 +483,16 @@
 func (DirectClosed) event()     {}
 func (FirstToken) event()       {}
 
-func (ReadRoutes) effect()    {}
-func (ReadInstances) effect() {}
-func (StartDirect) effect()   {}
-func (PassAnswer) effect()    {}
-func (FreeHandle) effect()    {}
-func (SetReady) effect()      {}
-func (ReportWindow) effect()  {}
-func (OrderRole) effect()     {}
-func (ReadCache) effect()     {}
+func (ReadRoutes) effect()      {}
+func (ReadInstances) effect()   {}
+func (StartDirect) effect()     {}
+func (PassAnswer) effect()      {}
+func (FreeHandle) effect()      {}
+func (SetReady) effect()        {}
+func (SetCallerLimits) effect() {}
+func (ReportWindow) effect()    {}
+func (OrderRole) effect()       {}
+func (ReadCache) effect()       {}
 
 func (LoadDigest) peerMessage() {}
 func (RunCounts) peerMessage()  {}
--- a/internal/core/msg/types.go
+++ b/internal/core/msg/types.go
@@ -68,6 +68,6 @@
 		reflect.TypeFor[ReadRoutes](), reflect.TypeFor[ReadInstances](), reflect.TypeFor[StartDirect](),
 		reflect.TypeFor[PassAnswer](), reflect.TypeFor[FreeHandle](), reflect.TypeFor[SetReady](),
 		reflect.TypeFor[ReportWindow](), reflect.TypeFor[OrderRole](),
-		reflect.TypeFor[ReadCache](),
+		reflect.TypeFor[ReadCache](), reflect.TypeFor[SetCallerLimits](),
 	}
 }
--- a/internal/daemon/direct_front.go
+++ b/internal/daemon/direct_front.go
@@ -57,6 +57,8 @@
 		go f.freeHandle(eff)
 	case msg.SetReady:
 		f.ready.Store(eff.Ready)
+	case msg.SetCallerLimits:
+		f.maxBody.Store(eff.Limits.BodyBytes)
 	case msg.LogLine:
 		writeLog(f.log, eff)
 	case msg.StopReady:
