A handle is asked of the address that its engine had; settle in steps

Cause: an engine that left the list between the prefill and the decode gave an empty address for its handle, so the decode attempt could only fail (TestHandleOfATargetThatLeft failed first). Found by reading the code again. settle did six things in one function; it is three now.

--- a/internal/core/direct/end.go
+++ b/internal/core/direct/end.go
@@ -73,79 +73,66 @@
 
 // settle decides what follows the end of a request's attempt.
 func (s *step) settle(r *request, a *attempt, ev msg.DirectEnded) {
-	prefill := a.step == msg.StepPrefill
-	switch ev.Result {
-	case msg.DirectDone:
+	switch {
+	case ev.Result == msg.DirectDone:
 		s.countRun(r)
 		s.emit(msg.FinishRequest{Req: r.arrived.Req})
 		s.close(r, msg.EndAnswered, "")
-		return
-	case msg.DirectPrefilled:
+	case ev.Result == msg.DirectCancelled:
+		// Only the caller's leaving cancels the attempt of an open request.
+		s.logRequest(r, "caller left")
+		s.close(r, msg.EndLeft, "")
+	case ev.Result == msg.DirectPrefilled:
 		r.handle = ev.Handle
-		r.source = a.target.Target
+		r.source = a.target.Instance
 		s.next(r)
-		return
+	default:
+		r.exclude = append(r.exclude, a.target.Target)
+		s.settleFailed(r, a, ev)
+	}
+}
+
+// settleFailed decides what follows an attempt that came to nothing.
+func (s *step) settleFailed(r *request, a *attempt, ev msg.DirectEnded) {
+	switch ev.Result {
 	case msg.DirectUnreached:
 		r.sent(a.step, -1)
 		r.handle = a.handle
-		r.exclude = append(r.exclude, a.target.Target)
 		s.next(r)
 		return
 	case msg.DirectNotRun:
 		if ev.Misdirected {
 			r.handle = a.handle
 		}
-		r.exclude = append(r.exclude, a.target.Target)
 		s.next(r)
 		return
-	case msg.DirectFailed:
-		if prefill {
-			r.exclude = append(r.exclude, a.target.Target)
-			s.next(r)
-			return
-		}
+	}
+	if a.step == msg.StepPrefill {
+		s.next(r)
+		return
+	}
+	r.runs++
+	r.mayRun = true
+	if ev.Result == msg.DirectFailed {
 		s.countRun(r)
-		r.runs++
-		r.mayRun = true
 		r.held = true
-		if r.route.Repeat == msg.RepeatSafe && s.mayRepeat(r) {
-			r.exclude = append(r.exclude, a.target.Target)
-			s.next(r)
-			return
-		}
-	case msg.DirectBroken:
-		r.exclude = append(r.exclude, a.target.Target)
-		if prefill {
-			s.next(r)
-			return
-		}
-		r.runs++
-		r.mayRun = true
-		if s.repeatable(r) && s.mayRepeat(r) {
-			s.next(r)
-			return
-		}
-	case msg.DirectCancelled:
-		// Only the caller's leaving cancels the attempt of an open request.
-		s.logRequest(r, "caller left")
-		s.close(r, msg.EndLeft, "")
+	}
+	if s.repeatable(r, ev.Result) && r.runs < r.route.Attempts {
+		s.next(r)
 		return
 	}
 	s.giveUp(r, ev.Result.String())
 }
 
 // repeatable reports whether a request may run once more after a run that
-// broke off.
-func (s *step) repeatable(r *request) bool {
+// came to nothing. A stream whose target reported a failure has one answer.
+func (s *step) repeatable(r *request, result msg.DirectResult) bool {
 	if r.route.Repeat == msg.RepeatSafe {
 		return true
 	}
-	return r.route.Repeat == msg.RepeatStream && r.route.Resumable
+	return r.route.Repeat == msg.RepeatStream && r.route.Resumable && result == msg.DirectBroken
 }
 
-// mayRepeat reports whether the route allows another run.
-func (s *step) mayRepeat(r *request) bool { return r.runs < r.route.Attempts }
-
 // next starts the request's next attempt or ends it.
 func (s *step) next(r *request) {
 	if r.sends >= maxSends || s.left(r) < leastLeft {
@@ -212,9 +199,7 @@
 		s.emit(msg.CancelAttempt{Attempt: a.id, Reason: "the request is over"})
 	}
 	if r.handle != "" {
-		if source := s.targets[r.source]; source != nil {
-			s.emit(msg.FreeHandle{Addr: source.Addr, Handle: r.handle})
-		}
+		s.emit(msg.FreeHandle{Addr: r.source.Addr, Handle: r.handle})
 		r.handle = ""
 	}
 	delete(s.requests, r.arrived.Req)
--- a/internal/core/direct/place.go
+++ b/internal/core/direct/place.go
@@ -113,8 +113,7 @@
 	if t.Role == msg.RolePrefill {
 		return candidate{}, false
 	}
-	source := s.targets[r.source]
-	far := source != nil && source.Domain != t.Domain
+	far := r.source.Domain != t.Domain
 	c := candidate{target: t, step: msg.StepDecode, wait: s.wait(t)}
 	c.expected = c.wait/4 + transferTime(s.engine(t), r.arrived.PromptTokens, far) + time.Duration(len(t.open))*time.Millisecond
 	c.cost = penalize(c.expected, t)
--- a/internal/core/direct/request.go
+++ b/internal/core/direct/request.go
@@ -30,9 +30,10 @@
 	held bool
 	// counted says that its run was counted for usage.
 	counted bool
-	// handle names the prompt that was read at source.
+	// handle names the prompt that was read at source, which may have left
+	// the list since.
 	handle string
-	source msg.TargetID
+	source msg.Instance
 	// lastEvent is the last event that the caller has and streaming says that
 	// the answer has begun.
 	lastEvent int64
--- a/internal/core/direct/request_test.go
+++ b/internal/core/direct/request_test.go
@@ -239,3 +239,15 @@
 	w.step(msg.DirectBegan{Attempt: a.Attempt})
 	w.is.Equal(w.m.targets[a.Spec.Target].slow, 1.0)
 }
+
+// An engine that has left the list goes on serving for a while: a handle is
+// still asked of it, by the address that it had.
+func TestHandleOfATargetThatLeft(t *testing.T) {
+	w := readyWorld(t)
+	w.arrive("/chat/x", prompt(1, 30_000, 4000))
+	a := w.started()
+	w.is.Equal(a.Spec.Target, msg.TargetID("pre-1"))
+	w.list(testInstances()[:4]...)
+	w.end(a.Attempt, msg.DirectPrefilled, func(ev *msg.DirectEnded) { ev.Handle = "h" })
+	w.is.Equal(w.started().Spec.HandleAddr, "10.0.2.1:1")
+}
--- a/internal/core/direct/start.go
+++ b/internal/core/direct/start.go
@@ -35,9 +35,7 @@
 	}
 	if c.step == msg.StepDecode {
 		spec.Handle = r.handle
-		if source := s.targets[r.source]; source != nil {
-			spec.HandleAddr = source.Addr
-		}
+		spec.HandleAddr = r.source.Addr
 		a.handle = r.handle
 		r.handle = ""
 	}
