--- a/internal/core/direct/end.go
+++ b/internal/core/direct/end.go
@@ -73,16 +73,16 @@
 
 // settle decides what follows the end of a request's attempt.
 func (s *step) settle(r *request, a *attempt, ev msg.DirectEnded) {
-	switch {
-	case ev.Result == msg.DirectDone:
+	switch ev.Result {
+	case msg.DirectDone:
 		s.countRun(r)
 		s.emit(msg.FinishRequest{Req: r.arrived.Req})
 		s.close(r, msg.EndAnswered, "")
-	case ev.Result == msg.DirectCancelled:
+	case msg.DirectCancelled:
 		// Only the caller's leaving cancels the attempt of an open request.
 		s.logRequest(r, "caller left")
 		s.close(r, msg.EndLeft, "")
-	case ev.Result == msg.DirectPrefilled:
+	case msg.DirectPrefilled:
 		r.handle = ev.Handle
 		r.source = a.target.Instance
 		s.next(r)
