Each attempt has an end: callers that leave as an attempt is handed over

Cause, found by reading the code: a caller that left as its next attempt was handed over left the attempt without an end. Its target counted it for good: overdue work that grows with time, told to all entries by digest, until nobody uses the target. An attempt cancelled before its exchange took it up ran all the same. Attempts are now registered as they are handed over and ended when the exchange closes; the reducer drops those whose end is never told. An entry also said that it was ready before it knew its targets (seen as a 503 in TestDirectStreamAndSplit under the race detector).

--- a/internal/core/direct/direct.go
+++ b/internal/core/direct/direct.go
@@ -32,6 +32,8 @@
 	lastCall    msg.CallID
 	stopping    bool
 	ready       bool
+	// listed says that the list of targets has been read.
+	listed bool
 
 	table    *table
 	freshAt  msg.Time
@@ -126,6 +128,8 @@
 		s.updateReady()
 	case msg.InstancesChanged:
 		s.onInstances(ev)
+		s.listed = true
+		s.updateReady()
 	case msg.MembersChanged:
 		s.greet(ev.Entries)
 		s.entries = ev.Entries
@@ -148,12 +152,24 @@
 	for _, r := range s.overdue() {
 		s.expire(r)
 	}
+	s.forgetAttempts()
 	s.tellShare()
 	s.tellDemand()
 	s.listCaches()
 	s.updateReady()
 }
 
+// forgetAttempts drops attempts whose end was never told, so that none counts
+// against its target for good.
+func (s *step) forgetAttempts() {
+	for id, a := range s.attempts {
+		if a.req == nil && s.now >= a.forgetAt {
+			delete(s.attempts, id)
+			a.target.end(s.now, a)
+		}
+	}
+}
+
 // overdue returns the requests whose time is over, in order of arrival.
 func (s *step) overdue() []*request {
 	var list []*request
@@ -166,10 +182,10 @@
 	return list
 }
 
-// updateReady tells the balancer whether this daemon can serve: it knows a
-// configuration that was confirmed lately and is not stopping.
+// updateReady tells the balancer whether this daemon can serve: it knows its
+// targets and a configuration that was confirmed lately, and is not stopping.
 func (s *step) updateReady() {
-	ready := s.table != nil && !s.stopping && s.fresh(s.limits.FreshFor)
+	ready := s.table != nil && s.listed && !s.stopping && s.fresh(s.limits.FreshFor)
 	if ready == s.ready {
 		return
 	}
--- a/internal/core/direct/request.go
+++ b/internal/core/direct/request.go
@@ -57,6 +57,8 @@
 	handle string
 	// tokens is the memory that it takes at the target.
 	tokens int
+	// forgetAt is when it no longer counts though its end was not told.
+	forgetAt msg.Time
 	// began says that the first token, or the answer, has come.
 	began       bool
 	parts       []msg.PromptPart
--- a/internal/core/direct/request_test.go
+++ b/internal/core/direct/request_test.go
@@ -43,6 +43,8 @@
 	w.is.True(w.refused().RetryAfter > 0)
 	w.is.True(!w.m.ready)
 	w.configure(testTable())
+	w.is.True(!w.m.ready) // it knows no targets
+	w.list(testInstances()...)
 	w.is.True(w.m.ready)
 	w.now += testLimits.FreshFor + time.Millisecond
 	w.step(msg.Tick{})
@@ -251,3 +253,15 @@
 	w.end(a.Attempt, msg.DirectPrefilled, func(ev *msg.DirectEnded) { ev.Handle = "h" })
 	w.is.Equal(w.started().Spec.HandleAddr, "10.0.2.1:1")
 }
+
+// An attempt whose end is never told does not count for good.
+func TestAttemptWithoutAnEndIsForgotten(t *testing.T) {
+	w := readyWorld(t)
+	id := w.arrive("/order/x")
+	a := w.started()
+	w.step(msg.CallerGone{Req: id})
+	w.is.Equal(len(w.m.targets[a.Spec.Target].open), 1) // it may still be at work
+	w.pass(2*time.Second + forgetAfter)
+	w.is.Equal(len(w.m.targets[a.Spec.Target].open), 0)
+	w.is.Equal(len(w.m.attempts), 0)
+}
--- a/internal/core/direct/start.go
+++ b/internal/core/direct/start.go
@@ -8,14 +8,19 @@
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
 )
 
-// maxPriority is the last rank that engines know.
-const maxPriority = 9
+const (
+	// maxPriority is the last rank that engines know.
+	maxPriority = 9
+	// forgetAfter is how long after its request's time an attempt counts whose
+	// end is not told: its target has stopped long before.
+	forgetAfter = 10 * time.Second
+)
 
 // start starts an attempt by the chosen candidate.
 func (s *step) start(r *request, c candidate, list []candidate) {
 	a := &attempt{
 		id: s.nextAttempt(), req: r, target: c.target, step: c.step, since: s.now,
-		work: c.work, expected: c.expected, tokens: r.arrived.PromptTokens, parts: r.parts, fingerprint: r.fingerprint,
+		forgetAt: r.deadline + forgetAfter, work: c.work, expected: c.expected, tokens: r.arrived.PromptTokens, parts: r.parts, fingerprint: r.fingerprint,
 	}
 	r.attempt = a
 	r.sends++
--- a/internal/daemon/direct_exchange.go
+++ b/internal/daemon/direct_exchange.go
@@ -21,17 +21,21 @@
 	maxHeld = 256 << 10
 	// callerStall bounds a stream to a caller that does not read.
 	callerStall = 30 * time.Second
+	// maxCommands is more than a request has: its attempts and its end.
+	maxCommands = 32
 )
 
 // directExchange is a caller's request at the driver. Its goroutine is the
 // caller's handler, which carries out one command of the reducer at a time.
 type directExchange struct {
-	front    *directFront
-	id       msg.RequestID
-	call     *platform.Call
-	w        http.ResponseWriter
-	control  *http.ResponseController
-	commands chan msg.Effect
+	front   *directFront
+	id      msg.RequestID
+	call    *platform.Call
+	w       http.ResponseWriter
+	control *http.ResponseController
+	// ctx ends when the caller leaves.
+	ctx      context.Context
+	commands chan directCommand
 
 	// began says that the head of the answer has left.
 	began bool
@@ -41,6 +45,12 @@
 	lastEvent int64
 }
 
+// directCommand is an effect to be carried out. Ctx is that of an attempt.
+type directCommand struct {
+	eff msg.Effect
+	ctx context.Context
+}
+
 // heldAnswer is a whole answer of a target.
 type heldAnswer struct {
 	status int
@@ -49,16 +59,16 @@
 }
 
 // serve carries out commands until the request is over.
-func (x *directExchange) serve(ctx context.Context) {
+func (x *directExchange) serve() {
 	x.lastEvent = x.call.Arrived.LastEvent
 	defer func() { _ = x.control.SetWriteDeadline(time.Time{}) }()
 	for {
 		select {
-		case eff := <-x.commands:
-			if x.carryOut(ctx, eff) {
+		case cmd := <-x.commands:
+			if x.carryOut(cmd) {
 				return
 			}
-		case <-ctx.Done():
+		case <-x.ctx.Done():
 			x.front.loop.Post(msg.CallerGone{Req: x.id})
 			panic(http.ErrAbortHandler)
 		}
@@ -66,10 +76,10 @@
 }
 
 // carryOut carries out a command and reports whether the request is over.
-func (x *directExchange) carryOut(ctx context.Context, eff msg.Effect) bool {
-	switch eff := eff.(type) {
+func (x *directExchange) carryOut(cmd directCommand) bool {
+	switch eff := cmd.eff.(type) {
 	case msg.StartDirect:
-		x.attempt(ctx, eff)
+		x.attempt(cmd.ctx, eff)
 		return false
 	case msg.RefuseRequest:
 		if x.began {
@@ -98,23 +108,17 @@
 
 // attempt runs an attempt and reports its end.
 func (x *directExchange) attempt(ctx context.Context, eff msg.StartDirect) {
-	f := x.front
-	ctx, cancel := context.WithCancel(ctx)
-	f.mu.Lock()
-	f.attempts[eff.Attempt] = cancel
-	f.mu.Unlock()
-	end := x.run(ctx, &eff)
-	f.mu.Lock()
-	delete(f.attempts, eff.Attempt)
-	f.mu.Unlock()
-	if ctx.Err() != nil && end.Result == msg.DirectBroken {
+	end := msg.DirectEnded{Result: msg.DirectCancelled}
+	if ctx.Err() == nil {
+		end = x.run(ctx, &eff)
+	}
+	if ctx.Err() != nil && end.Result != msg.DirectDone && end.Result != msg.DirectPrefilled {
 		end.Result = msg.DirectCancelled
 	}
-	cancel()
 	end.Attempt = eff.Attempt
 	end.LastEvent = x.lastEvent
 	end.Streaming = x.began
-	f.loop.Post(end)
+	x.front.endAttempt(end)
 }
 
 // broken is the end of an attempt without a whole answer.
--- a/internal/daemon/direct_front.go
+++ b/internal/daemon/direct_front.go
@@ -42,7 +42,7 @@
 func (f *directFront) execute(_ msg.Time, eff msg.Effect) {
 	switch eff := eff.(type) {
 	case msg.StartDirect:
-		f.deliver(eff.Req, eff)
+		f.startAttempt(eff)
 	case msg.RefuseRequest:
 		f.deliver(eff.Req, eff)
 	case msg.AbortRequest:
@@ -81,16 +81,40 @@
 	}
 }
 
-// deliver hands an effect to the exchange of its request. What ends the
-// request also ends its attempt.
-func (f *directFront) deliver(id msg.RequestID, eff msg.Effect) {
+// startAttempt hands an attempt to the exchange of its request, or ends it
+// where the caller has left. From here on it can be cancelled.
+func (f *directFront) startAttempt(eff msg.StartDirect) {
 	f.mu.Lock()
-	x := f.exchanges[id]
-	f.mu.Unlock()
+	defer f.mu.Unlock()
+	x := f.exchanges[eff.Req]
 	if x == nil {
+		go f.loop.Post(msg.DirectEnded{Attempt: eff.Attempt, Result: msg.DirectCancelled})
 		return
 	}
-	x.commands <- eff
+	ctx, cancel := context.WithCancel(x.ctx)
+	f.attempts[eff.Attempt] = cancel
+	x.commands <- directCommand{eff: eff, ctx: ctx}
+}
+
+// endAttempt reports an attempt's end.
+func (f *directFront) endAttempt(end msg.DirectEnded) {
+	f.mu.Lock()
+	cancel := f.attempts[end.Attempt]
+	delete(f.attempts, end.Attempt)
+	f.mu.Unlock()
+	if cancel != nil {
+		cancel()
+	}
+	f.loop.Post(end)
+}
+
+// deliver hands an effect to the exchange of its request.
+func (f *directFront) deliver(id msg.RequestID, eff msg.Effect) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if x := f.exchanges[id]; x != nil {
+		x.commands <- directCommand{eff: eff}
+	}
 }
 
 func (f *directFront) cancel(id msg.AttemptID) {
@@ -137,25 +161,40 @@
 		// The caller left in the middle of its request.
 		panic(http.ErrAbortHandler)
 	}
-	x := f.open(call, w)
+	x := f.open(r.Context(), call, w)
 	defer f.close(x)
 	f.loop.Post(call.Arrived)
-	x.serve(r.Context())
+	x.serve()
 }
 
 // open records a caller's request.
-func (f *directFront) open(call *platform.Call, w http.ResponseWriter) *directExchange {
+func (f *directFront) open(ctx context.Context, call *platform.Call, w http.ResponseWriter) *directExchange {
 	id := msg.RequestID(strconv.FormatUint(f.lastReq.Add(1), 10))
 	call.Arrived.Req = id
-	x := &directExchange{front: f, id: id, call: call, w: w, control: http.NewResponseController(w), commands: make(chan msg.Effect, 16)}
+	x := &directExchange{
+		front: f, id: id, call: call, w: w, ctx: ctx,
+		control: http.NewResponseController(w), commands: make(chan directCommand, maxCommands),
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.exchanges[id] = x
 	return x
 }
 
+// close forgets an exchange whose caller has its answer or has left. Attempts
+// that were handed over meanwhile end here.
 func (f *directFront) close(x *directExchange) {
 	f.mu.Lock()
-	defer f.mu.Unlock()
 	delete(f.exchanges, x.id)
+	f.mu.Unlock()
+	for {
+		select {
+		case cmd := <-x.commands:
+			if start, ok := cmd.eff.(msg.StartDirect); ok {
+				f.endAttempt(msg.DirectEnded{Attempt: start.Attempt, Result: msg.DirectCancelled})
+			}
+		default:
+			return
+		}
+	}
 }
