Counts of the budget are bounded; a caller's body must arrive within ten seconds

Cause, found by reading: requests were counted for the budget and dropped only when a repeat was asked for, so the list grew with the load of a service without repeats (TestBudgetForgets failed first); a body that never ends held its handler.

--- a/internal/core/direct/arrive.go
+++ b/internal/core/direct/arrive.go
@@ -46,7 +46,7 @@
 		return
 	}
 	s.requests[ev.Req] = r
-	s.budget(r.service).arrived(s.now)
+	s.budget(r.service).arrived(s.now, s.limits)
 	if ref := s.place(r); ref != nil {
 		s.refuse(r, *ref)
 	}
--- a/internal/core/direct/budget.go
+++ b/internal/core/direct/budget.go
@@ -26,7 +26,10 @@
 	return b
 }
 
-func (b *budget) arrived(now msg.Time) { b.requests = append(b.requests, now) }
+// arrived counts a request.
+func (b *budget) arrived(now msg.Time, limits msg.DirectLimits) {
+	b.requests = append(since(b.requests, now-limits.RetryWindow), now)
+}
 
 // spend counts a repeat and reports true where it is within the allowance.
 func (b *budget) spend(now msg.Time, limits msg.DirectLimits, daemons int) bool {
--- a/internal/core/direct/budget_test.go
+++ b/internal/core/direct/budget_test.go
@@ -61,3 +61,15 @@
 	w.end(w.started().Attempt, msg.DirectNotRun)
 	w.started() // the window has moved on
 }
+
+// The counts of requests do not grow with time.
+func TestBudgetForgets(t *testing.T) {
+	w := readyWorld(t)
+	for range 200 {
+		w.now += testLimits.RetryWindow / 10
+		w.step(msg.RoutesFresh{At: w.now})
+		w.arrive("/lookup/x")
+		w.end(w.started().Attempt, msg.DirectDone)
+	}
+	w.is.True(len(w.m.budgets["app"].requests) <= 11)
+}
--- a/internal/daemon/direct_front.go
+++ b/internal/daemon/direct_front.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -15,8 +16,12 @@
 	"github.com/verbenaspur/verbenaspur/platform"
 )
 
-// defaultMaxBody bounds a caller's body before a configuration is known.
-const defaultMaxBody = 4 << 20
+const (
+	// defaultMaxBody bounds a caller's body before a configuration is known.
+	defaultMaxBody = 4 << 20
+	// bodyTimeout bounds the time in which a body arrives.
+	bodyTimeout = 10 * time.Second
+)
 
 // directFront drives the reducer of the direct path: it serves callers and
 // carries out effects.
@@ -148,7 +153,7 @@
 	if limit == 0 {
 		limit = defaultMaxBody
 	}
-	call, err := platform.ReadCall(r, limit)
+	call, err := readCall(w, r, limit)
 	switch {
 	case errors.Is(err, platform.ErrTooLarge):
 		w.Header().Set("Connection", "close")
@@ -167,6 +172,22 @@
 	x.serve()
 }
 
+// readCall reads a caller's request, whose body must arrive in time.
+func readCall(w http.ResponseWriter, r *http.Request, limit int64) (*platform.Call, error) {
+	if r.ContentLength == 0 {
+		return platform.ReadCall(r, limit)
+	}
+	control := http.NewResponseController(w)
+	if err := control.SetReadDeadline(time.Now().Add(bodyTimeout)); err != nil {
+		return nil, err
+	}
+	call, err := platform.ReadCall(r, limit)
+	if err != nil {
+		return nil, err
+	}
+	return call, control.SetReadDeadline(time.Time{})
+}
+
 // open records a caller's request.
 func (f *directFront) open(ctx context.Context, call *platform.Call, w http.ResponseWriter) *directExchange {
 	id := msg.RequestID(strconv.FormatUint(f.lastReq.Add(1), 10))
