Stop times: nothing is taken that can't end; alert rules for entries on the users' platform

The listener closed after 3.5 s, later than the three seconds after which a request must be served to its end, and requests were given up 1.5 s before the grace period's end, before its last sixth (6.67 s). Now: no kept connections after 1.8 s, no new ones after 2.8 s, requests until 0.88 of the period (7.04 s). Ruled out: a cut by a target (its run ended as the connection closed).

--- a/internal/daemon/direct_run.go
+++ b/internal/daemon/direct_run.go
@@ -36,10 +36,13 @@
 	maxHeaderBytes = 64 << 10
 	// drainNotice is the time from the request to stop until the listener
 	// closes: the balancer has seen two refusals by then.
-	drainNotice = 3500 * time.Millisecond
-	// stopMargin is the part of the grace period that is left for the end of
-	// the process: on a slow host that takes a while.
-	stopMargin = 1500 * time.Millisecond
+	drainNotice = 2800 * time.Millisecond
+	// lastKept is when connections are no longer kept: a caller that opens a
+	// new one comes to another entry.
+	lastKept = 1800 * time.Millisecond
+	// stopShare is the part of the grace period in which requests may end; the
+	// rest is for the end of the process.
+	stopShare = 0.88
 	// keyMargin is the part of the time in which a withdrawn key must stop
 	// for which a confirmation of the configuration is good.
 	keyMargin = 0.75
@@ -242,18 +245,22 @@
 	}
 }
 
+// stopLimit is the time from the request to stop until requests are given up.
+func stopLimit(grace time.Duration) time.Duration {
+	return time.Duration(stopShare * float64(grace))
+}
+
 // shutdown takes no new connections once the balancer knows, lets open
 // requests end and hands over what this daemon holds.
 func (d *directProcess) shutdown() {
 	d.log.Info("daemon: stopping")
 	begun := time.Now()
-	limit, cancel := context.WithTimeout(context.Background(), d.settings.Bounds.Grace-stopMargin)
+	limit, cancel := context.WithTimeout(context.Background(), stopLimit(d.settings.Bounds.Grace))
 	defer cancel()
 	d.loop.Post(msg.StopRequested{})
-	select {
-	case <-time.After(drainNotice):
-	case <-limit.Done():
-	}
+	time.Sleep(lastKept)
+	d.callers.SetKeepAlivesEnabled(false)
+	time.Sleep(drainNotice - lastKept)
 	if err := d.callers.Shutdown(limit); err != nil {
 		d.log.Warn("daemon: requests were open at the end of the grace period", "reason", err.Error())
 	}
--- a/internal/metrics/dashboards_test.go
+++ b/internal/metrics/dashboards_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/verbenaspur/verbenaspur/internal/core/msg"
 	"github.com/verbenaspur/verbenaspur/internal/platform"
 )
 
@@ -55,12 +56,44 @@
 	}
 }
 
+func TestDirectAlertsUseExistingMetrics(t *testing.T) {
+	is := is.New(t)
+	reg := prometheus.NewRegistry()
+	d := NewDirect(reg)
+	for _, ev := range []msg.Event{msg.DirectClosed{}, msg.FirstToken{}, msg.RoutesFresh{}, msg.LeaseChanged{}} {
+		d.Step(0, ev)
+	}
+	families, err := reg.Gather()
+	is.NoErr(err)
+	known := make(map[string]bool)
+	for _, f := range families {
+		known[f.GetName()] = true
+	}
+	b, err := os.ReadFile("../../dashboards/alerts-direct.yaml")
+	is.NoErr(err)
+	used := metricName.FindAllString(string(b), -1)
+	is.True(len(used) >= 4)
+	for _, name := range used {
+		if !known[strings.TrimSuffix(name, "_bucket")] {
+			t.Errorf("%s is no metric", name)
+		}
+	}
+}
+
 func TestDashboardFilesParse(t *testing.T) {
 	is := is.New(t)
 	b, err := os.ReadFile("../../dashboards/verbenaspur.json")
 	is.NoErr(err)
 	is.True(json.Valid(b))
-	b, err = os.ReadFile("../../dashboards/alerts.yaml")
+	for _, file := range []string{"../../dashboards/alerts.yaml", "../../dashboards/alerts-direct.yaml"} {
+		checkAlerts(t, file)
+	}
+}
+
+// checkAlerts checks that a file of rules parses and that each has a page.
+func checkAlerts(t *testing.T, file string) {
+	is := is.New(t)
+	b, err := os.ReadFile(file)
 	is.NoErr(err)
 	var rules struct {
 		Groups []struct {
