--- a/internal/daemon/direct_test.go
+++ b/internal/daemon/direct_test.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -405,3 +406,22 @@
 	resp, _ := w.call("POST", "/order/1", "{}")
 	w.is.Equal(resp.StatusCode, 200)
 }
+
+// SIGHUP reloads the settings and ends nothing.
+func TestDirectHangupReloads(t *testing.T) {
+	w := newDirectWorld(t)
+	b, err := os.ReadFile(w.path)
+	w.is.NoErr(err)
+	other := platformtest.NewStore(t)
+	other.Put("config", "main", directConfigSpec("key-1", "key-2", "key-3"))
+	for _, r := range w.app {
+		other.Put("servers", r.ID, r.Entry("app", "d1", "ready"))
+	}
+	text := strings.ReplaceAll(string(b), w.store.Addr, other.Addr)
+	w.is.NoErr(os.WriteFile(w.path, []byte(text), 0o600))
+	w.is.NoErr(syscall.Kill(os.Getpid(), syscall.SIGHUP))
+	w.await(func() bool {
+		resp, _ := w.call("POST", "/order/1", "{}", "X-Api-Key", "key-3")
+		return resp.StatusCode == 200
+	})
+}
