Read-through: dead state and a doubled unwrapping out

target.gone was set only as a target left the maps and could never be read as true; Direct.Idle had no caller; decodeDatagram unwrapped a pointer that wire.UnmarshalPeer does not give (link.DecodePeer does without), held now by TestDatagramCarriesAMessage.

--- a/internal/core/direct.go
+++ b/internal/core/direct.go
@@ -48,14 +48,11 @@
 )
 
 // Direct is the reducer of an entry daemon that drives its targets itself.
-type Direct struct {
-	*reducer.Reducer
-	requests *direct.Manager
-}
+type Direct struct{ *reducer.Reducer }
 
 // NewDirect returns the reducer.
 func NewDirect(cfg DirectConfig) *Direct {
-	d := &Direct{requests: direct.New(cfg.Limits)}
+	requests := direct.New(cfg.Limits)
 	leases := lease.New(lease.Config{
 		Self: cfg.Self.Host, Incarnation: cfg.Incarnation,
 		Length: directLeaseLength, Margin: directLeaseMargin, Renew: directLeaseRenew,
@@ -66,7 +63,7 @@
 	})
 	members := roster.New(cfg.Self, cfg.Incarnation, cfg.PeerAddr)
 	flushers := []idler{leases, members}
-	parts := []reducer.Part{leases, members, catalog.New(cfg.Catalog), d.requests}
+	parts := []reducer.Part{leases, members, catalog.New(cfg.Catalog), requests}
 	if cfg.UsageWindow > 0 {
 		usage := meter.New(meter.Config{
 			Self: cfg.Self.Host, Incarnation: cfg.Incarnation,
@@ -76,10 +73,6 @@
 		flushers = append(flushers, usage)
 	}
 	parts = append(parts, roles.New(roles.Config{Self: cfg.Self.Host}))
-	parts = append(parts, &stopper{requests: d.requests, flushers: flushers})
-	d.Reducer = newObserved(cfg.Observer, parts...)
-	return d
+	parts = append(parts, &stopper{requests: requests, flushers: flushers})
+	return &Direct{newObserved(cfg.Observer, parts...)}
 }
-
-// Idle reports whether no request is open.
-func (d *Direct) Idle() bool { return d.requests.Idle() }
--- a/internal/core/direct/target.go
+++ b/internal/core/direct/target.go
@@ -33,8 +33,6 @@
 // target is what is known of one target.
 type target struct {
 	msg.Instance
-	// gone says that the platform no longer lists it.
-	gone bool
 	open map[msg.AttemptID]*attempt
 	// backlogUntil is when the prefill work that this daemon sent is expected
 	// to be done.
@@ -70,7 +68,7 @@
 
 // usable reports whether the target takes new attempts.
 func (t *target) usable(now msg.Time) bool {
-	return !t.gone && !t.Draining && now >= t.avoidUntil && now >= t.changingUntil
+	return !t.Draining && now >= t.avoidUntil && now >= t.changingUntil
 }
 
 // waiting returns the prefill work that was sent and has given no token yet.
@@ -195,11 +193,9 @@
 			s.caches.forget(in.Target)
 		}
 		t.Instance = in
-		t.gone = false
 	}
 	for id, t := range s.targets {
 		if !listed[id] {
-			t.gone = true
 			s.strike(t)
 			s.caches.forget(id)
 			delete(s.targets, id)
--- a/internal/daemon/datagrams.go
+++ b/internal/daemon/datagrams.go
@@ -3,7 +3,6 @@
 import (
 	"log/slog"
 	"net"
-	"reflect"
 	"sync"
 
 	"github.com/cockroachdb/errors"
@@ -103,13 +102,7 @@
 		return "", nil, err
 	}
 	m, err := wire.UnmarshalPeer(dg.Message)
-	if err != nil {
-		return "", nil, err
-	}
-	if v := reflect.ValueOf(m); v.Kind() == reflect.Pointer {
-		m, _ = v.Elem().Interface().(msg.PeerMessage)
-	}
-	return dg.From, m, nil
+	return dg.From, m, err
 }
 
 func (d *datagrams) close() { _ = d.conn.Close() }
