Overdue attempts: clear targets that serve, probe suspects, count room

An engine that answered 421 was chosen again until the list changed.

A first token of a later attempt clears a target; a suspect one is probed after 0.5 to 2 s; digests tell lateness apart from backlog and it is not summed. Streams are placed by slots and memory as all entries fill them. A target that answers 421 is left alone for a while.

Tests: suspect_test.go, TestStreamsGoWhereThereIsRoom and TestMisdirectedTargetIsLeftAlone fail on the code before.

--- a/internal/core/direct/cost.go
+++ b/internal/core/direct/cost.go
@@ -17,6 +17,10 @@
 	attentionMS = 0.25
 	// firstToken is the time of a request without any prompt to read.
 	firstToken = 18 * time.Millisecond
+	// streamDelay is what each stream of an engine adds to the first token of
+	// the next, and streamTime how long a stream takes.
+	streamDelay = time.Millisecond
+	streamTime  = 500 * time.Millisecond
 	// hop is the time for a request to reach its target.
 	hop = 2 * time.Millisecond
 	// transferSetup is the fixed part of a transfer between engines.
--- a/internal/core/direct/place.go
+++ b/internal/core/direct/place.go
@@ -115,11 +115,34 @@
 	}
 	far := r.source.Domain != t.Domain
 	c := candidate{target: t, step: msg.StepDecode, wait: s.wait(t)}
-	c.expected = c.wait/4 + transferTime(s.engine(t), r.arrived.PromptTokens, far) + time.Duration(len(t.open))*time.Millisecond
+	c.expected = c.wait/4 + s.roomTime(r, t) + transferTime(s.engine(t), r.arrived.PromptTokens, far)
 	c.cost = penalize(c.expected, t)
 	return c, true
 }
 
+// roomTime is the time until an engine has a slot and memory for one more
+// stream, and what the streams beside it add to its first token.
+func (s *step) roomTime(r *request, t *target) time.Duration {
+	others := s.share.open(t.Target)
+	open := len(t.open) + others.Open
+	d := time.Duration(open) * streamDelay
+	spec := s.engine(t)
+	if spec == nil {
+		return d
+	}
+	d += overflow(open+1, spec.Slots)
+	return d + overflow(t.memory()+others.Tokens+r.arrived.PromptTokens, spec.CacheTokens)
+}
+
+// overflow is the time until what exceeds a capacity has left: streams that
+// fill it leave within streamTime.
+func overflow(used, capacity int) time.Duration {
+	if capacity <= 0 || used <= capacity {
+		return 0
+	}
+	return time.Duration(float64(streamTime) * float64(used-capacity) / float64(capacity))
+}
+
 // scoreRead scores an engine that reads the prompt: one that decodes goes on
 // with the request, one that prefills hands it on.
 func (s *step) scoreRead(r *request, t *target) (candidate, bool) {
@@ -183,7 +206,7 @@
 // wait is the time until a target begins with new work, counting what all
 // daemons sent.
 func (s *step) wait(t *target) time.Duration {
-	return t.backlog(s.now) + s.share.backlog(s.now, t.Target)
+	return max(t.backlog(s.now)+s.share.backlog(s.now, t.Target), s.suspicion(t))
 }
 
 // engine returns what the configuration says of a target's engines, or nil.
--- a/internal/core/direct/place_test.go
+++ b/internal/core/direct/place_test.go
@@ -159,3 +159,47 @@
 		w.is.Equal(w.started().Spec.Target, msg.TargetID("app-2"))
 	}
 }
+
+// Streams go where there is a slot and memory, whichever entry filled them.
+func TestStreamsGoWhereThereIsRoom(t *testing.T) {
+	for name, full := range map[string]msg.TargetDigest{
+		"streams": {Target: "dec-1", Open: 40, Running: 40},
+		"slots":   {Target: "dec-1", Open: 90, Running: 64},
+		"memory":  {Target: "dec-1", Open: 30, Running: 30, Tokens: 500_000},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := readyWorld(t)
+			w.step(msg.PeerReceived{From: "entry-2", Message: msg.LoadDigest{Targets: []msg.TargetDigest{full}}})
+			for range 8 {
+				w.arrive("/chat/x", prompt(1, 3000, 500))
+				a := w.started()
+				if a.Spec.Step != msg.StepPrefill {
+					continue
+				}
+				w.end(a.Attempt, msg.DirectPrefilled, func(ev *msg.DirectEnded) { ev.Handle = "h" })
+				w.is.Equal(w.started().Spec.Target, msg.TargetID("dec-2"))
+			}
+		})
+	}
+}
+
+// A target that is not what the list says is left alone until the list says
+// something new, or for a while.
+func TestMisdirectedTargetIsLeftAlone(t *testing.T) {
+	w := readyWorld(t)
+	w.list(testInstances()[2], testInstances()[4])
+	w.arrive("/chat/x", prompt(1, 3000, 500))
+	a := w.started()
+	w.end(a.Attempt, msg.DirectNotRun, func(ev *msg.DirectEnded) { ev.Misdirected = true })
+	w.is.True(w.started().Spec.Target != a.Spec.Target)
+	w.arrive("/chat/x", prompt(1, 3000, 500))
+	w.is.True(w.started().Spec.Target != a.Spec.Target)
+	list := []msg.Instance{testInstances()[2], testInstances()[4]}
+	for i := range list {
+		if list[i].Target == a.Spec.Target {
+			list[i].Role = msg.RolePrefill + msg.RoleDecode - list[i].Role
+		}
+	}
+	w.list(list...)
+	w.is.True(w.m.targets[a.Spec.Target].usable(w.now))
+}
--- a/internal/core/direct/share.go
+++ b/internal/core/direct/share.go
@@ -178,6 +178,7 @@
 			running, tokens := t.running()
 			list = append(list, msg.TargetDigest{
 				Target: id, BacklogMS: round(t.backlog(s.now)), Open: len(t.open), Running: running, Tokens: tokens,
+				LateMS: round(t.late(s.now)),
 			})
 		}
 	}
--- /dev/null
+++ b/internal/core/direct/suspect_test.go
@@ -0,0 +1,73 @@
+package direct
+
+import (
+	"testing"
+	"time"
+
+	"github.com/verbenaspur/verbenaspur/internal/core/msg"
+)
+
+// loneEngine has one engine, which owes a first token for a second.
+func loneEngine(t *testing.T) (*world, *target) {
+	w := readyWorld(t)
+	w.list(testInstances()[2])
+	w.arrive("/chat/x", prompt(1, 300, 50))
+	w.started()
+	w.now += time.Second
+	return w, w.m.targets["dec-1"]
+}
+
+func suspicion(w *world, t *target) time.Duration {
+	s := &step{Manager: w.m, now: w.now}
+	return s.suspicion(t)
+}
+
+// An answer that is lost says nothing of a target that served later requests.
+func TestLaterServiceClearsATarget(t *testing.T) {
+	w, dec := loneEngine(t)
+	w.is.True(dec.late(w.now) > 500*time.Millisecond) // it may be stuck
+	w.arrive("/chat/x", prompt(1, 300, 50))
+	b := w.started()
+	w.is.True(suspicion(w, dec) > 500*time.Millisecond)
+	w.now += 50 * time.Millisecond
+	w.step(msg.DirectBegan{Attempt: b.Attempt})
+	w.is.Equal(suspicion(w, dec), time.Duration(0))
+	w.is.Equal(dec.waiting(w.now), time.Duration(0)) // the lost one's work is not waited for
+}
+
+// What other daemons saw before this one was served counts no more.
+func TestLateTargetOfOthers(t *testing.T) {
+	w := readyWorld(t)
+	dec := w.m.targets["dec-1"]
+	late := msg.PeerReceived{From: "entry-2", Message: msg.LoadDigest{Targets: []msg.TargetDigest{{Target: "dec-1", LateMS: 700}}}}
+	w.now = time.Second
+	dec.sentAt = w.now
+	w.step(late)
+	w.is.Equal(suspicion(w, dec), 700*time.Millisecond)
+	dec.servedSince = 500 * time.Millisecond
+	w.is.Equal(suspicion(w, dec), time.Duration(0))
+	dec.servedSince = 0
+	w.now += digestAge + 1
+	dec.sentAt = w.now
+	w.is.Equal(suspicion(w, dec), time.Duration(0)) // it is old
+}
+
+// A suspect target gets a probe now and then, or it would be suspect for good.
+func TestSuspectTargetIsProbed(t *testing.T) {
+	w, dec := loneEngine(t)
+	w.list(testInstances()[2], testInstances()[3])
+	probes := 0
+	for range 40 {
+		w.now += 50 * time.Millisecond
+		w.arrive("/chat/x", prompt(1, 300, 50))
+		a := w.started()
+		if a.Spec.Target == "dec-1" {
+			probes++
+			continue
+		}
+		w.step(msg.DirectBegan{Attempt: a.Attempt})
+		w.end(a.Attempt, msg.DirectDone)
+	}
+	w.is.True(probes >= 1 && probes <= 3)
+	w.is.True(dec.late(w.now) > time.Second)
+}
--- a/internal/core/direct/target.go
+++ b/internal/core/direct/target.go
@@ -25,9 +25,6 @@
 	// loadAge is the age at which a load that a target told no longer counts.
 	loadAge = 150 * time.Millisecond
 	fastest = 0.6
-	// overdueAfter is how far past its expected first token an attempt makes
-	// its target suspect.
-	overdueAfter = 150 * time.Millisecond
 )
 
 // target is what is known of one target.
@@ -37,6 +34,13 @@
 	// backlogUntil is when the prefill work that this daemon sent is expected
 	// to be done.
 	backlogUntil msg.Time
+	// servedSince is when the newest attempt that began was sent. Attempts
+	// from before it that have not begun were overtaken.
+	servedSince msg.Time
+	// sentAt is when the last attempt was sent, and probeAfter how long after
+	// that a suspect target is probed.
+	sentAt     msg.Time
+	probeAfter time.Duration
 	// slow is the factor by which its first tokens come later than expected.
 	slow float64
 	// failing is the weighted share of attempts that it failed.
@@ -63,7 +67,7 @@
 }
 
 func newTarget(in msg.Instance) *target {
-	return &target{Instance: in, open: make(map[msg.AttemptID]*attempt), slow: 1}
+	return &target{Instance: in, open: make(map[msg.AttemptID]*attempt), slow: 1, probeAfter: probeFirst}
 }
 
 // usable reports whether the target takes new attempts.
@@ -72,16 +76,25 @@
 }
 
 // waiting returns the prefill work that was sent and has given no token yet.
-func (t *target) waiting() time.Duration {
+func (t *target) waiting(now msg.Time) time.Duration {
 	var sum time.Duration
 	for _, a := range t.open {
-		if !a.began {
+		if !a.began && !t.lost(now, a) {
 			sum += a.work
 		}
 	}
 	return sum
 }
 
+// memory is the size in tokens of the prompts that this daemon has open there.
+func (t *target) memory() int {
+	sum := 0
+	for _, a := range t.open {
+		sum += a.tokens
+	}
+	return sum
+}
+
 // running returns the number of attempts that the target decodes and the
 // memory in tokens that they take.
 func (t *target) running() (n, tokens int) {
@@ -95,19 +108,14 @@
 }
 
 // backlog is the time until the work that this daemon sent is expected to be
-// done. Work that is overdue is not.
+// done.
 func (t *target) backlog(now msg.Time) time.Duration {
-	b := max(t.backlogUntil-now, 0)
-	for _, a := range t.open {
-		if late := now - a.since - a.expected; !a.began && late > overdueAfter {
-			b = max(b, late)
-		}
-	}
-	return b
+	return max(t.backlogUntil-now, 0)
 }
 
 // begin counts an attempt.
 func (t *target) begin(now msg.Time, a *attempt) {
+	t.probing(now)
 	t.open[a.id] = a
 	t.backlogUntil = max(t.backlogUntil, now) + a.work
 }
@@ -119,7 +127,8 @@
 		return
 	}
 	a.began = true
-	t.backlogUntil = now + t.waiting()
+	t.serves(a)
+	t.backlogUntil = now + t.waiting(now)
 	t.avoidFor = 0
 	if a.work > 0 {
 		ratio := t.slow * float64(now-a.since) / float64(a.expected)
@@ -132,7 +141,7 @@
 	delete(t.open, a.id)
 	if !a.began {
 		a.began = true
-		t.backlogUntil = now + t.waiting()
+		t.backlogUntil = now + t.waiting(now)
 	}
 }
 
@@ -190,6 +199,8 @@
 		}
 		if t.Role != in.Role {
 			t.changingUntil = 0
+			t.avoidUntil = 0
+			t.avoidFor = 0
 			s.caches.forget(in.Target)
 		}
 		t.Instance = in
--- a/internal/core/msg/direct.go
+++ b/internal/core/msg/direct.go
@@ -456,6 +456,8 @@
 	// Running counts those that are decoding, and Tokens their memory.
 	Running int `cbor:"4,keyasint"`
 	Tokens  int `cbor:"5,keyasint"`
+	// LateMS is how far an attempt's first token is overdue, in milliseconds.
+	LateMS float32 `cbor:"6,keyasint,omitempty"`
 }
 
 // CachedPart tells that a target holds a part of prompts.
