Long work is told at once to the other entries

With 26 entries and 6 requests a second each, first tokens came 1.5 to 2 times later than expected.

Change: work of 25 ms and more goes out as a small datagram when it is sent; the next digest counts it too.

Tests: TestLongWorkIsToldAtOnce, TestWorkToldCountsWithTheDigest.

--- a/internal/core/direct/direct.go
+++ b/internal/core/direct/direct.go
@@ -141,9 +141,7 @@
 		s.share.changing[ev.Target] = true
 		s.share.toldAt = 0
 	case msg.PeerReceived:
-		if d, ok := ev.Message.(msg.LoadDigest); ok {
-			s.onDigest(ev.From, d)
-		}
+		s.onPeer(ev)
 	}
 }
 
--- a/internal/core/direct/share.go
+++ b/internal/core/direct/share.go
@@ -12,6 +12,8 @@
 	// tellEvery is the least time between two digests and tellAtLeast the most.
 	tellEvery   = 80 * time.Millisecond
 	tellAtLeast = time.Second
+	// worthTelling is the work that is told at once, before the next digest.
+	worthTelling = 25 * time.Millisecond
 	// digestAge is the age at which a digest no longer counts.
 	digestAge = 2500 * time.Millisecond
 	// demandEvery is the time between two sums of what engines decode.
@@ -95,6 +97,43 @@
 	return sum
 }
 
+func (s *step) onPeer(ev msg.PeerReceived) {
+	switch m := ev.Message.(type) {
+	case msg.LoadDigest:
+		s.onDigest(ev.From, m)
+	case msg.WorkSent:
+		s.share.add(s.now, ev.From, m)
+	}
+}
+
+// add counts work that another daemon sent after its last digest.
+func (sh *share) add(now msg.Time, from msg.HostID, w msg.WorkSent) {
+	p := sh.peers[from]
+	if p == nil {
+		return
+	}
+	t := p.targets[w.Target]
+	t.Target = w.Target
+	t.Open++
+	// What is told counts from the digest's time on.
+	age := round(now - p.at)
+	t.BacklogMS = max(t.BacklogMS, age) + w.WorkMS
+	p.targets[w.Target] = t
+}
+
+// tellWork tells the other daemons of work at once that is long enough to
+// matter to their next choice.
+func (s *step) tellWork(a *attempt) {
+	if a.work < worthTelling {
+		return
+	}
+	for _, h := range s.entries {
+		if h.Host != s.self.Host {
+			s.emit(msg.SendPeer{To: h.Host, Message: msg.WorkSent{Target: a.target.Target, WorkMS: round(a.work)}})
+		}
+	}
+}
+
 func (s *step) onDigest(from msg.HostID, d msg.LoadDigest) {
 	p := &peerLoad{at: s.now, targets: make(map[msg.TargetID]msg.TargetDigest, len(d.Targets))}
 	for _, t := range d.Targets {
--- a/internal/core/direct/share_test.go
+++ b/internal/core/direct/share_test.go
@@ -56,3 +56,38 @@
 	d, _ = sent.Message.(msg.LoadDigest)
 	is.Equal(len(d.Cached), 1) // the engine now holds the shared part
 }
+
+// Long work is told when it is sent, so that others who choose in the next
+// moments do not all choose the same target.
+func TestLongWorkIsToldAtOnce(t *testing.T) {
+	is := is.New(t)
+	w := readyWorld(t)
+	w.step(msg.MembersChanged{Entries: []msg.Host{{Host: "entry-1"}, {Host: "entry-2"}}})
+	w.pass(2 * time.Second)
+	w.arrive("/chat/x", prompt(1, 9000, 1000))
+	sent, ok := find[msg.SendPeer](w)
+	is.True(ok)
+	is.Equal(sent.To, msg.HostID("entry-2"))
+	work, _ := sent.Message.(msg.WorkSent)
+	is.Equal(work.Target, w.started().Spec.Target)
+	is.True(work.WorkMS > 100)
+	w.arrive("/chat/x", prompt(5, 300, 50))
+	_, ok = find[msg.SendPeer](w)
+	is.True(!ok) // short work waits for the digest
+}
+
+func TestWorkToldCountsWithTheDigest(t *testing.T) {
+	is := is.New(t)
+	w := readyWorld(t)
+	w.step(msg.PeerReceived{From: "entry-2", Message: msg.WorkSent{Target: "dec-1", WorkMS: 300}})
+	is.Equal(w.m.share.backlog(w.now, "dec-1"), time.Duration(0)) // nothing is known of entry-2 yet
+	w.step(msg.PeerReceived{From: "entry-2", Message: msg.LoadDigest{Targets: []msg.TargetDigest{{Target: "dec-1", BacklogMS: 100, Open: 1}}}})
+	w.now += 50 * time.Millisecond
+	w.step(msg.PeerReceived{From: "entry-2", Message: msg.WorkSent{Target: "dec-1", WorkMS: 300}})
+	is.Equal(w.m.share.backlog(w.now, "dec-1"), 350*time.Millisecond)
+	is.Equal(w.m.share.open("dec-1").Open, 2)
+	w.now += 200 * time.Millisecond
+	w.step(msg.PeerReceived{From: "entry-2", Message: msg.WorkSent{Target: "dec-2", WorkMS: 300}})
+	is.Equal(w.m.share.backlog(w.now, "dec-1"), 150*time.Millisecond)
+	is.Equal(w.m.share.backlog(w.now, "dec-2"), 300*time.Millisecond)
+}
--- a/internal/core/direct/start.go
+++ b/internal/core/direct/start.go
@@ -27,6 +27,7 @@
 	r.sent(c.step, 1)
 	s.attempts[a.id] = a
 	c.target.begin(s.now, a)
+	s.tellWork(a)
 	spec := msg.DirectSpec{
 		Step: c.step, Target: c.target.Target, Addr: c.target.Addr, Service: r.service,
 		Repeat: r.route.Repeat, Account: r.accountID(), Deadline: r.deadline, Priority: -1,
--- a/internal/core/msg/direct.go
+++ b/internal/core/msg/direct.go
@@ -433,6 +433,14 @@
 	MS     int64    `cbor:"2,keyasint"`
 }
 
+// WorkSent tells the other entry daemons of prompt reading that was just sent
+// to a target. The next [LoadDigest] counts it too.
+type WorkSent struct {
+	Target TargetID `cbor:"1,keyasint"`
+	// WorkMS is the expected time of reading in milliseconds.
+	WorkMS float32 `cbor:"2,keyasint"`
+}
+
 // RunCounts tells the sender's runs by usage window, for daemons that may have
 // to report them when the platform can't be reached by the sender.
 type RunCounts struct {
@@ -497,4 +505,5 @@
 func (ReadCache) effect()       {}
 
 func (LoadDigest) peerMessage() {}
+func (WorkSent) peerMessage()   {}
 func (RunCounts) peerMessage()  {}
