Role changes last until listed; unreached targets told; reading weighed

An engine that changes its role ends its streams first and is listed late, 4 to 6 s after the order; entries came back after 3.5 s and were refused, 670 times in five seconds, and rejected calls count. Now a change that the engine follows lasts until the list shows the role (12 s at most), an order that it refused is over at once, and an engine that refuses three streams in a row is left alone.

A target that could not be reached is now told as suspect.

A surplus now counts those that decode at present, and reading costs an engine by its streams (0.4 of the time for each) instead of five times.

Tests, each red before: TestChangeLastsUntilTheListShowsIt, TestEngineThatRefusesStreamsIsLeftAlone, TestOrderTellsHowLongAnEngineIsAway, TestUnreachedTargetIsTold, TestEnginesToComeReplaceNone, TestReadingIsWeighedByTheStreamsBesideIt. TestSuspectTargetIsProbed now loads the other engine, as the suspect would not be chosen anyway.

--- a/internal/core/direct/direct.go
+++ b/internal/core/direct/direct.go
@@ -137,7 +137,7 @@
 	case msg.CacheRead:
 		s.onCacheRead(ev)
 	case msg.TargetChanging:
-		s.changing(ev.Target, ev.For)
+		s.changing(ev.Target, ev.Role, ev.For)
 		s.share.changing[ev.Target] = true
 		s.share.toldAt = 0
 	case msg.PeerReceived:
--- a/internal/core/direct/end.go
+++ b/internal/core/direct/end.go
@@ -58,11 +58,7 @@
 		t.outcome(false)
 	case msg.DirectNotRun:
 		t.outcome(false)
-		if ev.Misdirected {
-			// Not what the list says: it changed its role, or another instance
-			// has its address. Other refusals may be the request's own fault.
-			t.unreached(s.now)
-		}
+		t.refused(s.now, a, ev.Misdirected)
 	case msg.DirectUnreached:
 		t.outcome(false)
 		t.unreached(s.now)
--- a/internal/core/direct/place.go
+++ b/internal/core/direct/place.go
@@ -12,9 +12,9 @@
 	// tooLate is the multiple of a request's objective up to which a late
 	// first token is still offered.
 	tooLate = 2.0
-	// readWeight is what a prompt costs the streams of an engine that decodes
-	// and reads it between their tokens, in times of reading it.
-	readWeight = 5
+	// streamHarm is what reading a prompt between the tokens of a stream costs
+	// that stream, in times of reading it: many have time to spare.
+	streamHarm = 0.4
 	// logged is the number of losing candidates in a log line.
 	logged = 2
 	// spread is the part of a cost that is drawn at random, so that daemons
@@ -124,7 +124,7 @@
 // stream, and what the streams beside it add to its first token.
 func (s *step) roomTime(r *request, t *target) time.Duration {
 	others := s.share.open(t.Target)
-	open := len(t.open) + others.Open
+	open := s.streams(t)
 	d := time.Duration(open) * streamDelay
 	spec := s.engine(t)
 	if spec == nil {
@@ -134,6 +134,9 @@
 	return d + overflow(t.memory()+others.Tokens+r.arrived.PromptTokens, spec.CacheTokens)
 }
 
+// streams is the number of attempts that all daemons have open at an engine.
+func (s *step) streams(t *target) int { return len(t.open) + s.share.open(t.Target).Open }
+
 // overflow is the time until what exceeds a capacity has left: streams that
 // fill it leave within streamTime.
 func overflow(used, capacity int) time.Duration {
@@ -166,7 +169,7 @@
 	}
 	c.cost = penalize(c.expected, t)
 	if t.Role == msg.RoleDecode {
-		c.cost += readWeight * c.work
+		c.cost += c.work + time.Duration(streamHarm*float64(s.streams(t))*float64(c.work))
 	}
 	return c, true
 }
--- a/internal/core/direct/place_test.go
+++ b/internal/core/direct/place_test.go
@@ -41,8 +41,8 @@
 		w.arrive("/lookup/x")
 		w.is.Equal(w.started().Spec.Target, msg.TargetID("app-2"))
 	}
-	w.step(msg.TargetChanging{Target: "dec-1", For: 3 * time.Second})
-	w.step(msg.TargetChanging{Target: "pre-1", For: 3 * time.Second})
+	w.step(msg.TargetChanging{Target: "dec-1", Role: msg.RolePrefill, For: 3 * time.Second})
+	w.step(msg.TargetChanging{Target: "pre-1", Role: msg.RoleDecode, For: 3 * time.Second})
 	w.arrive("/chat/x", prompt(1, 300, 50))
 	w.is.Equal(w.started().Spec.Target, msg.TargetID("dec-2"))
 }
@@ -203,3 +203,56 @@
 	w.list(list...)
 	w.is.True(w.m.targets[a.Spec.Target].usable(w.now))
 }
+
+// A target that changes its role is left alone until the list shows the role,
+// whatever else it shows meanwhile.
+func TestChangeLastsUntilTheListShowsIt(t *testing.T) {
+	w := readyWorld(t)
+	dec := w.m.targets["dec-1"]
+	w.step(msg.TargetChanging{Target: "dec-1", Role: msg.RolePrefill, For: 12 * time.Second})
+	w.now += 6 * time.Second
+	w.list(testInstances()...)
+	w.is.True(!dec.usable(w.now))
+	list := testInstances()
+	list[2].Role = msg.RolePrefill
+	w.list(list...)
+	w.is.True(dec.usable(w.now))
+	w.step(msg.TargetChanging{Target: "dec-1", Role: msg.RolePrefill, For: 12 * time.Second})
+	w.is.True(dec.usable(w.now)) // it has the role
+	w.step(msg.TargetChanging{Target: "dec-1", Role: msg.RoleDecode, For: 12 * time.Second})
+	w.step(msg.TargetChanging{Target: "dec-1", Role: msg.RoleDecode})
+	w.is.True(dec.usable(w.now)) // the order was refused
+}
+
+// One refused stream may be due to its handle; several in a row are not.
+func TestEngineThatRefusesStreamsIsLeftAlone(t *testing.T) {
+	w := readyWorld(t)
+	dec := w.m.targets["dec-1"]
+	for n := 1; n <= maxRefusals; n++ {
+		w.is.True(dec.usable(w.now))
+		dec.refused(w.now, &attempt{step: msg.StepDecode}, false)
+	}
+	w.is.True(!dec.usable(w.now))
+	w.now += time.Second
+	dec.firstToken(w.now, &attempt{})
+	dec.refused(w.now, &attempt{step: msg.StepDecode}, false)
+	w.is.True(dec.usable(w.now)) // it served one in between
+	for range 9 {
+		dec.refused(w.now, &attempt{step: msg.StepPrefill}, false)
+	}
+	w.is.True(dec.usable(w.now)) // the prompt may be too large
+}
+
+// An engine that decodes reads a prompt between the tokens of its streams,
+// which all wait for it: the more there are, the rather another engine reads.
+func TestReadingIsWeighedByTheStreamsBesideIt(t *testing.T) {
+	for streams, want := range map[int]msg.TargetID{0: "dec-1", 40: "pre-1"} {
+		w := readyWorld(t)
+		w.list(testInstances()[2], testInstances()[4])
+		w.step(msg.PeerReceived{From: "entry-2", Message: msg.LoadDigest{Targets: []msg.TargetDigest{
+			{Target: "dec-1", Open: streams, Running: streams}, {Target: "pre-1", BacklogMS: 150},
+		}}})
+		w.arrive("/chat/x", prompt(1, 500, 500))
+		w.is.Equal(w.started().Spec.Target, want)
+	}
+}
--- a/internal/core/direct/share.go
+++ b/internal/core/direct/share.go
@@ -141,7 +141,7 @@
 	}
 	s.share.peers[from] = p
 	for _, c := range d.Changing {
-		s.changing(c.Target, time.Duration(c.MS)*time.Millisecond)
+		s.changing(c.Target, c.Role, time.Duration(c.MS)*time.Millisecond)
 	}
 	for _, c := range d.Cached {
 		s.learnPart(c.Target, msg.PromptPart{ID: c.Part, Tokens: c.Tokens})
@@ -179,7 +179,7 @@
 			delete(s.share.changing, id)
 			continue
 		}
-		list = append(list, msg.ChangingTarget{Target: id, MS: (t.changingUntil - s.now).Milliseconds()})
+		list = append(list, msg.ChangingTarget{Target: id, MS: (t.changingUntil - s.now).Milliseconds(), Role: t.changingTo})
 	}
 	slices.SortFunc(list, func(a, b msg.ChangingTarget) int { return cmp.Compare(a.Target, b.Target) })
 	return list
@@ -209,15 +209,17 @@
 	}
 }
 
-// digest lists the targets with open work, in order of id.
+// digest lists the targets with open work and those that are left alone, in
+// order of id.
 func (s *step) digest() []msg.TargetDigest {
 	var list []msg.TargetDigest
 	for id, t := range s.targets {
-		if len(t.open) > 0 {
+		late := max(t.late(s.now), t.avoidUntil-s.now, 0)
+		if len(t.open) > 0 || late > 0 {
 			running, tokens := t.running()
 			list = append(list, msg.TargetDigest{
 				Target: id, BacklogMS: round(t.backlog(s.now)), Open: len(t.open), Running: running, Tokens: tokens,
-				LateMS: round(t.late(s.now)),
+				LateMS: round(late),
 			})
 		}
 	}
--- a/internal/core/direct/suspect_test.go
+++ b/internal/core/direct/suspect_test.go
@@ -59,6 +59,8 @@
 	probes := 0
 	for range 40 {
 		w.now += 50 * time.Millisecond
+		// The other engine has more streams, so this one would be chosen.
+		w.step(msg.PeerReceived{From: "entry-2", Message: msg.LoadDigest{Targets: []msg.TargetDigest{{Target: "dec-2", Open: 20, Running: 20}}}})
 		w.arrive("/chat/x", prompt(1, 300, 50))
 		a := w.started()
 		if a.Spec.Target == "dec-1" {
@@ -71,3 +73,26 @@
 	w.is.True(probes >= 1 && probes <= 3)
 	w.is.True(dec.late(w.now) > time.Second)
 }
+
+// A target that could not be reached is suspect to the others, too.
+func TestUnreachedTargetIsTold(t *testing.T) {
+	w := readyWorld(t)
+	w.step(msg.MembersChanged{Entries: []msg.Host{{Host: "entry-1"}, {Host: "entry-2"}}})
+	w.now = 2 * time.Second
+	w.step(msg.RoutesFresh{At: w.now})
+	w.arrive("/lookup/x")
+	a := w.started()
+	w.end(a.Attempt, msg.DirectUnreached)
+	w.now += 100 * time.Millisecond
+	w.step(msg.Tick{})
+	sent, ok := find[msg.SendPeer](w)
+	w.is.True(ok)
+	d, _ := sent.Message.(msg.LoadDigest)
+	for _, told := range d.Targets {
+		if told.Target == a.Spec.Target {
+			w.is.Equal(told.LateMS, round(avoidFirst-100*time.Millisecond))
+			return
+		}
+	}
+	t.Fatal("the target is not told")
+}
--- a/internal/core/direct/target.go
+++ b/internal/core/direct/target.go
@@ -14,6 +14,9 @@
 	// not be reached gets no request.
 	avoidFirst = 300 * time.Millisecond
 	avoidMax   = 3 * time.Second
+	// maxRefusals is the number of streams in a row that a target refuses to
+	// go on with before it is left alone: a handle may be gone.
+	maxRefusals = 3
 	// crashWindow is the time within which a broken answer and the target's
 	// end belong together.
 	crashWindow = 1500 * time.Millisecond
@@ -47,8 +50,12 @@
 	failing    float64
 	avoidUntil msg.Time
 	avoidFor   time.Duration
-	// changingUntil is when a change of its role is expected to be over.
+	// changingTo is the role that it was ordered to take, and changingUntil
+	// when that is over at the latest.
+	changingTo    msg.Role
 	changingUntil msg.Time
+	// refusals counts the streams in a row that it refused to go on with.
+	refusals int
 	// listed says that what it holds was asked for.
 	listed bool
 	// latency is the weighted time of an answer of a plain service.
@@ -130,6 +137,7 @@
 	t.serves(a)
 	t.backlogUntil = now + t.waiting(now)
 	t.avoidFor = 0
+	t.refusals = 0
 	if a.work > 0 {
 		ratio := t.slow * float64(now-a.since) / float64(a.expected)
 		t.slow += speedWeight * (min(max(ratio, fastest), slowest) - t.slow)
@@ -163,6 +171,17 @@
 	t.failing += outcomeWeight * (v - t.failing)
 }
 
+// refused counts a refusal. One that the request itself may have caused counts
+// only where several follow each other.
+func (t *target) refused(now msg.Time, a *attempt, misdirected bool) {
+	if a.step == msg.StepDecode {
+		t.refusals++
+	}
+	if misdirected || t.refusals >= maxRefusals {
+		t.unreached(now)
+	}
+}
+
 // unreached keeps requests away for a while, longer each time.
 func (t *target) unreached(now msg.Time) {
 	t.avoidFor = min(max(2*t.avoidFor, avoidFirst), avoidMax)
@@ -197,6 +216,9 @@
 		if t.Born != in.Born && t.Born != 0 {
 			s.reborn(t)
 		}
+		if in.Role == t.changingTo {
+			t.changingUntil = 0
+		}
 		if t.Role != in.Role {
 			t.changingUntil = 0
 			t.avoidUntil = 0
@@ -228,15 +250,20 @@
 	t.listed = true // a new life begins with nothing
 	t.slow = 1
 	t.failing = 0
+	t.refusals = 0
 	t.avoidUntil = 0
 	t.avoidFor = 0
+	t.changingUntil = 0
 }
 
 // changing keeps requests away from a target that changes its role.
-func (s *step) changing(id msg.TargetID, d time.Duration) {
-	if t := s.targets[id]; t != nil {
-		t.changingUntil = s.now + d
+func (s *step) changing(id msg.TargetID, to msg.Role, d time.Duration) {
+	t := s.targets[id]
+	if t == nil || t.Role == to {
+		return
 	}
+	t.changingTo = to
+	t.changingUntil = s.now + d
 }
 
 // strike counts a target's end against the requests that it ran.
--- a/internal/core/msg/direct.go
+++ b/internal/core/msg/direct.go
@@ -408,10 +408,11 @@
 	Reason string
 }
 
-// TargetChanging is raised when a target is about to change its role and
-// takes no requests for a while.
+// TargetChanging is raised when a target is about to change its role. It takes
+// no requests until the list shows the role, or for the given time at most.
 type TargetChanging struct {
 	Target TargetID
+	Role   Role
 	For    time.Duration
 }
 
@@ -427,10 +428,12 @@
 	Changing []ChangingTarget `cbor:"3,keyasint,omitempty"`
 }
 
-// ChangingTarget is a target that takes no requests for some milliseconds.
+// ChangingTarget is a target that changes to a role and takes no requests for
+// some milliseconds at most.
 type ChangingTarget struct {
 	Target TargetID `cbor:"1,keyasint"`
 	MS     int64    `cbor:"2,keyasint"`
+	Role   Role     `cbor:"3,keyasint"`
 }
 
 // WorkSent tells the other entry daemons of prompt reading that was just sent
@@ -464,7 +467,8 @@
 	// Running counts those that are decoding, and Tokens their memory.
 	Running int `cbor:"4,keyasint"`
 	Tokens  int `cbor:"5,keyasint"`
-	// LateMS is how far an attempt's first token is overdue, in milliseconds.
+	// LateMS is how far an attempt's first token is overdue, or how long the
+	// daemon leaves the target alone, in milliseconds.
 	LateMS float32 `cbor:"6,keyasint,omitempty"`
 }
 
--- a/internal/core/roles/roles.go
+++ b/internal/core/roles/roles.go
@@ -38,8 +38,11 @@
 	// slack is the number of engines by which demand may be missed before
 	// another order is given.
 	slack = 1
-	// changeTime is how long an engine takes no requests for an order.
+	// changeTime is how long an engine takes no requests for an order whose
+	// fate is not known, and changeMost for one that it follows: its streams
+	// end first, and the list tells of the change late.
 	changeTime = 3500 * time.Millisecond
+	changeMost = 12 * time.Second
 	// lateOrder is how long an order without an answer may still be applied.
 	lateOrder = 13 * time.Second
 	// settleTime is how long an engine is left alone after an order.
@@ -187,16 +190,11 @@
 	if spec == nil || len(list) < 2 {
 		return nil
 	}
-	decoding := 0
-	for _, in := range list {
-		if in.Role == msg.RoleDecode {
-			decoding++
-		}
-	}
+	decoding := countDecoding(list)
 	want := p.wanted(spec, id, list)
 	role := msg.RolePrefill
 	switch {
-	case decoding > want:
+	case decoding > want && p.decodingNow(id) > want:
 	case decoding < want-slack, decoding < want && decoding < least:
 		role = msg.RoleDecode
 	default:
@@ -209,6 +207,28 @@
 	return p.order(now, in, role, decoding, want)
 }
 
+func countDecoding(list []msg.Instance) int {
+	n := 0
+	for _, in := range list {
+		if in.Role == msg.RoleDecode {
+			n++
+		}
+	}
+	return n
+}
+
+// decodingNow counts the engines that decode and were not told otherwise.
+// Those that are still to become such don't help yet.
+func (p *Part) decodingNow(id msg.ServiceID) int {
+	n := 0
+	for _, in := range p.services[id] {
+		if t, ok := p.told[in.Target]; in.Role == msg.RoleDecode && (!ok || t.role == msg.RoleDecode) {
+			n++
+		}
+	}
+	return n
+}
+
 // assumed lists a service's engines with the roles that they were told.
 func (p *Part) assumed(now msg.Time, id msg.ServiceID) []msg.Instance {
 	list := slices.Clone(p.services[id])
@@ -263,7 +283,7 @@
 	p.role = role
 	p.leave[in.Target] = now + settleTime
 	return []msg.Effect{
-		msg.Raise{Event: msg.TargetChanging{Target: in.Target, For: changeTime}},
+		msg.Raise{Event: msg.TargetChanging{Target: in.Target, Role: role, For: changeTime}},
 		msg.OrderRole{
 			Call: p.lastCall, Target: in.Target, Addr: in.Addr, Role: role,
 			Holder: p.cfg.Self, Epoch: p.epoch, NotAfter: p.until,
@@ -283,14 +303,18 @@
 		return nil
 	}
 	p.open = false
-	if ev.Status == msg.OrderUnknown {
+	changing := msg.TargetChanging{Target: p.ordered, Role: p.role}
+	// The list shows the new role only when the change is over.
+	switch ev.Status {
+	case msg.OrderDone:
+		changing.For = changeMost
+		p.told[p.ordered] = toldRole{p.role, now + changeMost}
+	case msg.OrderUnknown:
+		changing.For = changeTime
 		p.leave[p.ordered] = now + lateOrder
+		p.told[p.ordered] = toldRole{p.role, now + lateOrder}
 	}
-	if ev.Status == msg.OrderDone || ev.Status == msg.OrderUnknown {
-		// The list shows the new role only when the change is over.
-		p.told[p.ordered] = toldRole{p.role, p.leave[p.ordered]}
-	}
-	return []msg.Effect{msg.LogLine{Part: partName, Text: "role change answered", Attrs: []msg.Attr{
+	return []msg.Effect{msg.Raise{Event: changing}, msg.LogLine{Part: partName, Text: "role change answered", Attrs: []msg.Attr{
 		{Key: "target", Value: string(p.ordered)},
 		{Key: "status", Value: [...]string{"done", "stale", "busy", "unready", "failed", "unknown"}[ev.Status]},
 		{Key: "reason", Value: ev.Reason},
--- a/internal/core/roles/roles_test.go
+++ b/internal/core/roles/roles_test.go
@@ -146,6 +146,50 @@
 	w.is.True(len(w.orders) > 0)
 }
 
+// An engine that is still to become one that decodes makes none superfluous
+// that does.
+func TestEnginesToComeReplaceNone(t *testing.T) {
+	w := newWorld(t, 18)
+	w.hold()
+	w.pass(20 * time.Second) // four decode
+	w.stubborn = true        // changes take long
+	var lost, back []msg.Instance
+	for _, in := range w.list {
+		if in.Role == msg.RoleDecode && len(lost) < 2 {
+			lost = append(lost, in)
+			continue
+		}
+		back = append(back, in)
+	}
+	all := w.list
+	w.list = back
+	w.pass(2 * time.Second)
+	w.is.True(len(w.orders) > 0)
+	w.is.Equal(w.orders[len(w.orders)-1].Role, msg.RoleDecode)
+	orders := len(w.orders)
+	w.list = all // the lost ones start again, and decode
+	w.pass(2 * time.Second)
+	w.is.Equal(len(w.orders), orders)
+}
+
+// Requests stay away from an engine for as long as its order may take.
+func TestOrderTellsHowLongAnEngineIsAway(t *testing.T) {
+	for status, want := range map[msg.OrderStatus]time.Duration{
+		msg.OrderDone: changeMost, msg.OrderUnknown: changeTime, msg.OrderBusy: 0, msg.OrderFailed: 0,
+	} {
+		w := newWorld(t, 18)
+		w.hold()
+		effs := w.p.Step(w.now, msg.Tick{})
+		first := effs[0].(msg.Raise).Event.(msg.TargetChanging)
+		w.is.Equal(first.Role, msg.RolePrefill)
+		w.is.Equal(first.For, changeTime)
+		order := effs[1].(msg.OrderRole)
+		effs = w.p.Step(w.now, msg.RoleOrdered{Call: order.Call, Status: status})
+		after := effs[0].(msg.Raise).Event.(msg.TargetChanging)
+		w.is.Equal(after, msg.TargetChanging{Target: order.Target, Role: msg.RolePrefill, For: want})
+	}
+}
+
 // Engines of all failure domains go on decoding.
 func TestDomainsAreSpread(t *testing.T) {
 	w := newWorld(t, 18)
