verbenaspurctl platform: what the store holds

Shows the configuration's version, targets with role and state, entries with their beats and leases with their holders, from an entry's settings file. The entry's record is a type of msg, as the lease's is.

--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -38,17 +38,6 @@
 	tagOwn
 )
 
-// record is the body of an entry daemon's object.
-type record struct {
-	Addr        string            `json:"addr"`
-	Domain      msg.FailureDomain `json:"domain"`
-	Region      msg.Region        `json:"region"`
-	Incarnation msg.Incarnation   `json:"incarnation"`
-	// Beat grows with each write.
-	Beat    uint64 `json:"beat"`
-	Leaving bool   `json:"leaving,omitempty"`
-}
-
 // peer is what is known of another entry daemon.
 type peer struct {
 	host    msg.Host
@@ -138,7 +127,7 @@
 func (p *Part) write(now msg.Time) msg.Effect {
 	p.writing = true
 	p.beat++
-	rec := record{
+	rec := msg.EntryRecord{
 		Addr: p.addr, Domain: p.self.Domain, Region: p.self.Region,
 		Incarnation: p.incarnation, Beat: p.beat, Leaving: p.leaving,
 	}
@@ -198,7 +187,7 @@
 	if id == p.self.Host {
 		return
 	}
-	var rec record
+	var rec msg.EntryRecord
 	if json.Unmarshal(o.Value, &rec) != nil {
 		return
 	}
--- a/internal/ctl/app.go
+++ b/internal/ctl/app.go
@@ -49,7 +49,7 @@
 		Flags:                 sharedFlags(),
 		Commands: []*cli.Command{
 			validateCommand(), canonicalCommand(), diffCommand(), applyCommand(), historyCommand(),
-			statusCommand(), explainCommand(), storyCommand(), planCommand(), usageCommand(), drainCommand(),
+			statusCommand(), platformCommand(), explainCommand(), storyCommand(), planCommand(), usageCommand(), drainCommand(),
 			accountsCommand(), keysCommand(), certsCommand(), loadCommand(), reportCommand(), replayCommand(),
 		},
 	}
