--- a/internal/core/msg/types.go
+++ b/internal/core/msg/types.go
@@ -11,7 +11,8 @@
 		reflect.TypeFor[LeaseReleased](),
 		reflect.TypeFor[ExchangePoll](), reflect.TypeFor[ExchangeReply](),
 		reflect.TypeFor[CrashNotice](),
-		reflect.TypeFor[LoadDigest](), reflect.TypeFor[WorkSent](), reflect.TypeFor[RunCounts](),
+		reflect.TypeFor[LoadDigest](), reflect.TypeFor[RunCounts](),
+		reflect.TypeFor[WorkSent](),
 	}
 }
 
--- /dev/null
+++ b/internal/core/msg/types_test.go
@@ -0,0 +1,22 @@
+package msg
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// Daemons of two releases talk to each other during an upgrade, so a message
+// keeps its number for good. New ones are added here at the end.
+func TestPeerMessagesKeepTheirNumbers(t *testing.T) {
+	is := is.New(t)
+	want := []string{
+		"ConfigQuery", "ConfigHeld", "ConfigFetch", "ConfigBody", "LeaseReleased",
+		"ExchangePoll", "ExchangeReply", "CrashNotice", "LoadDigest", "RunCounts", "WorkSent",
+	}
+	var got []string
+	for _, typ := range PeerTypes() {
+		got = append(got, typ.Name())
+	}
+	is.Equal(got, want)
+}
