verbenaspurctl experiment: loads against the decisions in virtual time

Figures of decisions that experiments vary are types of their parts (direct.Policy, roles.Policy) with the product's as defaults.

Ruled out: the full reducer with a store beside it: leases and configuration have their own tests, and this compares policies.

--- a/internal/core/direct/direct.go
+++ b/internal/core/direct/direct.go
@@ -24,6 +24,7 @@
 // Manager is the part of an entry's reducer that owns the requests.
 type Manager struct {
 	limits      msg.DirectLimits
+	policy      Policy
 	self        msg.Self
 	incarnation msg.Incarnation
 	rand        *rand.Rand
@@ -52,9 +53,13 @@
 }
 
 // New returns a manager without a configuration, which refuses all requests.
-func New(limits msg.DirectLimits) *Manager {
+func New(limits msg.DirectLimits) *Manager { return NewWith(limits, Policy{}) }
+
+// NewWith is [New] with a policy of an experiment's.
+func NewWith(limits msg.DirectLimits, policy Policy) *Manager {
 	return &Manager{
 		limits:   limits,
+		policy:   policy.withDefaults(),
 		rand:     rand.New(rand.NewPCG(0, 0)),
 		targets:  make(map[msg.TargetID]*target),
 		services: make(map[msg.ServiceID][]*target),
--- a/internal/core/direct/place.go
+++ b/internal/core/direct/place.go
@@ -9,12 +9,6 @@
 )
 
 const (
-	// tooLate is the multiple of a request's objective up to which a late
-	// first token is still offered.
-	tooLate = 2.0
-	// streamHarm is what reading a prompt between the tokens of a stream costs
-	// that stream, in times of reading it: many have time to spare.
-	streamHarm = 0.4
 	// logged is the number of losing candidates in a log line.
 	logged = 2
 	// spread is the part of a cost that is drawn at random, so that daemons
@@ -48,7 +42,7 @@
 	}
 	slices.SortFunc(list, func(a, b candidate) int { return int(a.cost - b.cost) })
 	best := list[0]
-	late := s.now - r.since + best.expected - time.Duration(tooLate*float64(r.route.Objective))
+	late := s.now - r.since + best.expected - time.Duration(s.policy.TooLate*float64(r.route.Objective))
 	if r.generation() && r.handle == "" && r.runs == 0 && late > 0 {
 		return &refusal{statusUnavailable, "overloaded", max(late, retrySoon)}
 	}
@@ -169,7 +163,7 @@
 	}
 	c.cost = penalize(c.expected, t)
 	if t.Role == msg.RoleDecode {
-		c.cost += c.work + time.Duration(streamHarm*float64(s.streams(t))*float64(c.work))
+		c.cost += c.work + time.Duration(s.policy.StreamHarm*float64(s.streams(t))*float64(c.work))
 	}
 	return c, true
 }
--- a/internal/core/roles/roles.go
+++ b/internal/core/roles/roles.go
@@ -28,11 +28,6 @@
 	// memory that running streams may take: cached prompts need the rest.
 	slotFill   = 0.6
 	memoryFill = 0.5
-	// decodeShare is the least part of a service's engines that decodes: the
-	// loss of a few must leave some.
-	decodeShare = 0.2
-	// least is the number of engines that decode at the least.
-	least = 4
 	// demandWeight is the weight of a fall in demand; a rise counts at once.
 	demandWeight = 0.02
 	// slack is the number of engines by which demand may be missed before
@@ -53,7 +48,35 @@
 )
 
 // Config configures the part.
-type Config struct{ Self msg.HostID }
+type Config struct {
+	Self   msg.HostID
+	Policy Policy
+}
+
+// Policy holds the figures of decisions that experiments vary. Zeros stand for
+// the defaults.
+type Policy struct {
+	// DecodeShare is the least part of a service's engines that decodes: the
+	// loss of a few must leave some.
+	DecodeShare float64 `yaml:"decode_share" validate:"min=0,max=1"`
+	// LeastDecoding is the number of engines that decode at the least.
+	LeastDecoding int `yaml:"least_decoding" validate:"min=0"`
+}
+
+const (
+	defaultDecodeShare   = 0.2
+	defaultLeastDecoding = 4
+)
+
+func (p Policy) withDefaults() Policy {
+	if p.DecodeShare == 0 {
+		p.DecodeShare = defaultDecodeShare
+	}
+	if p.LeastDecoding == 0 {
+		p.LeastDecoding = defaultLeastDecoding
+	}
+	return p
+}
 
 // Part is the roles part.
 type Part struct {
@@ -88,6 +111,7 @@
 
 // New returns the part.
 func New(cfg Config) *Part {
+	cfg.Policy = cfg.Policy.withDefaults()
 	return &Part{
 		cfg:      cfg,
 		engines:  make(map[msg.ServiceID]*msg.EngineSpec),
@@ -195,7 +219,7 @@
 	role := msg.RolePrefill
 	switch {
 	case decoding > want && p.decodingNow(id) > want:
-	case decoding < want-slack, decoding < want && decoding < least:
+	case decoding < want-slack, decoding < want && decoding < p.cfg.Policy.LeastDecoding:
 		role = msg.RoleDecode
 	default:
 		return nil
@@ -246,12 +270,12 @@
 
 // wanted is the number of engines that are to decode.
 func (p *Part) wanted(spec *msg.EngineSpec, id msg.ServiceID, list []msg.Instance) int {
-	need := math.Ceil(decodeShare * float64(len(list)))
+	need := math.Ceil(p.cfg.Policy.DecodeShare * float64(len(list)))
 	if d := p.demand[id]; d != nil {
 		need = max(need, math.Ceil(d.streams/(slotFill*float64(max(spec.Slots, 1)))))
 		need = max(need, math.Ceil(d.tokens/(memoryFill*float64(max(spec.CacheTokens, 1)))))
 	}
-	return min(max(int(need), least), len(list)-1)
+	return min(max(int(need), p.cfg.Policy.LeastDecoding), len(list)-1)
 }
 
 // choose picks an engine to change to a role: one of the failure domain that
--- a/internal/ctl/app.go
+++ b/internal/ctl/app.go
@@ -50,7 +50,7 @@
 		Commands: []*cli.Command{
 			validateCommand(), canonicalCommand(), diffCommand(), applyCommand(), historyCommand(),
 			statusCommand(), platformCommand(), explainCommand(), storyCommand(), planCommand(), usageCommand(), drainCommand(),
-			accountsCommand(), keysCommand(), certsCommand(), loadCommand(), reportCommand(), replayCommand(),
+			accountsCommand(), keysCommand(), certsCommand(), loadCommand(), experimentCommand(), reportCommand(), replayCommand(),
 		},
 	}
 	setUsageErrors(root)
