--- a/internal/core/catalog/catalog.go
+++ b/internal/core/catalog/catalog.go
@@ -7,6 +7,7 @@
 package catalog
 
 import (
+	"cmp"
 	"strconv"
 	"time"
 
@@ -40,15 +41,10 @@
 }
 
 func (c Config) withDefaults() Config {
-	set := func(d *time.Duration, v time.Duration) {
-		if *d == 0 {
-			*d = v
-		}
-	}
-	set(&c.RoutesEvery, DefaultRoutesEvery)
-	set(&c.InstancesEvery, DefaultInstancesEvery)
-	set(&c.Outage, DefaultOutage)
-	set(&c.Return, DefaultReturn)
+	c.RoutesEvery = cmp.Or(c.RoutesEvery, DefaultRoutesEvery)
+	c.InstancesEvery = cmp.Or(c.InstancesEvery, DefaultInstancesEvery)
+	c.Outage = cmp.Or(c.Outage, DefaultOutage)
+	c.Return = cmp.Or(c.Return, DefaultReturn)
 	return c
 }
 
--- a/internal/core/direct/policy.go
+++ b/internal/core/direct/policy.go
@@ -1,5 +1,7 @@
 package direct
 
+import "cmp"
+
 // Policy holds the figures of decisions that experiments vary. Zeros stand for
 // the defaults.
 type Policy struct {
@@ -17,11 +19,7 @@
 )
 
 func (p Policy) withDefaults() Policy {
-	if p.TooLate == 0 {
-		p.TooLate = defaultTooLate
-	}
-	if p.StreamHarm == 0 {
-		p.StreamHarm = defaultStreamHarm
-	}
+	p.TooLate = cmp.Or(p.TooLate, defaultTooLate)
+	p.StreamHarm = cmp.Or(p.StreamHarm, defaultStreamHarm)
 	return p
 }
--- a/internal/core/lease/lease.go
+++ b/internal/core/lease/lease.go
@@ -16,6 +16,7 @@
 package lease
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -71,17 +72,12 @@
 }
 
 func (c Config) withDefaults() Config {
-	set := func(d *time.Duration, v time.Duration) {
-		if *d == 0 {
-			*d = v
-		}
-	}
-	set(&c.Length, DefaultLength)
-	set(&c.Margin, DefaultMargin)
-	set(&c.Renew, DefaultRenew)
-	set(&c.Observe, DefaultObserve)
-	set(&c.Survey, DefaultSurvey)
-	set(&c.CallDeadline, DefaultCallDeadline)
+	c.Length = cmp.Or(c.Length, DefaultLength)
+	c.Margin = cmp.Or(c.Margin, DefaultMargin)
+	c.Renew = cmp.Or(c.Renew, DefaultRenew)
+	c.Observe = cmp.Or(c.Observe, DefaultObserve)
+	c.Survey = cmp.Or(c.Survey, DefaultSurvey)
+	c.CallDeadline = cmp.Or(c.CallDeadline, DefaultCallDeadline)
 	return c
 }
 
--- a/internal/core/meter/report.go
+++ b/internal/core/meter/report.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"strings"
 
+	"github.com/verbenaspur/verbenaspur/internal/core/lease"
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
 	"github.com/verbenaspur/verbenaspur/internal/core/store"
 )
@@ -37,9 +38,7 @@
 	frozen  *store.Client
 	entries []msg.Host
 
-	held  bool
-	epoch msg.Epoch
-	until msg.Time
+	lease lease.Authority
 
 	// known says that record is the object as it stands at the version stored.
 	known  bool
@@ -79,18 +78,15 @@
 }
 
 func (p *Part) onLease(ev msg.LeaseChanged) {
-	if ev.Held && (!p.held || ev.Epoch != p.epoch) {
+	if p.lease.Take(ev) {
 		p.known = false
 		p.sent = make(map[int64]bool)
 	}
-	p.held = ev.Held
-	p.epoch = ev.Epoch
-	p.until = ev.Until
 }
 
 // advance takes the holder's next step.
 func (p *Part) advance(now msg.Time) []msg.Effect {
-	if !p.held || now >= p.until || now < p.nextAt || p.open {
+	if !p.lease.Holds(now) || now < p.nextAt || p.open {
 		return nil
 	}
 	if !p.known {
@@ -132,8 +128,8 @@
 	p.open = true
 	p.reporting = window
 	return msg.ReportWindow{
-		Call: p.lastCall, Holder: p.cfg.Self, Epoch: p.epoch,
-		Window: window, Counts: p.record.Windows[window], NotAfter: p.until,
+		Call: p.lastCall, Holder: p.cfg.Self, Epoch: p.lease.Epoch,
+		Window: window, Counts: p.record.Windows[window], NotAfter: p.lease.Until,
 	}
 }
 
@@ -153,7 +149,7 @@
 	}
 	return []msg.Effect{msg.LogLine{Part: partName, Level: level, Text: text, Attrs: []msg.Attr{
 		{Key: "window", Value: strconv.FormatInt(p.reporting, 10)},
-		{Key: "epoch", Value: strconv.FormatUint(uint64(p.epoch), 10)},
+		{Key: "epoch", Value: strconv.FormatUint(uint64(p.lease.Epoch), 10)},
 		{Key: "reason", Value: ev.Reason},
 	}}}
 }
@@ -200,7 +196,7 @@
 	}
 	p.merge(records)
 	window := p.firstWindow(records)
-	if !p.held || now >= p.until {
+	if !p.lease.Holds(now) {
 		return nil
 	}
 	complete := p.complete(records, window)
@@ -253,7 +249,7 @@
 		total += n
 	}
 	return []msg.Effect{
-		p.frozen.Put(now, tagFreeze, msg.KindWindow, frozenName, next, p.stored, p.until),
+		p.frozen.Put(now, tagFreeze, msg.KindWindow, frozenName, next, p.stored, p.lease.Until),
 		msg.LogLine{Part: partName, Text: "window frozen", Attrs: []msg.Attr{
 			{Key: "window", Value: strconv.FormatInt(window, 10)},
 			{Key: "runs", Value: strconv.FormatInt(total, 10)},
--- a/internal/core/roles/roles.go
+++ b/internal/core/roles/roles.go
@@ -15,6 +15,7 @@
 	"strconv"
 	"time"
 
+	"github.com/verbenaspur/verbenaspur/internal/core/lease"
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
 )
 
@@ -69,12 +70,8 @@
 )
 
 func (p Policy) withDefaults() Policy {
-	if p.DecodeShare == 0 {
-		p.DecodeShare = defaultDecodeShare
-	}
-	if p.LeastDecoding == 0 {
-		p.LeastDecoding = defaultLeastDecoding
-	}
+	p.DecodeShare = cmp.Or(p.DecodeShare, defaultDecodeShare)
+	p.LeastDecoding = cmp.Or(p.LeastDecoding, defaultLeastDecoding)
 	return p
 }
 
@@ -87,9 +84,7 @@
 	// leave holds until when an engine gets no order.
 	leave map[msg.TargetID]msg.Time
 
-	held     bool
-	epoch    msg.Epoch
-	until    msg.Time
+	lease    lease.Authority
 	decideAt msg.Time
 
 	lastCall msg.CallID
@@ -183,13 +178,11 @@
 	if ev.Name != LeaseName {
 		return
 	}
-	p.held = ev.Held
-	p.epoch = ev.Epoch
-	p.until = ev.Until
+	p.lease.Take(ev)
 }
 
 func (p *Part) onTick(now msg.Time) []msg.Effect {
-	if !p.held || now >= p.until || now < p.decideAt || p.open {
+	if !p.lease.Holds(now) || now < p.decideAt || p.open {
 		return nil
 	}
 	p.decideAt = now + changeEvery/4
@@ -310,12 +303,12 @@
 		msg.Raise{Event: msg.TargetChanging{Target: in.Target, Role: role, For: changeTime}},
 		msg.OrderRole{
 			Call: p.lastCall, Target: in.Target, Addr: in.Addr, Role: role,
-			Holder: p.cfg.Self, Epoch: p.epoch, NotAfter: p.until,
+			Holder: p.cfg.Self, Epoch: p.lease.Epoch, NotAfter: p.lease.Until,
 		},
 		msg.LogLine{Part: partName, Text: "role change ordered", Attrs: []msg.Attr{
 			{Key: "target", Value: string(in.Target)},
 			{Key: "role", Value: role.String()},
-			{Key: "epoch", Value: strconv.FormatUint(uint64(p.epoch), 10)},
+			{Key: "epoch", Value: strconv.FormatUint(uint64(p.lease.Epoch), 10)},
 			{Key: "decoding", Value: strconv.Itoa(decoding)},
 			{Key: "wanted", Value: strconv.Itoa(want)},
 		}},
