Newcomers are told of caches by one entry; parts in digests are bounded

Each entry greeted each newcomer with its whole picture of the caches (53 engines, some 6,400 parts, 160 KB), and after a restart of all everyone is a newcomer to everyone: 130 MB through links of 10 Mbit/s. One daemon, the first by rendezvous hashing, greets now; a digest carries 800 parts over all daemons that get it.

Ruled out: the store (it answered others in these seconds), lists of caches by all entries (each engine was asked once).

--- a/internal/core/direct/share.go
+++ b/internal/core/direct/share.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
+	"github.com/verbenaspur/verbenaspur/internal/core/rendezvous"
 )
 
 const (
@@ -18,8 +19,12 @@
 	digestAge = 2500 * time.Millisecond
 	// demandEvery is the time between two sums of what engines decode.
 	demandEvery = 500 * time.Millisecond
-	// maxTold bounds the cached parts in one digest.
-	maxTold = 200
+	// maxTold bounds the cached parts in one message, maxToldAll those in one
+	// digest to all daemons, of which each gets leastTold: small hosts have 10
+	// Mbit/s.
+	maxTold    = 200
+	maxToldAll = 800
+	leastTold  = 10
 	// listAfter is the age of a process at which it asks engines what they
 	// hold: it knows the other daemons by then.
 	listAfter = 300 * time.Millisecond
@@ -45,7 +50,8 @@
 	return share{peers: make(map[msg.HostID]*peerLoad), changing: make(map[msg.TargetID]bool)}
 }
 
-// greet tells daemons that have joined what engines hold.
+// greet tells daemons that have joined what engines hold. One daemon tells
+// each: the picture is long, and after a restart of all everyone has joined.
 func (s *step) greet(entries []msg.Host) {
 	var parts []msg.CachedPart
 	for _, h := range entries {
@@ -53,6 +59,10 @@
 		if known || h.Host == s.self.Host || s.table == nil {
 			continue
 		}
+		others := slices.DeleteFunc(slices.Clone(entries), func(o msg.Host) bool { return o.Host == h.Host })
+		if rendezvous.Rank(string(h.Host), s.self.Host, others) != 0 {
+			continue
+		}
 		if parts == nil {
 			parts = s.caches.all()
 		}
@@ -157,7 +167,7 @@
 	if len(s.share.cached) == 0 && s.now-s.share.toldAt < tellAtLeast && slices.Equal(digest, s.share.told) {
 		return
 	}
-	told := s.share.cached[:min(len(s.share.cached), maxTold)]
+	told := s.share.cached[:min(len(s.share.cached), s.mostTold())]
 	s.share.cached = slices.Clone(s.share.cached[len(told):])
 	s.share.toldAt = s.now
 	s.share.told = digest
@@ -170,6 +180,12 @@
 	}
 }
 
+// mostTold is the number of cached parts in one digest, fewer where it goes to
+// many daemons.
+func (s *step) mostTold() int {
+	return min(max(maxToldAll/max(len(s.entries), 1), leastTold), maxTold)
+}
+
 // changes lists the targets that this daemon has told to change their role.
 func (s *step) changes() []msg.ChangingTarget {
 	var list []msg.ChangingTarget
--- a/internal/core/direct/share_test.go
+++ b/internal/core/direct/share_test.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -91,3 +92,58 @@
 	is.Equal(w.m.share.backlog(w.now, "dec-1"), 150*time.Millisecond)
 	is.Equal(w.m.share.backlog(w.now, "dec-2"), 300*time.Millisecond)
 }
+
+func entries(n int) []msg.Host {
+	list := make([]msg.Host, n)
+	for i := range list {
+		list[i] = msg.Host{Host: msg.HostID(fmt.Sprintf("entry-%d", i+1))}
+	}
+	return list
+}
+
+// sentParts counts the cached parts in messages of the last step.
+func sentParts(w *world) int {
+	n := 0
+	for _, eff := range w.effects {
+		if p, ok := eff.(msg.SendPeer); ok {
+			d, _ := p.Message.(msg.LoadDigest)
+			n += len(d.Cached)
+		}
+	}
+	return n
+}
+
+// After a restart of all every daemon has joined for every other one: each is
+// told once what engines hold, not by all of them.
+func TestOneDaemonGreetsANewcomer(t *testing.T) {
+	is := is.New(t)
+	const daemons, parts = 29, 500
+	told := 0
+	for i := range daemons {
+		w := readyWorld(t)
+		w.m.self.Host = msg.HostID(fmt.Sprintf("entry-%d", i+1))
+		for p := range uint64(parts) {
+			w.m.caches.add("dec-1", 1_000_000_000, p, 100)
+		}
+		w.step(msg.MembersChanged{Entries: entries(daemons)})
+		told += sentParts(w)
+	}
+	is.Equal(told, daemons*parts)
+}
+
+// The parts in a digest to many daemons are few: they are sent to each.
+func TestPartsToldAreBounded(t *testing.T) {
+	is := is.New(t)
+	for daemons, most := range map[int]int{4: 3 * maxTold, 29: maxToldAll, 300: 299 * leastTold} {
+		w := readyWorld(t)
+		w.step(msg.MembersChanged{Entries: entries(daemons)})
+		var parts []msg.PromptPart
+		for p := range uint64(3000) {
+			parts = append(parts, msg.PromptPart{ID: p, Tokens: 100})
+		}
+		w.step(msg.CacheRead{Target: "dec-1", Parts: parts})
+		w.now += time.Second
+		w.step(msg.Tick{})
+		is.True(sentParts(w) > 0 && sentParts(w) <= most)
+	}
+}
