Prompts whose answer is lost are read elsewhere

Change: a prefill that is overdue by more than its expected time, at a target that has since handed out a later one of the same or a lower rank, is cancelled and begun elsewhere, within the budget. A prefill is no run. Where there is no better target or no budget, it is waited for.

Ruled out: overtaking by any later attempt (engines serve by urgency); streams and runs, which may have run.

Tests: TestLostPromptIsReadElsewhere, TestLostPromptIsWaitedForWithoutABudget, TestOvertakenByUrgentIsNotLost. The fuzz oracle took a given-up prompt for a second attempt at once; it now follows the cancel, which must come first, and only of a prefill.

--- a/internal/core/direct/direct.go
+++ b/internal/core/direct/direct.go
@@ -156,6 +156,7 @@
 		s.expire(r)
 	}
 	s.forgetAttempts()
+	s.moveLost()
 	s.tellShare()
 	s.tellDemand()
 	s.listCaches()
--- a/internal/core/direct/fuzz_test.go
+++ b/internal/core/direct/fuzz_test.go
@@ -48,6 +48,8 @@
 	req  *followed
 	spec msg.DirectSpec
 	done bool
+	// givenUp says that the prompt is read elsewhere.
+	givenUp bool
 }
 
 func newOracle(t *rapid.T) *oracle {
@@ -105,6 +107,12 @@
 		}
 	case msg.FinishRequest:
 		o.end(eff.Req)
+	case msg.CancelAttempt:
+		// Reading a prompt is no run: it may be given up for another target.
+		if a := o.attempts[eff.Attempt]; a.spec.Step == msg.StepPrefill && a.req.open == eff.Attempt {
+			a.givenUp = true
+			a.req.open = ""
+		}
 	}
 }
 
@@ -295,6 +303,9 @@
 
 // note keeps what an attempt's end means for its request.
 func (o *oracle) note(f *followed, a *followedAttempt, ev *msg.DirectEnded) {
+	if a.givenUp {
+		return
+	}
 	f.open = ""
 	if ev.Result == msg.DirectPrefilled {
 		f.handle = ev.Handle
--- a/internal/core/direct/request.go
+++ b/internal/core/direct/request.go
@@ -49,7 +49,9 @@
 	req    *request // nil once the request is over
 	target *target
 	step   msg.DirectStep
-	since  msg.Time
+	// rank is its place in an engine's order, 0 first.
+	rank  int
+	since msg.Time
 	// work is the prefill that it asks of the target and expected the time
 	// to its first token.
 	work, expected time.Duration
@@ -74,10 +76,11 @@
 
 // priority is the request's rank, 0 first.
 func (r *request) priority() int {
+	p := r.route.Priority
 	if r.account != nil && r.account.HasPriority {
-		return r.account.Priority
+		p = r.account.Priority
 	}
-	return r.route.Priority
+	return min(max(p, 0), maxPriority)
 }
 
 // repeats reports whether an attempt of a step is an arrival beyond the
--- a/internal/core/direct/start.go
+++ b/internal/core/direct/start.go
@@ -19,7 +19,7 @@
 // start starts an attempt by the chosen candidate.
 func (s *step) start(r *request, c candidate, list []candidate) {
 	a := &attempt{
-		id: s.nextAttempt(), req: r, target: c.target, step: c.step, since: s.now,
+		id: s.nextAttempt(), req: r, target: c.target, step: c.step, rank: r.priority(), since: s.now,
 		forgetAt: r.deadline + forgetAfter, work: c.work, expected: c.expected, tokens: r.arrived.PromptTokens, parts: r.parts, fingerprint: r.fingerprint,
 	}
 	r.attempt = a
@@ -34,7 +34,7 @@
 		LastEvent: r.lastEvent,
 	}
 	if r.generation() {
-		spec.Priority = min(r.priority(), maxPriority)
+		spec.Priority = a.rank
 	}
 	if c.from != nil {
 		spec.CacheFrom = c.from.Addr
--- a/internal/core/direct/suspect.go
+++ b/internal/core/direct/suspect.go
@@ -1,6 +1,8 @@
 package direct
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
@@ -32,7 +34,45 @@
 // lost reports whether an attempt's answer is unlikely to come: it is overdue,
 // and attempts that were sent later have begun.
 func (t *target) lost(now msg.Time, a *attempt) bool {
-	return a.since < t.servedSince && a.overdue(now) > 0
+	return a.since < t.servedSince() && a.overdue(now) > 0
+}
+
+// gone is lost beyond what an engine's order explains: more urgent requests
+// overtake others, those of the same rank don't.
+func (t *target) gone(now msg.Time, a *attempt) bool {
+	overtaken := slices.Max(t.served[a.rank:]) > a.since
+	return overtaken && a.overdue(now) > a.expected
+}
+
+// moveLost begins prompts anew elsewhere that a target will not hand out. A
+// prompt that was read is no run; where no other target is better, or the
+// budget is used up, the answer is waited for.
+func (s *step) moveLost() {
+	for _, id := range slices.Sorted(maps.Keys(s.attempts)) {
+		a := s.attempts[id]
+		if a.step == msg.StepPrefill && a.req != nil && a.req.sends < maxSends && a.target.gone(s.now, a) {
+			s.move(a)
+		}
+	}
+}
+
+func (s *step) move(a *attempt) {
+	r := a.req
+	r.attempt = nil
+	r.exclude = append(r.exclude, a.target.Target)
+	before := len(s.effects)
+	if ref := s.place(r); ref != nil {
+		r.attempt = a
+		r.exclude = r.exclude[:len(r.exclude)-1]
+		return
+	}
+	a.req = nil
+	a.target.outcome(false)
+	// The driver ends the one before it begins the other.
+	s.effects = slices.Insert(s.effects, before, msg.Effect(msg.CancelAttempt{Attempt: a.id, Reason: "its answer is lost"}))
+	s.logRequest(r, "attempt given up",
+		attr("attempt", a.id), attr("target", a.target.Target), attr("took_ms", ms(s.now-a.since)), attr("expected_ms", ms(a.expected)),
+	)
 }
 
 // late is how far the oldest attempt is overdue that no later one overtook.
@@ -61,7 +101,7 @@
 	var most time.Duration
 	for _, p := range sh.peers {
 		told := time.Duration(p.targets[t.Target].LateMS) * time.Millisecond
-		if now-p.at <= digestAge && p.at-told > t.servedSince {
+		if now-p.at <= digestAge && p.at-told > t.servedSince() {
 			most = max(most, told)
 		}
 	}
@@ -76,8 +116,12 @@
 	t.sentAt = now
 }
 
+// servedSince is when the newest attempt that began was sent. Attempts from
+// before it that have not begun were overtaken.
+func (t *target) servedSince() msg.Time { return slices.Max(t.served[:]) }
+
 // serves clears a target of the suspicion from before an attempt that began.
 func (t *target) serves(a *attempt) {
-	t.servedSince = max(t.servedSince, a.since)
+	t.served[a.rank] = max(t.served[a.rank], a.since)
 	t.probeAfter = probeFirst
 }
--- a/internal/core/direct/suspect_test.go
+++ b/internal/core/direct/suspect_test.go
@@ -44,9 +44,9 @@
 	dec.sentAt = w.now
 	w.step(late)
 	w.is.Equal(suspicion(w, dec), 700*time.Millisecond)
-	dec.servedSince = 500 * time.Millisecond
+	dec.served[0] = 500 * time.Millisecond
 	w.is.Equal(suspicion(w, dec), time.Duration(0))
-	dec.servedSince = 0
+	dec.served[0] = 0
 	w.now += digestAge + 1
 	dec.sentAt = w.now
 	w.is.Equal(suspicion(w, dec), time.Duration(0)) // it is old
@@ -96,3 +96,73 @@
 	}
 	t.Fatal("the target is not told")
 }
+
+// lostPrompt has an engine that prefills, which owes one prompt and has handed
+// out a later one of the same rank.
+func lostPrompt(t *testing.T) (w *world, owed, later msg.StartDirect) {
+	w = readyWorld(t)
+	list := testInstances()
+	other := list[4]
+	other.Target = "pre-2"
+	other.Addr = "10.0.2.2:1"
+	w.list(list[2], list[4])
+	w.step(msg.TargetChanging{Target: "dec-1", Role: msg.RolePrefill, For: time.Minute})
+	w.arrive("/chat/x", prompt(1, 9000, 1000))
+	owed = w.started()
+	w.now += 10 * time.Millisecond
+	w.arrive("/chat/x", prompt(2, 9000, 1000))
+	later = w.started()
+	w.is.Equal(later.Spec.Target, owed.Spec.Target)
+	w.now += 400 * time.Millisecond
+	w.end(later.Attempt, msg.DirectPrefilled, func(ev *msg.DirectEnded) { ev.Handle = "h" })
+	w.list(list[2], list[4], other)
+	return w, owed, later
+}
+
+func tick(w *world) {
+	w.step(msg.RoutesFresh{At: w.now})
+	w.step(msg.Tick{})
+}
+
+// A prompt whose answer is lost is read elsewhere before its caller gives up.
+func TestLostPromptIsReadElsewhere(t *testing.T) {
+	w, owed, _ := lostPrompt(t)
+	tick(w)
+	_, moved := find[msg.StartDirect](w)
+	w.is.True(!moved) // it is overdue, but not by as much as it should have taken
+	w.now += 300 * time.Millisecond
+	tick(w)
+	a := w.started()
+	w.is.Equal(a.Req, owed.Req)
+	w.is.Equal(a.Spec.Target, msg.TargetID("pre-2"))
+	cancel, ok := find[msg.CancelAttempt](w)
+	w.is.True(ok)
+	w.is.Equal(cancel.Attempt, owed.Attempt)
+	w.end(owed.Attempt, msg.DirectPrefilled, func(ev *msg.DirectEnded) { ev.Handle = "late" })
+	free, ok := find[msg.FreeHandle](w)
+	w.is.True(ok) // it came all the same
+	w.is.Equal(free.Handle, "late")
+}
+
+// Without a better target, or a budget, the answer is waited for.
+func TestLostPromptIsWaitedForWithoutABudget(t *testing.T) {
+	w, _, _ := lostPrompt(t)
+	w.step(msg.LimitsChanged{Limits: msg.DirectLimits{FreshFor: time.Hour, DecideFor: time.Hour, RetryWindow: time.Second}})
+	w.now += 300 * time.Millisecond
+	tick(w)
+	_, moved := find[msg.StartDirect](w)
+	_, cancelled := find[msg.CancelAttempt](w)
+	_, refused := find[msg.RefuseRequest](w)
+	w.is.True(!moved && !cancelled && !refused)
+}
+
+// More urgent requests overtake: that tells nothing of the others.
+func TestOvertakenByUrgentIsNotLost(t *testing.T) {
+	w := readyWorld(t)
+	pre := w.m.targets["pre-1"]
+	a := &attempt{target: pre, rank: 2, since: 0, expected: 100 * time.Millisecond}
+	pre.serves(&attempt{rank: 1, since: time.Second})
+	w.is.True(!pre.gone(2*time.Second, a))
+	pre.serves(&attempt{rank: 3, since: time.Second})
+	w.is.True(pre.gone(2*time.Second, a))
+}
--- a/internal/core/direct/target.go
+++ b/internal/core/direct/target.go
@@ -37,9 +37,8 @@
 	// backlogUntil is when the prefill work that this daemon sent is expected
 	// to be done.
 	backlogUntil msg.Time
-	// servedSince is when the newest attempt that began was sent. Attempts
-	// from before it that have not begun were overtaken.
-	servedSince msg.Time
+	// served is when the newest attempt of each rank that began was sent.
+	served [maxPriority + 1]msg.Time
 	// sentAt is when the last attempt was sent, and probeAfter how long after
 	// that a suspect target is probed.
 	sentAt     msg.Time
