A failing engine is no bargain

An engine whose health answers lie fails its runs at once, so it has nothing open and looks idle: its cost of 8 ms weighed by its failures stayed below that of engines with ten streams.

Change: a run costs at an engine what it is likely to lose there, the share of failures times the objective; the share falls with time, as an engine that gets nothing can't show that it serves. A prefill, which is made again, is weighed as before.

Test: TestFailingEngineIsNoBargain fails before.

--- a/internal/core/direct/end.go
+++ b/internal/core/direct/end.go
@@ -47,7 +47,7 @@
 	switch ev.Result {
 	case msg.DirectDone, msg.DirectPrefilled:
 		t.firstToken(s.now, a)
-		t.outcome(true)
+		t.outcome(s.now, true)
 		if a.parts == nil && a.work == 0 {
 			t.latencyOf(s.now - a.since)
 		}
@@ -55,16 +55,16 @@
 			s.cached(a)
 		}
 	case msg.DirectFailed:
-		t.outcome(false)
+		t.outcome(s.now, false)
 	case msg.DirectNotRun:
-		t.outcome(false)
+		t.outcome(s.now, false)
 		t.refused(s.now, a, ev.Misdirected)
 	case msg.DirectUnreached:
-		t.outcome(false)
+		t.outcome(s.now, false)
 		t.unreached(s.now)
 		s.strike(t)
 	case msg.DirectBroken:
-		t.outcome(false)
+		t.outcome(s.now, false)
 		if a.step != msg.StepPrefill {
 			t.broken = append(t.broken, brokenAttempt{s.now, a.id, a.fingerprint})
 		}
--- a/internal/core/direct/place.go
+++ b/internal/core/direct/place.go
@@ -110,7 +110,7 @@
 	far := r.source.Domain != t.Domain
 	c := candidate{target: t, step: msg.StepDecode, wait: s.wait(t)}
 	c.expected = c.wait/4 + s.roomTime(r, t) + transferTime(s.engine(t), r.arrived.PromptTokens, far)
-	c.cost = penalize(c.expected, t)
+	c.cost = c.expected + s.riskCost(r, t)
 	return c, true
 }
 
@@ -163,6 +163,7 @@
 	}
 	c.cost = penalize(c.expected, t)
 	if t.Role == msg.RoleDecode {
+		c.cost = c.expected + s.riskCost(r, t)
 		c.cost += c.work + time.Duration(s.policy.StreamHarm*float64(s.streams(t))*float64(c.work))
 	}
 	return c, true
@@ -217,6 +218,12 @@
 	return nil
 }
 
+// riskCost is what a request is likely to lose at an engine that fails some of
+// its runs, which can't be made again: an engine that fails at once looks idle.
+func (s *step) riskCost(r *request, t *target) time.Duration {
+	return time.Duration(t.risk(s.now) * float64(r.route.Objective))
+}
+
 // penalize weighs a cost by the target's failures: an attempt that fails has
 // to be made again, or is lost.
 func penalize(cost time.Duration, t *target) time.Duration {
--- a/internal/core/direct/place_test.go
+++ b/internal/core/direct/place_test.go
@@ -50,7 +50,7 @@
 func TestFailingTargetIsAvoided(t *testing.T) {
 	w := readyWorld(t)
 	for range 12 {
-		w.m.targets["app-1"].outcome(false)
+		w.m.targets["app-1"].outcome(w.now, false)
 	}
 	first := 0
 	for range 10 {
@@ -256,3 +256,23 @@
 		w.is.Equal(w.started().Spec.Target, want)
 	}
 }
+
+// An engine that fails its requests at once looks idle. It costs what a
+// request loses by it.
+func TestFailingEngineIsNoBargain(t *testing.T) {
+	w := readyWorld(t)
+	w.list(testInstances()[2], testInstances()[3])
+	for range 6 {
+		w.m.targets["dec-1"].outcome(w.now, false)
+	}
+	w.step(msg.PeerReceived{From: "entry-2", Message: msg.LoadDigest{Targets: []msg.TargetDigest{{Target: "dec-2", Open: 30, Running: 30}}}})
+	for range 10 {
+		w.arrive("/chat/x", prompt(1, 300, 50))
+		w.is.Equal(w.started().Spec.Target, msg.TargetID("dec-2"))
+	}
+	w.now += 30 * time.Second
+	w.step(msg.RoutesFresh{At: w.now})
+	w.step(msg.PeerReceived{From: "entry-2", Message: msg.LoadDigest{Targets: []msg.TargetDigest{{Target: "dec-2", Open: 30, Running: 30}}}})
+	w.arrive("/chat/x", prompt(1, 300, 50))
+	w.is.Equal(w.started().Spec.Target, msg.TargetID("dec-1")) // it may serve again
+}
--- a/internal/core/direct/suspect.go
+++ b/internal/core/direct/suspect.go
@@ -67,7 +67,7 @@
 		return
 	}
 	a.req = nil
-	a.target.outcome(false)
+	a.target.outcome(s.now, false)
 	// The driver ends the one before it begins the other.
 	s.effects = slices.Insert(s.effects, before, msg.Effect(msg.CancelAttempt{Attempt: a.id, Reason: "its answer is lost"}))
 	s.logRequest(r, "attempt given up",
--- a/internal/core/direct/target.go
+++ b/internal/core/direct/target.go
@@ -22,6 +22,8 @@
 	crashWindow = 1500 * time.Millisecond
 	// outcomeWeight is the weight of one outcome in a target's failure share.
 	outcomeWeight = 0.12
+	// riskMemory is the time in which a failure loses most of its weight.
+	riskMemory = 5 * time.Second
 	// speedWeight is the weight of one observation in a target's speed.
 	speedWeight = 0.2
 	slowest     = 8.0
@@ -45,8 +47,9 @@
 	probeAfter time.Duration
 	// slow is the factor by which its first tokens come later than expected.
 	slow float64
-	// failing is the weighted share of attempts that it failed.
+	// failing is the weighted share of attempts that it failed, as of failedAt.
 	failing    float64
+	failedAt   msg.Time
 	avoidUntil msg.Time
 	avoidFor   time.Duration
 	// changingTo is the role that it was ordered to take, and changingUntil
@@ -162,14 +165,22 @@
 }
 
 // outcome learns from an attempt's end.
-func (t *target) outcome(ok bool) {
+func (t *target) outcome(now msg.Time, ok bool) {
 	v := 1.0
 	if ok {
 		v = 0
+	} else {
+		t.failedAt = now
 	}
 	t.failing += outcomeWeight * (v - t.failing)
 }
 
+// risk is the share of attempts that are likely to fail. It falls with time:
+// a target that gets no requests can't show that it serves again.
+func (t *target) risk(now msg.Time) float64 {
+	return t.failing * math.Exp(-float64(now-t.failedAt)/float64(riskMemory))
+}
+
 // refused counts a refusal. One that the request itself may have caused counts
 // only where several follow each other.
 func (t *target) refused(now msg.Time, a *attempt, misdirected bool) {
