One cache of prompt parts for the picture of an engine and for experiments

direct's engineCache and the experiment's lru were the same map, list and sum of tokens. partcache holds them; its users keep their own limits: three quarters of the memory and never empty here, what running requests leave there. A test reads Tokens() for the field it read; its assertion is the same.

--- a/internal/core/direct/cache.go
+++ b/internal/core/direct/cache.go
@@ -1,11 +1,11 @@
 package direct
 
 import (
-	"cmp"
-	"container/list"
+	"maps"
 	"slices"
 
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
+	"github.com/verbenaspur/verbenaspur/internal/core/partcache"
 	"github.com/verbenaspur/verbenaspur/internal/core/rendezvous"
 )
 
@@ -22,54 +22,38 @@
 // what it sent, what the other daemons tell and what engines list. The picture
 // of an engine drops the least recently used parts as the engine does.
 type caches struct {
-	engines map[msg.TargetID]*engineCache
+	engines map[msg.TargetID]*partcache.Cache
 	holders map[uint64]map[msg.TargetID]bool
 }
 
-type engineCache struct {
-	entries map[uint64]*list.Element
-	order   *list.List // of cacheEntry, most recently used first
-	tokens  int
-}
-
-type cacheEntry struct {
-	part   uint64
-	tokens int
-}
-
 func newCaches() *caches {
-	return &caches{engines: make(map[msg.TargetID]*engineCache), holders: make(map[uint64]map[msg.TargetID]bool)}
+	return &caches{engines: make(map[msg.TargetID]*partcache.Cache), holders: make(map[uint64]map[msg.TargetID]bool)}
 }
 
 // add notes that an engine with the given memory holds a part.
 func (c *caches) add(id msg.TargetID, capacity int, part uint64, tokens int) {
 	e := c.engines[id]
 	if e == nil {
-		e = &engineCache{entries: make(map[uint64]*list.Element), order: list.New()}
+		e = partcache.New()
 		c.engines[id] = e
 	}
-	if el := e.entries[part]; el != nil {
-		e.order.MoveToFront(el)
+	if !e.Use(msg.PromptPart{ID: part, Tokens: tokens}) {
 		return
 	}
-	e.entries[part] = e.order.PushFront(cacheEntry{part, tokens})
-	e.tokens += tokens
 	if c.holders[part] == nil {
 		c.holders[part] = make(map[msg.TargetID]bool)
 	}
 	c.holders[part][id] = true
-	for e.tokens > int(cacheFill*float64(capacity)) && e.order.Len() > 1 {
-		c.drop(id, e, e.order.Back())
+	for e.Tokens() > int(cacheFill*float64(capacity)) && e.Len() > 1 {
+		c.dropOldest(id, e)
 	}
 }
 
-func (c *caches) drop(id msg.TargetID, e *engineCache, el *list.Element) {
-	old, _ := e.order.Remove(el).(cacheEntry)
-	delete(e.entries, old.part)
-	e.tokens -= old.tokens
-	delete(c.holders[old.part], id)
-	if len(c.holders[old.part]) == 0 {
-		delete(c.holders, old.part)
+func (c *caches) dropOldest(id msg.TargetID, e *partcache.Cache) {
+	old := e.DropOldest()
+	delete(c.holders[old.ID], id)
+	if len(c.holders[old.ID]) == 0 {
+		delete(c.holders, old.ID)
 	}
 }
 
@@ -79,8 +63,8 @@
 	if e == nil {
 		return
 	}
-	for e.order.Len() > 0 {
-		c.drop(id, e, e.order.Back())
+	for e.Len() > 0 {
+		c.dropOldest(id, e)
 	}
 	delete(c.engines, id)
 }
@@ -92,28 +76,16 @@
 	if e == nil {
 		return 0
 	}
-	tokens := 0
-	for _, p := range parts {
-		if e.entries[p.ID] == nil {
-			break
-		}
-		tokens += p.Tokens
-	}
+	_, tokens := e.Prefix(parts)
 	return tokens
 }
 
-// all lists the picture, by engine and most recently used part first.
+// all lists the picture, by engine and least recently used part first.
 func (c *caches) all() []msg.CachedPart {
-	ids := make([]msg.TargetID, 0, len(c.engines))
-	for id := range c.engines {
-		ids = append(ids, id)
-	}
-	slices.SortFunc(ids, func(a, b msg.TargetID) int { return cmp.Compare(a, b) })
 	var out []msg.CachedPart
-	for _, id := range ids {
-		for el := c.engines[id].order.Back(); el != nil; el = el.Prev() {
-			e, _ := el.Value.(cacheEntry)
-			out = append(out, msg.CachedPart{Target: id, Part: e.part, Tokens: e.tokens})
+	for _, id := range slices.Sorted(maps.Keys(c.engines)) {
+		for p := range c.engines[id].OldestFirst() {
+			out = append(out, msg.CachedPart{Target: id, Part: p.ID, Tokens: p.Tokens})
 		}
 	}
 	return out
--- a/internal/core/direct/place_test.go
+++ b/internal/core/direct/place_test.go
@@ -82,7 +82,7 @@
 		c.add("e", 10_000, i, 1000)
 	}
 	is := readyWorld(t).is
-	is.Equal(c.engines["e"].tokens, 7000)
+	is.Equal(c.engines["e"].Tokens(), 7000)
 	is.Equal(c.held("e", []msg.PromptPart{{ID: 99, Tokens: 1000}}), 1000)
 	is.Equal(c.held("e", []msg.PromptPart{{ID: 0, Tokens: 1000}}), 0)
 	is.Equal(len(c.holders), 7)
--- a/internal/experiment/lru.go
+++ b/internal/experiment/lru.go
@@ -1,46 +1,32 @@
 package experiment
 
 import (
-	"container/list"
-
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
+	"github.com/verbenaspur/verbenaspur/internal/core/partcache"
 )
 
 // lru holds an engine's cached prompt parts; the least recently used yield.
 type lru struct {
-	entries map[uint64]*list.Element
-	order   *list.List // of msg.PromptPart, most recently used first
-	tokens  int
-	most    int
+	*partcache.Cache
+	most int
 }
 
-func newLRU(most int) *lru {
-	return &lru{entries: make(map[uint64]*list.Element), order: list.New(), most: most}
-}
+func newLRU(most int) *lru { return &lru{partcache.New(), most} }
 
-// held is the length in tokens of the longest prefix of parts that is cached.
+// held is the length in tokens of the longest prefix of parts that is cached,
+// and uses it.
 func (c *lru) held(parts []msg.PromptPart) int {
-	sum := 0
-	for _, p := range parts {
-		el := c.entries[p.ID]
-		if el == nil {
-			break
-		}
-		c.order.MoveToFront(el)
-		sum += p.Tokens
+	prefix, tokens := c.Prefix(parts)
+	for _, p := range prefix {
+		c.Use(p)
 	}
-	return sum
+	return tokens
 }
 
 // add caches the parts of a prompt.
 func (c *lru) add(parts []msg.PromptPart) {
 	for _, p := range parts {
-		if el := c.entries[p.ID]; el != nil {
-			c.order.MoveToFront(el)
-			continue
-		}
-		c.entries[p.ID] = c.order.PushFront(p)
-		c.tokens += p.Tokens
+		c.Use(p)
 	}
 	c.limit(c.most)
 }
@@ -48,9 +34,7 @@
 // limit sets the memory for cached parts and drops those that exceed it.
 func (c *lru) limit(most int) {
 	c.most = max(most, 0)
-	for c.tokens > c.most && c.order.Len() > 0 {
-		p, _ := c.order.Remove(c.order.Back()).(msg.PromptPart)
-		delete(c.entries, p.ID)
-		c.tokens -= p.Tokens
+	for c.Tokens() > c.most && c.Len() > 0 {
+		c.DropOldest()
 	}
 }
