Read-through: twins made one, work done once

- A digest's changing targets were collected and sorted once for each other daemon; one tell sends a message to all of them, as for work sent at once.
- The other entries' open work was added up twice for each engine that is scored for a stream; a target's newest service was looked up for each open attempt.
- meter: whether a window is complete, and its sums, were computed twice.
- OrderStatus had three tables of names (gate, metrics, roles), a target's state three copies, a daemon's start two.
- Demand was raised in the order of a map, against the reducers' rule.

--- a/internal/core/catalog/instances.go
+++ b/internal/core/catalog/instances.go
@@ -97,17 +97,13 @@
 }
 
 func logInstance(in msg.Instance) msg.Effect {
-	state := "ready"
-	if in.Draining {
-		state = "draining"
-	}
 	return msg.LogLine{
 		Part: partName, Text: "target listed",
 		Attrs: []msg.Attr{
 			{Key: "target", Value: string(in.Target)},
 			{Key: "service", Value: string(in.Service)},
 			{Key: "addr", Value: in.Addr},
-			{Key: "state", Value: state},
+			{Key: "state", Value: in.State()},
 			{Key: "role", Value: in.Role.String()},
 		},
 	}
--- a/internal/core/direct/place.go
+++ b/internal/core/direct/place.go
@@ -118,7 +118,7 @@
 // stream, and what the streams beside it add to its first token.
 func (s *step) roomTime(r *request, t *target) time.Duration {
 	others := s.share.open(t.Target)
-	open := s.streams(t)
+	open := len(t.open) + others.Open
 	d := time.Duration(open) * streamDelay
 	spec := s.engine(t)
 	if spec == nil {
@@ -163,8 +163,8 @@
 	}
 	c.cost = penalize(c.expected, t)
 	if t.Role == msg.RoleDecode {
-		c.cost = c.expected + s.riskCost(r, t)
-		c.cost += c.work + time.Duration(s.policy.StreamHarm*float64(s.streams(t))*float64(c.work))
+		harm := time.Duration(s.policy.StreamHarm * float64(s.streams(t)) * float64(c.work))
+		c.cost = c.expected + s.riskCost(r, t) + c.work + harm
 	}
 	return c, true
 }
--- a/internal/core/direct/share.go
+++ b/internal/core/direct/share.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -137,9 +138,14 @@
 	if a.work < worthTelling {
 		return
 	}
+	s.tell(msg.WorkSent{Target: a.target.Target, WorkMS: round(a.work)})
+}
+
+// tell sends a message to all other daemons.
+func (s *step) tell(m msg.PeerMessage) {
 	for _, h := range s.entries {
 		if h.Host != s.self.Host {
-			s.emit(msg.SendPeer{To: h.Host, Message: msg.WorkSent{Target: a.target.Target, WorkMS: round(a.work)}})
+			s.emit(msg.SendPeer{To: h.Host, Message: m})
 		}
 	}
 }
@@ -171,13 +177,7 @@
 	s.share.cached = slices.Clone(s.share.cached[len(told):])
 	s.share.toldAt = s.now
 	s.share.told = digest
-	for _, h := range s.entries {
-		if h.Host != s.self.Host {
-			s.emit(msg.SendPeer{To: h.Host, Message: msg.LoadDigest{
-				WallMS: s.wall.UnixMilli(), Targets: digest, Cached: told, Changing: s.changes(),
-			}})
-		}
-	}
+	s.tell(msg.LoadDigest{WallMS: s.wall.UnixMilli(), Targets: digest, Cached: told, Changing: s.changes()})
 }
 
 // mostTold is the number of cached parts in one digest, fewer where it goes to
@@ -208,9 +208,9 @@
 		return
 	}
 	s.share.demandAt = s.now + demandEvery
-	for id, list := range s.services {
+	for _, id := range slices.Sorted(maps.Keys(s.services)) {
 		d := msg.DemandSeen{Service: id}
-		for _, t := range list {
+		for _, t := range s.services[id] {
 			if t.Role != msg.RoleDecode {
 				continue
 			}
--- a/internal/core/direct/suspect.go
+++ b/internal/core/direct/suspect.go
@@ -78,8 +78,9 @@
 // late is how far the oldest attempt is overdue that no later one overtook.
 func (t *target) late(now msg.Time) time.Duration {
 	var most time.Duration
+	since := t.servedSince()
 	for _, a := range t.open {
-		if !t.lost(now, a) {
+		if a.since >= since {
 			most = max(most, a.overdue(now))
 		}
 	}
--- a/internal/core/gate/orders.go
+++ b/internal/core/gate/orders.go
@@ -269,7 +269,7 @@
 		g.orders.seq = o.order.Seq
 		g.orders.keep(answer)
 	}
-	attrs := append(orderAttrs(o.order), msg.Attr{Key: "result", Value: statusName(status)}, msg.Attr{Key: "reason", Value: reason})
+	attrs := append(orderAttrs(o.order), msg.Attr{Key: "result", Value: status.String()}, msg.Attr{Key: "reason", Value: reason})
 	return []msg.Effect{
 		g.log(msg.LogInfo, "Order ends", attrs...),
 		msg.AnswerOrder{To: o.from, Answer: answer},
@@ -277,7 +277,7 @@
 }
 
 func (g *Gate) answerTo(to msg.HostID, o msg.Order, status msg.OrderStatus, reason string) []msg.Effect {
-	attrs := append(orderAttrs(o), msg.Attr{Key: "result", Value: statusName(status)}, msg.Attr{Key: "reason", Value: reason})
+	attrs := append(orderAttrs(o), msg.Attr{Key: "result", Value: status.String()}, msg.Attr{Key: "reason", Value: reason})
 	answer := msg.OrderAnswer{Order: o.ID, Status: status, Reason: reason, Report: g.report()}
 	return []msg.Effect{
 		g.log(msg.LogInfo, "Order not taken", attrs...),
@@ -285,10 +285,6 @@
 	}
 }
 
-func statusName(s msg.OrderStatus) string {
-	return [...]string{"done", "stale", "busy", "unready", "failed", "unknown"}[s]
-}
-
 func orderAttrs(o msg.Order) []msg.Attr {
 	return []msg.Attr{
 		{Key: "order", Value: string(o.ID)},
--- a/internal/core/meter/meter.go
+++ b/internal/core/meter/meter.go
@@ -42,6 +42,15 @@
 // counts holds runs by client account.
 type counts map[msg.AccountID]int64
 
+// total is the number of runs of all accounts.
+func (c counts) total() int64 {
+	var sum int64
+	for _, n := range c {
+		sum += n
+	}
+	return sum
+}
+
 // ownRecord is the body of a daemon's object.
 type ownRecord struct {
 	Windows map[int64]counts `json:"windows"`
@@ -240,12 +249,11 @@
 		return
 	}
 	p.version = r.Object.Version
+	p.flushAt = now
 	if p.loaded {
-		p.flushAt = now
 		return
 	}
 	p.loaded = true
-	p.flushAt = now
 	var rec ownRecord
 	if r.Status == msg.CallOK && json.Unmarshal(r.Object.Value, &rec) == nil {
 		p.before = rec.Windows
--- a/internal/core/meter/report.go
+++ b/internal/core/meter/report.go
@@ -204,11 +204,7 @@
 		p.nextAt = now + retryEvery
 		return nil
 	}
-	sum := make(counts)
-	for _, rec := range records {
-		sum = addCounts(sum, rec.Windows[window])
-	}
-	return p.freeze(now, window, sum, records)
+	return p.freeze(now, window, records, complete)
 }
 
 // firstWindow is the next window to freeze. Before the first one, it is the
@@ -232,8 +228,11 @@
 	return !slices.ContainsFunc(p.entries, func(h msg.Host) bool { return records[h.Host].Through < window })
 }
 
-func (p *Part) freeze(now msg.Time, window int64, sum counts, records map[msg.HostID]ownRecord) []msg.Effect {
-	complete := p.complete(records, window)
+func (p *Part) freeze(now msg.Time, window int64, records map[msg.HostID]ownRecord, complete bool) []msg.Effect {
+	sum := make(counts)
+	for _, rec := range records {
+		sum = addCounts(sum, rec.Windows[window])
+	}
 	// All that was frozen before has been reported by now: see unsent.
 	next := frozenRecord{Windows: make(map[int64]counts), Last: window, Reported: p.record.Last}
 	for w, c := range p.record.Windows {
@@ -244,15 +243,11 @@
 	next.Windows[window] = sum
 	p.record = next
 	p.open = true
-	var total int64
-	for _, n := range sum {
-		total += n
-	}
 	return []msg.Effect{
 		p.frozen.Put(now, tagFreeze, msg.KindWindow, frozenName, next, p.stored, p.lease.Until),
 		msg.LogLine{Part: partName, Text: "window frozen", Attrs: []msg.Attr{
 			{Key: "window", Value: strconv.FormatInt(window, 10)},
-			{Key: "runs", Value: strconv.FormatInt(total, 10)},
+			{Key: "runs", Value: strconv.FormatInt(sum.total(), 10)},
 			{Key: "complete", Value: strconv.FormatBool(complete)},
 			{Key: "daemons", Value: contributions(records, window)},
 		}},
@@ -263,11 +258,7 @@
 func contributions(records map[msg.HostID]ownRecord, window int64) string {
 	var parts []string
 	for id, rec := range records {
-		var n int64
-		for _, v := range rec.Windows[window] {
-			n += v
-		}
-		parts = append(parts, string(id)+"="+strconv.FormatInt(n, 10))
+		parts = append(parts, string(id)+"="+strconv.FormatInt(rec.Windows[window].total(), 10))
 	}
 	slices.Sort(parts)
 	return strings.Join(parts, " ")
--- a/internal/core/msg/direct_config.go
+++ b/internal/core/msg/direct_config.go
@@ -111,6 +111,14 @@
 	Born int64
 }
 
+// State is the target's state in logs, metrics and lists.
+func (in *Instance) State() string {
+	if in.Draining {
+		return "draining"
+	}
+	return "ready"
+}
+
 // DirectLimits holds the limits to which the direct path keeps.
 type DirectLimits struct {
 	// FreshFor is how long after a read of the configuration left a key that
--- a/internal/core/msg/target.go
+++ b/internal/core/msg/target.go
@@ -148,6 +148,17 @@
 	OrderUnknown
 )
 
+var orderStatusNames = [...]string{"done", "stale", "busy", "unready", "failed", "unknown"}
+
+// String returns the status's name in logs and metrics. A value that a later
+// release sent is unknown.
+func (s OrderStatus) String() string {
+	if int(s) < len(orderStatusNames) {
+		return orderStatusNames[s]
+	}
+	return orderStatusNames[OrderUnknown]
+}
+
 // SendOrder sends an order to a side daemon, unless NotAfter has passed when
 // its bytes are about to leave.
 type SendOrder struct {
--- a/internal/core/roles/roles.go
+++ b/internal/core/roles/roles.go
@@ -10,6 +10,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"strconv"
@@ -186,12 +187,7 @@
 		return nil
 	}
 	p.decideAt = now + changeEvery/4
-	ids := make([]msg.ServiceID, 0, len(p.services))
-	for id := range p.services {
-		ids = append(ids, id)
-	}
-	slices.Sort(ids)
-	for _, id := range ids {
+	for _, id := range slices.Sorted(maps.Keys(p.services)) {
 		if effs := p.decide(now, id); effs != nil {
 			return effs
 		}
@@ -333,7 +329,7 @@
 	}
 	return []msg.Effect{msg.Raise{Event: changing}, msg.LogLine{Part: partName, Text: "role change answered", Attrs: []msg.Attr{
 		{Key: "target", Value: string(p.ordered)},
-		{Key: "status", Value: [...]string{"done", "stale", "busy", "unready", "failed", "unknown"}[ev.Status]},
+		{Key: "status", Value: ev.Status.String()},
 		{Key: "reason", Value: ev.Reason},
 	}}}
 }
--- a/internal/ctl/platform.go
+++ b/internal/ctl/platform.go
@@ -119,11 +119,7 @@
 	}
 	st.OddTargets = ev.Odd
 	for _, in := range ev.Instances {
-		state := "ready"
-		if in.Draining {
-			state = "draining"
-		}
-		st.Targets = append(st.Targets, targetRow{in.Target, in.Service, in.Addr, in.Domain, in.Role.String(), state})
+		st.Targets = append(st.Targets, targetRow{in.Target, in.Service, in.Addr, in.Domain, in.Role.String(), in.State()})
 	}
 	return nil
 }
--- a/internal/daemon/direct_run.go
+++ b/internal/daemon/direct_run.go
@@ -2,9 +2,6 @@
 
 import (
 	"context"
-	"crypto/rand"
-	"encoding/binary"
-	"encoding/hex"
 	"log/slog"
 	"net"
 	"net/http"
@@ -100,7 +97,10 @@
 	d := &directProcess{settings: s, log: log, registry: prometheus.NewRegistry(), failed: make(chan error, 3), idle: make(chan struct{})}
 	d.work, d.stop = context.WithCancel(context.Background())
 	clock := bootclock.New()
-	d.started = directStarted(s)
+	d.started = newStarted(msg.Self{
+		Host: msg.HostID(s.Host), Domain: msg.FailureDomain(s.Domain),
+		Region: msg.Region(s.Region), Kind: msg.HostEntry,
+	})
 	peers, err := newDatagrams(s.PeerAddr(), d.started.Self.Host, log)
 	if err != nil {
 		return nil, err
@@ -128,20 +128,6 @@
 	return func() time.Time { return base.Add(clock.Now()) }
 }
 
-func directStarted(s *platform.Settings) msg.Started {
-	var r [16]byte
-	_, _ = rand.Read(r[:])
-	return msg.Started{
-		Self: msg.Self{
-			Host: msg.HostID(s.Host), Domain: msg.FailureDomain(s.Domain),
-			Region: msg.Region(s.Region), Kind: msg.HostEntry,
-		},
-		Incarnation: msg.Incarnation(hex.EncodeToString(r[:8])),
-		Seed:        binary.BigEndian.Uint64(r[8:]),
-		Wall:        time.Now().UTC(),
-	}
-}
-
 func directConfig(s *platform.Settings, started msg.Started, watch *metrics.Direct) core.DirectConfig {
 	cfg := core.DirectConfig{
 		Self: started.Self, Incarnation: started.Incarnation, PeerAddr: s.PeerAddr(),
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -70,7 +70,7 @@
 		return nil, err
 	}
 	p := &process{
-		settings: s, log: log, pair: pair, started: newStarted(s),
+		settings: s, log: log, pair: pair, started: startedOf(s),
 		platform: platform.New(platform.Config{
 			Objects: s.Platform.Objects, Targets: s.Platform.Targets,
 			Usage: s.Platform.Usage, Hosts: s.Platform.Hosts, Token: token,
@@ -92,9 +92,7 @@
 	return strings.TrimSpace(string(b)), errors.Wrap(err, "platform token")
 }
 
-func newStarted(s *settings.Settings) msg.Started {
-	var r [16]byte
-	_, _ = rand.Read(r[:])
+func startedOf(s *settings.Settings) msg.Started {
 	self := msg.Self{
 		Host: msg.HostID(s.Host), Domain: msg.FailureDomain(s.FailureDomain),
 		Region: msg.Region(s.Region), Kind: msg.HostEntry,
@@ -106,6 +104,13 @@
 			Kind: targetKind(s.Target.Kind), ChecksFencing: s.Target.ChecksFencing,
 		}
 	}
+	return newStarted(self)
+}
+
+// newStarted begins a life of a daemon.
+func newStarted(self msg.Self) msg.Started {
+	var r [16]byte
+	_, _ = rand.Read(r[:])
 	return msg.Started{
 		Self: self, Incarnation: msg.Incarnation(hex.EncodeToString(r[:8])),
 		Seed: binary.BigEndian.Uint64(r[8:]), Wall: time.Now().UTC(),
--- a/internal/metrics/direct.go
+++ b/internal/metrics/direct.go
@@ -99,10 +99,6 @@
 func (d *Direct) observeInstances(ev msg.InstancesChanged) {
 	d.targets.Reset()
 	for _, in := range ev.Instances {
-		state := "ready"
-		if in.Draining {
-			state = "draining"
-		}
-		d.targets.WithLabelValues(string(in.Service), in.Role.String(), state).Inc()
+		d.targets.WithLabelValues(string(in.Service), in.Role.String(), in.State()).Inc()
 	}
 }
--- a/internal/metrics/events.go
+++ b/internal/metrics/events.go
@@ -144,7 +144,7 @@
 	}
 	delete(m.orders, ev.Order)
 	m.ordersOpen.Set(float64(len(m.orders)))
-	m.ordersTotal.WithLabelValues(order.Kind.String(), label(orderStatusLabels[:], ev.Status)).Inc()
+	m.ordersTotal.WithLabelValues(order.Kind.String(), ev.Status.String()).Inc()
 	if order.Kind == msg.OrderSetRole && ev.Status == msg.OrderDone {
 		m.roleChanges.WithLabelValues(order.Role.String()).Inc()
 	}
--- a/internal/metrics/labels.go
+++ b/internal/metrics/labels.go
@@ -51,8 +51,6 @@
 
 var claimStatusLabels = [...]string{"granted", "done", "running", "mismatch", "unknown", "unavailable"}
 
-var orderStatusLabels = [...]string{"done", "stale", "busy", "unready", "failed", "unknown"}
-
 var logLevelLabels = [...]string{"info", "debug", "warn", "error"}
 
 // label returns the name of an enumerated value.
