direct: settings changes at the start count, and streams end by progress

Cause 1: followSettings registered SIGHUP and read the settings file for the first time in its own goroutine. A file rewritten before that read was taken for the one in use, and a SIGHUP before signal.Notify ended the process. Change: openSettingsFile catches SIGHUP first and then reads the file once; the process starts from these bytes and later reads compare with them.

Cause 2: startResponse set the write deadline once, 30 s after a stream's start, so that a longer stream was cut. Change: it is set before each event, to the shorter of 30 s and the rest of the route's time limit (at least 1 s, so that a ready answer goes out). TestDirectLongStreamIsNotCut, TestDirectStalledCallerIsCut, TestWriteTimeout.

Cause 3: freeAddr returned a port that another test process could take. The daemon's sockets are now opened before the process is built, and tests hand theirs over; the soak's entries get a loopback address for each test process with ports below the ephemeral ones.

--- a/internal/daemon/datagrams.go
+++ b/internal/daemon/datagrams.go
@@ -34,16 +34,9 @@
 	Message []byte `cbor:"2,keyasint"`
 }
 
-func newDatagramTransport(addr string, self msg.HostID, log *slog.Logger) (*datagramTransport, error) {
-	udp, err := net.ResolveUDPAddr("udp4", addr)
-	if err != nil {
-		return nil, errors.Wrap(err, "peers")
-	}
-	conn, err := net.ListenUDP("udp4", udp)
-	if err != nil {
-		return nil, errors.Wrap(err, "peers")
-	}
-	return &datagramTransport{conn: conn, self: self, log: log, addrs: make(map[msg.HostID]*net.UDPAddr)}, nil
+// newDatagramTransport returns a transport on a socket, which the caller closes.
+func newDatagramTransport(conn *net.UDPConn, self msg.HostID, log *slog.Logger) *datagramTransport {
+	return &datagramTransport{conn: conn, self: self, log: log, addrs: make(map[msg.HostID]*net.UDPAddr)}
 }
 
 // setAddr sets the address of an entry daemon.
@@ -106,5 +99,3 @@
 	m, err := wire.UnmarshalPeer(dg.Message)
 	return dg.From, m, err
 }
-
-func (d *datagramTransport) close() { _ = d.conn.Close() }
--- a/internal/daemon/direct_driver.go
+++ b/internal/daemon/direct_driver.go
@@ -33,6 +33,8 @@
 	peers  *datagramTransport
 	log    *slog.Logger
 	ctx    context.Context
+	// stallTimeout limits each write of a stream to a caller.
+	stallTimeout time.Duration
 	// onStopCompleted is called when the reducer has finished a graceful shutdown.
 	onStopCompleted func()
 
--- a/internal/daemon/direct_env_test.go
+++ b/internal/daemon/direct_env_test.go
@@ -33,14 +33,14 @@
 	requestCount  int
 }
 
-func freeAddr(t *testing.T) string {
+// openTestSockets opens sockets at addresses that the system chooses.
+func openTestSockets(t *testing.T) *directSockets {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	sockets, err := openDirectSockets(&platform.Settings{CallersAddr: "127.0.0.1:0", ReadyAddr: "127.0.0.1:0", IP: "127.0.0.1"}, "")
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	return sockets
 }
 
 const directSettings = `node: entry-1
@@ -85,7 +85,17 @@
 	}
 }
 
+// newDirectEnv returns an environment whose process is ready.
 func newDirectEnv(t *testing.T) *directEnv {
+	t.Helper()
+	env := newStoppedDirectEnv(t)
+	env.start()
+	return env
+}
+
+// newStoppedDirectEnv returns an environment whose process has read its settings
+// but has not been started.
+func newStoppedDirectEnv(t *testing.T) *directEnv {
 	t.Helper()
 	env := &directEnv{t: t, is: is.New(t), store: platformtest.NewStore(t)}
 	env.decodeEngines = []*platformtest.Runner{platformtest.NewRunner(t, "dec-1", "decode"), platformtest.NewRunner(t, "dec-2", "decode")}
@@ -99,23 +109,22 @@
 		env.store.Put("servers", r.ID, r.Registration("app", "d1", "ready"))
 	}
 	env.store.Put("servers", "odd", map[string]any{"service": "llm", "addr": 7})
-	_, port, _ := net.SplitHostPort(freeAddr(t))
+	sockets := openTestSockets(t)
+	_, port, _ := net.SplitHostPort(sockets.peers.LocalAddr().String())
 	env.settingsPath = filepath.Join(t.TempDir(), "node.yaml")
-	text := fmt.Sprintf(directSettings, freeAddr(t), freeAddr(t), port, env.store.Addr, env.store.Addr)
+	text := fmt.Sprintf(directSettings, sockets.callers.Addr(), sockets.ready.Addr(), port, env.store.Addr, env.store.Addr)
 	env.is.NoErr(os.WriteFile(env.settingsPath, []byte(text), 0o600))
-	env.start()
+	file, s, err := openSettingsFile(env.settingsPath)
+	env.is.NoErr(err)
+	env.process = newDirectProcess(s, file, sockets, slog.New(slog.DiscardHandler))
+	t.Cleanup(env.process.close)
 	return env
 }
 
+// start starts the process and waits until it is ready.
 func (env *directEnv) start() {
 	env.t.Helper()
-	s, err := platform.LoadSettings(env.settingsPath)
-	env.is.NoErr(err)
-	env.process, err = newDirectProcess(s, slog.New(slog.DiscardHandler))
-	env.is.NoErr(err)
-	env.is.NoErr(env.process.listen(""))
-	env.process.start(env.settingsPath)
-	env.t.Cleanup(env.process.close)
+	env.process.start()
 	env.eventually(func() bool { return env.readyStatus() == http.StatusOK })
 }
 
--- a/internal/daemon/direct_exchange.go
+++ b/internal/daemon/direct_exchange.go
@@ -19,9 +19,12 @@
 	// maxBufferedResponse is the largest response in bytes that is buffered until it
 	// is complete. A longer one is forwarded as it arrives.
 	maxBufferedResponse = 256 << 10
-	// callerStallTimeout is the write deadline of a stream, counted from its start.
-	// It ends a stream to a caller that does not read.
+	// callerStallTimeout limits each write of a stream. It ends a stream to a caller
+	// that does not read.
 	callerStallTimeout = 30 * time.Second
+	// minWriteTimeout is the shortest time limit of a write. It lets a response that
+	// is ready near the end of the route's time limit reach the caller.
+	minWriteTimeout = time.Second
 	// commandBuffer is the capacity of a request's command queue. It exceeds the
 	// number of commands of a request, which are its attempts and its end.
 	commandBuffer = 32
@@ -232,6 +235,7 @@
 		if ev.HasID && ev.ID <= x.lastEvent && x.lastEvent > 0 {
 			continue
 		}
+		x.extendWriteDeadline(eff.Spec.Deadline)
 		if err := x.forwardEvent(resp, ev, !events.Buffered()); err != nil {
 			resp.Close(false)
 			return interruptedAttempt(err)
@@ -255,10 +259,23 @@
 func (x *directExchange) startResponse(resp *httpclient.Response) {
 	platform.CopyHeader(x.w.Header(), resp.Header)
 	x.responseStarted = true
-	_ = x.controller.SetWriteDeadline(time.Now().Add(callerStallTimeout))
 	x.w.WriteHeader(resp.StatusCode)
 }
 
+// extendWriteDeadline sets the write deadline anew before each event, so that it
+// limits the time without progress and not that of the whole stream.
+func (x *directExchange) extendWriteDeadline(deadline msg.Time) {
+	d := x.driver
+	timeout := writeTimeout(d.stallTimeout, deadline-d.loop.Now())
+	_ = x.controller.SetWriteDeadline(time.Now().Add(timeout))
+}
+
+// writeTimeout returns the time limit of a write for an attempt that has to end
+// after the remaining time. The route's time limit ends the request then anyway.
+func writeTimeout(stall, remaining time.Duration) time.Duration {
+	return min(stall, max(remaining, minWriteTimeout))
+}
+
 // flush sends the events that are still in the write buffer. It is called when the
 // target's stream fails, since no later event will flush them then.
 func (x *directExchange) flush() {
--- a/internal/daemon/direct_run.go
+++ b/internal/daemon/direct_run.go
@@ -55,21 +55,20 @@
 // daemons, with the settings file at path. It returns when ctx has ended and the
 // graceful shutdown that follows is complete, or when a listener fails.
 func RunDirect(ctx context.Context, path, metricsAddr string, log *slog.Logger) error {
-	s, err := platform.LoadSettings(path)
+	file, s, err := openSettingsFile(path)
 	if err != nil {
 		return err
 	}
 	debug.SetMemoryLimit(int64(memoryLimitRatio * float64(s.MemoryBytes)))
-	d, err := newDirectProcess(s, log)
+	sockets, err := openDirectSockets(s, metricsAddr)
 	if err != nil {
+		file.close()
 		return err
 	}
+	d := newDirectProcess(s, file, sockets, log)
 	defer d.close()
 	log.Info("daemon: started", "host", s.Host, "domain", s.Domain, "incarnation", string(d.startedEvent.Incarnation), "peer_addr", s.PeerAddr())
-	if err := d.listen(metricsAddr); err != nil {
-		return err
-	}
-	d.start(path)
+	d.start()
 	select {
 	case <-ctx.Done():
 	case err := <-d.serveErrors:
@@ -82,6 +81,8 @@
 // directProcess is a running entry daemon of the direct path.
 type directProcess struct {
 	settings     *platform.Settings
+	file         *settingsFile
+	sockets      *directSockets
 	log          *slog.Logger
 	startedEvent msg.Started
 	driver       *directDriver
@@ -98,32 +99,33 @@
 	shutdownDone chan struct{}
 }
 
-func newDirectProcess(s *platform.Settings, log *slog.Logger) (*directProcess, error) {
-	d := &directProcess{settings: s, log: log, registry: prometheus.NewRegistry(), serveErrors: make(chan error, 3), shutdownDone: make(chan struct{})}
+// newDirectProcess returns a process that serves nothing until it is started. It
+// closes the file and the sockets when it is closed.
+func newDirectProcess(s *platform.Settings, file *settingsFile, sockets *directSockets, log *slog.Logger) *directProcess {
+	d := &directProcess{
+		settings: s, file: file, sockets: sockets, log: log, registry: prometheus.NewRegistry(),
+		serveErrors: make(chan error, 3), shutdownDone: make(chan struct{}),
+	}
 	d.workCtx, d.stopWork = context.WithCancel(context.Background())
 	clock := bootclock.New()
 	d.startedEvent = newStartedEvent(msg.Self{
 		Host: msg.HostID(s.Host), Domain: msg.FailureDomain(s.Domain),
 		Region: msg.Region(s.Region), Kind: msg.HostEntry,
 	})
-	peers, err := newDatagramTransport(s.PeerAddr(), d.startedEvent.Self.Host, log)
-	if err != nil {
-		return nil, err
-	}
-	d.peers = peers
+	d.peers = newDatagramTransport(sockets.peers, d.startedEvent.Self.Host, log)
 	observer := metrics.NewDirect(d.registry)
 	client := platform.NewClient(s)
 	pool := httpclient.NewPool()
 	d.registry.MustRegister(client, openedConnectionsCounter(pool))
 	reducer := core.NewDirect(reducerConfig(s, d.startedEvent, observer))
 	d.driver = &directDriver{
-		client: client, pool: pool, peers: peers, log: log, ctx: d.workCtx,
+		client: client, pool: pool, peers: d.peers, log: log, ctx: d.workCtx, stallTimeout: callerStallTimeout,
 		exchanges: make(map[msg.RequestID]*directExchange), attempts: make(map[msg.AttemptID]context.CancelFunc),
 		onStopCompleted: func() { close(d.shutdownDone) },
 	}
 	d.loop = newLoop(reducer, d.driver.execute, clock.Now, d.wallClock(clock))
 	d.driver.loop = d.loop
-	return d, nil
+	return d
 }
 
 // wallClock returns a clock that starts at the wall time of the daemon's start and
@@ -176,16 +178,17 @@
 	}, func() float64 { return float64(pool.Opened.Load()) })
 }
 
-// start starts the daemon's own goroutines.
-func (d *directProcess) start(path string) {
+// start starts the servers and the daemon's own goroutines.
+func (d *directProcess) start() {
+	d.serve()
 	go d.loop.Run(d.workCtx, d.startedEvent)
 	go d.receivePeers()
 	go d.sweepConnections()
-	go d.followSettings(path)
+	go d.followSettings()
 }
 
-// listen opens the listeners for callers, the balancer and metrics.
-func (d *directProcess) listen(metricsAddr string) error {
+// serve serves callers, the load balancer and metrics.
+func (d *directProcess) serve() {
 	ops := mux.NewRouter()
 	ops.Handle("/metrics", promhttp.HandlerFor(d.registry, promhttp.HandlerOpts{}))
 	ready := mux.NewRouter()
@@ -194,31 +197,21 @@
 		Handler: d.driver, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: slog.NewLogLogger(d.log.Handler(), slog.LevelDebug),
 	}
-	if err := d.serve(d.settings.CallersAddr, d.callerServer); err != nil {
-		return err
-	}
-	if err := d.serve(d.settings.ReadyAddr, &http.Server{Handler: ready, ReadHeaderTimeout: headerTimeout}); err != nil {
-		return err
-	}
-	if metricsAddr == "" {
-		return nil
+	d.serveOn(d.sockets.callers, d.callerServer)
+	d.serveOn(d.sockets.ready, &http.Server{Handler: ready, ReadHeaderTimeout: headerTimeout})
+	if d.sockets.metrics != nil {
+		d.serveOn(d.sockets.metrics, &http.Server{Handler: ops, ReadHeaderTimeout: headerTimeout})
 	}
-	return d.serve(metricsAddr, &http.Server{Handler: ops, ReadHeaderTimeout: headerTimeout})
 }
 
-// serve starts an HTTP server on an address. If the server fails, the daemon ends.
-func (d *directProcess) serve(addr string, s *http.Server) error {
-	l, err := net.Listen("tcp", addr)
-	if err != nil {
-		return errors.Wrap(err, "listen")
-	}
+// serveOn starts an HTTP server on a listener. If the server fails, the daemon ends.
+func (d *directProcess) serveOn(l net.Listener, s *http.Server) {
 	d.servers = append(d.servers, s)
 	go func() {
 		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 			d.serveErrors <- err
 		}
 	}()
-	return nil
 }
 
 // receivePeers posts the messages of other entry daemons.
@@ -275,5 +268,6 @@
 	for _, s := range d.servers {
 		_ = s.Close()
 	}
-	d.peers.close()
+	d.sockets.close()
+	d.file.close()
 }
--- a/internal/daemon/direct_test.go
+++ b/internal/daemon/direct_test.go
@@ -14,6 +14,8 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
 	"github.com/verbenaspur/verbenaspur/platform/platformtest"
 )
 
@@ -235,6 +237,44 @@
 	<-done
 }
 
+// The time limit of a write applies to each event and not to the whole stream.
+func TestDirectLongStreamIsNotCut(t *testing.T) {
+	env := newStoppedDirectEnv(t)
+	env.process.driver.stallTimeout = 300 * time.Millisecond
+	env.start()
+	for _, r := range env.decodeEngines {
+		r.StreamEvents = 10
+		r.EventInterval = 80 * time.Millisecond
+	}
+	_, body := env.call("POST", "/chat/1", "{}", shortPromptHeaders...)
+	env.is.Equal(strings.Count(body, "data:"), 10)
+	env.is.True(!strings.HasPrefix(body, "broken: "))
+}
+
+// A stream to a caller that reads nothing ends no later than the route's time limit.
+func TestDirectStalledCallerIsCut(t *testing.T) {
+	env := newDirectEnv(t)
+	for _, r := range env.decodeEngines {
+		r.StreamEvents = 1000
+		r.EventPadding = 100_000
+	}
+	resp, err := env.send(context.Background(), "POST", "/chat/1", "{}", shortPromptHeaders...)
+	env.is.NoErr(err)
+	defer func() { _ = resp.Body.Close() }()
+	env.eventually(func() bool {
+		env.process.driver.mu.Lock()
+		defer env.process.driver.mu.Unlock()
+		return len(env.process.driver.exchanges) == 0
+	})
+}
+
+func TestWriteTimeout(t *testing.T) {
+	is := is.New(t)
+	is.Equal(writeTimeout(30*time.Second, time.Minute), 30*time.Second)
+	is.Equal(writeTimeout(30*time.Second, 5*time.Second), 5*time.Second)
+	is.Equal(writeTimeout(30*time.Second, -time.Second), minWriteTimeout)
+}
+
 // A foreign protocol on the callers' port does not affect other callers.
 func TestDirectForeignProtocol(t *testing.T) {
 	env := newDirectEnv(t)
@@ -251,16 +291,48 @@
 // SIGHUP reloads the settings and does not end the process.
 func TestDirectHangupReloads(t *testing.T) {
 	env := newDirectEnv(t)
+	env.moveStore()
+	env.is.NoErr(syscall.Kill(os.Getpid(), syscall.SIGHUP))
+	env.awaitMovedStore()
+}
+
+// A change of the settings between the daemon's first read of them and its start is
+// not lost, nor does the signal end the process.
+func TestDirectHangupBeforeStartReloads(t *testing.T) {
+	env := newStoppedDirectEnv(t)
+	env.moveStore()
+	env.is.NoErr(syscall.Kill(os.Getpid(), syscall.SIGHUP))
+	env.start()
+	env.awaitMovedStore()
+}
+
+// A file that is rewritten without a signal before the start is not taken for the
+// one in use.
+func TestDirectRewriteBeforeStartReloads(t *testing.T) {
+	env := newStoppedDirectEnv(t)
+	env.moveStore()
+	env.start()
+	env.awaitMovedStore()
+}
+
+// moveStore starts a second store, whose configuration has one more key, and names
+// it in the settings file.
+func (env *directEnv) moveStore() {
 	b, err := os.ReadFile(env.settingsPath)
 	env.is.NoErr(err)
-	other := platformtest.NewStore(t)
+	other := platformtest.NewStore(env.t)
 	other.Put("config", "main", directConfigObject("key-1", "key-2", "key-3"))
 	for _, r := range env.appTargets {
 		other.Put("servers", r.ID, r.Registration("app", "d1", "ready"))
 	}
 	text := strings.ReplaceAll(string(b), env.store.Addr, other.Addr)
 	env.is.NoErr(os.WriteFile(env.settingsPath, []byte(text), 0o600))
-	env.is.NoErr(syscall.Kill(os.Getpid(), syscall.SIGHUP))
+}
+
+// awaitMovedStore waits until the daemon serves with the configuration of the second
+// store.
+func (env *directEnv) awaitMovedStore() {
+	env.t.Helper()
 	env.eventually(func() bool {
 		resp, _ := env.call("POST", "/order/1", "{}", "X-Api-Key", "key-3")
 		return resp.StatusCode == 200
--- a/internal/daemon/link_test.go
+++ b/internal/daemon/link_test.go
@@ -29,6 +29,20 @@
 	is.Equal(harness.target.starts, map[msg.AttemptID]int{"a1": 1}) // The attempt was resumed and did not run again.
 }
 
+// A connection that was taken out of use because it is silent is reported as lost.
+// When it is replaced, the peer is reported as up again.
+func TestRetiredConnectionIsReportedDown(t *testing.T) {
+	is := is.New(t)
+	harness := newLinkHarness(t, &scriptedTarget{tokens: 60, step: 20 * time.Millisecond, starts: map[msg.AttemptID]int{}})
+	x := harness.start(t.Context(), "a1")
+	x.readChunks(10)
+	expectEvent[msg.PeerUp](t, harness.events)
+	is.Equal(harness.middlebox.forget(), 1)
+	x.readChunks(50)
+	expectEvent[msg.PeerDown](t, harness.events)
+	expectEvent[msg.PeerUp](t, harness.events)
+}
+
 // If an entry daemon resumes an attempt that is unknown to the side daemon, the side
 // daemon reports that it did not run. This must stay true if the offer of the attempt
 // arrives later.
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -82,22 +81,28 @@
 	cmd                   *exec.Cmd
 }
 
-// freeAddr returns a loopback address whose port was free.
-func freeAddr(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+const (
+	// Ports of an entry daemon. They lie below the ephemeral ports, so that no
+	// other socket is given them.
+	callersPort = 8368
+	readyPort   = 8369
+	peerPort    = 7780
+)
+
+// entryIP returns the loopback address of an entry daemon. Each test process has its
+// own addresses, so that test processes that run at once don't take each other's
+// ports.
+func entryIP(i int) string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 64*(i+1)+pid>>16&0x3f, pid>>8&0xff, pid&0xff)
 }
 
 const settingsText = `node: entry-%d
-ip: 127.0.0.1
+ip: %s
 zone: d%d
 region: r
 listen: {front: %q, ready: %q}
-internal_ports: [%s]
+internal_ports: [%d]
 limits: {memory_mb: 200}
 bounds: {config_ms: 2000, revoke_ms: 5000, drain_ms: 2000, grace_s: 8, retry_ratio: 0.2, budget_window_s: 10, budget_slack: 50, lease_ms: 3000, window_s: 2, usage_late_s: 4}
 provider: {addr: %q}
@@ -149,11 +154,11 @@
 func (d *deployment) addEntry(bin string, i int) {
 	p := newProxy(d.t, d.store.Addr)
 	d.storeProxies = append(d.storeProxies, p)
-	e := &entry{bin: bin, callerAddr: freeAddr(d.t), readyAddr: freeAddr(d.t)}
-	_, port, _ := net.SplitHostPort(freeAddr(d.t))
+	ip := entryIP(i)
+	e := &entry{bin: bin, callerAddr: fmt.Sprint(ip, ":", callersPort), readyAddr: fmt.Sprint(ip, ":", readyPort)}
 	dir := d.t.TempDir()
 	e.settings = filepath.Join(dir, "node.yaml")
-	text := fmt.Sprintf(settingsText, i, i, e.callerAddr, e.readyAddr, port, p.addr, p.addr)
+	text := fmt.Sprintf(settingsText, i, ip, i, e.callerAddr, e.readyAddr, peerPort, p.addr, p.addr)
 	if err := os.WriteFile(e.settings, []byte(text), 0o600); err != nil {
 		d.t.Fatal(err)
 	}
