Attempts: suspects and continued attempts reach the side daemon

Cause: AttemptSpec.Suspect and .Continued shared CBOR key 14. The encoder drops fields that share a key, so neither was ever sent: side daemons let suspects run beside each other. Continued was set nowhere, so a resumed stream charged its request and prompt twice; the entry's own record of an attempt lacked it too. Change: Continued has key 15 and is set when the caller has received a part of the response; both ends make the record by usage.newRecord. Also: suspects that a side refused were retried outside the retry budgets; each such retry now withdraws one.

--- a/internal/core/msg/request.go
+++ b/internal/core/msg/request.go
@@ -111,7 +111,7 @@
 	// Continued reports that the attempt continues the response of an earlier
 	// attempt. The request and its prompt are charged with the earlier attempt
 	// and not with this one.
-	Continued bool `cbor:"14,keyasint,omitempty"`
+	Continued bool `cbor:"15,keyasint,omitempty"`
 }
 
 // CancelAttempt stops an attempt.
--- a/internal/core/request/attempt.go
+++ b/internal/core/request/attempt.go
@@ -56,6 +56,7 @@
 	r.state = stateRunning
 	r.attempts++
 	r.attempt = s.nextAttempt()
+	r.continued = r.responseStarted()
 	r.target = d.Target
 	s.attempts[r.attempt] = r
 	s.router.BeginAttempt(s.now, r.attempt, d, req)
@@ -91,7 +92,7 @@
 		Generation: s.generation, Priority: priority(r, q),
 		PromptTokens: r.arrived.PromptTokens, MaxTokens: r.arrived.MaxTokens,
 		Idempotent: r.idempotent, Timeout: r.deadline - s.now,
-		Fingerprint: r.fingerprint, Suspect: q.Suspect,
+		Fingerprint: r.fingerprint, Suspect: q.Suspect, Continued: r.continued,
 	}
 }
 
@@ -145,7 +146,7 @@
 	s.closeAttempt(r, ev.Usage)
 	if ev.Result != msg.AttemptNotRun {
 		r.outcome = msg.OutcomeUnknown
-		s.raise(msg.UsageCounted{Account: r.accountID(), Attempt: ev.Attempt, Usage: ev.Usage})
+		s.raise(msg.UsageCounted{Account: r.accountID(), Attempt: ev.Attempt, Usage: ev.Usage, Continued: r.continued})
 	}
 	s.afterAttempt(r, ev)
 	s.dispatch(s.pool(r.pool.Name))
@@ -202,14 +203,17 @@
 }
 
 // suspectRefused reports whether an attempt of a suspect did not run although
-// the request's deadline has not passed. The target is then taken to run another
-// suspect: the attempt does not count towards maxAttempts, and the target gets
-// no suspect of this entry for the time that its side daemon advised, which is
-// at least retryAfterDefault.
+// the request's deadline has not passed, and the retry budgets allow another one.
+// The target is then taken to run another suspect: the attempt does not count
+// towards maxAttempts, and the target gets no suspect of this entry for the time
+// that its side daemon advised, which is at least retryAfterDefault.
 func (s *step) suspectRefused(r *request, ev msg.AttemptEnded) bool {
 	if ev.Result != msg.AttemptNotRun || s.now >= r.deadline || s.poison.CrashCount(r.fingerprint) == 0 {
 		return false
 	}
+	if !s.budgets.TryWithdraw(msg.RouteID(r.route.Name), r.accountID()) {
+		return false
+	}
 	r.attempts--
 	s.router.MarkOtherSuspect(r.target, s.now+max(ev.RetryAfter, retryAfterDefault))
 	return true
--- a/internal/core/request/manager_test.go
+++ b/internal/core/request/manager_test.go
@@ -268,6 +268,8 @@
 		second := find[msg.StartAttempt](t, f)
 		is.True(second.Target != first.Target)
 		is.True(second.Attempt != first.Attempt)
+		is.True(!first.Spec.Continued)
+		is.True(second.Spec.Continued)                                            // The prompt is charged with the first attempt only.
 		f.step(msg.AttemptEnded{Attempt: first.Attempt, Result: msg.AttemptDone}) // a delayed event of an ended attempt is ignored
 		is.Equal(len(f.effects), 0)
 	}
--- a/internal/core/request/poison_test.go
+++ b/internal/core/request/poison_test.go
@@ -200,6 +200,31 @@
 	is.True(targets[0] != targets[1])
 }
 
+// Retries of suspects that a target refuses come out of the retry budgets.
+func TestRefusedSuspectsUseRetryBudgets(t *testing.T) {
+	is := is.New(t)
+	f := newFixture("t1")
+	const requests = 10
+	attempts := 0
+	for body := range byte(requests) {
+		f.poison.RecordCrash(f.now, fingerprintOf(f, body+1), "x")
+		f.step(msg.RequestArrived{Req: msg.RequestID('a' + rune(body)), Model: "chat", KeyID: "k1", KeyDigest: digest("k1", "s"), BodyHash: msg.BodyHash{body + 1}})
+		for range 50 {
+			for _, eff := range slices.Clone(f.effects) {
+				if s, ok := eff.(msg.StartAttempt); ok {
+					attempts++
+					f.step(msg.AttemptEnded{Attempt: s.Attempt, Result: msg.AttemptNotRun})
+				}
+			}
+			f.now += retryAfterDefault
+			f.report("t1", "engines", msg.TargetEngine)
+		}
+	}
+	const budget = 20 + requests/10 // the capacity and the deposits
+	is.True(attempts > requests)
+	is.True(attempts <= requests+budget)
+}
+
 func fingerprintOf(f *fixture, body byte) uint64 {
 	r := &request{arrived: msg.RequestArrived{BodyHash: msg.BodyHash{body}}, route: f.index.Route("chat"), account: f.index.Account("north")}
 	return fingerprint(r)
--- a/internal/core/request/request.go
+++ b/internal/core/request/request.go
@@ -53,6 +53,9 @@
 	attempt  msg.AttemptID
 	target   msg.TargetID
 	attempts int
+	// continued reports that the current attempt continues the response of an
+	// earlier one.
+	continued bool
 	// exclude lists the targets on which the request failed, the last one at
 	// excludedAt.
 	exclude    []msg.TargetID
--- a/internal/core/usage/recorder.go
+++ b/internal/core/usage/recorder.go
@@ -126,7 +126,7 @@
 		r.expireOffers(now)
 		effs = append(effs, r.flush(now)...)
 	case msg.UsageCounted:
-		effs = append(effs, r.add(now, record{Attempt: ev.Attempt, Account: ev.Account, Usage: ev.Usage, Continued: ev.Continued})...)
+		effs = append(effs, r.add(now, newRecord(ev.Attempt, ev.Account, ev.Usage, ev.Continued))...)
 	case msg.AttemptOffered:
 		r.offered[ev.Spec.Attempt] = offer{ev.Spec, now + ev.Spec.Timeout + offerGrace}
 	case msg.SideAttemptEnded:
@@ -157,11 +157,17 @@
 	if !ok || ev.Result == msg.AttemptNotRun || o.spec.PrefillOnly {
 		return nil
 	}
-	usage := ev.Usage
-	if o.spec.Continued {
+	return r.add(now, newRecord(ev.Attempt, o.spec.Account, ev.Usage, o.spec.Continued))
+}
+
+// newRecord returns the record of an attempt. Both the entry daemon and the side
+// daemon record an attempt, so their records must be equal. The prompt of a
+// continued attempt is charged with the earlier attempt.
+func newRecord(attempt msg.AttemptID, account msg.AccountID, usage msg.TokenUsage, continued bool) record {
+	if continued {
 		usage.Prompt, usage.Cached = 0, 0
 	}
-	return r.add(now, record{Attempt: ev.Attempt, Account: o.spec.Account, Usage: usage, Continued: o.spec.Continued})
+	return record{Attempt: attempt, Account: account, Usage: usage, Continued: continued}
 }
 
 func (r *Recorder) expireOffers(now msg.Time) {
