--- a/internal/core/directrequest/cost.go
+++ b/internal/core/directrequest/cost.go
@@ -4,23 +4,10 @@
 	"time"
 
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
+	"github.com/verbenaspur/verbenaspur/internal/core/prefilltime"
 )
 
-// Parameters of the cost model, which estimates how long an engine takes. They
-// describe an engine whose speed has not been observed yet. For other engines,
-// target.slowdown corrects the estimate by the observed times.
 const (
-	// prefillTokensPerMS is the prefill speed of an engine in prompt tokens per
-	// millisecond. prefillTokensPerMSDecode applies instead to a decode engine,
-	// which prefills while it decodes other requests.
-	prefillTokensPerMS       = 46.0
-	prefillTokensPerMSDecode = 23.0
-	// attentionMSPerMillionPairs is the time of attention in milliseconds for
-	// one million pairs of tokens.
-	attentionMSPerMillionPairs = 0.25
-	// firstTokenBase is the time to the first token of a request that has no
-	// prompt to prefill.
-	firstTokenBase = 18 * time.Millisecond
 	// firstTokenPerStream is the time that each open stream of an engine adds
 	// to the first token of the next request. streamDuration is the assumed
 	// duration of a stream.
@@ -36,17 +23,34 @@
 	crossDomainFactor = 2
 )
 
-// prefillTime estimates how long an engine takes to prefill a prompt. The
-// parameter prompt is the length of the prompt in tokens, and cached the length
-// of its prefix that the engine has in its cache.
-func prefillTime(role msg.Role, prompt, cached int) time.Duration {
-	rate := prefillTokensPerMS
-	if role == msg.RoleDecode {
-		rate = prefillTokensPerMSDecode
+// engineKind identifies engines that are taken to be equally fast.
+type engineKind struct {
+	service msg.ServiceID
+	role    msg.Role
+}
+
+// prefillEstimator returns the estimator of the prefill times of engines like t.
+func (s *stepContext) prefillEstimator(t *target) *prefilltime.Estimator {
+	kind := engineKind{t.Service, t.Role}
+	e := s.prefillTimes[kind]
+	if e == nil {
+		e = prefilltime.New()
+		s.prefillTimes[kind] = e
+	}
+	return e
+}
+
+// observePrefill learns from the time to an attempt's first token or handle. Only an
+// attempt that found the engine idle shows how long the prefill itself takes.
+func (s *stepContext) observePrefill(a *attempt) {
+	if a.started || a.prefill == 0 {
+		return
+	}
+	took := s.now - a.sentAt
+	if a.unqueued {
+		s.prefillEstimator(a.target).Observe(a.work, max(took-sendTime, 0))
 	}
-	remaining := float64(max(prompt-cached, 0))
-	pairs := remaining * (float64(cached) + remaining/2) / 1e6
-	return time.Duration((remaining/rate + pairs*attentionMSPerMillionPairs) * float64(time.Millisecond))
+	s.raise(msg.PrefillTimed{Step: a.step, Expected: a.expected, Took: took})
 }
 
 // transferTime estimates how long the transfer of KV cache between two engines
--- a/internal/core/directrequest/end.go
+++ b/internal/core/directrequest/end.go
@@ -48,6 +48,7 @@
 	}
 	switch ev.Result {
 	case msg.DirectDone, msg.DirectPrefilled:
+		s.observePrefill(a)
 		t.recordFirstToken(s.now, a)
 		t.updateFailureRate(s.now, true)
 		if a.segments == nil && a.prefill == 0 {
--- a/internal/core/directrequest/manager.go
+++ b/internal/core/directrequest/manager.go
@@ -26,6 +26,7 @@
 
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
 	"github.com/verbenaspur/verbenaspur/internal/core/poison"
+	"github.com/verbenaspur/verbenaspur/internal/core/prefilltime"
 )
 
 const componentName = "request"
@@ -60,6 +61,7 @@
 	entries      []msg.Host
 	caches       *cacheView
 	retryBudgets map[msg.ServiceID]*retryBudget
+	prefillTimes map[engineKind]*prefilltime.Estimator
 	// poison counts the crashes of targets that a request may have caused.
 	poison *poison.Tracker
 
@@ -82,6 +84,7 @@
 		services:     make(map[msg.ServiceID][]*target),
 		caches:       newCacheView(),
 		retryBudgets: make(map[msg.ServiceID]*retryBudget),
+		prefillTimes: make(map[engineKind]*prefilltime.Estimator),
 		poison:       poison.NewTracker(),
 		requests:     make(map[msg.RequestID]*request),
 		attempts:     make(map[msg.AttemptID]*attempt),
--- a/internal/core/directrequest/place.go
+++ b/internal/core/directrequest/place.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
+	"github.com/verbenaspur/verbenaspur/internal/core/prefilltime"
 )
 
 const (
@@ -24,10 +25,14 @@
 	// fetchFrom is the target from which a cached prefix is fetched first, or
 	// nil.
 	fetchFrom *target
-	// All three are estimates: prefill is the duration of the prefill at the
-	// target, wait is the time until it begins, and expected is the time to the
-	// first token, or to the response of a plain service.
-	prefill, wait, expected time.Duration
+	// work is the duration of the prefill on the reference engine of package
+	// prefilltime.
+	work time.Duration
+	// All four are estimates: prefill is the duration of the prefill at the
+	// target, wait is the time until it begins, end is the time to the target's
+	// first token, handle or response, and expected is the time to the first token
+	// that the caller receives.
+	prefill, wait, end, expected time.Duration
 	// cost ranks the candidates. It is the expected time, increased for
 	// failures of the target and for the delay that the work causes to other
 	// requests.
@@ -109,7 +114,7 @@
 	slots := max(t.Slots, 1)
 	latency := max(t.latency, time.Millisecond)
 	wait := time.Duration(float64(latency) * float64(open) / float64(slots))
-	c := candidate{target: t, step: msg.StepWhole, wait: wait, expected: wait + latency}
+	c := candidate{target: t, step: msg.StepWhole, wait: wait, end: wait + latency, expected: wait + latency}
 	c.cost = penalize(c.expected, t)
 	return c
 }
@@ -123,6 +128,7 @@
 	far := r.source.Domain != t.Domain
 	c := candidate{target: t, step: msg.StepDecode, wait: s.queueTime(t)}
 	c.expected = c.wait/4 + s.capacityDelay(r, t) + transferTime(s.engineSpec(t), r.arrival.PromptTokens, far)
+	c.end = c.expected
 	c.cost = c.expected + s.riskCost(r, t)
 	return c, true
 }
@@ -171,8 +177,11 @@
 		fetch = transferTime(s.engineSpec(t), held-cached, from.Domain != t.Domain)
 		cached = held
 	}
-	c.prefill = time.Duration(t.slowdown * float64(prefillTime(t.Role, r.arrival.PromptTokens, cached)))
-	c.expected = sendTime + firstTokenBase + c.wait + fetch + c.prefill
+	estimator := s.prefillEstimator(t)
+	c.work = prefilltime.Work(t.Role, r.arrival.PromptTokens, cached)
+	c.prefill = time.Duration(t.slowdown * float64(estimator.Prefill(c.work)))
+	c.end = sendTime + estimator.Base() + c.wait + fetch + c.prefill
+	c.expected = c.end
 	if t.Role == msg.RolePrefill {
 		if r.route.Retry != msg.RetryStream || r.lastEvent > 0 {
 			return candidate{}, false
--- a/internal/core/directrequest/request.go
+++ b/internal/core/directrequest/request.go
@@ -60,9 +60,12 @@
 	// priority is the priority of the attempt at an engine; 0 is the highest.
 	priority int
 	sentAt   msg.Time
-	// prefill is the expected duration of the prefill at the target, and
-	// expected the expected time to the first token.
-	prefill, expected time.Duration
+	// work is the duration of the prefill on the reference engine of package
+	// prefilltime, prefill its expected duration at the target, and expected the
+	// expected time to the first token or handle.
+	work, prefill, expected time.Duration
+	// unqueued reports whether the target was expected to begin the prefill at once.
+	unqueued bool
 	// handle names the prefilled prompt from which a decode step continues.
 	handle string
 	// tokens is the KV cache in tokens that the attempt occupies at the target.
--- a/internal/core/directrequest/start.go
+++ b/internal/core/directrequest/start.go
@@ -22,7 +22,8 @@
 func (s *stepContext) startAttempt(r *request, c candidate, list []candidate) {
 	a := &attempt{
 		id: s.newAttemptID(), req: r, target: c.target, step: c.step, priority: r.priority(), sentAt: s.now,
-		dropAt: r.deadline + attemptGrace, prefill: c.prefill, expected: c.expected, tokens: r.arrival.PromptTokens, segments: r.segments, fingerprint: r.fingerprint,
+		dropAt: r.deadline + attemptGrace, work: c.work, prefill: c.prefill, expected: c.end, unqueued: s.findsIdle(c),
+		tokens: r.arrival.PromptTokens, segments: r.segments, fingerprint: r.fingerprint,
 	}
 	r.attempt = a
 	r.attemptsSent++
@@ -51,6 +52,12 @@
 	s.logPlaced(r, a, c, list)
 }
 
+// findsIdle reports whether a prefill at a candidate is expected to begin at once,
+// and its duration to show the speed of the engine.
+func (s *stepContext) findsIdle(c candidate) bool {
+	return c.wait == 0 && c.fetchFrom == nil && c.target.pendingPrefill(s.now) == 0
+}
+
 func (s *stepContext) logPlaced(r *request, a *attempt, c candidate, list []candidate) {
 	from := ""
 	if c.fetchFrom != nil {
@@ -84,6 +91,7 @@
 	if a == nil {
 		return
 	}
+	s.observePrefill(a)
 	a.target.recordFirstToken(s.now, a)
 	s.recordCached(a)
 	if a.req != nil {
--- a/internal/core/msg/direct_request.go
+++ b/internal/core/msg/direct_request.go
@@ -209,6 +209,15 @@
 	Waited time.Duration
 }
 
+// PrefillTimed is raised when the first token or the handle of an attempt that
+// prefills has arrived.
+type PrefillTimed struct {
+	Step DirectStep
+	// Expected is the time that was expected when the attempt was sent, and Took the
+	// time that it took.
+	Expected, Took time.Duration
+}
+
 // SetReady sets whether the platform's load balancer sends requests to this
 // daemon.
 type SetReady struct{ Ready bool }
@@ -224,6 +233,7 @@
 func (CacheRead) event()            {}
 func (DirectRequestEnded) event()   {}
 func (FirstTokenReceived) event()   {}
+func (PrefillTimed) event()         {}
 
 func (StartDirectAttempt) effect() {}
 func (ForwardFailure) effect()     {}
--- /dev/null
+++ b/internal/core/prefilltime/prefilltime_test.go
@@ -0,0 +1,73 @@
+package prefilltime
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/verbenaspur/verbenaspur/internal/core/msg"
+)
+
+// observe lets an estimator observe prompts of an engine with the given base and
+// prefill speed in tokens per millisecond. A tenth of the responses are late.
+func observe(e *Estimator, n, minTokens, maxTokens int, base, rate float64) {
+	r := rand.New(rand.NewPCG(1, 2))
+	for range n {
+		tokens := minTokens + r.IntN(maxTokens-minTokens+1)
+		ms := (base + float64(tokens)/rate) * (0.9 + 0.2*r.Float64())
+		if r.IntN(10) == 0 {
+			ms += 100
+		}
+		e.Observe(Work(msg.RolePrefill, tokens, 0), duration(ms))
+	}
+}
+
+func (e *Estimator) estimate(tokens int) time.Duration {
+	return e.Base() + e.Prefill(Work(msg.RolePrefill, tokens, 0))
+}
+
+// within reports whether got lies between want/ratio and want*ratio.
+func within(got time.Duration, wantMS, ratio float64) bool {
+	ms := milliseconds(got)
+	return ms >= wantMS/ratio && ms <= wantMS*ratio
+}
+
+func TestEstimatorFollowsFastAndSlowEngines(t *testing.T) {
+	for _, rate := range []float64{600, 150, 46, 12} {
+		is := is.New(t)
+		e := New()
+		observe(e, 60, 500, 16000, 9, rate)
+		for _, tokens := range []int{1000, 8000, 16000} {
+			want := 9 + float64(tokens)/rate
+			is.True(within(e.estimate(tokens), want, 1.7))
+		}
+	}
+}
+
+// Where all prompts are of one size, the estimate for other sizes is in proportion to
+// the reference engine.
+func TestEstimatorWithOnePromptSize(t *testing.T) {
+	is := is.New(t)
+	e := New()
+	observe(e, 60, 4000, 4000, 9, 600)
+	is.True(within(e.estimate(4000), 9+4000.0/600, 1.7))
+	is.True(e.estimate(16000) > e.estimate(4000))
+	is.True(e.estimate(16000) < 4*e.estimate(4000))
+}
+
+func TestFirstObservationsCountAtOnce(t *testing.T) {
+	is := is.New(t)
+	e := New()
+	observe(e, 5, 500, 16000, 9, 600)
+	is.True(within(e.estimate(16000), 9+16000.0/600, 3))
+}
+
+func TestCachedPrefixIsNoWorkButAttention(t *testing.T) {
+	is := is.New(t)
+	is.Equal(Work(msg.RolePrefill, 5000, 5000), time.Duration(0))
+	is.True(Work(msg.RolePrefill, 5000, 4000) < Work(msg.RolePrefill, 5000, 0)/4)
+	is.True(Work(msg.RolePrefill, 5000, 4000) > Work(msg.RolePrefill, 1000, 0))
+	is.True(Work(msg.RoleDecode, 1000, 0) > Work(msg.RolePrefill, 1000, 0))
+}
--- a/internal/metrics/direct.go
+++ b/internal/metrics/direct.go
@@ -15,6 +15,7 @@
 	ended          *prometheus.CounterVec
 	requestSeconds *prometheus.HistogramVec
 	firstToken     prometheus.Histogram
+	prefillError   *prometheus.HistogramVec
 	reads          *prometheus.CounterVec
 	configVersion  prometheus.Gauge
 	configAge      prometheus.Gauge
@@ -39,6 +40,7 @@
 		ended:          f.counterVec("direct_closed_total", "Requests that are over, by end and, where they were not served, by reason.", "end", "code"),
 		requestSeconds: f.histogramVec("direct_request_seconds", "Time from arrival to the end of a request, by end.", waitBuckets, "end"),
 		firstToken:     f.histogram("direct_first_token_seconds", "Time from arrival to the first token.", firstTokenBuckets),
+		prefillError:   f.histogramVec("direct_prefill_time_ratio", "Time to the first token or handle of a prefill, divided by the expected time, by step.", ratioBuckets, "step"),
 		reads:          f.counterVec("direct_reads_total", "Reads of the configuration and the list of targets, by status.", "read", "status"),
 		configVersion:  f.gauge("direct_config_version", "Version of the configuration in force here."),
 		configAge:      f.gauge("direct_config_age_seconds", "Time since the configuration was confirmed to be the newest."),
@@ -62,6 +64,10 @@
 		d.requestSeconds.WithLabelValues(ev.End.String()).Observe(ev.Waited.Seconds())
 	case msg.FirstTokenReceived:
 		d.firstToken.Observe(ev.Waited.Seconds())
+	case msg.PrefillTimed:
+		if ev.Expected > 0 {
+			d.prefillError.WithLabelValues(ev.Step.String()).Observe(ev.Took.Seconds() / ev.Expected.Seconds())
+		}
 	case msg.DirectAttemptEnded:
 		d.attempts.WithLabelValues(ev.Result.String()).Inc()
 	case msg.RunCounted:
