directrequest: prompts that can only be late wait in a queue

The longest prompts, whose own prefill counts, were refused first. Change: package admission holds, in the order of their deadlines, prompts that can only be late; they start where an engine's expected wait is under 0.3 of the objective. A prompt in time starts at once, and a long one is judged by its route's typical prefill. The time to the first token includes the wait for a slot at the engines that decode, by the average duration of the service's streams in place of 500 ms.

--- a/internal/core/directrequest/cost.go
+++ b/internal/core/directrequest/cost.go
@@ -9,10 +9,12 @@
 
 const (
 	// firstTokenPerStream is the time that each open stream of an engine adds
-	// to the first token of the next request. streamDuration is the assumed
-	// duration of a stream.
+	// to the first token of the next request.
 	firstTokenPerStream = time.Millisecond
-	streamDuration      = 500 * time.Millisecond
+	// initialStreamDuration is the assumed duration of a service's streams until some
+	// have ended, and streamDurationWeight the weight of one stream in the average.
+	initialStreamDuration = 500 * time.Millisecond
+	streamDurationWeight  = 0.02
 	// sendTime is the time in which a request reaches its target.
 	sendTime = 2 * time.Millisecond
 	// transferSetup is the fixed part of the time of a KV cache transfer
@@ -53,6 +55,25 @@
 	s.raise(msg.PrefillTimed{Step: a.step, Expected: a.expected, Took: took})
 }
 
+// streamDuration returns the average duration of a service's streams, from the first
+// token to the end.
+func (s *stepContext) streamDuration(id msg.ServiceID) time.Duration {
+	if d, ok := s.streamDurations[id]; ok {
+		return d
+	}
+	return initialStreamDuration
+}
+
+// observeStream updates the average duration of a service's streams.
+func (s *stepContext) observeStream(a *attempt) {
+	if a.startedAt == 0 || a.step == msg.StepPrefill {
+		return
+	}
+	d := s.streamDuration(a.target.Service)
+	d += time.Duration(streamDurationWeight * float64(s.now-a.startedAt-d))
+	s.streamDurations[a.target.Service] = d
+}
+
 // transferTime estimates how long the transfer of KV cache between two engines
 // takes.
 func transferTime(spec *msg.EngineSpec, tokens int, crossDomain bool) time.Duration {
--- a/internal/core/directrequest/end.go
+++ b/internal/core/directrequest/end.go
@@ -49,6 +49,7 @@
 	switch ev.Result {
 	case msg.DirectDone, msg.DirectPrefilled:
 		s.observePrefill(a)
+		s.observeStream(a)
 		t.recordFirstToken(s.now, a)
 		t.updateFailureRate(s.now, true)
 		if a.segments == nil && a.prefill == 0 {
@@ -204,6 +205,7 @@
 // it is cancelled.
 func (s *stepContext) close(r *request, end msg.DirectRequestResult, code string) {
 	s.raise(msg.DirectRequestEnded{Req: r.arrival.Req, End: end, Code: code, Waited: s.now - r.arrivedAt})
+	s.leaveQueue(r, false)
 	if a := r.attempt; a != nil {
 		a.req = nil
 		r.attempt = nil
--- a/internal/core/directrequest/manager.go
+++ b/internal/core/directrequest/manager.go
@@ -24,6 +24,7 @@
 	"slices"
 	"time"
 
+	"github.com/verbenaspur/verbenaspur/internal/core/admission"
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
 	"github.com/verbenaspur/verbenaspur/internal/core/poison"
 	"github.com/verbenaspur/verbenaspur/internal/core/prefilltime"
@@ -62,6 +63,12 @@
 	caches       *cacheView
 	retryBudgets map[msg.ServiceID]*retryBudget
 	prefillTimes map[engineKind]*prefilltime.Estimator
+	// streamDurations holds the average duration of each service's streams.
+	streamDurations map[msg.ServiceID]time.Duration
+	// queues holds the prompts that wait for an engine of a service.
+	queues map[msg.ServiceID]*admission.Queue
+	// typicalPrefill is the average expected prefill time of a route's prompts.
+	typicalPrefill map[msg.RouteID]time.Duration
 	// poison counts the crashes of targets that a request may have caused.
 	poison *poison.Tracker
 
@@ -77,18 +84,21 @@
 // NewWithPolicy is like [New], with a policy that an experiment has set.
 func NewWithPolicy(limits msg.DirectLimits, policy Policy) *Manager {
 	return &Manager{
-		limits:       limits,
-		policy:       policy.withDefaults(),
-		rand:         rand.New(rand.NewPCG(0, 0)),
-		targets:      make(map[msg.TargetID]*target),
-		services:     make(map[msg.ServiceID][]*target),
-		caches:       newCacheView(),
-		retryBudgets: make(map[msg.ServiceID]*retryBudget),
-		prefillTimes: make(map[engineKind]*prefilltime.Estimator),
-		poison:       poison.NewTracker(),
-		requests:     make(map[msg.RequestID]*request),
-		attempts:     make(map[msg.AttemptID]*attempt),
-		exchange:     newLoadExchange(),
+		limits:          limits,
+		policy:          policy.withDefaults(),
+		rand:            rand.New(rand.NewPCG(0, 0)),
+		targets:         make(map[msg.TargetID]*target),
+		services:        make(map[msg.ServiceID][]*target),
+		caches:          newCacheView(),
+		retryBudgets:    make(map[msg.ServiceID]*retryBudget),
+		prefillTimes:    make(map[engineKind]*prefilltime.Estimator),
+		streamDurations: make(map[msg.ServiceID]time.Duration),
+		queues:          make(map[msg.ServiceID]*admission.Queue),
+		typicalPrefill:  make(map[msg.RouteID]time.Duration),
+		poison:          poison.NewTracker(),
+		requests:        make(map[msg.RequestID]*request),
+		attempts:        make(map[msg.AttemptID]*attempt),
+		exchange:        newLoadExchange(),
 	}
 }
 
@@ -179,6 +189,7 @@
 		s.expire(r)
 	}
 	s.dropAbandonedAttempts()
+	s.advanceQueues()
 	s.restartLostPrefills()
 	s.sendDigest()
 	s.reportDecodeDemand()
--- a/internal/core/directrequest/place.go
+++ b/internal/core/directrequest/place.go
@@ -53,12 +53,8 @@
 	}
 	slices.SortFunc(list, func(a, b candidate) int { return int(a.cost - b.cost) })
 	best := list[0]
-	// excess is the time by which the expected first token exceeds the limit set
-	// by Policy.MaxDelayRatio. A request is refused for it only as long as its
-	// prompt has not been prefilled and it can't have run.
-	excess := s.now - r.arrivedAt + best.expected - time.Duration(s.policy.MaxDelayRatio*float64(r.route.Objective))
-	if r.hasPrompt() && r.handle == "" && r.runs == 0 && excess > 0 {
-		return &refusal{statusUnavailable, "overloaded", max(excess, retryAfterShort)}
+	if s.mustWait(r, best) {
+		return s.enqueue(r, best)
 	}
 	if r.isRetry(best.step) && !s.retryBudget(r.service).trySpend(s.now, s.limits, len(s.entries)) {
 		return &refusal{statusUnavailable, "no-budget", retryAfterShort}
@@ -72,6 +68,9 @@
 	all := s.services[r.service]
 	maxConns := s.connLimit(r.service)
 	list := make([]candidate, 0, len(all))
+	if r.hasPrompt() && r.handle == "" {
+		r.decodeDelay = s.decodeDelay(r)
+	}
 	for _, t := range all {
 		if !t.usable(s.now) || slices.Contains(r.exclude, t.Target) || len(t.open) >= maxConns {
 			continue
@@ -143,8 +142,24 @@
 	if spec == nil {
 		return d
 	}
-	d += overflowDelay(open+1, spec.Slots)
-	return d + overflowDelay(t.openTokens()+others.Tokens+r.arrival.PromptTokens, spec.CacheTokens)
+	overflow := overflowRatio(open+1, spec.Slots) + overflowRatio(t.openTokens()+others.Tokens+r.arrival.PromptTokens, spec.CacheTokens)
+	return d + time.Duration(overflow*float64(s.streamDuration(t.Service)))
+}
+
+// decodeDelay returns the shortest capacityDelay of the engines of a request's
+// service that decode. It is part of the time to the first token of a prompt that
+// another engine prefills.
+func (s *stepContext) decodeDelay(r *request) time.Duration {
+	shortest := time.Duration(math.MaxInt64)
+	for _, t := range s.services[r.service] {
+		if t.Role == msg.RoleDecode && t.usable(s.now) {
+			shortest = min(shortest, s.capacityDelay(r, t))
+		}
+	}
+	if shortest == math.MaxInt64 {
+		return 0
+	}
+	return shortest
 }
 
 // openStreams returns the number of attempts that all daemons have open at an
@@ -153,14 +168,14 @@
 	return len(t.open) + s.exchange.openWork(s.now, t.Target).Open
 }
 
-// overflowDelay estimates the time until the use of a resource falls to its
-// capacity. It assumes that streams end at a constant rate, at which they free
-// the whole capacity once in streamDuration.
-func overflowDelay(used, capacity int) time.Duration {
+// overflowRatio returns the fraction of its capacity by which the use of a resource
+// exceeds it. Streams that end at a constant rate free the whole capacity once in
+// their duration, so that the excess is free again after this fraction of it.
+func overflowRatio(used, capacity int) float64 {
 	if capacity <= 0 || used <= capacity {
 		return 0
 	}
-	return time.Duration(float64(streamDuration) * float64(used-capacity) / float64(capacity))
+	return float64(used-capacity) / float64(capacity)
 }
 
 // scorePrefill scores an engine that would prefill the prompt. After the prefill
@@ -187,10 +202,12 @@
 			return candidate{}, false
 		}
 		c.step = msg.StepPrefill
-		c.expected += sendTime + transferTime(s.engineSpec(t), r.arrival.PromptTokens, true)
+		c.expected += sendTime + transferTime(s.engineSpec(t), r.arrival.PromptTokens, true) + r.decodeDelay
 	}
 	c.cost = penalize(c.expected, t)
 	if t.Role == msg.RoleDecode {
+		c.expected += s.capacityDelay(r, t)
+		c.end = c.expected
 		harm := time.Duration(s.policy.DecodeInterference * float64(s.openStreams(t)) * float64(c.prefill))
 		c.cost = c.expected + s.riskCost(r, t) + c.prefill + harm
 	}
--- a/internal/core/directrequest/policy.go
+++ b/internal/core/directrequest/policy.go
@@ -6,9 +6,13 @@
 // selects the default.
 type Policy struct {
 	// MaxDelayRatio limits the expected time to the first token, counted from
-	// the arrival, as a multiple of the route's objective. A request that would
-	// exceed it is refused.
+	// the arrival, as a multiple of the route's objective. A prompt that would
+	// exceed it has to wait.
 	MaxDelayRatio float64 `yaml:"too_late" validate:"min=0"`
+	// WaitingStartRatio limits the expected wait at an engine, as a multiple of the
+	// route's objective, at which a waiting prompt starts there. The rest of the
+	// objective is left to prompts that can still meet theirs.
+	WaitingStartRatio float64 `yaml:"waiting_start" validate:"min=0"`
 	// DecodeInterference is the cost of a prefill at a decode engine for each
 	// stream that is open there, as a multiple of the duration of the prefill.
 	// The engine prefills between the tokens of its streams, which all wait for
@@ -18,12 +22,14 @@
 }
 
 const (
-	defaultMaxDelayRatio      = 2.0
+	defaultMaxDelayRatio      = 1.0
+	defaultWaitingStartRatio  = 0.3
 	defaultDecodeInterference = 0.4
 )
 
 func (p Policy) withDefaults() Policy {
 	p.MaxDelayRatio = cmp.Or(p.MaxDelayRatio, defaultMaxDelayRatio)
+	p.WaitingStartRatio = cmp.Or(p.WaitingStartRatio, defaultWaitingStartRatio)
 	p.DecodeInterference = cmp.Or(p.DecodeInterference, defaultDecodeInterference)
 	return p
 }
--- a/internal/core/directrequest/request.go
+++ b/internal/core/directrequest/request.go
@@ -49,6 +49,10 @@
 	exclude []msg.TargetID
 	// fingerprint is the result of requestFingerprint.
 	fingerprint uint64
+	// decodeDelay is the result of stepContext.decodeDelay at the last placement.
+	decodeDelay time.Duration
+	// waiting reports whether the request is in the queue of its service.
+	waiting bool
 }
 
 // attempt is one call to a target.
@@ -73,8 +77,10 @@
 	// dropAt is the instant at which the attempt is dropped if its end has not
 	// been reported and req is nil.
 	dropAt msg.Time
-	// started reports whether the first token, or the response, has arrived.
+	// started reports whether the first token, or the response, has arrived, and
+	// startedAt is when the first token of a stream arrived.
 	started     bool
+	startedAt   msg.Time
 	segments    []msg.PromptSegment
 	fingerprint uint64
 }
--- a/internal/core/directrequest/start.go
+++ b/internal/core/directrequest/start.go
@@ -27,6 +27,7 @@
 	}
 	r.attempt = a
 	r.attemptsSent++
+	s.leaveQueue(r, true)
 	r.countArrival(c.step, 1)
 	s.attempts[a.id] = a
 	c.target.addAttempt(s.now, a)
@@ -92,6 +93,7 @@
 		return
 	}
 	s.observePrefill(a)
+	a.startedAt = s.now
 	a.target.recordFirstToken(s.now, a)
 	s.recordCached(a)
 	if a.req != nil {
