--- a/internal/core/directrequest/loadexchange.go
+++ b/internal/core/directrequest/loadexchange.go
@@ -15,9 +15,9 @@
 	// maxDigestInterval the longest.
 	minDigestInterval = 80 * time.Millisecond
 	maxDigestInterval = time.Second
-	// minAnnouncedPrefill is the shortest prefill that is announced to the
-	// other daemons at once instead of with the next digest.
-	minAnnouncedPrefill = 25 * time.Millisecond
+	// announcedShare is the share of a route's objective that a prefill must take to
+	// be announced to the other daemons at once instead of with the next digest.
+	announcedShare = 0.05
 	// digestMaxAge is the largest age at which the backlog and the lateness in a
 	// digest are still used.
 	digestMaxAge = 2500 * time.Millisecond
@@ -154,7 +154,7 @@
 // announcePrefill announces a prefill to the other daemons at once if it is
 // long enough to affect their next placements.
 func (s *stepContext) announcePrefill(a *attempt) {
-	if a.prefill < minAnnouncedPrefill {
+	if float64(a.prefill) < announcedShare*float64(a.req.route.Objective) {
 		return
 	}
 	s.broadcast(msg.PrefillSent{Target: a.target.Target, PrefillMS: roundMS(a.prefill)})
--- a/internal/core/directrequest/loadexchange_test.go
+++ b/internal/core/directrequest/loadexchange_test.go
@@ -160,3 +160,27 @@
 		is.True(sentSegments(h) > 0 && sentSegments(h) <= most)
 	}
 }
+
+// Whether a prefill is announced at once depends on what the route's objective leaves:
+// a prefill that is short for one route delays the prompts of another.
+func TestPrefillIsAnnouncedByObjective(t *testing.T) {
+	for _, test := range []struct {
+		objective time.Duration
+		announced bool
+	}{{800 * time.Millisecond, false}, {100 * time.Millisecond, true}} {
+		is := is.New(t)
+		h := newReadyHarness(t)
+		table := testTable()
+		table.Version = 2
+		table.Routes[0].Objective = test.objective
+		h.configure(table)
+		h.step(msg.MembersChanged{Entries: []msg.Host{{Host: "entry-1"}, {Host: "entry-2"}}})
+		h.arrive("/chat/x", prompt(1, 300, 50)) // The prefill takes about 15 ms.
+		sent, ok := find[msg.SendPeer](h)
+		is.Equal(ok, test.announced)
+		if ok {
+			_, isPrefill := sent.Message.(msg.PrefillSent)
+			is.True(isPrefill)
+		}
+	}
+}
