platformpoll: a few daemons read the platform, the others ask them

Change: three readers, by rendezvous hashing over live entries and in different failure domains, poll the platform. The others ask two of them five times an interval and read only when a version or the hash of the list differs, or when nothing was confirmed for 1.4 intervals. A confirmation counts from the moment at which the question left, less the age at the reader; a cut daemon stays confirmed until something changes. No word is taken on the content: it is read from the store.

--- a/internal/core/direct.go
+++ b/internal/core/direct.go
@@ -56,6 +56,13 @@
 // manages its targets itself, without side daemons.
 type Direct struct{ *reducer.Reducer }
 
+// pollConfig returns the configuration of the component that reads the platform.
+func pollConfig(cfg DirectConfig) platformpoll.Config {
+	poll := cfg.PlatformPoll
+	poll.Self = cfg.Self
+	return poll
+}
+
 // NewDirect returns the reducer of an entry daemon on the direct path.
 func NewDirect(cfg DirectConfig) *Direct {
 	requests := directrequest.New(cfg.Limits)
@@ -71,7 +78,7 @@
 	})
 	members := peerdiscovery.New(cfg.Self, cfg.Incarnation, cfg.PeerAddr)
 	flushers := []idler{leases, members}
-	components := []reducer.Component{leases, members, platformpoll.New(cfg.PlatformPoll), requests}
+	components := []reducer.Component{leases, members, platformpoll.New(pollConfig(cfg)), requests}
 	if cfg.UsageWindow > 0 {
 		usage := directusage.New(directusage.Config{
 			Self: cfg.Self.Host, Incarnation: cfg.Incarnation,
--- a/internal/core/msg/direct_peer.go
+++ b/internal/core/msg/direct_peer.go
@@ -1,5 +1,7 @@
 package msg
 
+import "time"
+
 // LoadDigest is a summary, for the other entry daemons, of the work that the
 // sender has open at each target. Elsewhere in this package, a digest is a
 // hash.
@@ -70,6 +72,27 @@
 	Tokens  int      `cbor:"3,keyasint"`
 }
 
-func (LoadDigest) peerMessage()  {}
-func (PrefillSent) peerMessage() {}
-func (RunCounts) peerMessage()   {}
+// CatalogQuery asks an entry daemon what it knows of the platform. The reply is
+// [CatalogReply].
+type CatalogQuery struct {
+	// Seq is the number of the question.
+	Seq uint64 `cbor:"1,keyasint"`
+}
+
+// CatalogReply states which configuration and list of targets a daemon knows, and how
+// long before the reply the reads of them left that show this.
+type CatalogReply struct {
+	// Seq is the number of the question.
+	Seq           uint64        `cbor:"1,keyasint"`
+	ConfigVersion uint64        `cbor:"2,keyasint"`
+	ConfigAge     time.Duration `cbor:"3,keyasint"`
+	// InstancesHash is a hash of the list of targets.
+	InstancesHash uint64        `cbor:"4,keyasint"`
+	InstancesAge  time.Duration `cbor:"5,keyasint"`
+}
+
+func (LoadDigest) peerMessage()   {}
+func (CatalogQuery) peerMessage() {}
+func (CatalogReply) peerMessage() {}
+func (PrefillSent) peerMessage()  {}
+func (RunCounts) peerMessage()    {}
--- a/internal/core/msg/types.go
+++ b/internal/core/msg/types.go
@@ -13,6 +13,7 @@
 		reflect.TypeFor[CrashNotice](),
 		reflect.TypeFor[LoadDigest](), reflect.TypeFor[RunCounts](),
 		reflect.TypeFor[PrefillSent](),
+		reflect.TypeFor[CatalogQuery](), reflect.TypeFor[CatalogReply](),
 	}
 }
 
--- a/internal/core/platformpoll/instances.go
+++ b/internal/core/platformpoll/instances.go
@@ -17,7 +17,7 @@
 	if !ok {
 		return effs
 	}
-	c.targetPoll.next = max(ev.Sent+c.cfg.InstancesInterval, now)
+	c.targetPoll.next = max(ev.Sent+c.interval(c.cfg.InstancesInterval), now)
 	if ev.Revision < c.revision {
 		return append(effs, msg.LogLine{Component: componentName, Level: msg.LogError, Text: "list of targets from platform is older than the last one"})
 	}
@@ -26,6 +26,7 @@
 	}
 	c.revision = ev.Revision
 	c.lastListSent = ev.Sent
+	c.listHash = hashInstances(ev.Instances)
 	effs = append(effs, c.logInvalidEntries(ev)...)
 	effs = append(effs, c.merge(now, ev.Instances)...)
 	return append(effs, msg.Raise{Event: msg.InstancesChanged{Instances: c.instances()}})
--- a/internal/core/platformpoll/platformpoll.go
+++ b/internal/core/platformpoll/platformpoll.go
@@ -38,6 +38,8 @@
 
 // Config configures the component. Zero durations select the defaults.
 type Config struct {
+	// Self is this daemon. A daemon without a host name asks no others.
+	Self msg.Self
 	// RoutesInterval and InstancesInterval are the least times between the starts
 	// of two reads.
 	RoutesInterval, InstancesInterval time.Duration
@@ -72,10 +74,15 @@
 
 	routePoll poll
 	table     *msg.RouteTable
+	// confirmedAt is the latest instant at which table was known to be the newest.
+	confirmedAt msg.Time
 
-	targetPoll    poll
-	revision      msg.Revision
+	targetPoll poll
+	revision   msg.Revision
+	// lastListSent is when the last read of the list left that showed what listHash
+	// stands for, whether this daemon's or a reader's.
 	lastListSent  msg.Time
+	listHash      uint64
 	instancesByID map[msg.TargetID]msg.Instance
 	targetIDs     []msg.TargetID
 	// expired holds the targets that were missing from the list after an outage,
@@ -85,11 +92,13 @@
 	graceUntil msg.Time
 	// invalidEntries is the number of invalid entries in the last list.
 	invalidEntries int
+	readers        readers
 }
 
 // New returns a component that has read nothing yet.
 func New(cfg Config) *Component {
 	return &Component{
+		readers:       readers{self: cfg.Self, sentAt: make(map[uint64]msg.Time)},
 		cfg:           cfg.withDefaults(),
 		instancesByID: make(map[msg.TargetID]msg.Instance),
 		expired:       make(map[msg.TargetID]msg.Time),
@@ -100,7 +109,12 @@
 func (c *Component) Step(now msg.Time, ev msg.Event) []msg.Effect {
 	switch ev := ev.(type) {
 	case msg.Started, msg.Tick:
-		return c.startDueReads(now)
+		interval := min(c.cfg.RoutesInterval, c.cfg.InstancesInterval)
+		return append(c.readers.ask(now, interval), c.startDueReads(now)...)
+	case msg.MembersChanged:
+		c.readers.onMembersChanged(ev)
+	case msg.PeerReceived:
+		return c.onPeerMessage(now, ev)
 	case msg.RoutesRead:
 		return c.onRoutesRead(now, ev)
 	case msg.InstancesRead:
@@ -166,7 +180,7 @@
 	if !ok {
 		return effs
 	}
-	c.routePoll.next = max(ev.Sent+c.cfg.RoutesInterval, now)
+	c.routePoll.next = max(ev.Sent+c.interval(c.cfg.RoutesInterval), now)
 	if c.table != nil && ev.Table.Version < c.table.Version {
 		return append(effs, msg.LogLine{
 			Component: componentName, Level: msg.LogError, Text: "configuration from platform is older than the one in force",
@@ -184,5 +198,5 @@
 			},
 		})
 	}
-	return append(effs, msg.Raise{Event: msg.RoutesConfirmed{At: ev.Sent}})
+	return append(effs, c.confirm(ev.Sent)...)
 }
