--- /dev/null
+++ b/internal/core/directrequest/instances.go
@@ -0,0 +1,83 @@
+package directrequest
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/verbenaspur/verbenaspur/internal/core/msg"
+)
+
+// onInstancesChanged applies a new list of targets.
+func (s *stepContext) onInstancesChanged(ev msg.InstancesChanged) {
+	listed := make(map[msg.TargetID]bool, len(ev.Instances))
+	for _, in := range ev.Instances {
+		listed[in.Target] = true
+		t := s.targets[in.Target]
+		if t == nil || t.Addr != in.Addr || t.Service != in.Service {
+			t = newTarget(in)
+			s.targets[in.Target] = t
+		}
+		if t.StartedMS != in.StartedMS && t.StartedMS != 0 {
+			s.onTargetRestarted(t)
+		}
+		if in.Role == t.changingTo {
+			t.changingUntil = 0
+		}
+		if t.Role != in.Role {
+			t.changingUntil = 0
+			t.backoffUntil = 0
+			t.backoff = 0
+			s.caches.removeEngine(in.Target)
+		}
+		t.Instance = in
+	}
+	for id, t := range s.targets {
+		if !listed[id] {
+			s.recordCrash(t)
+			s.caches.removeEngine(id)
+			delete(s.targets, id)
+		}
+	}
+	s.services = make(map[msg.ServiceID][]*target)
+	for _, in := range ev.Instances {
+		s.services[in.Service] = append(s.services[in.Service], s.targets[in.Target])
+	}
+	for _, list := range s.services {
+		slices.SortFunc(list, func(a, b *target) int { return cmp.Compare(a.Target, b.Target) })
+	}
+}
+
+// onTargetRestarted discards what was recorded of a target's earlier process.
+func (s *stepContext) onTargetRestarted(t *target) {
+	s.recordCrash(t)
+	s.caches.removeEngine(t.Target)
+	t.skipCacheRead = true // the cache is empty after a restart
+	t.slowdown = 1
+	t.failureRate = 0
+	t.refusedDecodes = 0
+	t.backoffUntil = 0
+	t.backoff = 0
+	t.changingUntil = 0
+}
+
+// suspendForRoleChange records that a target is changing its role. The target is
+// sent no requests until the list of targets shows the new role, but for d at
+// most.
+func (s *stepContext) suspendForRoleChange(id msg.TargetID, to msg.Role, d time.Duration) {
+	t := s.targets[id]
+	if t == nil || t.Role == to {
+		return
+	}
+	t.changingTo = to
+	t.changingUntil = s.now + d
+}
+
+// recordCrash records, for each request whose response the target recently cut
+// short, that the target crashed while it was running the request.
+func (s *stepContext) recordCrash(t *target) {
+	for _, a := range t.takeInterrupted(s.now) {
+		s.effects = append(s.effects, s.poison.RecordCrash(s.now, a.fingerprint, a.attempt)...)
+		s.log("target went down while it was running a request", attr("target", t.Target), attr("attempt", a.attempt))
+	}
+}
--- a/internal/core/store/store.go
+++ b/internal/core/store/store.go
@@ -17,7 +17,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"slices"
 	"time"
 
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
@@ -57,13 +56,6 @@
 	resolveTimeout = 30 * time.Second
 )
 
-// Envelope wraps a stored value with the tokens of the object's last writes.
-type Envelope struct {
-	// Writers holds the tokens of the last writes, newest first.
-	Writers []string        `json:"writers"`
-	Body    json.RawMessage `json:"body"`
-}
-
 // Op is the kind of call to which a result belongs.
 type Op uint8
 
@@ -106,17 +98,6 @@
 	waiting []*call
 }
 
-type objectKey struct {
-	kind msg.Kind
-	name string
-}
-
-// versionWriters lists the write tokens of one version of an object.
-type versionWriters struct {
-	version msg.Version
-	writers []string
-}
-
 type call struct {
 	tag         uint64
 	op          Op
@@ -231,46 +212,6 @@
 	return cl
 }
 
-func (c *Client) nextToken() string {
-	return fmt.Sprintf("%s/%d/%d", c.tokenPrefix, c.component, c.seq+1)
-}
-
-// tokensWith returns the write tokens for the envelope of an object's next
-// version. If those of the current version are not known, empty tokens fill
-// the list up to its largest length, so that no client takes it for a complete
-// history.
-func (c *Client) tokensWith(kind msg.Kind, name string, version msg.Version, token string) []string {
-	writers := []string{token}
-	h, known := c.history[objectKey{kind, name}]
-	switch {
-	case version == 0:
-	case known && h.version == version:
-		writers = append(writers, h.writers...)
-	default:
-		writers = append(writers, make([]string, maxWriters)...)
-	}
-	return writers[:min(len(writers), maxWriters)]
-}
-
-// unwrap replaces the object's value by the body of its envelope. It records
-// and returns the write tokens in the envelope.
-func (c *Client) unwrap(o msg.Object) (msg.Object, []string) {
-	k := objectKey{o.Kind, o.Name}
-	if o.Deleted {
-		delete(c.history, k)
-		return o, nil
-	}
-	var env Envelope
-	if json.Unmarshal(o.Value, &env) != nil {
-		return o, nil
-	}
-	if o.Version >= c.history[k].version {
-		c.history[k] = versionWriters{o.Version, env.Writers}
-	}
-	o.Value = env.Body
-	return o, env.Writers
-}
-
 func (c *Client) onGet(now msg.Time, ev msg.GetDone) ([]Result, []msg.Effect) {
 	cl := c.remove(ev.Call)
 	if cl == nil {
@@ -335,73 +276,3 @@
 	o := msg.Object{Kind: cl.put.Kind, Name: cl.put.Name}
 	return Result{Tag: cl.tag, Op: cl.op, Status: s, Object: o}
 }
-
-func (c *Client) scheduleReadBack(now msg.Time, cl *call) ([]Result, []msg.Effect) {
-	if c.pastDeadline(now, cl) {
-		return []Result{c.result(cl, msg.CallUnknown)}, nil
-	}
-	cl.backoff = min(max(2*cl.backoff, minBackoff), maxBackoff)
-	cl.readBackAt = now + cl.backoff
-	c.waiting = append(c.waiting, cl)
-	return nil, nil
-}
-
-func (c *Client) pastDeadline(now msg.Time, cl *call) bool {
-	limit := cl.startedAt + resolveTimeout
-	if cl.put.NotAfter != 0 {
-		limit = min(limit, cl.put.NotAfter)
-	}
-	return now >= limit
-}
-
-func (c *Client) readBack(cl *call) []msg.Effect {
-	cl.readingBack = true
-	id := c.register(cl)
-	return []msg.Effect{msg.GetObject{Call: id, Kind: cl.put.Kind, Name: cl.put.Name}}
-}
-
-func (c *Client) onReadBack(now msg.Time, cl *call, ev msg.GetDone) ([]Result, []msg.Effect) {
-	cl.readingBack = false
-	if ev.Status != msg.CallOK && ev.Status != msg.CallNotFound {
-		return c.scheduleReadBack(now, cl)
-	}
-	_, writers := c.unwrap(ev.Object)
-	switch {
-	case ev.Object.Version == cl.put.IfVersion:
-		return c.resend(now, cl)
-	case ev.Status == msg.CallOK && ev.Object.Version < cl.put.IfVersion:
-		return c.scheduleReadBack(now, cl) // a stale read is not conclusive
-	case slices.Index(writers, cl.token) == 0:
-		return []Result{c.succeeded(cl, ev.Object.Version)}, nil
-	case slices.Contains(writers, cl.token):
-		r := c.result(cl, msg.CallOK)
-		r.Superseded = true
-		return []Result{r}, nil
-	case ev.Status == msg.CallOK && len(writers) < maxWriters:
-		// The history is complete and lacks the write, so it never took effect.
-		return []Result{c.result(cl, msg.CallConflict)}, nil
-	}
-	return []Result{c.result(cl, msg.CallUnknown)}, nil
-}
-
-func (c *Client) resend(now msg.Time, cl *call) ([]Result, []msg.Effect) {
-	if c.pastDeadline(now, cl) {
-		return []Result{c.result(cl, msg.CallUnknown)}, nil
-	}
-	cl.put.Call = c.register(cl)
-	return nil, []msg.Effect{cl.put}
-}
-
-func (c *Client) onTick(now msg.Time) ([]Result, []msg.Effect) {
-	var effs []msg.Effect
-	keep := c.waiting[:0]
-	for _, cl := range c.waiting {
-		if now < cl.readBackAt {
-			keep = append(keep, cl)
-			continue
-		}
-		effs = append(effs, c.readBack(cl)...)
-	}
-	c.waiting = keep
-	return nil, effs
-}
--- a/internal/ctl/keys.go
+++ b/internal/ctl/keys.go
@@ -121,15 +121,10 @@
 	if err != nil {
 		return err
 	}
-	m, _, err := readManifest(path)
+	old, index, err := findKey(path, id)
 	if err != nil {
 		return err
 	}
-	index := manifest.NewIndex(m)
-	old, ok := index.Key(id)
-	if !ok {
-		return exitErrorf(exitNotFound, "no key has the id %q in %s", id, path)
-	}
 	key, err := generateKey(nextID(index, old.Key.ID))
 	if err != nil {
 		return err
@@ -170,14 +165,10 @@
 }
 
 func withdrawKey(cmd *cli.Command, path, id string) error {
-	m, _, err := readManifest(path)
+	ref, _, err := findKey(path, id)
 	if err != nil {
 		return err
 	}
-	ref, ok := manifest.NewIndex(m).Key(id)
-	if !ok {
-		return exitErrorf(exitNotFound, "no key has the id %q in %s", id, path)
-	}
 	err = editKeys(path, ref.Account.Name, func(list []manifest.Key) ([]manifest.Key, error) {
 		return slices.DeleteFunc(list, func(k manifest.Key) bool { return k.ID == id }), nil
 	})
@@ -188,6 +179,20 @@
 	return nil
 }
 
+// findKey returns a key of the manifest at path, with the index of that manifest.
+func findKey(path, id string) (manifest.KeyRef, *manifest.Index, error) {
+	m, _, err := readManifest(path)
+	if err != nil {
+		return manifest.KeyRef{}, nil, err
+	}
+	index := manifest.NewIndex(m)
+	key, ok := index.Key(id)
+	if !ok {
+		return manifest.KeyRef{}, nil, exitErrorf(exitNotFound, "no key has the id %q in %s", id, path)
+	}
+	return key, index, nil
+}
+
 func printKey(cmd *cli.Command, k generatedKey) error {
 	return print(cmd, k, func(w io.Writer) {
 		row(w, "key (shown once):", k.Key)
