fleet: a rejected provision request gives way to another; tests of earlier mends

Cause: a request to the target interface that the platform rejects for good, as for the token of a released target, stayed in the record and blocked all later ones. Change: a rejection closes the request, with a log line. TestRejectedProvisionRequestIsReplaced fails without it. Tests of what was mended before without one: previous roles, the first resend, an order for the present role, a released target's token.

--- a/internal/core/fleet/fleet_test.go
+++ b/internal/core/fleet/fleet_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -136,6 +138,49 @@
 	is.Equal(sim.countRole(msg.RoleDecode), 3)
 }
 
+// The planner learns which role an engine had before its last change.
+func TestPlannerKnowsPreviousRole(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulationWithLease(testManifest("1", fixedRoles(2, 3)))
+	sim.advance(time.Minute)
+	p := sim.holderController().pools[testPool]
+	for _, t := range p.sorted() {
+		e := sim.holderController().plannerEngine(sim.now, p, sim.record(), t)
+		is.Equal(e.Previous, msg.RoleMixed)
+		is.True(e.SinceChange < time.Minute == (e.Role != msg.RoleMixed))
+	}
+	for _, e := range sim.entries {
+		sim.configure(e, testManifest("1", mixedRoles()))
+	}
+	sim.advance(time.Minute)
+	prefilled := 0
+	for _, t := range p.sorted() {
+		if sim.holderController().plannerEngine(sim.now, p, sim.record(), t).Previous == msg.RolePrefill {
+			prefilled++
+		}
+	}
+	is.Equal(prefilled, 2)
+}
+
+// An order without a response is sent again after the shortest delay.
+func TestFirstResendIsNotDelayedTwice(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulationWithLease(testManifest("1", fixedRoles(2, 3)))
+	c := sim.holderController()
+	p := c.pools[testPool]
+	for len(p.authority.deliveries) == 0 {
+		sim.advance(100 * time.Millisecond)
+	}
+	id := slices.Sorted(maps.Keys(p.authority.deliveries))[0]
+	rec, d := *sim.record().order(id), p.authority.deliveries[id]
+	d.sends = 1
+	c.retryOrder(sim.now, p, rec, time.Hour, "no response")
+	is.Equal(d.nextSend-sim.now, minResendDelay)
+	d.sends = 2
+	c.retryOrder(sim.now, p, rec, time.Hour, "no response")
+	is.Equal(d.nextSend-sim.now, 2*minResendDelay)
+}
+
 func TestRecordOfNewerEpochIsNotOverwritten(t *testing.T) {
 	is := is.New(t)
 	sim := newSimulationWithLease(testManifest("1", fixedRoles(2, 3)))
@@ -253,6 +298,20 @@
 	is.Equal(domains, map[msg.FailureDomain]int{"d0": 2, "d1": 2}) // three targets per domain report already
 }
 
+// A request that the platform rejects, because the target of its token was released,
+// gives way to one with another token.
+func TestRejectedProvisionRequestIsReplaced(t *testing.T) {
+	is := is.New(t)
+	m := testManifest("1", mixedRoles())
+	m.Pools[0].Shape[0].Min = 4
+	m.Pools[0].Shape[1].Min = 3
+	sim := newSimulationWithLease(m)
+	sim.rejectsFirstToken = true
+	sim.advance(2 * time.Minute)
+	is.Equal(len(sim.listed), 1)
+	is.True(len(sim.provisioned) > 1)
+}
+
 func TestTargetLeavingThePlatformIsReplacedAndDrained(t *testing.T) {
 	is := is.New(t)
 	m := testManifest("1", mixedRoles())
--- a/internal/core/fleet/provisioning.go
+++ b/internal/core/fleet/provisioning.go
@@ -130,16 +130,25 @@
 			continue
 		}
 		delete(p.provisioning.calls, ev.Call)
-		if p.authority.stage == stageActive && (ev.Status == msg.CallOK || ev.Status == msg.CallNotFound) {
+		if p.authority.stage != stageActive {
+			return nil
+		}
+		switch ev.Status {
+		case msg.CallOK, msg.CallNotFound:
+			p.completeProvisionRequest(token)
+		case msg.CallRejected:
+			// For example, the target of the token was released by an operator. The
+			// request would block all later ones.
 			p.completeProvisionRequest(token)
+			return []msg.Effect{logLine(msg.LogWarn, "Request to the target interface rejected", attr("pool", string(p.name)), attr("token", token))}
 		}
 		return nil
 	}
 	return nil
 }
 
-// completeProvisionRequest closes a provision request that took effect. The
-// list is read again, because only the next read shows the effect.
+// completeProvisionRequest closes a provision request that took effect or never
+// will. The list is read again, because only the next read shows the effect.
 func (p *pool) completeProvisionRequest(token string) {
 	p.authority.updateRecord(func(r *Record) {
 		for _, req := range r.ProvisionRequests {
--- a/internal/core/fleet/simulation_test.go
+++ b/internal/core/fleet/simulation_test.go
@@ -41,6 +41,11 @@
 	violations   []string
 	operatorCall msg.CallID
 
+	// rejectsFirstToken makes the platform reject all requests with the first token,
+	// which it keeps in rejectedToken.
+	rejectsFirstToken bool
+	rejectedToken     string
+
 	provisioned []msg.ProvisionTarget
 	released    []msg.ReleaseTarget
 	listed      []msg.ProvisionedTarget
@@ -173,6 +178,13 @@
 		})
 	case msg.ProvisionTarget:
 		sim.provisioned = append(sim.provisioned, eff)
+		if sim.rejectsFirstToken && sim.rejectedToken == "" {
+			sim.rejectedToken = eff.Token
+		}
+		if eff.Token == sim.rejectedToken {
+			sim.reply(e, msg.TargetProvisionDone{Call: eff.Call, Status: msg.CallRejected})
+			return
+		}
 		sim.provisionTarget(eff)
 		sim.reply(e, msg.TargetProvisionDone{Call: eff.Call})
 	case msg.ReleaseTarget:
--- a/internal/platform/client_test.go
+++ b/internal/platform/client_test.go
@@ -204,6 +204,8 @@
 	is.Equal(do[msg.TargetProvisionDone](t, c, order).Status, msg.CallConflict)
 	is.Equal(len(do[msg.TargetsListed](t, c, msg.ListTargets{Pool: "p"}).Targets), 1)
 	is.Equal(do[msg.TargetProvisionDone](t, c, msg.ReleaseTarget{Target: first.Target, Epoch: 5}).Status, msg.CallOK)
+	order.Epoch = 5
+	is.Equal(do[msg.TargetProvisionDone](t, c, order).Status, msg.CallRejected) // The token's target was released.
 
 	report := msg.ReportUsage{Report: msg.UsageReport{Account: "north", Window: time.Unix(0, 0), Length: time.Minute, Requests: 1}}
 	is.Equal(do[msg.UsageReported](t, c, report).Status, msg.CallOK)
--- a/internal/standin/engine/engine_test.go
+++ b/internal/standin/engine/engine_test.go
@@ -187,6 +187,17 @@
 	}
 }
 
+// An order for the role that the engine has is done at once, and cancels nothing.
+func TestOrderForPresentRoleIsDoneAtOnce(t *testing.T) {
+	is := is.New(t)
+	cfg := fastConfig()
+	cfg.RoleChangeTime = time.Hour
+	s, url := startEngine(t, cfg)
+	is.Equal(postOrder(t, url, `{"id":"o1","epoch":1,"kind":"set-role","role":"mixed"}`), http.StatusOK)
+	is.Equal(len(s.Stats().Orders), 1)
+	is.True(!s.executesOrder())
+}
+
 // executesOrder reports whether the engine is executing an order.
 func (s *Server) executesOrder() bool {
 	s.mu.Lock()
