platformpoll: readers hand on the list of targets

Change: the reply to a question has the list, with the store's revision, if the asker knows another one; up to 400 targets, beyond which it is read. Entries write their heartbeat each 8 s in place of 5; a record counts for 14 s as before.

--- a/internal/core/peerdiscovery/peerdiscovery.go
+++ b/internal/core/peerdiscovery/peerdiscovery.go
@@ -18,7 +18,7 @@
 const (
 	// writeInterval is the time between two writes of the daemon's own record,
 	// and readInterval the time between two reads of all records.
-	writeInterval = 5 * time.Second
+	writeInterval = 8 * time.Second
 	readInterval  = 3 * time.Second
 	// startupReadInterval is the time between two reads during startupPeriod,
 	// the first seconds of a process, in which it has to find its peers.
@@ -28,7 +28,7 @@
 	retryDelay = 300 * time.Millisecond
 	// recordTimeout is how long a daemon is considered live after a new record of
 	// it was read.
-	recordTimeout = 3*writeInterval - time.Second
+	recordTimeout = 14 * time.Second
 	// messageTimeout is how long a daemon is considered live after a message
 	// from it, if no new record of it was read since.
 	messageTimeout = 4 * time.Second
--- a/internal/core/platformpoll/platformpoll.go
+++ b/internal/core/platformpoll/platformpoll.go
@@ -81,7 +81,9 @@
 	revision   msg.Revision
 	// lastListSent is when the last read of the list left that showed what listHash
 	// stands for, whether this daemon's or a reader's.
-	lastListSent  msg.Time
+	lastListSent msg.Time
+	// list is the last list as the platform had it.
+	list          []msg.Instance
 	listHash      uint64
 	instancesByID map[msg.TargetID]msg.Instance
 	targetIDs     []msg.TargetID
@@ -110,7 +112,7 @@
 	switch ev := ev.(type) {
 	case msg.Started, msg.Tick:
 		interval := min(c.cfg.RoutesInterval, c.cfg.InstancesInterval)
-		return append(c.readers.ask(now, interval), c.startDueReads(now)...)
+		return append(c.readers.ask(now, interval, c.listHash), c.startDueReads(now)...)
 	case msg.MembersChanged:
 		c.readers.onMembersChanged(ev)
 	case msg.PeerReceived:
--- a/internal/core/platformpoll/readers.go
+++ b/internal/core/platformpoll/readers.go
@@ -12,9 +12,9 @@
 )
 
 // A few daemons, the readers, poll the platform. The others ask two of them what they
-// know, and read the platform themselves only when something has changed or when no
-// reader confirms in time that nothing has. The number of reads therefore does not
-// grow with the number of daemons.
+// know. They read the platform themselves only when the configuration has changed, or
+// when no reader replies in time. The number of reads therefore does not grow with the
+// number of daemons.
 //
 // A reply states how long ago the read was sent on which the reader's knowledge rests.
 // The asker counts that age back from the moment at which its own question left, not
@@ -36,6 +36,9 @@
 	// ownReadRatio is the time after the last confirmation at which a daemon reads
 	// the platform itself, as a multiple of the poll interval.
 	ownReadRatio = 1.4
+	// maxListInReply is the largest number of targets in a reply. A longer list does
+	// not fit into a datagram and is read from the platform.
+	maxListInReply = 400
 	// questionTimeout is how long a reply to a question is accepted.
 	questionTimeout = 5 * time.Second
 )
@@ -98,7 +101,7 @@
 }
 
 // ask sends a question to the readers if one is due.
-func (r *readers) ask(now msg.Time, interval time.Duration) []msg.Effect {
+func (r *readers) ask(now msg.Time, interval time.Duration, listHash uint64) []msg.Effect {
 	if len(r.asked) == 0 || now < r.nextAsk {
 		return nil
 	}
@@ -112,7 +115,7 @@
 	}
 	effs := make([]msg.Effect, 0, len(r.asked))
 	for _, h := range r.asked {
-		effs = append(effs, msg.SendPeer{To: h, Message: msg.CatalogQuery{Seq: r.lastSeq}})
+		effs = append(effs, msg.SendPeer{To: h, Message: msg.CatalogQuery{Seq: r.lastSeq, InstancesHash: listHash}})
 	}
 	return effs
 }
@@ -132,37 +135,52 @@
 	if c.table == nil || c.lastListSent == 0 {
 		return nil
 	}
-	return []msg.Effect{msg.SendPeer{To: to, Message: msg.CatalogReply{
+	reply := msg.CatalogReply{
 		Seq: q.Seq, ConfigVersion: c.table.Version, ConfigAge: now - c.confirmedAt,
 		InstancesHash: c.listHash, InstancesAge: now - c.lastListSent,
-	}}}
+	}
+	if q.InstancesHash != c.listHash && len(c.list) <= maxListInReply {
+		reply.Instances = c.list
+		reply.Revision = c.revision
+	}
+	return []msg.Effect{msg.SendPeer{To: to, Message: reply}}
 }
 
-// onReply applies what a reader knows. If it knows something else than this daemon,
-// this daemon reads the platform at once, unless its own read is newer.
+// onReply applies what a reader knows. If the reader knows a newer configuration, or
+// another list that is not in the reply, this daemon reads the platform at once.
 func (c *Component) onReply(now msg.Time, m msg.CatalogReply) []msg.Effect {
 	askedAt, ok := c.readers.sentAt[m.Seq]
 	if !ok || c.table == nil {
 		return nil
 	}
-	// The reader's read of the list left between these two instants.
-	earliest, latest := askedAt-m.InstancesAge, now-m.InstancesAge
-	switch {
-	case m.InstancesHash == c.listHash:
-		c.lastListSent = max(c.lastListSent, earliest)
-		c.targetPoll.postpone(earliest + ownReadDelay(c.cfg.InstancesInterval))
-	case latest > c.lastListSent:
-		c.targetPoll.next = min(c.targetPoll.next, now)
-	}
+	effs := c.onListReply(now, askedAt, m)
 	if m.ConfigVersion > c.table.Version {
 		c.routePoll.next = min(c.routePoll.next, now)
 	}
 	if m.ConfigVersion != c.table.Version {
-		return nil
+		return effs
 	}
 	at := askedAt - m.ConfigAge
 	c.routePoll.postpone(at + ownReadDelay(c.cfg.RoutesInterval))
-	return c.confirm(at)
+	return append(effs, c.confirm(at)...)
+}
+
+// onListReply applies what a reader knows of the targets.
+func (c *Component) onListReply(now, askedAt msg.Time, m msg.CatalogReply) []msg.Effect {
+	// The reader's read of the list left between these two instants.
+	earliest, latest := askedAt-m.InstancesAge, now-m.InstancesAge
+	until := earliest + ownReadDelay(c.cfg.InstancesInterval)
+	switch {
+	case m.InstancesHash == c.listHash:
+		c.lastListSent = max(c.lastListSent, earliest)
+		c.targetPoll.postpone(until)
+	case m.Revision > c.revision:
+		c.targetPoll.postpone(until)
+		return c.applyList(now, earliest, m.Revision, m.Instances, c.targetPoll.failing)
+	case m.Revision == 0 && latest > c.lastListSent:
+		c.targetPoll.next = min(c.targetPoll.next, now)
+	}
+	return nil
 }
 
 // confirm records that the configuration in force was the newest at the given time.
--- a/internal/core/platformpoll/readers_test.go
+++ b/internal/core/platformpoll/readers_test.go
@@ -37,16 +37,18 @@
 	queue       []delivery
 	table       *msg.RouteTable
 	list        []msg.Instance
-	reads       int
-	version     map[msg.HostID]uint64
-	targets     map[msg.HostID]int
-	confirmed   map[msg.HostID]msg.Time
+	revision    msg.Revision
+	// reads counts all reads, and listReads those of the list of targets.
+	reads, listReads int
+	version          map[msg.HostID]uint64
+	targets          map[msg.HostID]int
+	confirmed        map[msg.HostID]msg.Time
 }
 
 func newFleet(t *testing.T, n int) *fleet {
 	f := &fleet{
 		is: is.New(t), now: time.Minute, components: make(map[msg.HostID]*Component), silent: make(map[msg.HostID]bool), cut: make(map[msg.HostID]bool),
-		delay: 2 * time.Millisecond, table: &msg.RouteTable{Version: 5}, list: twoTargets,
+		delay: 2 * time.Millisecond, table: &msg.RouteTable{Version: 5}, list: twoTargets, revision: 1,
 		version: make(map[msg.HostID]uint64), targets: make(map[msg.HostID]int), confirmed: make(map[msg.HostID]msg.Time),
 	}
 	for i := range n {
@@ -82,7 +84,8 @@
 			f.post(host, 4*time.Millisecond, read)
 		case msg.ReadInstances:
 			f.reads++
-			read := msg.InstancesRead{Call: eff.Call, Status: msg.CallOK, Sent: f.now, Revision: 1, Instances: f.list}
+			f.listReads++
+			read := msg.InstancesRead{Call: eff.Call, Status: msg.CallOK, Sent: f.now, Revision: f.revision, Instances: f.list}
 			if f.cut[host] {
 				read = msg.InstancesRead{Call: eff.Call, Status: msg.CallUnavailable, Sent: f.now}
 			}
@@ -159,8 +162,11 @@
 		readsPerSecond[n] = float64(f.reads) / 10
 		f.table = &msg.RouteTable{Version: 6}
 		f.list = twoTargets[:1]
+		f.revision++
+		f.listReads = 0
 		f.advance(testBound - 100*time.Millisecond)
 		f.is.True(f.inForce())
+		f.is.True(f.listReads <= 3*maxReaders) // The others have the list from the readers.
 	}
 	is := is.New(t)
 	is.True(readsPerSecond[390] <= 1.5*readsPerSecond[30])
@@ -238,6 +244,16 @@
 	f.step(host, msg.PeerReceived{Message: msg.CatalogReply{Seq: seq, ConfigVersion: 5, ConfigAge: age, InstancesHash: c.listHash, InstancesAge: age}})
 	f.is.True(before < askedAt-age)
 	f.is.Equal(f.confirmed[host], askedAt-age)
+
+	// What this daemon tells others is as old.
+	f.queue = nil
+	f.step(host, msg.PeerReceived{From: "other", Message: msg.CatalogQuery{Seq: 1, InstancesHash: c.listHash}})
+	told, ok := f.queue[0].ev.(msg.PeerReceived)
+	f.is.True(ok)
+	reply, ok := told.Message.(msg.CatalogReply)
+	f.is.True(ok)
+	f.is.Equal(reply.InstancesAge, f.now-(askedAt-age))
+	f.is.Equal(reply.ConfigAge, f.now-(askedAt-age))
 }
 
 // A reply without a question, or for a question of long ago, has no effect.
@@ -250,6 +266,18 @@
 	f.is.Equal(f.confirmed[host], before)
 }
 
+// A list that does not fit into a reply is read from the platform.
+func TestLongListIsRead(t *testing.T) {
+	f := newFleet(t, 30)
+	f.list = nil
+	for i := range maxListInReply + 1 {
+		f.list = append(f.list, msg.Instance{Target: msg.TargetID(fmt.Sprint(i)), Addr: fmt.Sprint(i)})
+	}
+	f.revision++
+	f.advance(testBound)
+	f.is.True(f.inForce())
+}
+
 // No daemon returns to an older configuration, whatever a reader that was restarted or
 // paused still knows.
 func TestOlderReaderChangesNothing(t *testing.T) {
@@ -257,12 +285,15 @@
 	readers := f.readers()
 	f.silent[readers[0].Host] = true // This reader is suspended with version 5.
 	f.table = &msg.RouteTable{Version: 6}
+	f.list = twoTargets[:1]
+	f.revision++
 	f.advance(testBound)
 	f.silent[readers[0].Host] = false
 	host := f.follower()
 	for range 50 {
 		f.advance(20 * time.Millisecond)
 		f.is.Equal(f.version[host], uint64(6))
+		f.is.Equal(f.targets[host], 1)
 		f.is.True(f.now-f.confirmed[host] < testBound)
 	}
 	f.is.True(f.inForce())
