Calls during an outage become rarer

Change: the delays double up to 2.4 s and 1.6 s; a leaving entry keeps 300 ms. TestCallsBecomeRareDuringOutage counts the calls of 24 s.

--- a/internal/core/directusage/meter.go
+++ b/internal/core/directusage/meter.go
@@ -35,8 +35,12 @@
 	// collectDelay is the time after a window's end at which the holder of the
 	// usage lease first reads the daemons' counts.
 	collectDelay = 600 * time.Millisecond
-	// retryInterval is the time between a failed call and the next.
-	retryInterval = 400 * time.Millisecond
+	// retryInterval is the time between a failed call and the next. For writes of
+	// the daemon's own object, it doubles with each failure up to maxRetryInterval:
+	// during an outage each call is paid for, and the counts are told to other
+	// daemons as well.
+	retryInterval    = 400 * time.Millisecond
+	maxRetryInterval = 1600 * time.Millisecond
 )
 
 const (
@@ -100,6 +104,8 @@
 	// is not made before flushAt.
 	dirty   bool
 	flushAt msg.Time
+	// flushBackoff is the delay after the last failed write; zero after a success.
+	flushBackoff time.Duration
 	// completeThrough is the last window for which this daemon's counts are
 	// complete, and writtenThrough its value at the last write.
 	completeThrough int64
@@ -247,9 +253,11 @@
 		m.onRecordRead(now, r)
 	case r.Status == msg.CallOK && !r.Superseded:
 		m.recordVersion = r.Object.Version
+		m.flushBackoff = 0
 	case r.Status == msg.CallUnavailable || r.Status == msg.CallRejected:
 		m.dirty = true
-		m.flushAt = now + retryInterval
+		m.flushBackoff = min(max(2*m.flushBackoff, retryInterval), maxRetryInterval)
+		m.flushAt = now + m.flushBackoff
 	default:
 		// Another process wrote the object, or the outcome of the write is
 		// unknown. The object is read again for its version.
--- a/internal/core/peerdiscovery/peerdiscovery.go
+++ b/internal/core/peerdiscovery/peerdiscovery.go
@@ -24,8 +24,11 @@
 	// the first seconds of a process, in which it has to find its peers.
 	startupReadInterval = time.Second
 	startupPeriod       = 6 * time.Second
-	// retryDelay is the time between a failed call and the next.
-	retryDelay = 300 * time.Millisecond
+	// minRetryDelay is the time between a failed call and the next. It doubles with
+	// each further failure up to maxRetryDelay: during a long outage, each call is
+	// paid for and none succeeds.
+	minRetryDelay = 300 * time.Millisecond
+	maxRetryDelay = 2400 * time.Millisecond
 	// recordTimeout is how long a daemon is considered live after a new record of
 	// it was read.
 	recordTimeout = 14 * time.Second
@@ -61,6 +64,15 @@
 	return !p.leaving && now-p.lastSeen <= timeout
 }
 
+// backoff is a delay that doubles with each failure. It is zero after a success.
+type backoff time.Duration
+
+// next returns the delay after a failure.
+func (b *backoff) next() time.Duration {
+	*b = min(max(2**b, backoff(minRetryDelay)), backoff(maxRetryDelay))
+	return time.Duration(*b)
+}
+
 // Component discovers the other entry daemons.
 type Component struct {
 	self        msg.Self
@@ -74,7 +86,9 @@
 	nextWrite msg.Time
 	reading   bool
 	nextRead  msg.Time
-	leaving   bool
+	// writeBackoff and readBackoff are the delays after the last failures.
+	writeBackoff, readBackoff backoff
+	leaving                   bool
 	// writingDeparture reports that the record in flight says that this daemon is
 	// leaving. departureWritten is set once the record at the platform says so.
 	writingDeparture, departureWritten bool
@@ -165,6 +179,7 @@
 	c.writing = false
 	switch r.Status {
 	case msg.CallOK:
+		c.writeBackoff = 0
 		c.version = r.Object.Version
 		c.departureWritten = c.writingDeparture
 		c.nextWrite = now + writeInterval
@@ -179,15 +194,19 @@
 		c.writing = true
 		return []msg.Effect{c.store.Get(tagReadOwn, msg.KindEntry, string(c.self.Host))}
 	}
-	c.nextWrite = now + retryDelay
+	if c.leaving {
+		c.writeBackoff = 0 // The grace period leaves no time for long delays.
+	}
+	c.nextWrite = now + c.writeBackoff.next()
 	return nil
 }
 
 func (c *Component) onList(now msg.Time, r store.Result) {
 	if r.Status != msg.CallOK {
-		c.nextRead = now + retryDelay
+		c.nextRead = now + c.readBackoff.next()
 		return
 	}
+	c.readBackoff = 0
 	c.nextRead = now + readInterval
 	if now < startupPeriod {
 		c.nextRead = now + startupReadInterval
--- a/internal/core/peerdiscovery/peerdiscovery_test.go
+++ b/internal/core/peerdiscovery/peerdiscovery_test.go
@@ -19,6 +19,7 @@
 	components map[msg.HostID]*Component
 	members    map[msg.HostID][]msg.HostID
 	down       bool
+	calls      int
 	// holdPuts keeps writes from being executed. They are kept in held.
 	holdPuts bool
 	held     map[msg.HostID][]msg.Effect
@@ -52,6 +53,9 @@
 			continue
 		}
 		result, ok := coretest.Failed(eff, msg.CallUnavailable)
+		if ok {
+			c.calls++
+		}
 		if !c.down {
 			result, ok = c.objects.Do(eff)
 		}
@@ -151,3 +155,18 @@
 	c.advance(readInterval)
 	c.is.Equal(c.members["a"], []msg.HostID{"a"})
 }
+
+// During a long outage calls become rare, and after it the daemons find each other
+// again.
+func TestCallsBecomeRareDuringOutage(t *testing.T) {
+	c := newCluster(t, "a", "b")
+	c.advance(2 * time.Second)
+	c.down = true
+	c.advance(10 * time.Second)
+	c.calls = 0
+	c.advance(24 * time.Second)
+	c.is.True(c.calls <= 2*2*(24_000/2400+1)) // Two daemons, reads and writes, at maxRetryDelay.
+	c.down = false
+	c.advance(maxRetryDelay + readInterval + time.Second)
+	c.is.Equal(c.members["a"], []msg.HostID{"a", "b"})
+}
