--- a/internal/wire/fill_test.go
+++ b/internal/wire/fill_test.go
@@ -1,7 +1,10 @@
 package wire_test
 
 import (
+	"cmp"
+	"fmt"
 	"reflect"
+	"strings"
 	"testing"
 	"time"
 
@@ -34,6 +37,13 @@
 	}
 }
 
+// keyOf returns the key of a field in an encoded message. Two fields of a message must
+// not share one: the encoder then drops both.
+func keyOf(f reflect.StructField) string {
+	key, _, _ := strings.Cut(f.Tag.Get("cbor"), ",")
+	return cmp.Or(key, f.Name)
+}
+
 // fill sets every encoded field to a value other than the zero value, with one
 // element in each slice and map. Interfaces and recursive types stay zero.
 func fill(v reflect.Value) { fillNested(v, make(map[reflect.Type]bool)) }
@@ -84,10 +94,17 @@
 	}
 	outer[v.Type()] = true
 	defer delete(outer, v.Type())
+	fieldOfKey := make(map[string]string)
 	for i := range v.NumField() {
-		if encoded(v.Type().Field(i)) {
-			fillNested(v.Field(i), outer)
+		f := v.Type().Field(i)
+		if !encoded(f) {
+			continue
+		}
+		if other := fieldOfKey[keyOf(f)]; other != "" {
+			panic(fmt.Sprintf("%v: fields %s and %s share the key %s", v.Type(), other, f.Name, keyOf(f)))
 		}
+		fieldOfKey[keyOf(f)] = f.Name
+		fillNested(v.Field(i), outer)
 	}
 }
 
