Tests take no port that another process may take; learnt times follow the configuration

What was learnt of routes and services that a new configuration lacks is forgotten (TestRemovedRoutesAreForgotten), so that it does not grow with each change.

--- a/internal/core/directrequest/cost.go
+++ b/internal/core/directrequest/cost.go
@@ -1,6 +1,7 @@
 package directrequest
 
 import (
+	"maps"
 	"time"
 
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
@@ -31,6 +32,20 @@
 	role    msg.Role
 }
 
+// forgetRemoved discards what was learnt of routes and services that the configuration
+// no longer has.
+func (s *stepContext) forgetRemoved() {
+	routes := make(map[msg.RouteID]bool)
+	for _, list := range s.table.routes {
+		for _, r := range list {
+			routes[r.Name] = true
+		}
+	}
+	maps.DeleteFunc(s.typicalPrefill, func(id msg.RouteID, _ time.Duration) bool { return !routes[id] })
+	maps.DeleteFunc(s.streamDurations, func(id msg.ServiceID, _ time.Duration) bool { return s.table.services[id] == nil })
+	maps.DeleteFunc(s.prefillTimes, func(k engineKind, _ *prefilltime.Estimator) bool { return s.table.services[k.service] == nil })
+}
+
 // prefillEstimator returns the estimator of the prefill times of engines like t.
 func (s *stepContext) prefillEstimator(t *target) *prefilltime.Estimator {
 	kind := engineKind{t.Service, t.Role}
--- a/internal/core/directrequest/manager.go
+++ b/internal/core/directrequest/manager.go
@@ -156,6 +156,7 @@
 		s.limits = ev.Limits
 	case msg.RoutesChanged:
 		s.table = newRouteTable(ev.Table)
+		s.forgetRemoved()
 		s.emit(msg.SetCallerLimits{Limits: ev.Table.Limits})
 		s.updateReady()
 	case msg.RoutesConfirmed:
--- a/internal/core/directrequest/queue_test.go
+++ b/internal/core/directrequest/queue_test.go
@@ -137,3 +137,18 @@
 	is.True(shareOthers > 0.2 && shareOthers < 0.9) // There is overload.
 	is.True(shareLong > shareOthers/2)
 }
+
+// What was learnt of a route or service that the configuration no longer has is
+// forgotten, so that it does not grow with each change.
+func TestRemovedRoutesAreForgotten(t *testing.T) {
+	h := newReadyHarness(t)
+	h.arrive("/chat/x", prompt(1, 300, 50))
+	h.is.Equal(len(h.m.typicalPrefill), 1)
+	h.is.True(len(h.m.prefillTimes) > 0)
+	table := testTable()
+	table.Version = 2
+	table.Routes = table.Routes[2:]
+	table.Services = table.Services[1:]
+	h.configure(table)
+	h.is.Equal(len(h.m.typicalPrefill)+len(h.m.prefillTimes), 0)
+}
--- a/internal/daemon/callers_test.go
+++ b/internal/daemon/callers_test.go
@@ -20,6 +20,7 @@
 	"github.com/matryer/is"
 
 	"github.com/verbenaspur/verbenaspur/internal/identity"
+	"github.com/verbenaspur/verbenaspur/internal/loopback"
 	"github.com/verbenaspur/verbenaspur/internal/settings"
 	"github.com/verbenaspur/verbenaspur/internal/standin/engine"
 	standin "github.com/verbenaspur/verbenaspur/internal/standin/platform"
@@ -29,9 +30,13 @@
 const (
 	testKey           = "vsp_depot-1_demo-secret-of-the-depot"
 	testOperatorToken = "operator"
-	testEntryIP       = "127.0.91.1"
-	testEngineIP      = "127.0.91.2"
-	testServiceIP     = "127.0.91.3"
+)
+
+// Addresses of the hosts of a deployment.
+var (
+	testEntryIP   = loopback.IP(0)
+	testEngineIP  = loopback.IP(1)
+	testServiceIP = loopback.IP(2)
 )
 
 // deployment is an entry daemon, and an engine and a service with a side daemon
@@ -52,7 +57,7 @@
 
 func newDeployment(t *testing.T) *deployment {
 	t.Helper()
-	d := &deployment{t: t, dir: t.TempDir(), port: freePort(t), entryErr: make(chan error, 1)}
+	d := &deployment{t: t, dir: t.TempDir(), port: newTestPort(), entryErr: make(chan error, 1)}
 	var err error
 	if d.authority, err = identity.OpenAuthority(d.dir); err != nil {
 		t.Fatal(err)
--- a/internal/daemon/link_harness_test.go
+++ b/internal/daemon/link_harness_test.go
@@ -8,8 +8,10 @@
 	"log/slog"
 	"net"
 	"net/netip"
+	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -17,6 +19,7 @@
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
 	"github.com/verbenaspur/verbenaspur/internal/identity"
 	"github.com/verbenaspur/verbenaspur/internal/link"
+	"github.com/verbenaspur/verbenaspur/internal/loopback"
 	"github.com/verbenaspur/verbenaspur/internal/platform"
 )
 
@@ -106,10 +109,21 @@
 	dir       string
 }
 
-const (
-	testSideIP        = "127.0.90.1"
-	testMiddleboxIP   = "127.0.90.2"
-	testEntryLinkAddr = "127.0.90.3"
+// lastTestPort is the port that was last used on the addresses below.
+var lastTestPort atomic.Int32
+
+// newTestPort returns a port that no other test of this process uses. It lies below the
+// ephemeral ports.
+func newTestPort() string {
+	const first = 7790
+	return strconv.Itoa(first + int(lastTestPort.Add(1)))
+}
+
+// Addresses of the hosts in tests.
+var (
+	testSideIP        = loopback.IP(0)
+	testMiddleboxIP   = loopback.IP(1)
+	testEntryLinkAddr = loopback.IP(2)
 )
 
 func newLinkHarness(t *testing.T, target *scriptedTarget) *linkHarness {
@@ -119,7 +133,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	port := freePort(t)
+	port := newTestPort()
 	ctx, stop := context.WithCancel(context.Background())
 	self := msg.Self{Host: "s1", Domain: "fd", Kind: msg.HostTarget, Target: &msg.TargetIdentity{Target: "t1", Pool: "p"}}
 	harness.side = &side{
@@ -171,20 +185,6 @@
 	return n
 }
 
-func freePort(t *testing.T) string {
-	t.Helper()
-	c, err := net.ListenPacket("udp", testSideIP+":0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = c.Close() }()
-	_, port, err := net.SplitHostPort(c.LocalAddr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	return port
-}
-
 // start starts an attempt and returns its exchange.
 func (h *linkHarness) start(ctx context.Context, id msg.AttemptID) *exchange {
 	x := newExchange(ctx, msg.RequestID("r-"+id), true, link.Payload{Method: "POST", Path: "/x"})
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -16,6 +16,7 @@
 	"testing"
 	"time"
 
+	"github.com/verbenaspur/verbenaspur/internal/loopback"
 	"github.com/verbenaspur/verbenaspur/platform/platformtest"
 )
 
@@ -89,14 +90,6 @@
 	peerPort    = 7780
 )
 
-// entryIP returns the loopback address of an entry daemon. Each test process has its
-// own addresses, so that test processes that run at once don't take each other's
-// ports.
-func entryIP(i int) string {
-	pid := os.Getpid()
-	return fmt.Sprintf("127.%d.%d.%d", 64*(i+1)+pid>>16&0x3f, pid>>8&0xff, pid&0xff)
-}
-
 const settingsText = `node: entry-%d
 ip: %s
 zone: d%d
@@ -154,7 +147,7 @@
 func (d *deployment) addEntry(bin string, i int) {
 	p := newProxy(d.t, d.store.Addr)
 	d.storeProxies = append(d.storeProxies, p)
-	ip := entryIP(i)
+	ip := loopback.IP(i)
 	e := &entry{bin: bin, callerAddr: fmt.Sprint(ip, ":", callersPort), readyAddr: fmt.Sprint(ip, ":", readyPort)}
 	dir := d.t.TempDir()
 	e.settings = filepath.Join(dir, "node.yaml")
