--- a/internal/core/directrequest/place.go
+++ b/internal/core/directrequest/place.go
@@ -29,10 +29,10 @@
 	// prefilltime.
 	work time.Duration
 	// All four are estimates: prefill is the duration of the prefill at the
-	// target, wait is the time until it begins, end is the time to the target's
+	// target, wait is the time until it begins, response is the time to the target's
 	// first token, handle or response, and expected is the time to the first token
 	// that the caller receives.
-	prefill, wait, end, expected time.Duration
+	prefill, wait, response, expected time.Duration
 	// cost ranks the candidates. It is the expected time, increased for
 	// failures of the target and for the delay that the work causes to other
 	// requests.
@@ -113,7 +113,7 @@
 	slots := max(t.Slots, 1)
 	latency := max(t.latency, time.Millisecond)
 	wait := time.Duration(float64(latency) * float64(open) / float64(slots))
-	c := candidate{target: t, step: msg.StepWhole, wait: wait, end: wait + latency, expected: wait + latency}
+	c := candidate{target: t, step: msg.StepWhole, wait: wait, response: wait + latency, expected: wait + latency}
 	c.cost = penalize(c.expected, t)
 	return c
 }
@@ -127,7 +127,7 @@
 	far := r.source.Domain != t.Domain
 	c := candidate{target: t, step: msg.StepDecode, wait: s.queueTime(t)}
 	c.expected = c.wait/4 + s.capacityDelay(r, t) + transferTime(s.engineSpec(t), r.arrival.PromptTokens, far)
-	c.end = c.expected
+	c.response = c.expected
 	c.cost = c.expected + s.riskCost(r, t)
 	return c, true
 }
@@ -195,8 +195,8 @@
 	estimator := s.prefillEstimator(t)
 	c.work = prefilltime.Work(t.Role, r.arrival.PromptTokens, cached)
 	c.prefill = time.Duration(t.slowdown * float64(estimator.Prefill(c.work)))
-	c.end = sendTime + estimator.Base() + c.wait + fetch + c.prefill
-	c.expected = c.end
+	c.response = sendTime + estimator.Base() + c.wait + fetch + c.prefill
+	c.expected = c.response
 	if t.Role == msg.RolePrefill {
 		if r.route.Retry != msg.RetryStream || r.lastEvent > 0 {
 			return candidate{}, false
@@ -207,7 +207,7 @@
 	c.cost = penalize(c.expected, t)
 	if t.Role == msg.RoleDecode {
 		c.expected += s.capacityDelay(r, t)
-		c.end = c.expected
+		c.response = c.expected
 		harm := time.Duration(s.policy.DecodeInterference * float64(s.openStreams(t)) * float64(c.prefill))
 		c.cost = c.expected + s.riskCost(r, t) + c.prefill + harm
 	}
--- a/internal/core/directrequest/start.go
+++ b/internal/core/directrequest/start.go
@@ -22,7 +22,7 @@
 func (s *stepContext) startAttempt(r *request, c candidate, list []candidate) {
 	a := &attempt{
 		id: s.newAttemptID(), req: r, target: c.target, step: c.step, priority: r.priority(), sentAt: s.now,
-		dropAt: r.deadline + attemptGrace, work: c.work, prefill: c.prefill, expected: c.end, unqueued: s.findsIdle(c),
+		dropAt: r.deadline + attemptGrace, work: c.work, prefill: c.prefill, expected: c.response, unqueued: s.findsIdle(c),
 		tokens: r.arrival.PromptTokens, segments: r.segments, fingerprint: r.fingerprint,
 	}
 	r.attempt = a
