platformpoll: the list of targets is read by each entry again

Read from the code: a failure that no own read clears makes the distance of two reads of a reader pass for an outage, so that missing targets are kept (decisions/platform-reads.md). Change: replies carry the version of the configuration only.

--- a/internal/core/msg/direct_peer.go
+++ b/internal/core/msg/direct_peer.go
@@ -77,24 +77,15 @@
 type CatalogQuery struct {
 	// Seq is the number of the question.
 	Seq uint64 `cbor:"1,keyasint"`
-	// InstancesHash is a hash of the list of targets that the asker knows.
-	InstancesHash uint64 `cbor:"2,keyasint"`
 }
 
-// CatalogReply states which configuration and list of targets a daemon knows, and how
-// long before the reply the reads of them left that show this.
+// CatalogReply states which configuration a daemon knows, and how long before the reply
+// the read left that shows it to be the newest.
 type CatalogReply struct {
 	// Seq is the number of the question.
 	Seq           uint64        `cbor:"1,keyasint"`
 	ConfigVersion uint64        `cbor:"2,keyasint"`
 	ConfigAge     time.Duration `cbor:"3,keyasint"`
-	// InstancesHash is a hash of the list of targets.
-	InstancesHash uint64        `cbor:"4,keyasint"`
-	InstancesAge  time.Duration `cbor:"5,keyasint"`
-	// Instances is the list, as the store had it at Revision. It is set if the asker
-	// knows another one.
-	Instances []Instance `cbor:"6,keyasint,omitempty"`
-	Revision  Revision   `cbor:"7,keyasint,omitempty"`
 }
 
 func (LoadDigest) peerMessage()   {}
--- a/internal/core/platformpoll/instances.go
+++ b/internal/core/platformpoll/instances.go
@@ -17,25 +17,17 @@
 	if !ok {
 		return effs
 	}
-	c.targetPoll.next = max(ev.Sent+c.interval(c.cfg.InstancesInterval), now)
+	c.targetPoll.next = max(ev.Sent+c.cfg.InstancesInterval, now)
 	if ev.Revision < c.revision {
 		return append(effs, msg.LogLine{Component: componentName, Level: msg.LogError, Text: "list of targets from platform is older than the last one"})
 	}
-	effs = append(effs, c.logInvalidEntries(ev)...)
-	return append(effs, c.applyList(now, ev.Sent, ev.Revision, ev.Instances, wasFailing)...)
-}
-
-// applyList applies a list of targets. The read of it left at the given time; afterFailure
-// reports that reads of this daemon failed before.
-func (c *Component) applyList(now, sent msg.Time, rev msg.Revision, list []msg.Instance, afterFailure bool) []msg.Effect {
-	if afterFailure && c.lastListSent != 0 && sent-c.lastListSent > c.cfg.OutageThreshold {
+	if wasFailing && c.lastListSent != 0 && ev.Sent-c.lastListSent > c.cfg.OutageThreshold {
 		c.graceUntil = now + c.cfg.ReregisterTimeout
 	}
-	c.revision = rev
-	c.lastListSent = sent
-	c.list = list
-	c.listHash = hashInstances(list)
-	effs := c.merge(now, list)
+	c.revision = ev.Revision
+	c.lastListSent = ev.Sent
+	effs = append(effs, c.logInvalidEntries(ev)...)
+	effs = append(effs, c.merge(now, ev.Instances)...)
 	return append(effs, msg.Raise{Event: msg.InstancesChanged{Instances: c.instances()}})
 }
 
--- a/internal/core/platformpoll/platformpoll.go
+++ b/internal/core/platformpoll/platformpoll.go
@@ -77,14 +77,9 @@
 	// confirmedAt is the latest instant at which table was known to be the newest.
 	confirmedAt msg.Time
 
-	targetPoll poll
-	revision   msg.Revision
-	// lastListSent is when the last read of the list left that showed what listHash
-	// stands for, whether this daemon's or a reader's.
-	lastListSent msg.Time
-	// list is the last list as the platform had it.
-	list          []msg.Instance
-	listHash      uint64
+	targetPoll    poll
+	revision      msg.Revision
+	lastListSent  msg.Time
 	instancesByID map[msg.TargetID]msg.Instance
 	targetIDs     []msg.TargetID
 	// expired holds the targets that were missing from the list after an outage,
@@ -111,8 +106,7 @@
 func (c *Component) Step(now msg.Time, ev msg.Event) []msg.Effect {
 	switch ev := ev.(type) {
 	case msg.Started, msg.Tick:
-		interval := min(c.cfg.RoutesInterval, c.cfg.InstancesInterval)
-		return append(c.readers.ask(now, interval, c.listHash), c.startDueReads(now)...)
+		return append(c.readers.ask(now, c.cfg.RoutesInterval), c.startDueReads(now)...)
 	case msg.MembersChanged:
 		c.readers.onMembersChanged(ev)
 	case msg.PeerReceived:
@@ -182,7 +176,7 @@
 	if !ok {
 		return effs
 	}
-	c.routePoll.next = max(ev.Sent+c.interval(c.cfg.RoutesInterval), now)
+	c.routePoll.next = max(ev.Sent+c.routesInterval(), now)
 	if c.table != nil && ev.Table.Version < c.table.Version {
 		return append(effs, msg.LogLine{
 			Component: componentName, Level: msg.LogError, Text: "configuration from platform is older than the one in force",
--- a/internal/core/platformpoll/readers.go
+++ b/internal/core/platformpoll/readers.go
@@ -1,20 +1,17 @@
 package platformpoll
 
 import (
-	"encoding/binary"
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
 	"github.com/verbenaspur/verbenaspur/internal/core/rendezvous"
 )
 
-// A few daemons, the readers, poll the platform. The others ask two of them what they
-// know. They read the platform themselves only when the configuration has changed, or
-// when no reader replies in time. The number of reads therefore does not grow with the
-// number of daemons.
+// A few daemons, the readers, poll the configuration. The others ask two of them which
+// version they know. They read the configuration themselves only when it has changed, or
+// when no reader replies in time. The number of these reads therefore does not grow with
+// the number of daemons. Each daemon polls the list of targets itself.
 //
 // A reply states how long ago the read was sent on which the reader's knowledge rests.
 // The asker counts that age back from the moment at which its own question left, not
@@ -31,14 +28,11 @@
 	// gives the time between two questions, as fractions of the poll interval.
 	// Together they are at most 1, so that others learn of a change as soon as if
 	// they polled themselves.
-	readerIntervalRatio = 0.8
+	readerIntervalRatio = 0.6
 	askIntervalRatio    = 0.2
 	// ownReadRatio is the time after the last confirmation at which a daemon reads
 	// the platform itself, as a multiple of the poll interval.
-	ownReadRatio = 1.4
-	// maxListInReply is the largest number of targets in a reply. A longer list does
-	// not fit into a datagram and is read from the platform.
-	maxListInReply = 400
+	ownReadRatio = 1.0
 	// questionTimeout is how long a reply to a question is accepted.
 	questionTimeout = 5 * time.Second
 )
@@ -101,7 +95,7 @@
 }
 
 // ask sends a question to the readers if one is due.
-func (r *readers) ask(now msg.Time, interval time.Duration, listHash uint64) []msg.Effect {
+func (r *readers) ask(now msg.Time, interval time.Duration) []msg.Effect {
 	if len(r.asked) == 0 || now < r.nextAsk {
 		return nil
 	}
@@ -115,7 +109,7 @@
 	}
 	effs := make([]msg.Effect, 0, len(r.asked))
 	for _, h := range r.asked {
-		effs = append(effs, msg.SendPeer{To: h, Message: msg.CatalogQuery{Seq: r.lastSeq, InstancesHash: listHash}})
+		effs = append(effs, msg.SendPeer{To: h, Message: msg.CatalogQuery{Seq: r.lastSeq}})
 	}
 	return effs
 }
@@ -132,55 +126,30 @@
 }
 
 func (c *Component) answer(now msg.Time, to msg.HostID, q msg.CatalogQuery) []msg.Effect {
-	if c.table == nil || c.lastListSent == 0 {
+	if c.table == nil {
 		return nil
 	}
-	reply := msg.CatalogReply{
+	return []msg.Effect{msg.SendPeer{To: to, Message: msg.CatalogReply{
 		Seq: q.Seq, ConfigVersion: c.table.Version, ConfigAge: now - c.confirmedAt,
-		InstancesHash: c.listHash, InstancesAge: now - c.lastListSent,
-	}
-	if q.InstancesHash != c.listHash && len(c.list) <= maxListInReply {
-		reply.Instances = c.list
-		reply.Revision = c.revision
-	}
-	return []msg.Effect{msg.SendPeer{To: to, Message: reply}}
+	}}}
 }
 
-// onReply applies what a reader knows. If the reader knows a newer configuration, or
-// another list that is not in the reply, this daemon reads the platform at once.
+// onReply applies what a reader knows. If the reader knows a newer configuration, this
+// daemon reads it at once.
 func (c *Component) onReply(now msg.Time, m msg.CatalogReply) []msg.Effect {
 	askedAt, ok := c.readers.sentAt[m.Seq]
 	if !ok || c.table == nil {
 		return nil
 	}
-	effs := c.onListReply(now, askedAt, m)
 	if m.ConfigVersion > c.table.Version {
 		c.routePoll.next = min(c.routePoll.next, now)
 	}
 	if m.ConfigVersion != c.table.Version {
-		return effs
+		return nil
 	}
 	at := askedAt - m.ConfigAge
 	c.routePoll.postpone(at + ownReadDelay(c.cfg.RoutesInterval))
-	return append(effs, c.confirm(at)...)
-}
-
-// onListReply applies what a reader knows of the targets.
-func (c *Component) onListReply(now, askedAt msg.Time, m msg.CatalogReply) []msg.Effect {
-	// The reader's read of the list left between these two instants.
-	earliest, latest := askedAt-m.InstancesAge, now-m.InstancesAge
-	until := earliest + ownReadDelay(c.cfg.InstancesInterval)
-	switch {
-	case m.InstancesHash == c.listHash:
-		c.lastListSent = max(c.lastListSent, earliest)
-		c.targetPoll.postpone(until)
-	case m.Revision > c.revision:
-		c.targetPoll.postpone(until)
-		return c.applyList(now, earliest, m.Revision, m.Instances, c.targetPoll.failing)
-	case m.Revision == 0 && latest > c.lastListSent:
-		c.targetPoll.next = min(c.targetPoll.next, now)
-	}
-	return nil
+	return c.confirm(at)
 }
 
 // confirm records that the configuration in force was the newest at the given time.
@@ -201,33 +170,10 @@
 // postpone delays the next read.
 func (p *poll) postpone(until msg.Time) { p.next = max(p.next, until) }
 
-// interval returns the time between two reads of this daemon.
-func (c *Component) interval(configured time.Duration) time.Duration {
+// routesInterval returns the time between two reads of the configuration.
+func (c *Component) routesInterval() time.Duration {
 	if c.readers.isReader {
-		return time.Duration(readerIntervalRatio * float64(configured))
-	}
-	return configured
-}
-
-// hashInstances returns a hash of a list of targets.
-func hashInstances(list []msg.Instance) uint64 {
-	d := xxhash.New()
-	sorted := slices.SortedFunc(slices.Values(list), func(a, b msg.Instance) int {
-		if a.Target < b.Target {
-			return -1
-		}
-		return 1
-	})
-	for _, in := range sorted {
-		for _, s := range []string{string(in.Target), string(in.Service), in.Addr, string(in.Domain), in.State()} {
-			_, _ = d.WriteString(s)
-			_, _ = d.Write([]byte{0})
-		}
-		var b [24]byte
-		binary.LittleEndian.PutUint64(b[0:], uint64(in.Slots))
-		binary.LittleEndian.PutUint64(b[8:], uint64(in.Role))
-		binary.LittleEndian.PutUint64(b[16:], uint64(in.StartedMS))
-		_, _ = d.Write(b[:])
+		return time.Duration(readerIntervalRatio * float64(c.cfg.RoutesInterval))
 	}
-	return d.Sum64()
+	return c.cfg.RoutesInterval
 }
