direct: a stop closes kept connections by their responses

Change: from then on responses carry Connection: close; what is idle is closed with the listener a second later, when fewer callers still use kept connections. The window is smaller by that, not gone: net/http closes idle connections there in the same way. TestDirectShutdownClosesKeptConnectionsByResponse fails without it.

--- a/internal/daemon/direct_run.go
+++ b/internal/daemon/direct_run.go
@@ -34,9 +34,10 @@
 	// listenerCloseDelay is the time from the request to stop until the listener
 	// closes. By then the load balancer has seen two failed readiness checks.
 	listenerCloseDelay = 2800 * time.Millisecond
-	// keepAliveOffDelay is the time from the request to stop until keep-alive is
-	// disabled for callers' connections. A caller that then opens a new connection
-	// reaches another entry daemon.
+	// keepAliveOffDelay is the time from the request to stop until responses ask
+	// callers to close their connections. A caller that then opens a new connection
+	// reaches another entry daemon. Idle connections stay open until the listener
+	// closes: to close them earlier would cut requests that have just been read.
 	keepAliveOffDelay = 1800 * time.Millisecond
 	// drainRatio is the fraction of the grace period in which open requests may end.
 	// The rest is left for the end of the process.
@@ -251,7 +252,7 @@
 	defer cancel()
 	d.loop.Post(msg.StopRequested{})
 	time.Sleep(keepAliveOffDelay)
-	d.callerServer.SetKeepAlivesEnabled(false)
+	d.driver.closing.Store(true)
 	time.Sleep(listenerCloseDelay - keepAliveOffDelay)
 	if err := d.callerServer.Shutdown(drainCtx); err != nil {
 		d.log.Warn("daemon: stopped waiting for open requests near the end of the grace period", "reason", err.Error())
--- a/internal/daemon/direct_test.go
+++ b/internal/daemon/direct_test.go
@@ -275,6 +275,35 @@
 	is.Equal(writeTimeout(30*time.Second, -time.Second), minWriteTimeout)
 }
 
+// During a graceful shutdown a kept connection serves its next request, and the response
+// asks the caller to close it.
+func TestDirectShutdownClosesKeptConnectionsByResponse(t *testing.T) {
+	env := newDirectEnv(t)
+	c, err := net.Dial("tcp", env.process.settings.CallersAddr)
+	env.is.NoErr(err)
+	defer func() { _ = c.Close() }()
+	r := bufio.NewReader(c)
+	exchange := func(id string) (status int, closes bool) {
+		_, err := fmt.Fprintf(c, "GET /lookup/1 HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: %s\r\nX-Api-Key: key-1\r\n\r\n", id)
+		env.is.NoErr(err)
+		resp, err := http.ReadResponse(r, nil)
+		env.is.NoErr(err)
+		defer func() { _ = resp.Body.Close() }()
+		_, err = io.Copy(io.Discard, resp.Body)
+		env.is.NoErr(err)
+		return resp.StatusCode, resp.Close
+	}
+	_, closes := exchange("a")
+	env.is.True(!closes)
+	done := make(chan struct{})
+	go func() { env.process.shutdown(); close(done) }()
+	time.Sleep(keepAliveOffDelay + (listenerCloseDelay-keepAliveOffDelay)/2)
+	status, closes := exchange("b")
+	env.is.Equal(status, http.StatusOK)
+	env.is.True(closes)
+	<-done
+}
+
 // A foreign protocol on the callers' port does not affect other callers.
 func TestDirectForeignProtocol(t *testing.T) {
 	env := newDirectEnv(t)
