--- a/internal/core/admission/admission.go
+++ b/internal/core/admission/admission.go
@@ -20,8 +20,8 @@
 	// patience is the fraction of its time that a prompt may be expected to wait when
 	// it is queued. The rest makes up for errors of the estimate.
 	patience = 0.5
-	// rateInterval is the time over which the rate is measured at a time, and
-	// rateWeight the weight of such a measurement in the average.
+	// rateInterval is the time between two updates of the rate, and rateWeight the
+	// weight of one interval in the average.
 	rateInterval = 100 * time.Millisecond
 	rateWeight   = 0.2
 	// idleRate is the rate that is assumed while nothing waits, and minRate the
--- a/internal/core/directrequest/manager.go
+++ b/internal/core/directrequest/manager.go
@@ -9,7 +9,8 @@
 // attempt, therefore minimizes the expected time to the first token. It takes
 // into account the work that is open at each engine and whether an engine can
 // fetch a cached prefix from another one. A prompt for which no engine can
-// produce the first token soon enough (see [Policy]) is refused at once.
+// produce the first token soon enough (see [Policy]) waits in a queue, or is refused at
+// once if its turn would not come in time.
 //
 // Three terms describe the work of a request. An attempt is one call to a
 // target. An attempt that makes the target produce the response is a run; a
--- a/internal/core/directrequest/place.go
+++ b/internal/core/directrequest/place.go
@@ -40,9 +40,9 @@
 }
 
 // place chooses a target for the request's next attempt and starts the attempt.
-// It returns a refusal if the key is no longer valid, if there is no suitable
-// target, if none is expected to respond in time, or if the retry budget is used
-// up.
+// A prompt that can only be late may be left waiting instead (see enqueue). It returns
+// a refusal if the key is no longer valid, if there is no suitable target, if the wait
+// would be too long, or if the retry budget is used up.
 func (s *stepContext) place(r *request) *refusal {
 	if ref := s.checkKey(r); ref != nil {
 		return ref
--- a/internal/core/msg/direct_peer.go
+++ b/internal/core/msg/direct_peer.go
@@ -72,7 +72,7 @@
 	Tokens  int      `cbor:"3,keyasint"`
 }
 
-// CatalogQuery asks an entry daemon what it knows of the platform. The reply is
+// CatalogQuery asks an entry daemon which configuration it knows. The reply is
 // [CatalogReply].
 type CatalogQuery struct {
 	// Seq is the number of the question.
--- a/internal/core/platformpoll/platformpoll.go
+++ b/internal/core/platformpoll/platformpoll.go
@@ -2,7 +2,8 @@
 // polls the platform for the operator's configuration and for the list of
 // targets.
 //
-// Both are polled, and never read from a replica that may lag. They are not
+// Both are polled, and never read from a replica that may lag. The configuration is
+// polled by a few daemons, which the others ask whether it has changed. They are not
 // watched, because a watch can be silent while changes are made, whereas the
 // content of a response is never older than the time at which the read was sent.
 package platformpoll
@@ -38,7 +39,7 @@
 
 // Config configures the component. Zero durations select the defaults.
 type Config struct {
-	// Self is this daemon. A daemon without a host name asks no others.
+	// Self is this daemon, as the other entry daemons know it.
 	Self msg.Self
 	// RoutesInterval and InstancesInterval are the least times between the starts
 	// of two reads.
