--- a/internal/core/directrequest/crash.go
+++ b/internal/core/directrequest/crash.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
@@ -25,11 +26,13 @@
 	maxProbeDelay = 2 * time.Second
 )
 
-// interruptedAttempt records an attempt whose response was cut short, and when.
+// maxLoggedSegments is the largest number of prompt segments in a log line.
+const maxLoggedSegments = 8
+
+// interruptedAttempt is an attempt whose response was cut short at an instant.
 type interruptedAttempt struct {
-	at          msg.Time
-	attempt     msg.AttemptID
-	fingerprint uint64
+	*attempt
+	at msg.Time
 }
 
 // crashProbe is the state of the probes of one target.
@@ -49,10 +52,10 @@
 // target, unless the list has shown its restart meanwhile.
 func (s *stepContext) addInterrupted(t *target, a *attempt) {
 	if a.process != t.StartedMS {
-		s.recordCrashUnder(t, a.id, a.fingerprint)
+		s.recordCrashUnder(t, interruptedAttempt{a, s.now})
 		return
 	}
-	t.interrupted = append(t.interrupted, interruptedAttempt{s.now, a.id, a.fingerprint})
+	t.interrupted = append(t.interrupted, interruptedAttempt{a, s.now})
 	t.probe.nextAt = s.now
 	if t.probe.call != 0 {
 		s.countProbing(t, a.fingerprint)
@@ -122,7 +125,7 @@
 		t.probe.nextAt = s.now + crashWindow
 	default:
 		for _, a := range t.takeInterrupted(t.probe.sentAt) {
-			s.log("response was cut short, target is running", attr("target", t.Target), attr("attempt", a.attempt))
+			s.log("response was cut short, target is running", attr("target", t.Target), attr("attempt", a.id))
 		}
 	}
 	s.probeIfDue(t)
@@ -149,7 +152,7 @@
 func (s *stepContext) recordCrash(t *target) {
 	s.endProbing(t)
 	for _, a := range t.takeInterrupted(s.now) {
-		s.recordCrashUnder(t, a.attempt, a.fingerprint)
+		s.recordCrashUnder(t, a)
 	}
 }
 
@@ -157,13 +160,37 @@
 // ended. Their responses may never break off.
 func (s *stepContext) recordOpen(t *target) {
 	for _, id := range slices.Sorted(maps.Keys(t.open)) {
-		s.recordCrashUnder(t, id, t.open[id].fingerprint)
+		s.recordCrashUnder(t, interruptedAttempt{t.open[id], s.now})
 	}
 }
 
-func (s *stepContext) recordCrashUnder(t *target, id msg.AttemptID, fingerprint uint64) {
-	s.effects = append(s.effects, s.poison.RecordCrash(s.now, fingerprint, id)...)
-	s.log("target went down while it was running a request", attr("target", t.Target), attr("attempt", id))
+func (s *stepContext) recordCrashUnder(t *target, a interruptedAttempt) {
+	s.effects = append(s.effects, s.poison.RecordCrash(s.now, a.fingerprint, a.id)...)
+	s.log("target went down while it was running a request",
+		attr("target", t.Target), attr("attempt", a.id), attr("sent_ms", formatMS(a.at-a.sentAt)),
+		attr("began_ms", formatMS(a.runningFor())), attr("segments", formatSegments(a.segments)),
+	)
+}
+
+// runningFor returns for how long the first token had arrived as the response was cut
+// short, and 0 if it had not.
+func (a interruptedAttempt) runningFor() time.Duration {
+	if a.startedAt == 0 {
+		return 0
+	}
+	return a.at - a.startedAt
+}
+
+// formatSegments formats the IDs of the first prompt segments.
+func formatSegments(segments []msg.PromptSegment) string {
+	var b strings.Builder
+	for i, seg := range segments[:min(len(segments), maxLoggedSegments)] {
+		if i > 0 {
+			b.WriteByte(' ')
+		}
+		b.WriteString(strconv.FormatUint(seg.ID, 16))
+	}
+	return b.String()
 }
 
 // advanceProbes repeats inconclusive probes, and gives up the attempts that were
@@ -178,7 +205,7 @@
 	slices.SortFunc(waiting, func(a, b *target) int { return cmp.Compare(a.Target, b.Target) })
 	for _, t := range waiting {
 		for _, a := range t.takeInterrupted(s.now - crashWindow) {
-			s.log("response was cut short, target was not seen to go down", attr("target", t.Target), attr("attempt", a.attempt))
+			s.log("response was cut short, target was not seen to go down", attr("target", t.Target), attr("attempt", a.id))
 		}
 		s.probeIfDue(t)
 	}
