Prompts that share a segment crash one target after the other: failing test

Plays a load of prompts in virtual time of which one in fifty holds a segment that crashes each target that begins to answer it.

--- /dev/null
+++ b/internal/core/direct_crash_segment_test.go
@@ -0,0 +1,132 @@
+package core
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/verbenaspur/verbenaspur/internal/core/msg"
+)
+
+const (
+	// crashingShare is the fraction of the prompts that hold crashingSegment.
+	crashingShare = 0.02
+	// sharedFirst is the ID of the first segment of these prompts, which sound ones
+	// share.
+	sharedFirst = 77_777
+	// sharedShare is the fraction of the prompts that are sound and begin with
+	// sharedFirst.
+	sharedShare = 0.04
+)
+
+// segmentLoad is a load of prompts of which some crash their targets.
+type segmentLoad struct {
+	fleet *directFleet
+	// crashingUntil is when the last prompt with crashingSegment is sent.
+	crashingUntil time.Duration
+	// shared holds the sound prompts that begin with sharedFirst, and others the other
+	// sound ones.
+	shared, others []*fleetRequest
+}
+
+// loadSegments makes prompts arrive at random entries for d, of which some hold
+// crashingSegment between two instants from now on.
+func (f *directFleet) loadSegments(perSecond float64, d, from, until time.Duration) *segmentLoad {
+	l := &segmentLoad{fleet: f, crashingUntil: f.now + until}
+	from += f.now
+	end := f.now + d
+	var next func()
+	next = func() {
+		if f.now >= end {
+			return
+		}
+		l.send(f.now >= from && f.now < l.crashingUntil)
+		f.after(time.Duration(f.rand.ExpFloat64()/perSecond*float64(time.Second)), next)
+	}
+	next()
+	return l
+}
+
+func (l *segmentLoad) send(crashing bool) {
+	f := l.fleet
+	f.seq++
+	own := msg.PromptSegment{ID: f.rand.Uint64(), Tokens: 1000}
+	ev := msg.DirectRequestArrived{
+		Req: msg.RequestID(fmt.Sprint(f.seq)), CallerID: fmt.Sprint(f.seq), Host: "h", Method: "POST", Path: "/chat/x",
+		BodyHash: own.ID, Timeout: 5 * time.Second, PromptTokens: 3000, MaxTokens: 100,
+	}
+	session := msg.PromptSegment{ID: 1 + f.rand.Uint64N(60), Tokens: 1000}
+	e := f.entries[f.rand.IntN(len(f.entries))]
+	draw := f.rand.Float64()
+	switch {
+	case draw < crashingShare && crashing:
+		ev.Segments = []msg.PromptSegment{{ID: sharedFirst, Tokens: 1000}, {ID: crashingSegment, Tokens: 1000}, own}
+		e.deliver(ev)
+	case draw < crashingShare+sharedShare:
+		ev.Segments = []msg.PromptSegment{{ID: sharedFirst, Tokens: 1000}, own}
+		l.shared = append(l.shared, e.deliver(ev))
+	default:
+		ev.Segments = []msg.PromptSegment{{ID: 60 + session.ID%3, Tokens: 1000}, session, own}
+		l.others = append(l.others, e.deliver(ev))
+	}
+}
+
+// beginShare returns the fraction of the requests sent between two instants whose
+// response began.
+func beginShare(list []*fleetRequest, from, until time.Duration) float64 {
+	sent, began := 0, 0
+	for _, r := range list {
+		if r.at < from || r.at >= until {
+			continue
+		}
+		sent++
+		if r.began {
+			began++
+		}
+	}
+	if sent == 0 {
+		return 1
+	}
+	return float64(began) / float64(sent)
+}
+
+// check checks what reached targets, and that sound requests are served beside the
+// others.
+func (l *segmentLoad) check() {
+	f := l.fleet
+	f.t.Helper()
+	f.checkLateSends(crashesOfSegment)
+	if len(f.crashes) == 0 {
+		f.t.Fatal("no target crashed")
+	}
+	from := f.crashes[min(len(f.crashes), crashesOfSegment)-1] + 2*fleetContact
+	for name, list := range map[string][]*fleetRequest{"shared": l.shared, "others": l.others} {
+		before := beginShare(list, 0, f.crashes[0]-time.Second)
+		beside := beginShare(list, from, l.crashingUntil)
+		f.t.Logf("%s: %.2f began before, %.2f beside crashing requests", name, before, beside)
+		if beside < before/2 {
+			f.t.Errorf("%s: sound requests begin less than half as often as before", name)
+		}
+	}
+}
+
+// Requests that share the segment that crashes their targets have nothing else in
+// common with each other.
+func TestCrashingSegmentIsStopped(t *testing.T) {
+	t.Parallel()
+	for _, size := range []struct {
+		entries, engines int
+		perSecond        float64
+	}{{4, 18, 60}, {4, 18, 150}, {26, 47, 250}} {
+		for _, harmless := range []bool{true, false} {
+			t.Run(fmt.Sprint(size.entries, size.perSecond, harmless), func(t *testing.T) {
+				t.Parallel()
+				f := newDirectFleet(t, size.entries, size.engines)
+				f.harmlessPrefill = harmless
+				l := f.loadSegments(size.perSecond, 30*time.Second, 4*time.Second, 26*time.Second)
+				f.run(32 * time.Second)
+				l.check()
+			})
+		}
+	}
+}
--- a/internal/core/direct_crash_test.go
+++ b/internal/core/direct_crash_test.go
@@ -6,10 +6,17 @@
 	"time"
 )
 
-// maxLateSends is how often a request that has crashed three targets may reach
-// targets later than fleetContact after the third crash.
+// maxLateSends is how often requests that crash their targets may reach targets later
+// than fleetContact after the crash that decides.
 const maxLateSends = 3
 
+// crashesOfRequest is the crash after which the same request must be stopped, and
+// crashesOfSegment that after which requests with a segment in common must be.
+const (
+	crashesOfRequest = 3
+	crashesOfSegment = 5
+)
+
 // sendCrashing sends the request that crashes its targets to random entries.
 func (f *directFleet) sendCrashing(interval, d time.Duration) {
 	end := f.now + d
@@ -19,23 +26,26 @@
 	})
 }
 
-// lateSends returns how often the crashing request reached a target later than
-// fleetContact after its third crash.
-func (f *directFleet) lateSends() int {
+// lateSends returns how often crashing requests reached a target later than
+// fleetContact after the given crash, the first being 1.
+func (f *directFleet) lateSends(crash int) int {
 	n := 0
 	for _, at := range f.crashingSends {
-		if len(f.crashes) >= 3 && at > f.crashes[2]+fleetContact {
+		if len(f.crashes) >= crash && at > f.crashes[crash-1]+fleetContact {
 			n++
 		}
 	}
 	return n
 }
 
-func (f *directFleet) checkLateSends() {
+// checkLateSends checks what reached targets later than fleetContact after the given
+// crash.
+func (f *directFleet) checkLateSends(crash int) {
 	f.t.Helper()
-	f.t.Logf("%d crashes, %d sends, %d of them late; refused %v, answered %d", len(f.crashes), len(f.crashingSends), f.lateSends(), f.refusals, f.answered)
-	if n := f.lateSends(); n > maxLateSends {
-		f.t.Errorf("the request was sent %d times later than %s after its third crash, %d are allowed", n, fleetContact, maxLateSends)
+	n := f.lateSends(crash)
+	f.t.Logf("%d crashes, %d sends, %d of them late; refused %v, answered %d", len(f.crashes), len(f.crashingSends), n, f.refusals, f.answered)
+	if n > maxLateSends {
+		f.t.Errorf("%d requests that crash targets were sent later than %s after crash %d, %d are allowed", n, fleetContact, crash, maxLateSends)
 	}
 }
 
@@ -62,7 +72,7 @@
 			f.load(150, 40*time.Second)
 			f.sendCrashing(700*time.Millisecond, 40*time.Second)
 			f.run(40 * time.Second)
-			f.checkLateSends()
+			f.checkLateSends(crashesOfRequest)
 		})
 	}
 }
@@ -75,7 +85,7 @@
 	f.datagramLoss = 0.6
 	f.sendCrashing(300*time.Millisecond, 30*time.Second)
 	f.run(30 * time.Second)
-	f.checkLateSends()
+	f.checkLateSends(crashesOfRequest)
 }
 
 // A daemon that starts while the store is away must learn of earlier crashes soon.
@@ -90,7 +100,7 @@
 		f.after(time.Second, e.start)
 		f.run(7 * time.Second)
 	}
-	f.checkLateSends()
+	f.checkLateSends(crashesOfRequest)
 }
 
 // The store loses the records of crashes, and later all daemons restart at once, three
@@ -110,5 +120,5 @@
 		}
 		f.run(5 * time.Second)
 	}
-	f.checkLateSends()
+	f.checkLateSends(crashesOfRequest)
 }
--- a/internal/core/direct_fleet_target_test.go
+++ b/internal/core/direct_fleet_target_test.go
@@ -36,10 +36,10 @@
 }
 
 type fleetJob struct {
-	entry *fleetEntry
-	life  int // of the entry
-	start msg.StartDirectAttempt
-	body  uint64
+	entry   *fleetEntry
+	life    int // of the entry
+	start   msg.StartDirectAttempt
+	request *fleetRequest
 }
 
 // report delivers an event of a job to its entry.
@@ -87,7 +87,7 @@
 	t.arrivals = append(t.arrivals, fleetArrival{f.now, j.from()})
 	id := j.start.Attempt
 	t.jobs[id] = j
-	if j.body == crashingBody && (!f.harmlessPrefill || j.start.Spec.Step != msg.StepPrefill) {
+	if j.request.crashesTargets() && (!f.harmlessPrefill || j.start.Spec.Step != msg.StepPrefill) {
 		f.crashingSends = append(f.crashingSends, f.now)
 		f.after(fleetCrashDelay, func() { t.crashUnder(j) })
 		return
@@ -102,6 +102,7 @@
 			return
 		}
 		n := t.state(j)
+		j.request.began = true
 		j.report(msg.DirectAttemptStarted{Attempt: id, Notice: &n})
 		t.respond(j, msg.DirectDone, "")
 	})
--- a/internal/core/direct_fleet_test.go
+++ b/internal/core/direct_fleet_test.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -31,6 +32,8 @@
 	fleetLapse = 6 * time.Second
 	// crashingBody is the body hash of the request that crashes its targets.
 	crashingBody = 666
+	// crashingSegment is the ID of the prompt segment that crashes targets.
+	crashingSegment = 66_666
 )
 
 // directFleet is a deployment in virtual time.
@@ -51,14 +54,29 @@
 	entries      []*fleetEntry
 	targets      []*fleetTarget
 	byAddr       map[string]*fleetTarget
-	// harmlessPrefill is set if the request with crashingBody does not crash targets
-	// that only prefill it.
+	// harmlessPrefill is set if the requests that crash targets do not crash those
+	// that only prefill them.
 	harmlessPrefill bool
-	// crashes holds the times at which the request with crashingBody crashed a
-	// target, and crashingSends those at which it reached one.
+	// crashes holds the times at which such a request crashed a target, and
+	// crashingSends those at which one reached a target.
 	crashes, crashingSends []time.Duration
 	refusals               map[string]int
 	answered               int
+	// unframed is the probability with which a response ends with its connection.
+	unframed float64
+}
+
+// fleetRequest is a request that was sent to an entry.
+type fleetRequest struct {
+	msg.DirectRequestArrived
+	at time.Duration
+	// began reports whether its response has begun.
+	began bool
+}
+
+// crashesTargets reports whether a request crashes each target that runs it.
+func (r *fleetRequest) crashesTargets() bool {
+	return r.BodyHash == crashingBody || slices.ContainsFunc(r.Segments, func(s msg.PromptSegment) bool { return s.ID == crashingSegment })
 }
 
 // fleetEvent is an action at a point in virtual time.
@@ -94,9 +112,8 @@
 	reducer *Direct
 	// era is the latest era of the store that the process has seen.
 	era msg.StoreEra
-	// bodies holds the body hashes of the open requests, and targets the targets of
-	// the open attempts.
-	bodies  map[msg.RequestID]uint64
+	// arrived holds the requests, and targets the targets of the open attempts.
+	arrived map[msg.RequestID]*fleetRequest
 	targets map[msg.AttemptID]*fleetTarget
 }
 
@@ -192,8 +209,15 @@
 		ev.PromptTokens, ev.MaxTokens = 3000, 100
 		ev.Segments = []msg.PromptSegment{{ID: body % 200, Tokens: 2000}, {ID: body, Tokens: 1000}}
 	}
-	e.bodies[ev.Req] = body
+	e.deliver(ev)
+}
+
+// deliver delivers a request to the entry.
+func (e *fleetEntry) deliver(ev msg.DirectRequestArrived) *fleetRequest {
+	r := &fleetRequest{DirectRequestArrived: ev, at: e.fleet.now}
+	e.arrived[ev.Req] = r
 	e.step(ev)
+	return r
 }
 
 func fleetRoutes() *msg.RouteTable {
@@ -217,7 +241,7 @@
 	life := e.life
 	e.started = f.now
 	e.era = 0
-	e.bodies = make(map[msg.RequestID]uint64)
+	e.arrived = make(map[msg.RequestID]*fleetRequest)
 	e.targets = make(map[msg.AttemptID]*fleetTarget)
 	inc := msg.Incarnation(fmt.Sprint("life-", life))
 	self := msg.Self{Host: e.host, Domain: e.domain, Kind: msg.HostEntry}
@@ -356,7 +380,7 @@
 	f := e.fleet
 	target := f.byAddr[eff.Spec.Addr]
 	e.targets[eff.Attempt] = target
-	j := &fleetJob{entry: e, life: e.life, start: eff, body: e.bodies[eff.Req]}
+	j := &fleetJob{entry: e, life: e.life, start: eff, request: e.arrived[eff.Req]}
 	f.after(fleetHop, func() { target.submit(j) })
 }
 
