direct: prompts with a segment that crashes targets are refused

Cause: crashes were counted by request. Class of fault: the subject of a count is narrower than what causes the fault.

Crashes now count against the shared segments of prompts too, cleared by completed answers; the same records, broadcast and comparison carry them.

--- a/internal/core/direct_crash_segment_test.go
+++ b/internal/core/direct_crash_segment_test.go
@@ -130,3 +130,74 @@
 		}
 	}
 }
+
+// runSegments plays 22 s of prompts that crash targets, and calls disturb with the fleet
+// after the first of them.
+func runSegments(t *testing.T, entries, engines int, perSecond float64, disturb func(f *directFleet)) {
+	t.Helper()
+	t.Parallel()
+	f := newDirectFleet(t, entries, engines)
+	f.harmlessPrefill = true
+	l := f.loadSegments(perSecond, 30*time.Second, 4*time.Second, 26*time.Second)
+	f.run(4 * time.Second)
+	disturb(f)
+	f.run(l.crashingUntil + 4*time.Second - f.now)
+	l.check()
+}
+
+// Records and clearances travel by datagrams, any of which may be lost.
+func TestCrashingSegmentIsStoppedWithLostDatagrams(t *testing.T) {
+	runSegments(t, 26, 47, 200, func(f *directFleet) { f.datagramLoss = 0.5 })
+}
+
+// The end of an unframed response looks the same whether the target is done or gone.
+func TestCrashingSegmentIsStoppedWithUnframedResponses(t *testing.T) {
+	for _, share := range []float64{0.5, 1} {
+		t.Run(fmt.Sprint(share), func(t *testing.T) {
+			runSegments(t, 4, 18, 100, func(f *directFleet) { f.unframed = share })
+		})
+	}
+}
+
+// Entries restart one after the other, and begin without the records.
+func TestCrashingSegmentIsStoppedAcrossRestarts(t *testing.T) {
+	runSegments(t, 4, 18, 100, func(f *directFleet) {
+		for i, e := range f.entries {
+			f.after(time.Duration(i+1)*1500*time.Millisecond, e.start)
+		}
+	})
+}
+
+// The store loses the records and is away while all entries restart one after the other.
+func TestCrashingSegmentIsStoppedWithOlderStore(t *testing.T) {
+	runSegments(t, 4, 18, 100, func(f *directFleet) {
+		f.snapshot = f.objects.Snapshot()
+		f.run(6 * time.Second)
+		f.rewind()
+		f.run(2 * time.Second)
+		f.storeDownUntil = f.now + 2*time.Second
+		for i, e := range f.entries {
+			f.after(time.Duration(i)*2*time.Second, e.start)
+		}
+	})
+}
+
+// Targets that crash by themselves must not get the prompts refused that they ran.
+func TestOrdinaryCrashesBlockNoSegment(t *testing.T) {
+	t.Parallel()
+	f := newDirectFleet(t, 4, 18)
+	l := f.loadSegments(100, 40*time.Second, 0, 0)
+	f.run(3 * time.Second)
+	for range 10 {
+		for i := range f.targets[:18] {
+			if target := f.targets[i]; !target.down && f.rand.IntN(3) == 0 {
+				target.crash()
+			}
+		}
+		f.run(3500 * time.Millisecond)
+	}
+	t.Logf("refused %v, answered %d", f.refusals, f.answered)
+	if n := f.refusals["poison"]; n > len(l.others)/100 {
+		t.Errorf("%d of %d prompts were refused for crashes that they did not cause", n, len(l.others))
+	}
+}
--- a/internal/core/direct_fleet_target_test.go
+++ b/internal/core/direct_fleet_target_test.go
@@ -104,10 +104,19 @@
 		n := t.state(j)
 		j.request.began = true
 		j.report(msg.DirectAttemptStarted{Attempt: id, Notice: &n})
+		if f.rand.Float64() < f.unframed {
+			j.endUnframed()
+			return
+		}
 		t.respond(j, msg.DirectDone, "")
 	})
 }
 
+// endUnframed delivers the end of a response that has neither a length nor chunks.
+func (j *fleetJob) endUnframed() {
+	j.report(msg.DirectAttemptEnded{Attempt: j.start.Attempt, Result: msg.DirectDone, Unframed: true})
+}
+
 // crashUnder makes the target crash while it runs a job, unless the job has ended.
 func (t *fleetTarget) crashUnder(j *fleetJob) {
 	if t.jobs[j.start.Attempt] != j {
@@ -125,7 +134,14 @@
 	jobs := t.jobs
 	t.jobs = make(map[msg.AttemptID]*fleetJob)
 	for _, id := range slices.Sorted(maps.Keys(jobs)) {
-		jobs[id].end(msg.DirectInterrupted)
+		j := jobs[id]
+		if f.rand.Float64() < f.unframed && j.start.Spec.Step != msg.StepPrefill {
+			// The response seems to be complete.
+			j.report(msg.DirectAttemptStarted{Attempt: id})
+			j.endUnframed()
+			continue
+		}
+		j.end(msg.DirectInterrupted)
 	}
 	f.after(fleetDowntime, func() {
 		t.down = false
--- a/internal/core/directrequest/crash_test.go
+++ b/internal/core/directrequest/crash_test.go
@@ -1,6 +1,8 @@
 package directrequest
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -29,7 +31,7 @@
 
 func TestCrashRecordOfPeerIsLogged(t *testing.T) {
 	h := newReadyHarness(t)
-	h.step(msg.PeerReceived{From: "entry-2", Message: msg.CrashNotice{Crashes: []msg.CrashRecord{{Fingerprint: 1, Attempt: "a"}}}})
+	h.step(msg.PeerReceived{From: "entry-2", Message: msg.CrashNotice{Crashes: []msg.CrashRecord{{Fingerprint: 1, ID: "a"}}}})
 	h.is.True(h.logged("crash record received"))
 }
 
@@ -155,3 +157,85 @@
 		h.is.Equal(h.m.poison.CrashCount(h.m.attempts[a.Attempt].fingerprint), i+1)
 	}
 }
+
+// crashUnderPrompts crashes decode engines under prompts with the segment 7, sent one
+// after the other, and returns the event that ended the last of them.
+func (h *harness) crashUnderPrompts(n int, began time.Duration) {
+	h.t.Helper()
+	for i := range n {
+		h.arrive("/chat/x", prompt(7, 1000, 100))
+		a := h.started()
+		if a.Spec.Step == msg.StepPrefill {
+			h.end(a.Attempt, msg.DirectPrefilled, func(ev *msg.DirectAttemptEnded) { ev.Handle = fmt.Sprint("h", i) })
+			a = h.started()
+		}
+		if began > 0 {
+			h.step(msg.DirectAttemptStarted{Attempt: a.Attempt})
+		}
+		h.advance(began + 100*time.Millisecond)
+		h.end(a.Attempt, msg.DirectInterrupted)
+		probe, _ := find[msg.ProbeTarget](h)
+		h.step(msg.TargetProbed{Call: probe.Call, Target: probe.Target, Result: msg.ProbeDown})
+		h.m.targets[probe.Target].StartedMS++
+		h.advance(maxBackoff)
+	}
+}
+
+func TestPromptWithCrashingSegmentIsRefusedAtOnce(t *testing.T) {
+	h := newReadyHarness(t)
+	h.crashUnderPrompts(poison.SegmentCrashLimit, 0)
+	h.arrive("/chat/x", prompt(7, 1000, 100))
+	r := h.refused()
+	h.is.Equal(r.Status, statusUnavailable)
+	h.is.Equal(r.Code, "poison")
+	h.is.Equal(r.Outcome, msg.OutcomeNotRun)
+	h.is.Equal(r.RetryAfter, time.Duration(0))
+	h.arrive("/chat/x", prompt(8, 1000, 100))
+	h.started()
+}
+
+// A prompt that a target has long begun to answer did not crash it.
+func TestPromptThatHadLongBegunIsNotSuspected(t *testing.T) {
+	h := newReadyHarness(t)
+	h.crashUnderPrompts(poison.SegmentCrashLimit, beginTime)
+	h.arrive("/chat/x", prompt(7, 1000, 100))
+	h.started()
+}
+
+// The end of an unframed response may be that of the process.
+func TestUnframedResponseClearsOnceTargetRespondsAgain(t *testing.T) {
+	h := newReadyHarness(t)
+	h.crashUnderPrompts(1, 0)
+	h.is.Equal(h.m.poison.CrashCount(7), 1)
+	h.arrive("/chat/x", prompt(7, 1000, 100))
+	a := h.started()
+	if a.Spec.Step == msg.StepPrefill {
+		h.end(a.Attempt, msg.DirectPrefilled, func(ev *msg.DirectAttemptEnded) { ev.Handle = "h" })
+		a = h.started()
+	}
+	h.end(a.Attempt, msg.DirectDone, func(ev *msg.DirectAttemptEnded) { ev.Unframed = true })
+	h.is.Equal(h.m.poison.CrashCount(7), 1)
+	t1 := h.m.targets[a.Spec.Target]
+	h.m.confirmAt(h.now+time.Second, t1)
+	h.is.Equal(h.m.poison.CrashCount(7), 0)
+}
+
+// confirmAt delivers a response of a target to an attempt that was sent at an instant.
+func (m *Manager) confirmAt(sentAt msg.Time, t *target) {
+	s := &stepContext{Manager: m, now: sentAt}
+	s.confirmCompleted(t, &attempt{sentAt: sentAt, process: t.StartedMS})
+}
+
+func TestUnframedResponseDoesNotClearWhenTargetGoesDown(t *testing.T) {
+	h := newReadyHarness(t)
+	h.crashUnderPrompts(1, 0)
+	h.arrive("/chat/x", prompt(7, 1000, 100))
+	a := h.started()
+	if a.Spec.Step == msg.StepPrefill {
+		h.end(a.Attempt, msg.DirectPrefilled, func(ev *msg.DirectAttemptEnded) { ev.Handle = "h" })
+		a = h.started()
+	}
+	h.end(a.Attempt, msg.DirectDone, func(ev *msg.DirectAttemptEnded) { ev.Unframed = true })
+	h.setInstances(slices.DeleteFunc(testInstances(), func(in msg.Instance) bool { return in.Target == a.Spec.Target })...)
+	h.is.Equal(h.m.poison.CrashCount(7), 2)
+}
--- a/internal/core/directrequest/end.go
+++ b/internal/core/directrequest/end.go
@@ -49,6 +49,7 @@
 	s.applyNotice(a, ev.Notice)
 	switch ev.Result {
 	case msg.DirectDone, msg.DirectPrefilled:
+		s.confirmCompleted(t, a)
 		s.observePrefill(a)
 		s.observeStream(a)
 		t.recordFirstToken(s.now, a)
@@ -80,7 +81,7 @@
 	switch ev.Result {
 	case msg.DirectDone:
 		s.countRun(r)
-		s.effects = append(s.effects, s.poison.ClearCrashes(r.fingerprint)...)
+		s.clearCrashes(a, ev.Unframed)
 		s.emit(msg.FinishRequest{Req: r.arrival.Req})
 		s.close(r, msg.EndAnswered, "")
 	case msg.DirectCancelled:
--- a/internal/core/directrequest/manager.go
+++ b/internal/core/directrequest/manager.go
@@ -193,6 +193,8 @@
 		s.onPeerMessage(ev)
 	case msg.CrashRecorded:
 		s.logCrashRecord(ev)
+	case msg.SegmentBlocked:
+		s.logSegmentBlocked(ev)
 	}
 }
 
--- a/internal/core/directrequest/request.go
+++ b/internal/core/directrequest/request.go
@@ -53,6 +53,9 @@
 	decodeDelay time.Duration
 	// waiting reports whether the request is in the queue of its service.
 	waiting bool
+	// trialCrashes is set if the request is the trial of a blocked prompt segment, to
+	// the number of crashes that counted against the segment.
+	trialCrashes int
 }
 
 // attempt is one call to a target.
--- a/internal/core/directrequest/target.go
+++ b/internal/core/directrequest/target.go
@@ -76,6 +76,9 @@
 	// for one.
 	interrupted []interruptedAttempt
 	probe       crashProbe
+	// unconfirmed holds the attempts whose unframed responses ended, in order of time,
+	// as long as the process may have gone down under them.
+	unconfirmed []interruptedAttempt
 	notices     targetNotices
 	limit       requestLimit
 }
--- a/internal/core/msg/direct_request.go
+++ b/internal/core/msg/direct_request.go
@@ -139,7 +139,10 @@
 	LastEvent int64
 	// Streaming reports whether the caller has received a part of the response.
 	Streaming bool
-	Load      *TargetLoad
+	// Unframed reports that the response had neither a length nor chunks, so that its
+	// end can't be told from that of the target's process.
+	Unframed bool
+	Load     *TargetLoad
 	// Notice is what the target stated in the head of its response; nil without one.
 	Notice *TargetNotice
 }
--- a/internal/core/msg/poison.go
+++ b/internal/core/msg/poison.go
@@ -1,14 +1,24 @@
 package msg
 
+// CrashID identifies a crash in the records of one fingerprint: for a request it is the
+// ID of the attempt that was running, and for a prompt segment it names the process
+// that went down, which may have run several prompts with the segment.
+type CrashID string
+
 // CrashRecord records that an attempt was running on a target when the target
 // went down. The fingerprint identifies the request across its attempts and
-// resends.
+// resends, or a segment of its prompt.
 type CrashRecord struct {
-	Fingerprint uint64    `cbor:"1,keyasint" json:"fingerprint"`
-	Attempt     AttemptID `cbor:"2,keyasint" json:"attempt"`
+	Fingerprint uint64  `cbor:"1,keyasint" json:"fingerprint"`
+	ID          CrashID `cbor:"2,keyasint" json:"attempt"`
 	// LeftMS is how much longer the record counts, in milliseconds. Zero stands for
 	// the whole retention.
 	LeftMS int64 `cbor:"3,keyasint,omitempty" json:"left_ms,omitempty"`
+	// RanMS is how long before the crash the attempt was sent, in milliseconds. It is
+	// used for segments only.
+	RanMS int64 `cbor:"4,keyasint,omitempty" json:"ran_ms,omitempty"`
+	// Segment reports whether Fingerprint is the ID of a prompt segment.
+	Segment bool `cbor:"5,keyasint,omitempty" json:"segment,omitempty"`
 }
 
 // CrashNotice reports crash records to entry daemons. Cleared are records that no
@@ -52,12 +62,22 @@
 type CrashRecorded struct {
 	Record CrashRecord
 	Source CrashSource
-	// Count is the number of crashes that now count against the request.
+	// Count is the number of crashes that now count against the request or segment.
 	Count int
 }
 
+// SegmentBlocked is raised when a daemon begins to refuse prompts with a segment,
+// because it crashes targets, and when it ends that.
+type SegmentBlocked struct {
+	Segment uint64
+	// Crashes is the number of crashes that count against the segment.
+	Crashes int
+	Blocked bool
+}
+
 func (CrashNotice) peerMessage() {}
 func (CrashDigest) peerMessage() {}
 func (CrashRecorded) event()     {}
+func (SegmentBlocked) event()    {}
 
 func (AttemptStarting) event() {}
--- a/internal/core/poison/poison_test.go
+++ b/internal/core/poison/poison_test.go
@@ -55,10 +55,10 @@
 	is := is.New(t)
 	tracker := newTestTracker("e1", coretest.NewObjects(), wall)
 	tracker.RecordCrash(0, 7, "a1")
-	notice := msg.CrashNotice{Crashes: []msg.CrashRecord{{Fingerprint: 7, Attempt: "a1"}}}
+	notice := msg.CrashNotice{Crashes: []msg.CrashRecord{{Fingerprint: 7, ID: "a1"}}}
 	tracker.Step(0, msg.PeerReceived{From: "side", Message: notice})
 	is.Equal(tracker.CrashCount(7), 1)
-	notice.Crashes[0].Attempt = "a2"
+	notice.Crashes[0].ID = "a2"
 	tracker.Step(0, msg.PeerReceived{From: "side", Message: notice})
 	is.Equal(tracker.CrashCount(7), CrashLimit)
 }
@@ -103,7 +103,7 @@
 	is.Equal(sent.To, msg.HostID("e2"))
 	other := newTestTracker("e2", coretest.NewObjects(), wall)
 	other.Step(0, msg.PeerReceived{Message: sent.Message})
-	late := msg.CrashNotice{Crashes: []msg.CrashRecord{{Fingerprint: 7, Attempt: "a1"}}}
+	late := msg.CrashNotice{Crashes: []msg.CrashRecord{{Fingerprint: 7, ID: "a1"}}}
 	other.Step(0, msg.PeerReceived{Message: late})
 	is.Equal(other.CrashCount(7), 0)
 }
@@ -121,7 +121,7 @@
 	sent := stepAndAnswer(reporter, objects, time.Second, msg.TargetCrashed{})
 	is.Equal(len(sent), 1)
 	is.Equal(sent[0].To, msg.HostID("e1"))
-	is.Equal(sent[0].Message.(msg.CrashNotice).Crashes, []msg.CrashRecord{{Fingerprint: '1', Attempt: "a1"}, {Fingerprint: '3', Attempt: "a3"}})
+	is.Equal(sent[0].Message.(msg.CrashNotice).Crashes, []msg.CrashRecord{{Fingerprint: '1', ID: "a1"}, {Fingerprint: '3', ID: "a3"}})
 	is.Equal(len(stepAndAnswer(reporter, objects, time.Second, msg.TargetCrashed{})), 0) // the crash was reported before
 	tracker := newTestTracker("e9", objects, wall)                                       // reads the stored records
 	is.Equal(tracker.CrashCount('1'), 1)
@@ -131,11 +131,11 @@
 func TestRecordsAreBounded(t *testing.T) {
 	is := is.New(t)
 	tracker := NewTracker()
-	for i := range uint64(maxRequests + 10) {
+	for i := range uint64(maxHistories + 10) {
 		tracker.RecordCrash(msg.Time(i), i+1, "a")
 	}
-	is.True(len(tracker.requests) <= maxRequests)
-	is.Equal(tracker.CrashCount(maxRequests+10), 1)
+	is.True(len(tracker.histories) <= maxHistories)
+	is.Equal(tracker.CrashCount(maxHistories+10), 1)
 	is.Equal(tracker.CrashCount(1), 0)
 }
 
--- a/internal/core/poison/reporter.go
+++ b/internal/core/poison/reporter.go
@@ -63,14 +63,14 @@
 	var notice msg.CrashNotice
 	for attempt, fingerprint := range c.running {
 		if fingerprint != 0 {
-			notice.Crashes = append(notice.Crashes, msg.CrashRecord{Fingerprint: fingerprint, Attempt: attempt})
+			notice.Crashes = append(notice.Crashes, msg.CrashRecord{Fingerprint: fingerprint, ID: msg.CrashID(attempt)})
 		}
 	}
 	clear(c.running)
 	if len(notice.Crashes) == 0 {
 		return nil
 	}
-	slices.SortFunc(notice.Crashes, func(a, b msg.CrashRecord) int { return cmp.Compare(a.Attempt, b.Attempt) })
+	slices.SortFunc(notice.Crashes, func(a, b msg.CrashRecord) int { return cmp.Compare(a.ID, b.ID) })
 	c.enqueue(notice)
 	var effects []msg.Effect
 	for _, h := range c.connectedEntries() {
--- /dev/null
+++ b/internal/core/poison/segment.go
@@ -0,0 +1,165 @@
+package poison
+
+import (
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/verbenaspur/verbenaspur/internal/core/msg"
+	"github.com/verbenaspur/verbenaspur/internal/core/rendezvous"
+)
+
+// Prompts that share a segment may crash each target that begins to answer them,
+// although no two of them are alike. A crash is therefore also recorded for each segment
+// of each prompt that the target had not long begun to answer, and a completed answer
+// clears the segments of its prompt. A segment is blocked once enough independent
+// crashes count against it: prompts with it are refused.
+//
+// Sound segments stand in the same prompts, or were at the same targets by chance, so
+// that they may gather crashes as well. Three rules keep them in use:
+//
+//   - Crashes are independent only if the later attempt was sent after the earlier crash,
+//     so that targets that go down together count once.
+//   - A blocked segment does not count against a prompt if another blocked segment,
+//     which the prompt lacks, had a part in each of its crashes and so explains them.
+//   - After a delay that grows with the number of crashes, a blocked segment gets a trial:
+//     one prompt with it is let through.
+const (
+	// SegmentCrashLimit is the number of independent crashes at which a segment is
+	// blocked.
+	SegmentCrashLimit = 2
+	// minTrialDelay is the delay before the first trial of a segment, and
+	// trialDelayFactor that by which each further crash lengthens it.
+	minTrialDelay    = 4 * time.Second
+	trialDelayFactor = 4
+	// entriesPerTrial is the number of entry daemons of which one may hold a trial at
+	// the same time. A trial that fails stops the others soon after.
+	entriesPerTrial = 64
+)
+
+// trial is a prompt with a blocked segment that was let through.
+type trial struct {
+	// crashes is the number of crashes that counted then, and turn the number of the
+	// delays that had passed since the last of them.
+	crashes int
+	turn    int64
+}
+
+// independent returns the number of independent crashes in a list ordered by time.
+func independent(crashes []crash) int {
+	n := 0
+	last := msg.Time(math.MinInt64)
+	for _, c := range crashes {
+		if c.sentAt > last {
+			n++
+			last = c.at
+		}
+	}
+	return n
+}
+
+// updateBlocked blocks a segment or ends that, according to its crashes.
+func (t *Tracker) updateBlocked(h *crashHistory) []msg.Effect {
+	if !h.segment {
+		return nil
+	}
+	crashes := h.count()
+	_, was := t.blocked[h.fingerprint]
+	is := crashes >= SegmentCrashLimit
+	if is == was {
+		return nil
+	}
+	if is {
+		t.blocked[h.fingerprint] = h
+	} else {
+		delete(t.blocked, h.fingerprint)
+	}
+	return []msg.Effect{msg.Raise{Event: msg.SegmentBlocked{Segment: h.fingerprint, Crashes: crashes, Blocked: is}}}
+}
+
+// unblockForgotten ends the block of segments whose crashes were removed.
+func (t *Tracker) unblockForgotten() []msg.Effect {
+	var effects []msg.Effect
+	for _, id := range slices.Sorted(maps.Keys(t.blocked)) {
+		effects = append(effects, t.updateBlocked(t.blocked[id])...)
+	}
+	return effects
+}
+
+// BlockedSegment returns the segment for which a prompt is to be refused, and the number
+// of independent crashes that count against it. It returns false if there is none.
+func (t *Tracker) BlockedSegment(segments []msg.PromptSegment) (id uint64, crashes int, blocked bool) {
+	if len(t.blocked) == 0 {
+		return 0, 0, false
+	}
+	for _, s := range segments {
+		h := t.blocked[s.ID]
+		if h == nil || t.explained(h, segments) {
+			continue
+		}
+		if n := h.count(); n > crashes {
+			id, crashes = s.ID, n
+		}
+	}
+	return id, crashes, crashes > 0
+}
+
+// explained reports whether a blocked segment other than those of a prompt had a part
+// in all crashes of h.
+func (t *Tracker) explained(h *crashHistory, segments []msg.PromptSegment) bool {
+	for _, other := range t.blocked {
+		if other != h && !containsSegment(segments, other.fingerprint) && other.covers(h) {
+			return true
+		}
+	}
+	return false
+}
+
+func containsSegment(segments []msg.PromptSegment, id uint64) bool {
+	return slices.ContainsFunc(segments, func(s msg.PromptSegment) bool { return s.ID == id })
+}
+
+// covers reports whether all crashes that count against another history count against
+// this one as well.
+func (h *crashHistory) covers(other *crashHistory) bool {
+	own := crashIDs(h.uncleared())
+	for _, c := range other.uncleared() {
+		if !slices.Contains(own, c.id) {
+			return false
+		}
+	}
+	return true
+}
+
+// StartTrial reports whether a prompt with a blocked segment may be let through as the
+// segment's trial. The daemons take turns, which last for one delay each.
+func (t *Tracker) StartTrial(now msg.Time, id uint64) bool {
+	h := t.blocked[id]
+	if h == nil {
+		return false
+	}
+	crashes := h.uncleared()
+	delay := trialDelay(independent(crashes))
+	turn := int64((now - crashes[len(crashes)-1].at) / delay)
+	next := trial{crashes: len(crashes), turn: turn}
+	if turn < 1 || h.trial == next {
+		return false
+	}
+	if rendezvous.Rank(fmt.Sprintf("%x/%d", id, turn), t.self, t.entries) > len(t.entries)/entriesPerTrial {
+		return false
+	}
+	h.trial = next
+	return true
+}
+
+// trialDelay returns the delay before a trial of a segment with some independent
+// crashes.
+func trialDelay(crashes int) time.Duration {
+	d := minTrialDelay
+	for range crashes - SegmentCrashLimit {
+		d = min(d*trialDelayFactor, Retention)
+	}
+	return d
+}
--- a/internal/core/poison/sync.go
+++ b/internal/core/poison/sync.go
@@ -18,7 +18,7 @@
 	// soon.
 	fastSyncInterval = 100 * time.Millisecond
 	fastSyncTime     = 3 * time.Second
-	// bucketCount is the number of buckets into which requests are divided by their
+	// bucketCount is the number of buckets into which histories are divided by their
 	// fingerprints, so that one missing record does not cause all to be sent.
 	bucketCount = 8
 	// maxRecordsPerNotice and maxNoticesPerSync limit what is sent after one digest,
@@ -87,7 +87,7 @@
 	}
 	t.stale = true
 	var effects []msg.Effect
-	for _, n := range t.notices(now, func(r *requestCrashes) bool { return own[r.bucket()] != d.Buckets[r.bucket()] }) {
+	for _, n := range t.notices(now, func(h *crashHistory) bool { return own[h.bucket()] != d.Buckets[h.bucket()] }) {
 		effects = append(effects, msg.SendPeer{To: from, Message: n})
 	}
 	if !d.Reply {
@@ -99,35 +99,35 @@
 // buckets returns the hashes of a digest.
 func (t *Tracker) buckets(now msg.Time) []uint64 {
 	out := make([]uint64, bucketCount)
-	for _, r := range t.requests {
-		if r.expires-now < minTimeLeft {
+	for _, h := range t.histories {
+		if h.expires-now < minTimeLeft {
 			continue
 		}
-		b := r.bucket()
-		for _, a := range r.crashes {
-			out[b] ^= recordHash(r.fingerprint, a, 'c')
+		b := h.bucket()
+		for _, c := range h.lasting(now) {
+			out[b] ^= recordHash(h.fingerprint, c.id, 'c')
 		}
-		for _, a := range r.cleared {
-			out[b] ^= recordHash(r.fingerprint, a, 'd')
+		for _, id := range h.cleared {
+			out[b] ^= recordHash(h.fingerprint, id, 'd')
 		}
 	}
 	return out
 }
 
 // recordHash returns the hash of a crash ('c') or of its clearance ('d').
-func recordHash(fingerprint uint64, a msg.AttemptID, kind byte) uint64 {
+func recordHash(fingerprint uint64, id msg.CrashID, kind byte) uint64 {
 	d := xxhash.NewWithSeed(fingerprint)
-	_, _ = d.WriteString(string(a))
+	_, _ = d.WriteString(string(id))
 	_, _ = d.Write([]byte{0, kind})
 	return d.Sum64()
 }
 
-func (r *requestCrashes) bucket() int { return int(r.fingerprint % bucketCount) }
+func (h *crashHistory) bucket() int { return int(h.fingerprint % bucketCount) }
 
-// notices returns the records of the wanted requests. If there are too many, later calls
+// notices returns the records of the wanted histories. If there are too many, later calls
 // return the others.
-func (t *Tracker) notices(now msg.Time, wanted func(*requestCrashes) bool) []msg.CrashNotice {
-	list := t.requestsOf(now, wanted)
+func (t *Tracker) notices(now msg.Time, wanted func(*crashHistory) bool) []msg.CrashNotice {
+	list := t.historiesOf(now, wanted)
 	if len(list) == 0 {
 		return nil
 	}
@@ -136,7 +136,7 @@
 	var n msg.CrashNotice
 	for i := range list {
 		t.offset++
-		n = appendRequest(n, now, list[(start+i)%len(list)])
+		n = appendHistory(n, now, list[(start+i)%len(list)])
 		if len(n.Crashes)+len(n.Cleared) < maxRecordsPerNotice {
 			continue
 		}
@@ -149,26 +149,40 @@
 	return append(out, n)
 }
 
-// requestsOf returns the wanted requests that still count, ordered by fingerprint.
-func (t *Tracker) requestsOf(now msg.Time, wanted func(*requestCrashes) bool) []*requestCrashes {
-	var list []*requestCrashes
-	for _, r := range t.requests {
-		if r.expires-now >= minTimeLeft && wanted(r) {
-			list = append(list, r)
+// historiesOf returns the wanted histories that still count, ordered by fingerprint.
+func (t *Tracker) historiesOf(now msg.Time, wanted func(*crashHistory) bool) []*crashHistory {
+	var list []*crashHistory
+	for _, h := range t.histories {
+		if h.expires-now >= minTimeLeft && wanted(h) {
+			list = append(list, h)
 		}
 	}
 	slices.SortFunc(list, compareFingerprints)
 	return list
 }
 
-// appendRequest adds the records of a request to a notice.
-func appendRequest(n msg.CrashNotice, now msg.Time, r *requestCrashes) msg.CrashNotice {
-	left := (r.expires - now).Milliseconds()
-	for _, a := range r.crashes {
-		n.Crashes = append(n.Crashes, msg.CrashRecord{Fingerprint: r.fingerprint, Attempt: a, LeftMS: left})
-	}
-	for _, a := range r.cleared {
-		n.Cleared = append(n.Cleared, msg.CrashRecord{Fingerprint: r.fingerprint, Attempt: a, LeftMS: left})
+// lasting returns the crashes that count for minTimeLeft or longer.
+func (h *crashHistory) lasting(now msg.Time) []crash {
+	i := 0
+	for i < len(h.crashes) && h.crashes[i].at+Retention-now < minTimeLeft {
+		i++
+	}
+	return h.crashes[i:]
+}
+
+// appendHistory adds the records of a history to a notice. Crashes that were cleared
+// count no more, but are sent as well, since daemons compare both.
+func appendHistory(n msg.CrashNotice, now msg.Time, h *crashHistory) msg.CrashNotice {
+	for _, c := range h.lasting(now) {
+		n.Crashes = append(n.Crashes, msg.CrashRecord{
+			Fingerprint: h.fingerprint, ID: c.id, Segment: h.segment,
+			LeftMS: (c.at + Retention - now).Milliseconds(), RanMS: (c.at - c.sentAt).Milliseconds(),
+		})
+	}
+	for _, id := range h.cleared {
+		n.Cleared = append(n.Cleared, msg.CrashRecord{
+			Fingerprint: h.fingerprint, ID: id, Segment: h.segment, LeftMS: (h.expires - now).Milliseconds(),
+		})
 	}
 	return n
 }
--- a/internal/core/poison/sync_test.go
+++ b/internal/core/poison/sync_test.go
@@ -147,5 +147,5 @@
 	}
 	n.loss = 0
 	n.run(10 * syncInterval)
-	is.Equal(len(n.trackers[n.hosts[1]].requests), count)
+	is.Equal(len(n.trackers[n.hosts[1]].histories), count)
 }
--- a/internal/core/poison/tracker.go
+++ b/internal/core/poison/tracker.go
@@ -6,6 +6,9 @@
 // caused it. A request with two crashes is refused. A suspect that completes is
 // cleared, so that its crashes no longer count.
 //
+// Crashes are also recorded for the segments that prompts share (see segment.go), since
+// prompts that differ in everything else may crash targets by one of them.
+//
 // The side daemon of a crashed target and the entry daemons send crash records
 // to all entry daemons, and store them at the platform. A crash record is
 // identified by its attempt, so that receiving one more than once has no
@@ -39,8 +42,9 @@
 	// doubles with each failure in a row.
 	minReadBackoff = 200 * time.Millisecond
 	maxReadBackoff = 2 * time.Second
-	// maxRequests is the maximum number of requests for which crashes are kept.
-	maxRequests = 20_000
+	// maxHistories is the maximum number of requests and segments for which crashes are
+	// kept.
+	maxHistories = 20_000
 )
 
 // Tags of calls to the object API.
@@ -50,24 +54,43 @@
 	tagDelete
 )
 
-// requestCrashes holds the attempts of one request under which a target went
-// down, and those whose crash was cleared. Cleared crashes no longer count.
-type requestCrashes struct {
+// crash is a crash that is recorded for a request or a prompt segment.
+type crash struct {
+	id msg.CrashID
+	// at is when the target went down, and sentAt when the attempt had been sent.
+	at, sentAt msg.Time
+}
+
+// crashHistory holds the crashes of one request or prompt segment, in order of time,
+// and those of them that were cleared. Cleared crashes no longer count.
+type crashHistory struct {
 	fingerprint uint64
-	crashes     []msg.AttemptID
-	cleared     []msg.AttemptID
+	segment     bool
+	crashes     []crash
+	cleared     []msg.CrashID
 	expires     msg.Time
+	// trial is the last trial of a segment.
+	trial trial
 }
 
-// unclearedCrashes returns the number of crashes that count.
-func (r *requestCrashes) unclearedCrashes() int {
-	n := 0
-	for _, a := range r.crashes {
-		if !slices.Contains(r.cleared, a) {
-			n++
+// uncleared returns the crashes that count.
+func (h *crashHistory) uncleared() []crash {
+	list := make([]crash, 0, len(h.crashes))
+	for _, c := range h.crashes {
+		if !slices.Contains(h.cleared, c.id) {
+			list = append(list, c)
 		}
 	}
-	return n
+	return list
+}
+
+// count returns the number of crashes that count: of a request all of them, and of a
+// segment the independent ones.
+func (h *crashHistory) count() int {
+	if h.segment {
+		return independent(h.uncleared())
+	}
+	return len(h.uncleared())
 }
 
 // Tracker holds the crash records that an entry daemon has received. It is not
@@ -75,13 +98,15 @@
 type Tracker struct {
 	crashWriter
 	self msg.HostID
-	// entries holds all entry daemons, including this one, and requests the crashes of
-	// each request, by its fingerprint.
-	entries    []msg.Host
-	requests   map[uint64]*requestCrashes
+	// entries holds all entry daemons, including this one, and histories the crashes of
+	// requests and segments, by fingerprint.
+	entries   []msg.Host
+	histories map[uint64]*crashHistory
+	// blocked holds the histories of segments with SegmentCrashLimit crashes or more.
+	blocked    map[uint64]*crashHistory
 	nextReadAt msg.Time
 	reading    bool
-	// nextExpiryAt is when expired crashes are removed next.
+	// nextExpiryAt is when expired histories are removed next.
 	nextExpiryAt msg.Time
 	syncState
 	// readBackoff is the delay after the last failed read.
@@ -89,44 +114,71 @@
 }
 
 // NewTracker returns a tracker without crash records.
-func NewTracker() *Tracker { return &Tracker{requests: make(map[uint64]*requestCrashes)} }
+func NewTracker() *Tracker {
+	return &Tracker{histories: make(map[uint64]*crashHistory), blocked: make(map[uint64]*crashHistory)}
+}
 
 // CrashCount returns the number of crashes that count against a request.
 func (t *Tracker) CrashCount(fingerprint uint64) int {
-	r := t.requests[fingerprint]
-	if r == nil {
+	h := t.histories[fingerprint]
+	if h == nil {
 		return 0
 	}
-	return r.unclearedCrashes()
+	return h.count()
 }
 
 // RecordCrash records a crash during an attempt of this entry.
 func (t *Tracker) RecordCrash(now msg.Time, fingerprint uint64, attempt msg.AttemptID) []msg.Effect {
-	s := msg.CrashRecord{Fingerprint: fingerprint, Attempt: attempt}
-	added := t.addCrash(s, now+Retention, msg.CrashObserved)
-	if added == nil {
+	return t.RecordCrashes(now, []msg.CrashRecord{{Fingerprint: fingerprint, ID: msg.CrashID(attempt)}})
+}
+
+// RecordCrashes records crashes that this entry has observed.
+func (t *Tracker) RecordCrashes(now msg.Time, records []msg.CrashRecord) []msg.Effect {
+	var notice msg.CrashNotice
+	var effects []msg.Effect
+	for _, r := range records {
+		if added := t.addCrash(r, now+timeLeft(r), msg.CrashObserved); added != nil {
+			effects = append(effects, added...)
+			notice.Crashes = append(notice.Crashes, r)
+		}
+	}
+	if len(notice.Crashes) == 0 {
 		return nil
 	}
-	t.evictRequests()
-	notice := msg.CrashNotice{Crashes: []msg.CrashRecord{s}}
+	effects = append(effects, t.evict()...)
 	t.enqueue(notice)
-	return append(added, t.broadcast(notice)...)
+	return append(effects, t.broadcast(notice)...)
 }
 
-// ClearCrashes records that a request completed, so that its crashes up to now no
-// longer count.
-func (t *Tracker) ClearCrashes(fingerprint uint64) []msg.Effect {
-	r := t.requests[fingerprint]
-	if r == nil || r.unclearedCrashes() == 0 {
-		return nil
-	}
+// ClearCrashes records that a request completed, so that the crashes up to now of
+// the request and of the segments of its prompt no longer count.
+func (t *Tracker) ClearCrashes(fingerprints ...uint64) []msg.Effect {
 	var notice msg.CrashNotice
-	for _, a := range r.crashes {
-		notice.Cleared = append(notice.Cleared, msg.CrashRecord{Fingerprint: fingerprint, Attempt: a})
+	var effects []msg.Effect
+	for _, f := range fingerprints {
+		h := t.histories[f]
+		if h == nil || len(h.uncleared()) == 0 {
+			continue
+		}
+		for _, c := range h.crashes {
+			notice.Cleared = append(notice.Cleared, msg.CrashRecord{Fingerprint: f, ID: c.id, Segment: h.segment})
+		}
+		h.cleared = crashIDs(h.crashes)
+		effects = append(effects, t.updateBlocked(h)...)
+	}
+	if len(notice.Cleared) == 0 {
+		return nil
 	}
-	r.cleared = slices.Clone(r.crashes)
 	t.enqueue(notice)
-	return t.broadcast(notice)
+	return append(effects, t.broadcast(notice)...)
+}
+
+func crashIDs(crashes []crash) []msg.CrashID {
+	ids := make([]msg.CrashID, len(crashes))
+	for i, c := range crashes {
+		ids[i] = c.id
+	}
+	return ids
 }
 
 // Step handles one event.
@@ -190,75 +242,82 @@
 	}
 	for _, s := range n.Cleared {
 		if left := timeLeft(s) - age; left > 0 {
-			t.addCleared(s, now+left)
+			effects = append(effects, t.addCleared(s, now+left)...)
 		}
 	}
-	t.evictRequests()
-	return effects
+	return append(effects, t.evict()...)
 }
 
 // addCleared adds the clearance of a crash.
-func (t *Tracker) addCleared(s msg.CrashRecord, expires msg.Time) {
-	r := t.crashesOf(s.Fingerprint, expires)
-	if !slices.Contains(r.cleared, s.Attempt) {
-		r.cleared = append(r.cleared, s.Attempt)
+func (t *Tracker) addCleared(s msg.CrashRecord, expires msg.Time) []msg.Effect {
+	h := t.historyOf(s, expires)
+	if slices.Contains(h.cleared, s.ID) {
+		return nil
 	}
+	h.cleared = append(h.cleared, s.ID)
+	return t.updateBlocked(h)
 }
 
 // addCrash adds a crash that counts until expires. It returns an event if the crash
 // is new, and nil otherwise.
 func (t *Tracker) addCrash(s msg.CrashRecord, expires msg.Time, source msg.CrashSource) []msg.Effect {
-	r := t.crashesOf(s.Fingerprint, expires)
-	if slices.Contains(r.crashes, s.Attempt) {
+	h := t.historyOf(s, expires)
+	if slices.ContainsFunc(h.crashes, func(c crash) bool { return c.id == s.ID }) {
 		return nil
 	}
-	r.crashes = append(r.crashes, s.Attempt)
+	at := expires - Retention
+	h.crashes = append(h.crashes, crash{id: s.ID, at: at, sentAt: at - time.Duration(s.RanMS)*time.Millisecond})
+	slices.SortFunc(h.crashes, func(a, b crash) int { return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.id, b.id)) })
 	t.stale = true
-	return []msg.Effect{msg.Raise{Event: msg.CrashRecorded{Record: s, Source: source, Count: r.unclearedCrashes()}}}
+	recorded := msg.Raise{Event: msg.CrashRecorded{Record: s, Source: source, Count: h.count()}}
+	return append([]msg.Effect{recorded}, t.updateBlocked(h)...)
 }
 
-func compareFingerprints(a, b *requestCrashes) int { return cmp.Compare(a.fingerprint, b.fingerprint) }
+func compareFingerprints(a, b *crashHistory) int { return cmp.Compare(a.fingerprint, b.fingerprint) }
 
-// crashesOf returns the crashes of a request, for which it creates an entry if
-// there is none. They are kept at least until expires.
-func (t *Tracker) crashesOf(fingerprint uint64, expires msg.Time) *requestCrashes {
-	r := t.requests[fingerprint]
-	if r == nil {
-		r = &requestCrashes{fingerprint: fingerprint}
-		t.requests[fingerprint] = r
-	}
-	r.expires = max(r.expires, expires)
-	return r
+// historyOf returns the history to which a record belongs, which it creates if there is
+// none. The history is kept at least until expires.
+func (t *Tracker) historyOf(s msg.CrashRecord, expires msg.Time) *crashHistory {
+	h := t.histories[s.Fingerprint]
+	if h == nil {
+		h = &crashHistory{fingerprint: s.Fingerprint, segment: s.Segment}
+		t.histories[s.Fingerprint] = h
+	}
+	h.expires = max(h.expires, expires)
+	return h
 }
 
-// evictRequests removes the requests whose crashes expire first once there are
-// more than maxRequests, and keeps nine tenths of maxRequests.
-func (t *Tracker) evictRequests() {
-	if len(t.requests) <= maxRequests {
-		return
+// evict removes the histories that expire first once there are more than
+// maxHistories, and keeps nine tenths of maxHistories.
+func (t *Tracker) evict() []msg.Effect {
+	if len(t.histories) <= maxHistories {
+		return nil
 	}
-	all := make([]*requestCrashes, 0, len(t.requests))
-	for _, r := range t.requests {
-		all = append(all, r)
+	all := make([]*crashHistory, 0, len(t.histories))
+	for _, h := range t.histories {
+		all = append(all, h)
 	}
-	slices.SortFunc(all, func(a, b *requestCrashes) int {
+	slices.SortFunc(all, func(a, b *crashHistory) int {
 		return cmp.Or(cmp.Compare(a.expires, b.expires), compareFingerprints(a, b))
 	})
-	for _, r := range all[:len(all)-maxRequests*9/10] {
-		delete(t.requests, r.fingerprint)
+	for _, h := range all[:len(all)-maxHistories*9/10] {
+		delete(t.histories, h.fingerprint)
+		h.crashes = nil
 	}
+	return t.unblockForgotten()
 }
 
 // onTick writes pending notices and compares records with other daemons. At each
-// readInterval it also removes the requests whose crashes have expired and reads the
-// stored batches.
+// readInterval it also removes the histories that have expired and reads the stored
+// batches.
 func (t *Tracker) onTick(now msg.Time, ev msg.Tick) []msg.Effect {
 	t.wall = ev.Wall
-	t.removeExpired(now)
+	effects := t.removeExpired(now)
 	if t.client == nil {
-		return nil
+		return effects
 	}
-	effects := append(t.flush(now), t.sync(now)...)
+	effects = append(effects, t.flush(now)...)
+	effects = append(effects, t.sync(now)...)
 	if now < t.nextReadAt || t.reading {
 		return effects
 	}
@@ -267,18 +326,20 @@
 	return append(effects, t.client.List(tagRead, msg.KindPoison, ""))
 }
 
-// removeExpired removes the requests whose crashes have expired, at each
+// removeExpired removes the crashes and histories that have expired, at each
 // readInterval.
-func (t *Tracker) removeExpired(now msg.Time) {
+func (t *Tracker) removeExpired(now msg.Time) []msg.Effect {
 	if now < t.nextExpiryAt {
-		return
+		return nil
 	}
 	t.nextExpiryAt = now + readInterval
-	for f, r := range t.requests {
-		if now >= r.expires {
-			delete(t.requests, f)
+	for _, h := range t.histories {
+		if now >= h.expires {
+			delete(t.histories, h.fingerprint)
 		}
+		h.crashes = slices.DeleteFunc(h.crashes, func(c crash) bool { return now >= c.at+Retention })
 	}
+	return t.unblockForgotten()
 }
 
 func (t *Tracker) onResult(now msg.Time, r store.Result) []msg.Effect {
@@ -315,14 +376,14 @@
 }
 
 // storeAgain writes the records that the store may have lost. Each is written by the
-// entry daemon that ranks first for its request.
+// entry daemon that ranks first for its fingerprint.
 func (t *Tracker) storeAgain(now msg.Time) {
-	own := func(r *requestCrashes) bool {
-		return rendezvous.Rank(strconv.FormatUint(r.fingerprint, 16), t.self, t.entries) == 0
+	own := func(h *crashHistory) bool {
+		return rendezvous.Rank(strconv.FormatUint(h.fingerprint, 16), t.self, t.entries) == 0
 	}
 	var again msg.CrashNotice
-	for _, r := range t.requestsOf(now, own) {
-		again = appendRequest(again, now, r)
+	for _, h := range t.historiesOf(now, own) {
+		again = appendHistory(again, now, h)
 	}
 	t.enqueue(again)
 }
--- a/internal/daemon/direct_exchange.go
+++ b/internal/daemon/direct_exchange.go
@@ -157,6 +157,7 @@
 	end.Status = result.Status
 	end.Load = result.Load
 	end.Notice = &result.Notice
+	end.Unframed = !resp.Framed
 	return end
 }
 
--- a/internal/daemon/direct_stream.go
+++ b/internal/daemon/direct_stream.go
@@ -46,8 +46,12 @@
 }
 
 // endStream returns the end of an attempt whose stream is complete. It writes the
-// head of the response if the stream had no events.
+// head of the response if the stream had no events. An unframed stream without events
+// ended before its target had begun.
 func (x *directExchange) endStream(resp *httpclient.Response, empty bool) msg.DirectAttemptEnded {
+	if empty && !resp.Framed {
+		return interruptedAttempt(errors.New("no event arrived"))
+	}
 	if empty && !x.responseStarted {
 		x.startResponse(resp)
 	}
--- a/internal/metrics/direct.go
+++ b/internal/metrics/direct.go
@@ -25,6 +25,7 @@
 	usageReports   *prometheus.CounterVec
 	runs           prometheus.Counter
 	crashRecords   *prometheus.CounterVec
+	blocked        prometheus.Gauge
 	notices        *prometheus.CounterVec
 	events         prometheus.Counter
 
@@ -52,6 +53,7 @@
 		usageReports:   f.counterVec("direct_usage_reports_total", "Reports of usage windows, by status.", "status"),
 		runs:           f.counter("direct_runs_total", "Requests that targets began to run."),
 		crashRecords:   f.counterVec("direct_crash_records_total", "Crashes of targets while they were running requests, as this daemon learnt of them, by source.", "source"),
+		blocked:        f.gauge("direct_blocked_segments", "Prompt segments that crash targets and whose prompts are refused."),
 		notices:        f.counterVec("direct_target_notices_total", "Changes of what targets state about themselves in their responses, by kind.", "kind"),
 		events:         f.counter("direct_events_total", "Events handled, raised ones included."),
 	}
@@ -80,6 +82,8 @@
 		d.notices.WithLabelValues(ev.Kind.String()).Inc()
 	case msg.CrashRecorded:
 		d.crashRecords.WithLabelValues(ev.Source.String()).Inc()
+	case msg.SegmentBlocked:
+		d.observeBlocked(ev)
 	case msg.Tick:
 		d.configAge.Set((now - d.confirmedAt).Seconds())
 	default:
@@ -88,6 +92,14 @@
 	return nil
 }
 
+func (d *Direct) observeBlocked(ev msg.SegmentBlocked) {
+	if ev.Blocked {
+		d.blocked.Inc()
+		return
+	}
+	d.blocked.Dec()
+}
+
 func (d *Direct) observeState(ev msg.Event) {
 	switch ev := ev.(type) {
 	case msg.RoutesConfirmed:
