--- a/internal/core/poison/segment.go
+++ b/internal/core/poison/segment.go
@@ -32,7 +32,7 @@
 	SegmentCrashLimit = 2
 	// minTrialDelay is the delay before the first trial of a segment, and
 	// trialDelayFactor that by which each further crash lengthens it.
-	minTrialDelay    = 4 * time.Second
+	minTrialDelay    = time.Minute
 	trialDelayFactor = 4
 	// entriesPerTrial is the number of entry daemons of which one may hold a trial at
 	// the same time. A trial that fails stops the others soon after.
