roles: engines that accept no connections do not count as decoding

Callers saw: prompts refused with no-target for five seconds after an outage of the store, since no engine decoded.

Cause: while the store is away the list shows engines that have crashed. The same lag of the list, shorter, stands behind each crash.

Entries tell the planner when a target ceases to accept connections. TestUnreachableEnginesDoNotCountAsDecoding failed before: orders went to engines that were down.

--- a/internal/core/directrequest/crash.go
+++ b/internal/core/directrequest/crash.go
@@ -120,6 +120,7 @@
 	switch {
 	case ev.Result == msg.ProbeDown:
 		t.backOff(s.now)
+		s.setReachable(t, false)
 		s.recordCrash(t)
 	case ev.Result == msg.ProbeUnknown:
 		t.probe.delay = min(max(2*t.probe.delay, minProbeDelay), maxProbeDelay)
--- a/internal/core/directrequest/end.go
+++ b/internal/core/directrequest/end.go
@@ -47,6 +47,9 @@
 		t.loadAt = s.now
 	}
 	s.applyNotice(a, ev.Notice)
+	if ev.Status != 0 && !ev.Misdirected {
+		s.setReachable(t, true)
+	}
 	switch ev.Result {
 	case msg.DirectDone, msg.DirectPrefilled:
 		s.confirmCompleted(t, a)
@@ -68,6 +71,7 @@
 	case msg.DirectUnreachable:
 		t.updateFailureRate(s.now, false)
 		t.backOff(s.now)
+		s.setReachable(t, false)
 		s.recordCrash(t)
 	case msg.DirectInterrupted:
 		t.updateFailureRate(s.now, false)
--- a/internal/core/directrequest/instances.go
+++ b/internal/core/directrequest/instances.go
@@ -55,6 +55,7 @@
 func (s *stepContext) onTargetRestarted(t *target) {
 	s.recordCrash(t)
 	s.recordOpen(t)
+	s.setReachable(t, true)
 	s.caches.removeEngine(t.Target)
 	t.notices = targetNotices{}
 	t.limit = requestLimit{}
@@ -67,6 +68,15 @@
 	t.changingUntil = 0
 }
 
+// setReachable records whether a target accepts connections.
+func (s *stepContext) setReachable(t *target, reachable bool) {
+	if t.unreachable != reachable {
+		return
+	}
+	t.unreachable = !reachable
+	s.raise(msg.TargetReachable{Target: t.Target, Reachable: reachable})
+}
+
 // suspendForRoleChange records that a target is changing its role. The target is
 // sent no requests until the list of targets shows the new role, but for d at
 // most.
--- a/internal/core/directrequest/start.go
+++ b/internal/core/directrequest/start.go
@@ -94,6 +94,7 @@
 		return
 	}
 	s.applyNotice(a, ev.Notice)
+	s.setReachable(a.target, true)
 	s.confirmCompleted(a.target, a)
 	s.observePrefill(a)
 	a.startedAt = s.now
--- a/internal/core/directrequest/target.go
+++ b/internal/core/directrequest/target.go
@@ -79,6 +79,8 @@
 	// unconfirmed holds the attempts whose unframed responses ended, in order of time,
 	// as long as the process may have gone down under them.
 	unconfirmed []interruptedAttempt
+	// unreachable is set while the target accepts no connections of this daemon.
+	unreachable bool
 	notices     targetNotices
 	limit       requestLimit
 }
--- a/internal/core/msg/direct_target.go
+++ b/internal/core/msg/direct_target.go
@@ -71,3 +71,12 @@
 func (TargetProbed) event()  {}
 
 func (ProbeTarget) effect() {}
+
+// TargetReachable is raised when a target ceases to accept connections of this daemon,
+// and when it does so again.
+type TargetReachable struct {
+	Target    TargetID
+	Reachable bool
+}
+
+func (TargetReachable) event() {}
--- a/internal/core/roles/roles.go
+++ b/internal/core/roles/roles.go
@@ -84,6 +84,8 @@
 	cfg      Config
 	engines  map[msg.ServiceID]*msg.EngineSpec
 	services map[msg.ServiceID][]msg.Instance
+	// unreachable holds the engines that are listed, but accept no connections.
+	unreachable map[msg.TargetID]bool
 	demand   map[msg.ServiceID]*decodeDemand
 	// noOrderBefore holds, for each engine, the time before which it gets no
 	// order.
@@ -110,6 +112,7 @@
 		cfg:           cfg,
 		engines:       make(map[msg.ServiceID]*msg.EngineSpec),
 		services:      make(map[msg.ServiceID][]msg.Instance),
+		unreachable:   make(map[msg.TargetID]bool),
 		demand:        make(map[msg.ServiceID]*decodeDemand),
 		noOrderBefore: make(map[msg.TargetID]msg.Time),
 		expected:      make(map[msg.TargetID]expectedRole),
@@ -125,6 +128,8 @@
 		c.onRoutesChanged(ev)
 	case msg.InstancesChanged:
 		c.onInstancesChanged(ev)
+	case msg.TargetReachable:
+		c.onReachable(ev)
 	case msg.DecodeDemandUpdated:
 		c.onDemandUpdated(ev)
 	case msg.LeaseChanged:
@@ -148,11 +153,30 @@
 
 func (c *Controller) onInstancesChanged(ev msg.InstancesChanged) {
 	c.services = make(map[msg.ServiceID][]msg.Instance)
+	listed := make(map[msg.TargetID]bool, len(ev.Instances))
 	for _, in := range ev.Instances {
+		listed[in.Target] = true
 		if !in.Draining && in.Role != msg.RoleMixed {
 			c.services[in.Service] = append(c.services[in.Service], in)
 		}
 	}
+	maps.DeleteFunc(c.unreachable, func(id msg.TargetID, _ bool) bool { return !listed[id] })
+}
+
+// onReachable records an engine that has gone down, or is back. The list shows the
+// former for some time, and during an outage of the store for all of it.
+func (c *Controller) onReachable(ev msg.TargetReachable) {
+	if ev.Reachable {
+		delete(c.unreachable, ev.Target)
+		return
+	}
+	c.unreachable[ev.Target] = true
+}
+
+// reachable returns the engines of a service without those that are unreachable.
+func (c *Controller) reachable(id msg.ServiceID) []msg.Instance {
+	down := func(in msg.Instance) bool { return c.unreachable[in.Target] }
+	return slices.DeleteFunc(slices.Clone(c.services[id]), down)
 }
 
 func (c *Controller) onLeaseChanged(ev msg.LeaseChanged) {
@@ -215,7 +239,7 @@
 // decode are not counted, because they carry no streams yet.
 func (c *Controller) countRemainingDecoders(id msg.ServiceID) int {
 	n := 0
-	for _, in := range c.services[id] {
+	for _, in := range c.reachable(id) {
 		if exp, ok := c.expected[in.Target]; in.Role == msg.RoleDecode && (!ok || exp.role == msg.RoleDecode) {
 			n++
 		}
--- a/internal/core/roles/roles_test.go
+++ b/internal/core/roles/roles_test.go
@@ -206,3 +206,17 @@
 	}
 	cl.is.Equal(len(domains), 3)
 }
+
+// Engines that have crashed stay in the list while the store is away.
+func TestUnreachableEnginesDoNotCountAsDecoding(t *testing.T) {
+	cl := newCluster(t, 8)
+	for _, in := range cl.instances[:4] {
+		cl.step(msg.TargetReachable{Target: in.Target})
+	}
+	cl.grantLease()
+	cl.advance(time.Minute)
+	for _, o := range cl.orders {
+		cl.is.True(o.Target >= "e04") // no orders to engines that are down
+	}
+	cl.is.Equal(cl.countDecoding(), 4+3) // at most all but one of those that are left
+}
