--- a/internal/core/directrequest/start.go
+++ b/internal/core/directrequest/start.go
@@ -70,6 +70,7 @@
 		attr("route", r.route.Name), attr("account", r.accountID()), attr("version", s.table.version), attr("tokens", r.arrival.PromptTokens),
 		attr("cost_ms", formatMS(c.cost)), attr("expected_ms", formatMS(c.expected)), attr("wait_ms", formatMS(c.wait)), attr("work_ms", formatMS(c.prefill)),
 		attr("fetch_from", from), attr("candidates", len(list)), attr("losers", formatLosers(list)),
+		attr("target_version", c.target.Version), attr("resumes", r.arrival.Resumes), attr("last_event", r.lastEvent),
 	)
 }
 
--- a/internal/core/msg/direct_config.go
+++ b/internal/core/msg/direct_config.go
@@ -121,6 +121,9 @@
 	// StartedMS is the start time of the target's process in Unix milliseconds.
 	// It distinguishes the successive processes of a target.
 	StartedMS int64 `cbor:"Born"`
+	// Version is the version of the target's software. It is empty if the target does
+	// not state it.
+	Version string
 }
 
 // State returns the target's state as shown in logs, metrics and lists.
--- a/internal/core/msg/direct_request.go
+++ b/internal/core/msg/direct_request.go
@@ -27,6 +27,9 @@
 	// LastEvent is the number of the last event that the caller has already
 	// received, if the request resumes a stream.
 	LastEvent int64
+	// Resumes is the caller's ID of the request that brought the first event of the
+	// stream that this one resumes. It is empty if the caller does not state it.
+	Resumes string
 	// PromptTokens is the length of the prompt, and MaxTokens the largest
 	// number of tokens to generate.
 	PromptTokens, MaxTokens int
--- a/internal/core/platformpoll/instances.go
+++ b/internal/core/platformpoll/instances.go
@@ -160,6 +160,7 @@
 			{Key: "addr", Value: in.Addr},
 			{Key: "state", Value: in.State()},
 			{Key: "role", Value: in.Role.String()},
+			{Key: "version", Value: in.Version},
 		},
 	}
 }
--- a/internal/core/roles/roles.go
+++ b/internal/core/roles/roles.go
@@ -86,7 +86,7 @@
 	services map[msg.ServiceID][]msg.Instance
 	// unreachable holds the engines that are listed, but accept no connections.
 	unreachable map[msg.TargetID]bool
-	demand   map[msg.ServiceID]*decodeDemand
+	demand      map[msg.ServiceID]*decodeDemand
 	// noOrderBefore holds, for each engine, the time before which it gets no
 	// order.
 	noOrderBefore map[msg.TargetID]msg.Time
