Streams go on at another software version: failing test

Engines of two versions serve side by side in virtual time; engines crash and entries restart at the same moment, and clients take their streams up.

--- a/internal/core/direct_fleet_target_test.go
+++ b/internal/core/direct_fleet_target_test.go
@@ -14,7 +14,9 @@
 	instance msg.Instance
 	downAt   time.Duration
 	down     bool
-	jobs     map[msg.AttemptID]*fleetJob
+	// gone reports whether the target has left for good.
+	gone bool
+	jobs map[msg.AttemptID]*fleetJob
 	// notice is what the target states in its responses.
 	notice msg.TargetNotice
 	// told holds when each process was first told the notice, and arrivals the requests
@@ -40,6 +42,8 @@
 	life    int // of the entry
 	start   msg.StartDirectAttempt
 	request *fleetRequest
+	// event is the number of the last event of a stream.
+	event int64
 }
 
 // report delivers an event of a job to its entry.
@@ -80,7 +84,7 @@
 // submit makes the target run a request.
 func (t *fleetTarget) submit(j *fleetJob) {
 	f := t.fleet
-	if t.down {
+	if t.down || t.gone {
 		j.end(msg.DirectUnreachable)
 		return
 	}
@@ -92,6 +96,10 @@
 		f.after(fleetCrashDelay, func() { t.crashUnder(j) })
 		return
 	}
+	if j.request.stream != nil && j.start.Spec.Step != msg.StepPrefill {
+		t.runStream(j)
+		return
+	}
 	f.after(time.Duration(20+f.rand.IntN(80))*time.Millisecond, func() {
 		if t.jobs[id] != j {
 			return
@@ -141,7 +149,7 @@
 			j.endUnframed()
 			continue
 		}
-		j.end(msg.DirectInterrupted)
+		j.interrupt()
 	}
 	f.after(fleetDowntime, func() {
 		t.down = false
--- a/internal/core/direct_fleet_test.go
+++ b/internal/core/direct_fleet_test.go
@@ -72,6 +72,8 @@
 	at time.Duration
 	// began reports whether its response has begun.
 	began bool
+	// stream is the stream of a resumable route that the request is a part of.
+	stream *fleetStream
 }
 
 // crashesTargets reports whether a request crashes each target that runs it.
@@ -126,14 +128,12 @@
 	for i := range engines + 4 {
 		in := msg.Instance{
 			Target: msg.TargetID(fmt.Sprint("t", i)), Service: "llm", Addr: fmt.Sprintf("10.0.0.%d:1", i),
-			Domain: msg.FailureDomain(fmt.Sprint("d", i%3)), Slots: 64, Role: msg.RoleDecode, StartedMS: 1,
+			Domain: msg.FailureDomain(fmt.Sprint("d", i%3)), Slots: 64, Role: msg.RoleDecode, StartedMS: 1, Version: "v1",
 		}
 		if i >= engines {
 			in.Service, in.Slots, in.Role = "app", 6, msg.RoleMixed
 		}
-		target := &fleetTarget{fleet: f, instance: in, jobs: make(map[msg.AttemptID]*fleetJob), told: make(map[fleetProcess]time.Duration)}
-		f.targets = append(f.targets, target)
-		f.byAddr[in.Addr] = target
+		f.addTarget(in)
 	}
 	for i := range entries {
 		e := &fleetEntry{fleet: f, host: msg.HostID(fmt.Sprintf("entry-%03d", i)), domain: msg.FailureDomain(fmt.Sprint("d", i%3))}
@@ -144,6 +144,12 @@
 	return f
 }
 
+func (f *directFleet) addTarget(in msg.Instance) {
+	t := &fleetTarget{fleet: f, instance: in, jobs: make(map[msg.AttemptID]*fleetJob), told: make(map[fleetProcess]time.Duration)}
+	f.targets = append(f.targets, t)
+	f.byAddr[in.Addr] = t
+}
+
 func (f *directFleet) after(d time.Duration, do func()) {
 	f.seq++
 	heap.Push(&f.queue, fleetEvent{f.now + d, f.seq, do})
@@ -227,9 +233,11 @@
 			Retry: retry, Attempts: attempts, Public: true, Timeout: 5 * time.Second, Objective: 800 * time.Millisecond,
 		}
 	}
+	talk := route("talk", "llm", msg.RetryStream, 2)
+	talk.Resumable = true
 	return &msg.RouteTable{
 		Version:  1,
-		Routes:   []msg.DirectRoute{route("chat", "llm", msg.RetryStream, 1), route("lookup", "app", msg.RetryIdempotent, 2)},
+		Routes:   []msg.DirectRoute{route("chat", "llm", msg.RetryStream, 1), route("lookup", "app", msg.RetryIdempotent, 2), talk},
 		Services: []msg.DirectService{{Service: "llm", MaxConns: 480, Engine: &msg.EngineSpec{Slots: 64, CacheTokens: 470_000, TokenBytes: 18432, LinkMbps: 740_000}}, {Service: "app", MaxConns: 220, HealthPath: "/health"}},
 	}
 }
@@ -239,6 +247,7 @@
 	f := e.fleet
 	e.life++
 	life := e.life
+	e.breakStreams()
 	e.started = f.now
 	e.era = 0
 	e.arrived = make(map[msg.RequestID]*fleetRequest)
@@ -286,8 +295,12 @@
 		e.cancel(eff.Attempt)
 	case msg.RefuseRequest:
 		f.refusals[eff.Code]++
+		e.arrived[eff.Req].breakOff()
+	case msg.AbortRequest:
+		e.arrived[eff.Req].breakOff()
 	case msg.FinishRequest:
 		f.answered++
+		e.arrived[eff.Req].finish()
 	case msg.SendPeer:
 		e.sendPeer(eff)
 	case msg.ChangeRole:
@@ -327,7 +340,7 @@
 func (f *directFleet) listed() ([]msg.Instance, msg.Revision) {
 	var list []msg.Instance
 	for _, t := range f.targets {
-		if !t.down || f.now-t.downAt < fleetLapse {
+		if !t.gone && (!t.down || f.now-t.downAt < fleetLapse) {
 			list = append(list, t.instance)
 		}
 	}
--- /dev/null
+++ b/internal/core/direct_version_test.go
@@ -0,0 +1,237 @@
+package core
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/verbenaspur/verbenaspur/internal/core/msg"
+)
+
+const (
+	// streamEvents is the number of events of a stream, and streamGap the time between
+	// two of them.
+	streamEvents = 10
+	streamGap    = 200 * time.Millisecond
+	// maxMixedStreams is how many streams may hold events of two software versions.
+	maxMixedStreams = 2
+	// maxClientTries is how often a client sends a stream.
+	maxClientTries = 2
+)
+
+// fleetStream is a stream of a resumable route, as its client sees it.
+type fleetStream struct {
+	fleet *directFleet
+	// first is the ID of the request that brought the first event, and event the number
+	// of the last one.
+	first    string
+	event    int64
+	versions []string
+	tries    int
+	// resumed and continued report whether the client has taken the stream up, and got
+	// another event then.
+	resumed, continued bool
+	open               *fleetRequest
+}
+
+// openStreams makes clients open streams at random entries until the given time has
+// passed.
+func (f *directFleet) openStreams(perSecond float64, d time.Duration) *[]*fleetStream {
+	end := f.now + d
+	var list []*fleetStream
+	f.every(time.Duration(float64(time.Second)/perSecond), func() bool {
+		s := &fleetStream{fleet: f}
+		list = append(list, s)
+		s.send()
+		return f.now < end
+	})
+	return &list
+}
+
+func (s *fleetStream) send() {
+	f := s.fleet
+	f.seq++
+	s.tries++
+	id := fmt.Sprint("s", f.seq)
+	r := &fleetRequest{at: f.now, stream: s, DirectRequestArrived: msg.DirectRequestArrived{
+		Req: msg.RequestID(id), CallerID: id, Host: "h", Method: "POST", Path: "/talk/x", BodyHash: f.rand.Uint64(),
+		Timeout: 5 * time.Second, PromptTokens: 1000, MaxTokens: 100, LastEvent: s.event, Resumes: s.first,
+		Segments: []msg.PromptSegment{{ID: 900, Tokens: 500}, {ID: f.rand.Uint64(), Tokens: 500}},
+	}}
+	s.open = r
+	s.resumed = s.resumed || s.event > 0
+	e := f.entries[f.rand.IntN(len(f.entries))]
+	e.arrived[r.Req] = r
+	e.step(r.DirectRequestArrived)
+}
+
+// receive delivers an event of a target to the client.
+func (s *fleetStream) receive(r *fleetRequest, version string) {
+	if s.open != r {
+		return
+	}
+	if s.event == 0 {
+		s.first = r.CallerID
+	}
+	s.continued = s.continued || s.resumed
+	s.event++
+	if !slices.Contains(s.versions, version) {
+		s.versions = append(s.versions, version)
+	}
+}
+
+// breakOff ends a request without a complete response. The client of a stream takes it
+// up again.
+func (r *fleetRequest) breakOff() {
+	if r == nil || r.stream == nil || r.stream.open != r {
+		return
+	}
+	s := r.stream
+	s.open = nil
+	if s.tries < maxClientTries {
+		s.fleet.after(50*time.Millisecond, s.send)
+	}
+}
+
+func (r *fleetRequest) finish() {
+	if r != nil && r.stream != nil && r.stream.open == r {
+		r.stream.open = nil
+	}
+}
+
+// breakStreams breaks off the streams that are open at an entry.
+func (e *fleetEntry) breakStreams() {
+	for _, id := range slices.Sorted(maps.Keys(e.arrived)) {
+		e.arrived[id].breakOff()
+	}
+}
+
+// runStream makes the target send the events of a stream that the client lacks.
+func (t *fleetTarget) runStream(j *fleetJob) {
+	f := t.fleet
+	id := j.start.Attempt
+	j.event = j.start.Spec.LastEvent
+	version := t.instance.Version
+	f.every(streamGap, func() bool {
+		if t.jobs[id] != j {
+			return false
+		}
+		if j.event == j.start.Spec.LastEvent {
+			j.request.began = true
+			j.report(msg.DirectAttemptStarted{Attempt: id})
+		}
+		j.event++
+		j.request.stream.receive(j.request, version)
+		if j.event < streamEvents {
+			return true
+		}
+		delete(t.jobs, id)
+		t.respond(j, msg.DirectDone, "")
+		return false
+	})
+}
+
+// interrupt delivers the end of a job whose response is cut short.
+func (j *fleetJob) interrupt() {
+	streaming := j.event > j.start.Spec.LastEvent
+	j.report(msg.DirectAttemptEnded{Attempt: j.start.Attempt, Result: msg.DirectInterrupted, LastEvent: j.event, Streaming: streaming})
+}
+
+// replaceTargets replaces every nth engine by one of another version: the new one starts
+// first, the old one drains and leaves.
+func (f *directFleet) replaceTargets(version string, n int) {
+	for i, old := range slices.Clone(f.targets) {
+		if old.instance.Service != "llm" || old.instance.Draining || i%n != 0 {
+			continue
+		}
+		f.after(time.Duration(i)*200*time.Millisecond, func() {
+			f.seq++
+			in := old.instance
+			in.Target, in.Addr = msg.TargetID(fmt.Sprint("n", f.seq)), fmt.Sprintf("10.1.0.%d:1", f.seq)
+			in.Version, in.Role = version, msg.RoleDecode
+			f.addTarget(in)
+			old.instance.Draining = true
+			f.after(6*time.Second, func() { old.gone = true })
+		})
+	}
+}
+
+// disturb crashes one engine in five and restarts one entry in three, all at once.
+func (f *directFleet) disturb() {
+	for i, t := range f.targets {
+		if t.instance.Service == "llm" && !t.down && !t.gone && i%5 == 2 {
+			t.crash()
+		}
+	}
+	for i, e := range f.entries {
+		if i%3 == 1 {
+			e.start()
+		}
+	}
+}
+
+// checkVersions checks the versions of the streams, and that streams were taken up.
+func checkVersions(t *testing.T, f *directFleet, streams []*fleetStream) {
+	t.Helper()
+	mixed, began, resumed, continued := 0, 0, 0, 0
+	for _, s := range streams {
+		if len(s.versions) > 1 {
+			mixed++
+		}
+		if s.event > 0 {
+			began++
+		}
+		if s.resumed {
+			resumed++
+		}
+		if s.continued {
+			continued++
+		}
+	}
+	t.Logf("%d of %d streams began, %d of %d went on, %d of two versions; refused %v", began, len(streams), continued, resumed, mixed, f.refusals)
+	if mixed > maxMixedStreams {
+		t.Errorf("%d streams hold events of two software versions", mixed)
+	}
+	if resumed < 12 {
+		t.Fatalf("only %d streams were taken up", resumed)
+	}
+	if continued*len(streams)*2 < began*resumed {
+		t.Errorf("streams that are taken up go on less than half as often as new ones begin")
+	}
+}
+
+// Targets of two software versions serve side by side, and what they write does not fit
+// together.
+func TestStreamGoesOnAtItsVersion(t *testing.T) {
+	t.Parallel()
+	for _, size := range []struct{ entries, engines int }{{4, 18}, {6, 8}, {26, 47}} {
+		t.Run(fmt.Sprint(size.entries), func(t *testing.T) {
+			t.Parallel()
+			f := newDirectFleet(t, size.entries, size.engines)
+			streams := f.openStreams(40, 30*time.Second)
+			f.replaceTargets("v2", 2)
+			for range 4 {
+				f.run(6500 * time.Millisecond)
+				f.disturb()
+			}
+			f.run(6 * time.Second)
+			checkVersions(t, f, *streams)
+		})
+	}
+}
+
+// A change of version is rolled back while streams of both versions are open.
+func TestStreamGoesOnAtItsVersionThroughRollback(t *testing.T) {
+	t.Parallel()
+	f := newDirectFleet(t, 4, 18)
+	streams := f.openStreams(40, 30*time.Second)
+	for _, version := range []string{"v2", "v1", "v3"} {
+		f.replaceTargets(version, 2)
+		f.run(5 * time.Second)
+		f.disturb()
+		f.run(5 * time.Second)
+	}
+	checkVersions(t, f, *streams)
+}
