direct: a stream goes on only at the software version that began it

Callers saw: a stream of which the second half came from an engine of another software version, whose events do not fit the first half.

Class of fault: a request that continues earlier work is placed like a new one.

The entry at which a stream begins tells its origin to three others, picked by rendezvous; an entry that does not know it asks them. Only targets of that version are candidates, within a response and over a caller's requests.

--- a/internal/core/directrequest/crash.go
+++ b/internal/core/directrequest/crash.go
@@ -267,24 +267,24 @@
 	return s.poison.CrashCount(r.fingerprint)+s.probing[r.fingerprint] >= poison.CrashLimit
 }
 
-// hold lets a request wait for the probes in flight. One that waits in the queue of its
-// service stays there.
-func (s *stepContext) hold(r *request) {
-	if r.waiting {
+// hold lets a request wait for the probes in flight, or for the origin of its stream.
+// One that waits in the queue of its service stays there.
+func (s *stepContext) hold(r *request, reason string) {
+	if r.waiting || slices.Contains(s.held, r) {
 		return
 	}
 	s.held = append(s.held, r)
-	s.logRequest(r, "waits for the probe of a target")
+	s.logRequest(r, reason)
 }
 
-// resumeHeld places the held requests whose probes have returned.
+// resumeHeld places the held requests for which nothing is awaited any more.
 func (s *stepContext) resumeHeld() {
 	held := s.held
 	s.held = nil
 	for _, r := range held {
 		switch {
 		case s.requests[r.arrival.Req] != r: // The request has ended meanwhile.
-		case s.mayCrashTargets(r) && s.checkCrashes(r) == nil:
+		case s.mayCrashTargets(r) && s.checkCrashes(r) == nil, s.originPending(r):
 			s.held = append(s.held, r)
 		default:
 			s.tryNext(r)
--- a/internal/core/directrequest/instances.go
+++ b/internal/core/directrequest/instances.go
@@ -10,6 +10,8 @@
 
 // onInstancesChanged applies a new list of targets.
 func (s *stepContext) onInstancesChanged(ev msg.InstancesChanged) {
+	s.recordVersions()
+	defer s.recordVersions()
 	listed := make(map[msg.TargetID]bool, len(ev.Instances))
 	for _, in := range ev.Instances {
 		listed[in.Target] = true
--- a/internal/core/directrequest/loadexchange.go
+++ b/internal/core/directrequest/loadexchange.go
@@ -130,6 +130,8 @@
 		s.onDigest(ev.From, m)
 	case msg.PrefillSent:
 		s.exchange.addPrefill(s.now, ev.From, m)
+	case msg.StreamOrigins:
+		s.resumeHeld()
 	}
 }
 
--- a/internal/core/directrequest/manager.go
+++ b/internal/core/directrequest/manager.go
@@ -29,6 +29,7 @@
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
 	"github.com/verbenaspur/verbenaspur/internal/core/poison"
 	"github.com/verbenaspur/verbenaspur/internal/core/prefilltime"
+	"github.com/verbenaspur/verbenaspur/internal/core/streamorigin"
 	"github.com/verbenaspur/verbenaspur/internal/core/targetlimit"
 )
 
@@ -77,7 +78,12 @@
 	// to be such crashes, both by the request's fingerprint.
 	poison  *poison.Tracker
 	probing map[uint64]int
-	// held lists the requests that wait for probes in flight.
+	// origins holds the software versions at which streams began, and versions those
+	// that the targets of each service have had lately.
+	origins  *streamorigin.Registry
+	versions map[msg.ServiceID]*serviceVersions
+	// held lists the requests that wait for probes in flight or for the origin of the
+	// stream that they resume.
 	held []*request
 
 	requests map[msg.RequestID]*request
@@ -105,6 +111,8 @@
 		typicalPrefill:  make(map[msg.RouteID]time.Duration),
 		poison:          poison.NewTracker(),
 		probing:         make(map[uint64]int),
+		origins:         streamorigin.New(),
+		versions:        make(map[msg.ServiceID]*serviceVersions),
 		requests:        make(map[msg.RequestID]*request),
 		attempts:        make(map[msg.AttemptID]*attempt),
 		exchange:        newLoadExchange(),
@@ -118,6 +126,7 @@
 func (m *Manager) Step(now msg.Time, ev msg.Event) []msg.Effect {
 	s := &stepContext{Manager: m, now: now}
 	s.effects = append(s.effects, m.poison.Step(now, ev)...)
+	s.effects = append(s.effects, m.origins.Step(now, ev)...)
 	s.handle(ev)
 	return s.effects
 }
--- a/internal/core/directrequest/place.go
+++ b/internal/core/directrequest/place.go
@@ -41,7 +41,8 @@
 
 // place chooses a target for the request's next attempt and starts the attempt.
 // A prompt that can only be late may be left waiting instead (see enqueue), as may a
-// request whose last attempts are being explained (see hold). It returns
+// request whose last attempts are being explained or that resumes a stream of unknown
+// origin (see hold). It returns
 // a refusal if the key is no longer valid, if the request crashes targets, if there is no
 // suitable target, if the wait would be too long, or if the retry budget is used up.
 func (s *stepContext) place(r *request) *refusal {
@@ -52,9 +53,12 @@
 		return ref
 	}
 	if s.mayCrashTargets(r) {
-		s.hold(r)
+		s.hold(r, "waits for the probe of a target")
 		return nil
 	}
+	if ref, pending := s.resolveOrigin(r); pending || ref != nil {
+		return ref
+	}
 	list := s.candidates(r)
 	if len(list) == 0 {
 		return s.noTarget(r)
@@ -74,8 +78,11 @@
 // noTarget returns the refusal of a request for which there is no candidate. Where only
 // limits are in the way, another daemon may have a share left.
 func (s *stepContext) noTarget(r *request) *refusal {
+	if r.origin != nil && !slices.ContainsFunc(s.services[r.service], r.fitsOrigin) {
+		return &refusal{status: statusUnavailable, code: "version-gone"}
+	}
 	limited := func(t *target) bool {
-		return t.usable(s.now) && !slices.Contains(r.exclude, t.Target) && !s.permits(t)
+		return t.usable(s.now) && !slices.Contains(r.exclude, t.Target) && r.fitsOrigin(t) && !s.permits(t)
 	}
 	if slices.ContainsFunc(s.services[r.service], limited) {
 		return &refusal{statusUnavailable, "limited", retryAfterOtherEntry}
@@ -92,7 +99,7 @@
 		r.decodeDelay = s.decodeDelay(r)
 	}
 	for _, t := range all {
-		if !t.usable(s.now) || !s.permits(t) || slices.Contains(r.exclude, t.Target) || len(t.open) >= maxConns {
+		if !t.usable(s.now) || !s.permits(t) || slices.Contains(r.exclude, t.Target) || !r.fitsOrigin(t) || len(t.open) >= maxConns {
 			continue
 		}
 		c, ok := s.score(r, t)
--- a/internal/core/directrequest/request.go
+++ b/internal/core/directrequest/request.go
@@ -44,6 +44,9 @@
 	// caller.
 	lastEvent int64
 	streaming bool
+	// origin is the software version of the target that began the stream, once it is
+	// known. The stream goes on at targets of this version only.
+	origin *string
 	// exclude lists the targets to which the request is not sent again, because
 	// an attempt there failed or was presumed lost.
 	exclude []msg.TargetID
@@ -86,9 +89,10 @@
 	startedAt   msg.Time
 	segments    []msg.PromptSegment
 	fingerprint uint64
-	// process is the start time of the target's process, as it was listed when the
-	// attempt was sent.
+	// process is the start time of the target's process, and version the version of its
+	// software, as they were listed when the attempt was sent.
 	process int64
+	version string
 	// noticed reports whether the head of the response has been taken into account.
 	noticed bool
 }
--- a/internal/core/directrequest/start.go
+++ b/internal/core/directrequest/start.go
@@ -24,7 +24,7 @@
 		id: s.newAttemptID(), req: r, target: c.target, step: c.step, priority: r.priority(), sentAt: s.now,
 		dropAt: r.deadline + attemptGrace, work: c.work, prefill: c.prefill, expected: c.response, unqueued: s.findsIdle(c),
 		tokens: r.arrival.PromptTokens, segments: r.segments, fingerprint: r.fingerprint,
-		process: c.target.StartedMS,
+		process: c.target.StartedMS, version: c.target.Version,
 	}
 	r.attempt = a
 	r.attemptsSent++
@@ -104,6 +104,7 @@
 	if a.req != nil {
 		a.req.streaming = true
 		a.req.mayHaveRun = true
+		s.recordOrigin(a.req, a)
 		s.countRun(a.req)
 		s.raise(msg.FirstTokenReceived{Route: a.req.route.Name, Waited: s.now - a.req.arrivedAt})
 		s.logRequest(a.req, "first token received",
--- a/internal/core/msg/types.go
+++ b/internal/core/msg/types.go
@@ -15,6 +15,7 @@
 		reflect.TypeFor[PrefillSent](),
 		reflect.TypeFor[CatalogQuery](), reflect.TypeFor[CatalogReply](),
 		reflect.TypeFor[CrashDigest](), reflect.TypeFor[WindowsFrozen](),
+		reflect.TypeFor[StreamOrigins](), reflect.TypeFor[StreamOriginQuery](),
 	}
 }
 
--- a/internal/core/msg/types_test.go
+++ b/internal/core/msg/types_test.go
@@ -13,7 +13,7 @@
 	want := []string{
 		"ConfigQuery", "ConfigQueryReply", "ConfigFetch", "ConfigTransfer", "LeaseReleased",
 		"ExchangePoll", "ExchangeReply", "CrashNotice", "LoadDigest", "RunCounts", "PrefillSent",
-		"CatalogQuery", "CatalogReply", "CrashDigest", "WindowsFrozen",
+		"CatalogQuery", "CatalogReply", "CrashDigest", "WindowsFrozen", "StreamOrigins", "StreamOriginQuery",
 	}
 	var got []string
 	for _, typ := range PeerTypes() {
