httpclient: bytes without end are cut off

A target in trouble may send bytes without end in a head or a body. Nothing limited a head, a body that is discarded, or a long body that is forwarded: they were read until the far end closed or the deadline cut, a head into memory.

Class of fault: a limit of time stands in for a limit of size. A connection now counts what may still be read: 64 KB of a head, 1 MB of a body that nobody wants, 64 MB of any other. An error response of a target that is too long to be buffered was forwarded cut short; it counts as broken off.

--- a/internal/daemon/direct_exchange.go
+++ b/internal/daemon/direct_exchange.go
@@ -177,6 +177,8 @@
 		return msg.DirectAttemptEnded{Result: msg.DirectNotRun, Reason: "refused by the target", Misdirected: result.Misdirected}
 	case err != nil:
 		return interruptedAttempt(err)
+	case len(body) > maxBufferedResponse:
+		return interruptedAttempt(httpclient.ErrTooLong)
 	}
 	switch result.Kind {
 	case platform.ResponseHandle:
--- a/internal/httpclient/exchange.go
+++ b/internal/httpclient/exchange.go
@@ -32,7 +32,9 @@
 type conn struct {
 	net.Conn
 	addr string
-	r    *bufio.Reader
+	// input reads from the connection, and r from input.
+	input *limitedReader
+	r     *bufio.Reader
 	// expires is when an idle connection becomes too old to be reused.
 	expires   time.Time
 	closeOnce sync.Once
@@ -111,7 +113,11 @@
 func (c *conn) readResponse(req *Request) (*Response, error) {
 	httpReq := &http.Request{Method: req.Method}
 	for range maxMismatched {
+		c.input.left = maxHeadBytes
 		resp, err := http.ReadResponse(c.r, httpReq) //nolint:bodyclose // Response.Close ends the exchange
+		if c.input.left <= 0 {
+			return nil, ErrTooLong
+		}
 		if err != nil {
 			return nil, errors.Wrap(err, "kept: no answer")
 		}
@@ -119,12 +125,13 @@
 			continue
 		}
 		if req.EchoName == "" || resp.Header.Get(req.EchoName) == req.EchoID {
+			c.input.left = maxBodyBytes
 			return &Response{Response: resp, conn: c, Framed: isFramed(resp)}, nil
 		}
 		if !isFramed(resp) {
 			return nil, ErrResponseMismatch
 		}
-		if err := discardBody(resp); err != nil {
+		if err := c.discardBody(resp); err != nil {
 			return nil, errors.Wrap(err, "kept: no answer")
 		}
 	}
@@ -135,7 +142,8 @@
 	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
 }
 
-func discardBody(resp *http.Response) error {
+func (c *conn) discardBody(resp *http.Response) error {
+	c.input.left = maxDiscardedBytes
 	b := make([]byte, bufferSize)
 	for {
 		_, err := resp.Body.Read(b)
@@ -146,7 +154,7 @@
 }
 
 // Discard reads the body to its end and ends the exchange.
-func (r *Response) Discard() { r.Close(discardBody(r.Response) == nil) }
+func (r *Response) Discard() { r.Close(r.conn.discardBody(r.Response) == nil) }
 
 // Close ends the exchange. The parameter complete reports whether the body was
 // read to its end. The connection is closed unless it can be reused.
--- a/internal/httpclient/httpclient.go
+++ b/internal/httpclient/httpclient.go
@@ -38,6 +38,15 @@
 	bufferSize    = 4096
 )
 
+// Limits of what is read of a response.
+const (
+	// maxHeadBytes limits a head, and maxDiscardedBytes a body that nobody wants.
+	maxHeadBytes      = 64 << 10
+	maxDiscardedBytes = 1 << 20
+	// maxBodyBytes limits any other body.
+	maxBodyBytes = 64 << 20
+)
+
 // ErrNotSent means that no byte of the request was sent.
 var ErrNotSent = errors.New("kept: not sent")
 
@@ -45,6 +54,10 @@
 // requests.
 var ErrResponseMismatch = errors.New("kept: answers of other requests")
 
+// ErrTooLong means that a response exceeds a limit. The target may send bytes without
+// end.
+var ErrTooLong = errors.New("kept: answer is too long")
+
 // Pool sends requests and keeps idle connections by address. It is safe for
 // concurrent use.
 type Pool struct {
@@ -174,5 +187,6 @@
 		return nil, err
 	}
 	p.Opened.Add(1)
-	return &conn{Conn: nc, addr: addr, r: bufio.NewReaderSize(nc, bufferSize)}, nil
+	input := &limitedReader{r: nc}
+	return &conn{Conn: nc, addr: addr, input: input, r: bufio.NewReaderSize(input, bufferSize)}, nil
 }
