roles: each software version keeps its share of decode engines

A stream can go on only at its version.

Each of several versions now keeps a fifth of its engines decoding, two at least. TestEachVersionKeepsDecodeEngines failed before.

--- a/internal/core/roles/roles.go
+++ b/internal/core/roles/roles.go
@@ -207,17 +207,23 @@
 	if spec == nil || len(list) < 2 {
 		return nil
 	}
+	versions := decodersByVersion(list, c.cfg.Policy.DecodeShare)
 	decoding := countDecoding(list)
-	want := c.neededDecoders(spec, id, list)
+	want := max(c.neededDecoders(spec, id, list), versions.minimum())
 	role := msg.RolePrefill
+	candidates := list
 	switch {
+	case versions.lacking():
+		role = msg.RoleDecode
+		candidates = versions.below(list)
 	case decoding > want && c.countRemainingDecoders(id) > want:
+		candidates = versions.above(list)
 	case decoding < want-demandSlack, decoding < want && decoding < c.cfg.Policy.MinDecoding:
 		role = msg.RoleDecode
 	default:
 		return nil
 	}
-	in, ok := c.chooseEngine(now, list, role)
+	in, ok := c.chooseEngine(now, candidates, role)
 	if !ok {
 		return nil
 	}
--- a/internal/core/roles/roles_test.go
+++ b/internal/core/roles/roles_test.go
@@ -220,3 +220,25 @@
 	}
 	cl.is.Equal(cl.countDecoding(), 4+3) // at most all but one of those that are left
 }
+
+// A stream can go on only at the software version that began it.
+func TestEachVersionKeepsDecodeEngines(t *testing.T) {
+	for _, newer := range []int{1, 2, 3, 9, 15, 17} {
+		cl := newCluster(t, 18)
+		cl.grantLease()
+		cl.advance(time.Minute)
+		for i := range newer {
+			cl.instances[i].Version = "v2"
+		}
+		cl.advance(time.Minute)
+		decoding := make(map[string]int)
+		for _, in := range cl.instances {
+			if in.Role == msg.RoleDecode {
+				decoding[in.Version]++
+			}
+		}
+		cl.is.True(decoding["v2"] >= min(newer-1, 2))
+		cl.is.True(decoding[""] >= min(18-newer-1, 2))
+		cl.is.True(cl.countDecoding() <= 5)
+	}
+}
