roles: limited engines do not bind the planned roles

Callers saw: two thirds of the prompts refused (limited) once the engines that decode name limits, while others only prefilled.

Cause: the planner counted a limited engine as a full one. It now plans with the engines that name no limit, as long as two are left.

--- a/internal/core/direct_limit_test.go
+++ b/internal/core/direct_limit_test.go
@@ -117,3 +117,30 @@
 		})
 	}
 }
+
+// Engines that name a limit while they decode must not bind what the others prefill.
+func TestLimitedDecodeEnginesAreReplaced(t *testing.T) {
+	t.Parallel()
+	for _, entries := range []int{4, 26} {
+		t.Run(fmt.Sprint(entries), func(t *testing.T) {
+			t.Parallel()
+			f := newDirectFleet(t, entries, 18)
+			f.load(150, 40*time.Second)
+			f.run(5 * time.Second)
+			for _, target := range f.targets[:18] {
+				if target.instance.Role == msg.RoleDecode {
+					target.notice = msg.TargetNotice{RequestLimit: 4}
+				}
+			}
+			f.run(15 * time.Second)
+			clear(f.refusals)
+			f.answered = 0
+			f.run(18 * time.Second)
+			refused := f.refusals["limited"] + f.refusals["no-target"] + f.refusals["overloaded"]
+			t.Logf("answered %d, refused %v", f.answered, f.refusals)
+			if refused > f.answered/50 {
+				t.Errorf("%d requests are refused beside %d answers, though only some engines are limited", refused, f.answered)
+			}
+		})
+	}
+}
--- a/internal/core/directrequest/limit.go
+++ b/internal/core/directrequest/limit.go
@@ -90,3 +90,19 @@
 		}
 	}
 }
+
+// reportLimited raises the targets that name limits if they have changed.
+func (s *stepContext) reportLimited() {
+	var limited []msg.TargetID
+	for id, t := range s.targets {
+		if t.limit.limited(s.now) {
+			limited = append(limited, id)
+		}
+	}
+	slices.Sort(limited)
+	if slices.Equal(limited, s.exchange.limited) {
+		return
+	}
+	s.exchange.limited = limited
+	s.raise(msg.TargetsLimited{Targets: limited})
+}
--- a/internal/core/directrequest/loadexchange.go
+++ b/internal/core/directrequest/loadexchange.go
@@ -48,6 +48,8 @@
 	// their role.
 	roleChanges  map[msg.TargetID]bool
 	nextDemandAt msg.Time
+	// limited holds the targets of the last TargetsLimited.
+	limited []msg.TargetID
 }
 
 // peerLoad is the load that another entry daemon last reported.
@@ -237,6 +239,7 @@
 		return
 	}
 	s.exchange.nextDemandAt = s.now + demandInterval
+	s.reportLimited()
 	for _, id := range slices.Sorted(maps.Keys(s.services)) {
 		d := msg.DecodeDemandUpdated{Service: id}
 		for _, t := range s.services[id] {
--- a/internal/core/msg/direct_target.go
+++ b/internal/core/msg/direct_target.go
@@ -79,4 +79,9 @@
 	Reachable bool
 }
 
+// TargetsLimited is raised when other targets than before name limits of requests per
+// second. Targets lists all that do, in order.
+type TargetsLimited struct{ Targets []TargetID }
+
 func (TargetReachable) event() {}
+func (TargetsLimited) event()  {}
--- a/internal/core/msg/types.go
+++ b/internal/core/msg/types.go
@@ -50,7 +50,7 @@
 		reflect.TypeFor[CacheRead](), reflect.TypeFor[DirectRequestEnded](), reflect.TypeFor[FirstTokenReceived](),
 		reflect.TypeFor[PrefillTimed](), reflect.TypeFor[CrashRecorded](),
 		reflect.TypeFor[TargetProbed](), reflect.TypeFor[StoreEraChanged](), reflect.TypeFor[TargetNoticed](),
-		reflect.TypeFor[SegmentBlocked](), reflect.TypeFor[TargetReachable](),
+		reflect.TypeFor[SegmentBlocked](), reflect.TypeFor[TargetReachable](), reflect.TypeFor[TargetsLimited](),
 	}
 }
 
--- a/internal/core/roles/roles.go
+++ b/internal/core/roles/roles.go
@@ -86,6 +86,8 @@
 	services map[msg.ServiceID][]msg.Instance
 	// unreachable holds the engines that are listed, but accept no connections.
 	unreachable map[msg.TargetID]bool
+	// limited holds the targets that name limits of requests per second.
+	limited []msg.TargetID
 	demand      map[msg.ServiceID]*decodeDemand
 	// noOrderBefore holds, for each engine, the time before which it gets no
 	// order.
@@ -130,6 +132,8 @@
 		c.onInstancesChanged(ev)
 	case msg.TargetReachable:
 		c.onReachable(ev)
+	case msg.TargetsLimited:
+		c.limited = ev.Targets
 	case msg.DecodeDemandUpdated:
 		c.onDemandUpdated(ev)
 	case msg.LeaseChanged:
@@ -173,10 +177,18 @@
 	c.unreachable[ev.Target] = true
 }
 
-// reachable returns the engines of a service without those that are unreachable.
-func (c *Controller) reachable(id msg.ServiceID) []msg.Instance {
+// available returns the engines of a service on which its roles are based: those that
+// are reachable and take any number of requests. A limited engine keeps its role, and
+// what it takes comes on top. If less than two engines are left, the limited ones count.
+func (c *Controller) available(id msg.ServiceID) []msg.Instance {
 	down := func(in msg.Instance) bool { return c.unreachable[in.Target] }
-	return slices.DeleteFunc(slices.Clone(c.services[id]), down)
+	limited := func(in msg.Instance) bool { return slices.Contains(c.limited, in.Target) }
+	reachable := slices.DeleteFunc(slices.Clone(c.services[id]), down)
+	unlimited := slices.DeleteFunc(slices.Clone(reachable), limited)
+	if len(unlimited) < 2 {
+		return reachable
+	}
+	return unlimited
 }
 
 func (c *Controller) onLeaseChanged(ev msg.LeaseChanged) {
@@ -245,7 +257,7 @@
 // decode are not counted, because they carry no streams yet.
 func (c *Controller) countRemainingDecoders(id msg.ServiceID) int {
 	n := 0
-	for _, in := range c.reachable(id) {
+	for _, in := range c.available(id) {
 		if exp, ok := c.expected[in.Target]; in.Role == msg.RoleDecode && (!ok || exp.role == msg.RoleDecode) {
 			n++
 		}
