--- a/internal/core/roles/roles.go
+++ b/internal/core/roles/roles.go
@@ -88,7 +88,7 @@
 	unreachable map[msg.TargetID]bool
 	// limited holds the targets that name limits of requests per second.
 	limited []msg.TargetID
-	demand      map[msg.ServiceID]*decodeDemand
+	demand  map[msg.ServiceID]*decodeDemand
 	// noOrderBefore holds, for each engine, the time before which it gets no
 	// order.
 	noOrderBefore map[msg.TargetID]msg.Time
