--- a/internal/core/directrequest/crash_test.go
+++ b/internal/core/directrequest/crash_test.go
@@ -202,40 +202,28 @@
 	h.started()
 }
 
-// The end of an unframed response may be that of the process.
-func TestUnframedResponseClearsOnceTargetRespondsAgain(t *testing.T) {
-	h := newReadyHarness(t)
-	h.crashUnderPrompts(1, 0)
-	h.is.Equal(h.m.poison.CrashCount(7), 1)
-	h.arrive("/chat/x", prompt(7, 1000, 100))
-	a := h.started()
-	if a.Spec.Step == msg.StepPrefill {
-		h.end(a.Attempt, msg.DirectPrefilled, func(ev *msg.DirectAttemptEnded) { ev.Handle = "h" })
-		a = h.started()
-	}
-	h.end(a.Attempt, msg.DirectDone, func(ev *msg.DirectAttemptEnded) { ev.Unframed = true })
-	h.is.Equal(h.m.poison.CrashCount(7), 1)
-	t1 := h.m.targets[a.Spec.Target]
-	h.m.confirmAt(h.now+time.Second, t1)
-	h.is.Equal(h.m.poison.CrashCount(7), 0)
-}
-
-// confirmAt delivers a response of a target to an attempt that was sent at an instant.
-func (m *Manager) confirmAt(sentAt msg.Time, t *target) {
-	s := &stepContext{Manager: m, now: sentAt}
-	s.confirmCompleted(t, &attempt{sentAt: sentAt, process: t.StartedMS})
-}
-
-func TestUnframedResponseDoesNotClearWhenTargetGoesDown(t *testing.T) {
-	h := newReadyHarness(t)
-	h.crashUnderPrompts(1, 0)
-	h.arrive("/chat/x", prompt(7, 1000, 100))
-	a := h.started()
-	if a.Spec.Step == msg.StepPrefill {
-		h.end(a.Attempt, msg.DirectPrefilled, func(ev *msg.DirectAttemptEnded) { ev.Handle = "h" })
-		a = h.started()
+// The end of an unframed response may be that of the process, and clears the prompt's
+// segments only once the process has responded again.
+func TestUnframedResponseClearsOnlyIfTargetRunsOn(t *testing.T) {
+	for _, gone := range []bool{false, true} {
+		h := newReadyHarness(t)
+		h.crashUnderPrompts(1, 0)
+		h.arrive("/chat/x", prompt(7, 1000, 100))
+		a := h.started()
+		if a.Spec.Step == msg.StepPrefill {
+			h.end(a.Attempt, msg.DirectPrefilled, func(ev *msg.DirectAttemptEnded) { ev.Handle = "h" })
+			a = h.started()
+		}
+		h.end(a.Attempt, msg.DirectDone, func(ev *msg.DirectAttemptEnded) { ev.Unframed = true })
+		h.is.Equal(h.m.poison.CrashCount(7), 1)
+		if gone {
+			h.setInstances(slices.DeleteFunc(testInstances(), func(in msg.Instance) bool { return in.Target == a.Spec.Target })...)
+			h.is.Equal(h.m.poison.CrashCount(7), 2)
+			continue
+		}
+		s := &stepContext{Manager: h.m, now: h.now + time.Second}
+		target := h.m.targets[a.Spec.Target]
+		s.confirmCompleted(target, &attempt{sentAt: s.now, process: target.StartedMS})
+		h.is.Equal(h.m.poison.CrashCount(7), 0)
 	}
-	h.end(a.Attempt, msg.DirectDone, func(ev *msg.DirectAttemptEnded) { ev.Unframed = true })
-	h.setInstances(slices.DeleteFunc(testInstances(), func(in msg.Instance) bool { return in.Target == a.Spec.Target })...)
-	h.is.Equal(h.m.poison.CrashCount(7), 2)
 }
--- a/internal/core/poison/segment.go
+++ b/internal/core/poison/segment.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"maps"
-	"math"
 	"slices"
 	"time"
 
@@ -47,19 +46,6 @@
 	turn    int64
 }
 
-// independent returns the number of independent crashes in a list ordered by time.
-func independent(crashes []crash) int {
-	n := 0
-	last := msg.Time(math.MinInt64)
-	for _, c := range crashes {
-		if c.sentAt > last {
-			n++
-			last = c.at
-		}
-	}
-	return n
-}
-
 // updateBlocked blocks a segment or ends that, according to its crashes.
 func (t *Tracker) updateBlocked(h *crashHistory) []msg.Effect {
 	if !h.segment {
@@ -121,18 +107,6 @@
 	return slices.ContainsFunc(segments, func(s msg.PromptSegment) bool { return s.ID == id })
 }
 
-// covers reports whether all crashes that count against another history count against
-// this one as well.
-func (h *crashHistory) covers(other *crashHistory) bool {
-	own := crashIDs(h.uncleared())
-	for _, c := range other.uncleared() {
-		if !slices.Contains(own, c.id) {
-			return false
-		}
-	}
-	return true
-}
-
 // StartTrial reports whether a prompt with a blocked segment may be let through as the
 // segment's trial. The daemons take turns, which last for one delay each.
 func (t *Tracker) StartTrial(now msg.Time, id uint64) bool {
--- a/internal/core/poison/sync.go
+++ b/internal/core/poison/sync.go
@@ -122,8 +122,6 @@
 	return d.Sum64()
 }
 
-func (h *crashHistory) bucket() int { return int(h.fingerprint % bucketCount) }
-
 // notices returns the records of the wanted histories. If there are too many, later calls
 // return the others.
 func (t *Tracker) notices(now msg.Time, wanted func(*crashHistory) bool) []msg.CrashNotice {
@@ -161,15 +159,6 @@
 	return list
 }
 
-// lasting returns the crashes that count for minTimeLeft or longer.
-func (h *crashHistory) lasting(now msg.Time) []crash {
-	i := 0
-	for i < len(h.crashes) && h.crashes[i].at+Retention-now < minTimeLeft {
-		i++
-	}
-	return h.crashes[i:]
-}
-
 // appendHistory adds the records of a history to a notice. Crashes that were cleared
 // count no more, but are sent as well, since daemons compare both.
 func appendHistory(n msg.CrashNotice, now msg.Time, h *crashHistory) msg.CrashNotice {
--- a/internal/core/poison/tracker.go
+++ b/internal/core/poison/tracker.go
@@ -54,45 +54,6 @@
 	tagDelete
 )
 
-// crash is a crash that is recorded for a request or a prompt segment.
-type crash struct {
-	id msg.CrashID
-	// at is when the target went down, and sentAt when the attempt had been sent.
-	at, sentAt msg.Time
-}
-
-// crashHistory holds the crashes of one request or prompt segment, in order of time,
-// and those of them that were cleared. Cleared crashes no longer count.
-type crashHistory struct {
-	fingerprint uint64
-	segment     bool
-	crashes     []crash
-	cleared     []msg.CrashID
-	expires     msg.Time
-	// trial is the last trial of a segment.
-	trial trial
-}
-
-// uncleared returns the crashes that count.
-func (h *crashHistory) uncleared() []crash {
-	list := make([]crash, 0, len(h.crashes))
-	for _, c := range h.crashes {
-		if !slices.Contains(h.cleared, c.id) {
-			list = append(list, c)
-		}
-	}
-	return list
-}
-
-// count returns the number of crashes that count: of a request all of them, and of a
-// segment the independent ones.
-func (h *crashHistory) count() int {
-	if h.segment {
-		return independent(h.uncleared())
-	}
-	return len(h.uncleared())
-}
-
 // Tracker holds the crash records that an entry daemon has received. It is not
 // safe for concurrent use.
 type Tracker struct {
@@ -173,14 +134,6 @@
 	return append(effects, t.broadcast(notice)...)
 }
 
-func crashIDs(crashes []crash) []msg.CrashID {
-	ids := make([]msg.CrashID, len(crashes))
-	for i, c := range crashes {
-		ids[i] = c.id
-	}
-	return ids
-}
-
 // Step handles one event.
 func (t *Tracker) Step(now msg.Time, ev msg.Event) []msg.Effect {
 	var effects []msg.Effect
@@ -220,17 +173,31 @@
 	return nil
 }
 
-// broadcast sends a notice to the other entry daemons.
+// broadcast sends a notice to the other entry daemons, in parts if it is long.
 func (t *Tracker) broadcast(n msg.CrashNotice) []msg.Effect {
 	var out []msg.Effect
-	for _, h := range t.entries {
-		if h.Host != t.self {
-			out = append(out, msg.SendPeer{To: h.Host, Message: n})
+	for _, part := range split(n) {
+		for _, h := range t.entries {
+			if h.Host != t.self {
+				out = append(out, msg.SendPeer{To: h.Host, Message: part})
+			}
 		}
 	}
 	return out
 }
 
+// split divides a notice into some of at most maxRecordsPerNotice records.
+func split(n msg.CrashNotice) []msg.CrashNotice {
+	var parts []msg.CrashNotice
+	for chunk := range slices.Chunk(n.Crashes, maxRecordsPerNotice) {
+		parts = append(parts, msg.CrashNotice{Crashes: chunk})
+	}
+	for chunk := range slices.Chunk(n.Cleared, maxRecordsPerNotice) {
+		parts = append(parts, msg.CrashNotice{Cleared: chunk})
+	}
+	return parts
+}
+
 // applyNotice adds the crashes of a notice of the given age and the crashes that it
 // clears. It returns the events of the crashes that are new.
 func (t *Tracker) applyNotice(now msg.Time, n msg.CrashNotice, age time.Duration, source msg.CrashSource) []msg.Effect {
@@ -273,8 +240,6 @@
 	return append([]msg.Effect{recorded}, t.updateBlocked(h)...)
 }
 
-func compareFingerprints(a, b *crashHistory) int { return cmp.Compare(a.fingerprint, b.fingerprint) }
-
 // historyOf returns the history to which a record belongs, which it creates if there is
 // none. The history is kept at least until expires.
 func (t *Tracker) historyOf(s msg.CrashRecord, expires msg.Time) *crashHistory {
