direct: an old list of targets does not show that one version serves

An entry that is cut off from the store, but not from the others, took a service for one with a single version and sent streams of another there, without asking. TestOriginIsAskedForWhileListIsOld failed without the check of the list's age.

--- a/internal/core/directrequest/manager.go
+++ b/internal/core/directrequest/manager.go
@@ -50,8 +50,10 @@
 	stopping bool
 	// ready reports whether the load balancer may send requests to this daemon.
 	ready bool
-	// targetsListed reports whether the list of targets has been read.
+	// targetsListed reports whether the list of targets has been read, and listedAt is
+	// when that was last.
 	targetsListed bool
+	listedAt      msg.Time
 
 	table *routeTable
 	// confirmedAt is the last instant at which the configuration was confirmed
@@ -184,6 +186,7 @@
 	case msg.InstancesChanged:
 		s.onInstancesChanged(ev)
 		s.targetsListed = true
+		s.listedAt = s.now
 		s.updateReady()
 	case msg.MembersChanged:
 		s.sendCacheToNewEntries(ev.Entries)
--- a/internal/core/directrequest/origin.go
+++ b/internal/core/directrequest/origin.go
@@ -21,6 +21,10 @@
 // It exceeds the duration of a stream.
 const versionMemory = 30 * time.Second
 
+// listMaxAge is the largest age of the list of targets at which it shows all versions.
+// A daemon that is cut off from the store sees no new ones.
+const listMaxAge = 5 * time.Second
+
 // serviceVersions holds when targets of a service last had each version.
 type serviceVersions struct {
 	lastListed map[string]msg.Time
@@ -136,5 +140,6 @@
 // alwaysOneVersion reports whether all streams of a service that callers may still
 // resume began at the same version.
 func (s *stepContext) alwaysOneVersion(id msg.ServiceID) bool {
-	return len(s.recentVersions(id)) == 1 && s.versions[id].settled(s.now)
+	fresh := s.now-s.listedAt < listMaxAge
+	return fresh && len(s.recentVersions(id)) == 1 && s.versions[id].settled(s.now)
 }
--- a/internal/core/directrequest/origin_test.go
+++ b/internal/core/directrequest/origin_test.go
@@ -64,3 +64,17 @@
 	h.resume("c99")
 	h.started()
 }
+
+// A daemon that is cut off from the store does not see that a second version serves.
+func TestOriginIsAskedForWhileListIsOld(t *testing.T) {
+	h := newReadyHarness(t)
+	h.step(msg.MembersChanged{Entries: []msg.Host{{Host: "entry-1"}, {Host: "entry-2"}}})
+	h.setVersions("v1", "v1")
+	for _, age := range []time.Duration{time.Second, listMaxAge} {
+		h.advance(versionMemory)
+		h.setVersions("v1", "v1")
+		h.advance(age)
+		h.resume("c99")
+		h.is.Equal(h.logged("waits for the origin of its stream"), age == listMaxAge)
+	}
+}
