--- a/internal/experiment/engine.go
+++ b/internal/experiment/engine.go
@@ -8,6 +8,15 @@
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
 )
 
+const (
+	// crashingSegment is the ID of the segment of FaultCrashSegment, and crashDowntime
+	// how long an engine is down after it has begun to answer a prompt with it.
+	crashingSegment = 1<<63 + 1
+	crashDowntime   = 3 * time.Second
+	// replacementTime is how long the place of an engine that has left stays empty.
+	replacementTime = time.Second
+)
+
 // Parameters of transfers of KV cache.
 const (
 	// transferSetup is the fixed duration of a transfer of KV cache, and
@@ -41,6 +50,12 @@
 	report func(msg.Event)
 }
 
+// crashesEngine reports whether the engine crashes as it begins to answer the job.
+func (j *job) crashesEngine() bool {
+	isCrashing := func(s msg.PromptSegment) bool { return s.ID == crashingSegment }
+	return j.step != msg.StepPrefill && slices.ContainsFunc(j.segments, isCrashing)
+}
+
 // engine is a simulated engine. Jobs wait for a slot and memory, and run in steps.
 type engine struct {
 	sim             *simulation
@@ -49,6 +64,8 @@
 	slowFactor      float64
 	lossProbability float64
 	down            bool
+	// notice is what the engine states about itself in its responses.
+	notice msg.TargetNotice
 
 	waiting, running []*job
 	stepping         bool
@@ -74,6 +91,11 @@
 // submit adds a job to the queue. The engine refuses it during a role change, and
 // if the job's step doesn't match the engine's role.
 func (e *engine) submit(j *job) {
+	if e.notice.RetryAfter > 0 {
+		n := e.notice
+		j.report(msg.DirectAttemptEnded{Attempt: j.attempt, Result: msg.DirectNotRun, Status: 503, Notice: &n})
+		return
+	}
 	if e.changingRole {
 		j.report(msg.DirectAttemptEnded{Attempt: j.attempt, Result: msg.DirectNotRun, Status: 503})
 		return
@@ -193,6 +215,11 @@
 func (e *engine) finishStep() {
 	var unfinished []*job
 	for _, j := range e.running {
+		if j.prefilledTokens >= j.promptTokens && j.crashesEngine() {
+			e.sim.result.SegmentCrashes++
+			e.crash(crashDowntime)
+			return
+		}
 		if j.prefilledTokens < j.promptTokens || !e.generateToken(j) {
 			unfinished = append(unfinished, j)
 		}
@@ -203,6 +230,7 @@
 // generateToken generates a token of a job and reports whether it was the last. The
 // first one adds the prompt to the cache and, for a prefill step, ends the job.
 func (e *engine) generateToken(j *job) bool {
+	notice := e.notice
 	if !j.started {
 		j.started = true
 		j.privateTokens = 0
@@ -211,10 +239,10 @@
 		if j.step == msg.StepPrefill {
 			handle := string(j.attempt)
 			e.handles[handle] = j
-			e.report(j, msg.DirectAttemptEnded{Attempt: j.attempt, Result: msg.DirectPrefilled, Status: 200, Handle: handle})
+			e.report(j, msg.DirectAttemptEnded{Attempt: j.attempt, Result: msg.DirectPrefilled, Status: 200, Handle: handle, Notice: &notice})
 			return true
 		}
-		e.sim.after(time.Duration(e.spec.FirstMS*float64(time.Millisecond)), func() { e.report(j, msg.DirectAttemptStarted{Attempt: j.attempt}) })
+		e.sim.after(time.Duration(e.spec.FirstMS*float64(time.Millisecond)), func() { e.report(j, msg.DirectAttemptStarted{Attempt: j.attempt, Notice: &notice}) })
 	}
 	j.outputTokens--
 	if j.outputTokens > 0 {
--- a/internal/experiment/experiment_test.go
+++ b/internal/experiment/experiment_test.go
@@ -195,3 +195,25 @@
 	is.Equal(len(sim.registeredInstances()), len(sim.engines))
 	is.Equal(e.instance.Role, msg.RoleDecode)
 }
+
+// Engines that want fewer requests or none cost callers at most what these engines would
+// have served, and a segment that crashes them no more than one engine.
+func TestEnginesInNeedAreSpared(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	const maxCrashes = 8 // five, and those that are under way until all entries know
+	undisturbed := meanResult(steadySpec(t)).Overall
+	for _, fault := range []Fault{
+		{Type: FaultLimit, Count: 6, Factor: 2}, {Type: FaultReject, Count: 4, Factor: 1},
+		{Type: FaultLeave, Count: 4}, {Type: FaultCrashSegment, Count: 1, Factor: 0.1},
+	} {
+		fault.At, fault.For = 8*time.Second, 10*time.Second
+		s := steadySpec(t)
+		s.Faults = []Fault{fault}
+		r := Run(s)
+		t.Logf("%s: %.3f, without %.3f; %d crashes", fault.Type, r.Overall, undisturbed, r.SegmentCrashes)
+		left := 1 - float64(fault.Count)/float64(s.Engines.Count)
+		is.True(r.Overall >= left*undisturbed)
+		is.True(r.SegmentCrashes <= maxCrashes)
+	}
+}
--- a/internal/experiment/requests.go
+++ b/internal/experiment/requests.go
@@ -25,6 +25,8 @@
 	promptTokens int
 	outputTokens int
 	attempts     int
+	// uncounted is set if the request's outcome does not count.
+	uncounted    bool
 	firstTokenAt time.Duration
 }
 
@@ -100,6 +102,9 @@
 
 func (req *request) arrive() {
 	req.arrivedAt = req.sim.now
+	if req.kind == 0 && req.sim.rand.Float64() < req.sim.crashingShare {
+		req.addCrashingSegment()
+	}
 	req.send()
 }
 
@@ -112,11 +117,20 @@
 	id := msg.RequestID(fmt.Sprintf("%d", req.sim.nextSeq()))
 	req.entry.openRequests[id] = req
 	req.entry.step(msg.DirectRequestArrived{
-		Req: id, CallerID: string(id), Host: "h", Method: "POST", Path: "/" + k.Name + "/x", BodyHash: req.segments[1].ID,
+		Req: id, CallerID: string(id), Host: "h", Method: "POST", Path: "/" + k.Name + "/x", BodyHash: req.segments[len(req.segments)-1].ID,
 		Timeout: k.Timeout, PromptTokens: req.promptTokens, MaxTokens: req.outputTokens, Segments: req.segments,
 	})
 }
 
+// addCrashingSegment makes the request one that crashes engines. Nobody misses its
+// answer.
+func (req *request) addCrashingSegment() {
+	own := req.segments[len(req.segments)-1]
+	req.segments = []msg.PromptSegment{req.segments[0], {ID: crashingSegment, Tokens: 1}, own}
+	req.promptTokens++
+	req.uncounted = true
+}
+
 // recordFirstToken records the time of the first token, unless it is known.
 func (req *request) recordFirstToken() {
 	if req.firstTokenAt == 0 {
@@ -130,17 +144,26 @@
 	if req.firstTokenAt == 0 {
 		req.firstTokenAt = req.sim.now
 	}
-	req.sim.result.countAnswer(req, req.firstTokenAt-req.arrivedAt)
+	if !req.uncounted {
+		req.sim.result.countAnswer(req, req.firstTokenAt-req.arrivedAt)
+	}
 }
 
-func (req *request) fail() { req.sim.result.countUnanswered(req, func(k *KindResult) { k.Failed++ }) }
+func (req *request) fail() { req.countUnanswered(func(k *KindResult) { k.Failed++ }) }
+
+// countUnanswered counts the request as one without an answer.
+func (req *request) countUnanswered(f func(*KindResult)) {
+	if !req.uncounted {
+		req.sim.result.countUnanswered(req, f)
+	}
+}
 
 // retryOrRefuse retries the request once, after the given delay, if the status is
 // 503 and the request has not timed out by then. Otherwise it counts a refusal.
 func (req *request) retryOrRefuse(status int, after time.Duration) {
 	k := &req.sim.spec.Kinds[req.kind]
 	if status != 503 || req.attempts > 1 || req.sim.now+after-req.arrivedAt >= k.Timeout {
-		req.sim.result.countUnanswered(req, func(k *KindResult) { k.Refused++ })
+		req.countUnanswered(func(k *KindResult) { k.Refused++ })
 		return
 	}
 	req.sim.after(after, req.send)
--- a/internal/experiment/result.go
+++ b/internal/experiment/result.go
@@ -41,10 +41,12 @@
 	// RepeatedTokens is the part of them in shared segments that were used within
 	// the last 10 s. CachedTokens is the number of prompt tokens that the engines
 	// had cached.
-	PrefilledTokens int          `json:"read"`
-	RepeatedTokens  int          `json:"readAgain"`
-	CachedTokens    int          `json:"cached"`
-	Kinds           []KindResult `json:"kinds"`
+	PrefilledTokens int `json:"read"`
+	RepeatedTokens  int `json:"readAgain"`
+	CachedTokens    int `json:"cached"`
+	// SegmentCrashes counts the engines that a prompt of FaultCrashSegment crashed.
+	SegmentCrashes int          `json:"segmentCrashes"`
+	Kinds          []KindResult `json:"kinds"`
 }
 
 // KindResult is the outcome for the requests of one kind.
--- a/internal/experiment/simulation.go
+++ b/internal/experiment/simulation.go
@@ -66,8 +66,11 @@
 	events  eventQueue
 	engines []*engine
 	byAddr  map[string]*engine
-	entries []*entry
-	result  *Result
+	// crashingShare is the fraction of the prompts of the first kind that now hold
+	// crashingSegment.
+	crashingShare float64
+	entries       []*entry
+	result        *Result
 }
 
 // Run simulates an experiment.
@@ -168,6 +171,11 @@
 func (sim *simulation) scheduleFaults() {
 	for _, f := range sim.spec.Faults {
 		sim.at(warmUpTime+f.At, func() {
+			if f.Type == FaultCrashSegment {
+				sim.crashingShare = f.Factor
+				sim.after(f.For, func() { sim.crashingShare = 0 })
+				return
+			}
 			for _, i := range sim.rand.Perm(len(sim.engines))[:min(f.Count, len(sim.engines))] {
 				sim.engines[i].applyFault(f)
 			}
@@ -178,14 +186,34 @@
 // applyFault applies a fault to the engine.
 func (e *engine) applyFault(f Fault) {
 	switch f.Type {
-	case "crash":
+	case FaultCrash:
 		e.crash(f.For)
-	case "slow":
+	case FaultSlow:
 		e.slowFactor = f.Factor
 		e.sim.after(f.For, func() { e.slowFactor = 1 })
-	case "lose":
+	case FaultLose:
 		const share = 1.0 / 3
 		e.lossProbability = share
 		e.sim.after(f.For, func() { e.lossProbability = 0 })
+	default:
+		e.applyNotice(f)
 	}
 }
+
+// applyNotice makes the engine state something about itself for a period.
+func (e *engine) applyNotice(f Fault) {
+	switch f.Type {
+	case FaultLimit:
+		e.notice.RequestLimit = f.Factor
+	case FaultReject:
+		e.notice.RetryAfter = time.Duration(f.Factor * float64(time.Second))
+	case FaultLeave:
+		e.notice.Leaving = true
+	}
+	e.sim.after(f.For, func() {
+		if e.notice.Leaving {
+			e.crash(replacementTime)
+		}
+		e.notice = msg.TargetNotice{}
+	})
+}
--- a/internal/experiment/spec.go
+++ b/internal/experiment/spec.go
@@ -96,15 +96,36 @@
 
 // Fault injects a fault into Count random engines for a period.
 type Fault struct {
-	// Type is crash, slow or lose: the engines crash and start again, take Factor
-	// times as long for a step, or lose the answers to a third of their requests.
-	Type   string        `yaml:"what" validate:"oneof=crash slow lose"`
+	// Type is one of the Fault constants.
+	Type   string        `yaml:"what" validate:"oneof=crash slow lose limit reject leave crash-segment"`
 	At     time.Duration `yaml:"at"`
 	For    time.Duration `yaml:"for" validate:"required"`
 	Count  int           `yaml:"count" validate:"min=1"`
 	Factor float64       `yaml:"factor"`
 }
 
+// Types of faults.
+const (
+	// FaultCrash makes the engines crash and start again at the end of the period.
+	FaultCrash = "crash"
+	// FaultSlow makes a step take Factor times as long.
+	FaultSlow = "slow"
+	// FaultLose makes the engines lose the answers to a third of their requests.
+	FaultLose = "lose"
+	// FaultLimit makes the engines name a limit of Factor requests per second.
+	FaultLimit = "limit"
+	// FaultReject makes the engines refuse all requests, with a Retry-After of Factor
+	// seconds.
+	FaultReject = "reject"
+	// FaultLeave makes the engines state that they are leaving. At the end of the period
+	// they leave, and another process takes their place.
+	FaultLeave = "leave"
+	// FaultCrashSegment gives a fraction Factor of the prompts of the first kind a
+	// segment that crashes each engine that begins to answer them, for a second. Count
+	// has no effect.
+	FaultCrashSegment = "crash-segment"
+)
+
 // Policy holds the policy parameters that experiments vary. Zero values stand
 // for the product's defaults.
 type Policy struct {
