--- a/internal/experiment/experiment_test.go
+++ b/internal/experiment/experiment_test.go
@@ -204,8 +204,10 @@
 	const maxCrashes = 8 // five, and those that are under way until all entries know
 	undisturbed := meanResult(steadySpec(t)).Overall
 	for _, fault := range []Fault{
-		{Type: FaultLimit, Count: 6, Factor: 2}, {Type: FaultReject, Count: 4, Factor: 1},
-		{Type: FaultLeave, Count: 4}, {Type: FaultCrashSegment, Count: 1, Factor: 0.1},
+		{Type: FaultLimit, Count: 6, Factor: 2},
+		{Type: FaultReject, Count: 4, Factor: 1},
+		{Type: FaultLeave, Count: 4},
+		{Type: FaultCrashSegment, Count: 1, Factor: 0.1},
 	} {
 		fault.At, fault.For = 8*time.Second, 10*time.Second
 		s := steadySpec(t)
