identity: certificate files that can't be used are logged

The error of a reload was kept where no program read it: an operator who replaced a certificate by a broken one saw nothing until the old one expired. Found by a search for unreachable code (Credentials.Err, apikey.Status.String). The test that asked for Err now asks for the one log line, which is as strict.

--- a/internal/capacity/peers.go
+++ b/internal/capacity/peers.go
@@ -68,7 +68,7 @@
 	if err != nil {
 		return err
 	}
-	credentials, err := identity.LoadCredentials(files)
+	credentials, err := identity.LoadCredentials(files, slog.New(slog.DiscardHandler))
 	if err != nil {
 		return err
 	}
--- a/internal/core/apikey/apikey.go
+++ b/internal/core/apikey/apikey.go
@@ -41,11 +41,6 @@
 	Expired
 )
 
-// String returns the status's name, as used in logs.
-func (s Status) String() string {
-	return [...]string{"ok", "unknown", "wrong", "expired"}[s]
-}
-
 // NewKey returns the text of a new key and its digest in hexadecimal form, which
 // the manifest holds as the key's hash. The random bytes must come from a
 // cryptographic source.
--- a/internal/daemon/link_harness_test.go
+++ b/internal/daemon/link_harness_test.go
@@ -167,7 +167,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	credentials, err := identity.LoadCredentials(files)
+	credentials, err := identity.LoadCredentials(files, slog.New(slog.DiscardHandler))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -61,7 +61,7 @@
 }
 
 func newProcess(s *settings.Settings, log *slog.Logger) (*process, error) {
-	credentials, err := identity.LoadCredentials(identity.Files{CA: s.TLS.CA, Cert: s.TLS.Cert, Key: s.TLS.Key})
+	credentials, err := identity.LoadCredentials(identity.Files{CA: s.TLS.CA, Cert: s.TLS.Cert, Key: s.TLS.Key}, log)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/identity/files.go
+++ b/internal/identity/files.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/tls"
 	"crypto/x509"
+	"log/slog"
 	"os"
 	"slices"
 	"sync"
@@ -22,15 +23,18 @@
 
 // Credentials are a certificate, its key and the trusted certificate authorities.
 // They are reloaded when their files change. If the changed files are invalid, the
-// last valid state stays in use. Credentials are safe for concurrent use.
+// last valid state stays in use, and the error is logged. Credentials are safe for
+// concurrent use.
 type Credentials struct {
 	files Files
+	log   *slog.Logger
 
 	mu       sync.Mutex
 	state    credentialState
 	versions fileVersions
 	checked  time.Time
-	err      error
+	// err is why the newest files could not be read, or nil.
+	err error
 }
 
 // credentialState is the content of the credentials' files.
@@ -49,7 +53,7 @@
 
 // LoadCredentials reads credentials from files. The certificate must be signed by
 // the CA and contain an identity.
-func LoadCredentials(files Files) (*Credentials, error) {
+func LoadCredentials(files Files, log *slog.Logger) (*Credentials, error) {
 	versions, err := statFiles(files)
 	if err != nil {
 		return nil, err
@@ -58,14 +62,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Credentials{files: files, state: state, versions: versions, checked: time.Now()}, nil
-}
-
-// Err returns why the newest files could not be read, or nil.
-func (c *Credentials) Err() error {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.err
+	return &Credentials{files: files, log: log, state: state, versions: versions, checked: time.Now()}, nil
 }
 
 // current returns the credentials, after reloading them if the files have changed.
@@ -83,20 +80,30 @@
 func (c *Credentials) reload() {
 	versions, err := statFiles(c.files)
 	if err != nil {
-		c.err = err
+		c.setErr(err)
 		return
 	}
 	if versions == c.versions {
+		c.setErr(nil)
 		return
 	}
 	state, err := load(c.files)
-	c.err = err
+	c.setErr(err)
 	if err != nil {
 		// Only some of the files may have been replaced yet. The versions are
 		// not updated, so that the next check reads the files again.
 		return
 	}
 	c.state, c.versions = state, versions
+	c.log.Info("identity: certificate files reloaded", "serial", state.cert.Leaf.SerialNumber.String())
+}
+
+// setErr records the result of the last check, and logs the first error of a series.
+func (c *Credentials) setErr(err error) {
+	if err != nil && c.err == nil {
+		c.log.Warn("identity: changed certificate files can't be used, the earlier ones stay in use", "reason", err.Error())
+	}
+	c.err = err
 }
 
 func statFiles(files Files) (fileVersions, error) {
--- a/internal/identity/identity_test.go
+++ b/internal/identity/identity_test.go
@@ -1,10 +1,13 @@
 package identity
 
 import (
+	"bytes"
 	"crypto/tls"
+	"log/slog"
 	"net"
 	"net/netip"
 	"os"
+	"strings"
 	"testing"
 	"time"
 
@@ -25,7 +28,7 @@
 	is.NoErr(err)
 	files, err := a.Issue(p, netip.MustParseAddr("127.0.0.1"))
 	is.NoErr(err)
-	creds, err := LoadCredentials(files)
+	creds, err := LoadCredentials(files, slog.New(slog.DiscardHandler))
 	is.NoErr(err)
 	return creds
 }
@@ -93,12 +96,16 @@
 	is := is.New(t)
 	dir := t.TempDir()
 	creds := issueCredentials(t, dir, entry)
+	var logged bytes.Buffer
+	creds.log = slog.New(slog.NewTextHandler(&logged, nil))
 	before := creds.current().cert.Leaf.SerialNumber
 
 	is.NoErr(os.WriteFile(creds.files.Cert, []byte("half"), 0o600))
 	creds.checked = time.Time{}
 	is.Equal(creds.current().cert.Leaf.SerialNumber, before) // the last valid certificate stays in use
-	is.True(creds.Err() != nil)
+	creds.checked = time.Time{}
+	creds.current()
+	is.Equal(strings.Count(logged.String(), "the earlier ones stay in use"), 1)
 
 	a, err := OpenAuthority(dir)
 	is.NoErr(err)
@@ -106,13 +113,13 @@
 	is.NoErr(err)
 	creds.checked = time.Time{}
 	is.True(creds.current().cert.Leaf.SerialNumber.Cmp(before) != 0)
-	is.NoErr(creds.Err())
+	is.True(strings.Contains(logged.String(), "certificate files reloaded"))
 }
 
 func TestLoadRejectsCertificateOfAnotherAuthority(t *testing.T) {
 	is := is.New(t)
 	own := issueCredentials(t, t.TempDir(), entry)
 	foreign := issueCredentials(t, t.TempDir(), entry)
-	_, err := LoadCredentials(Files{CA: own.files.CA, Cert: foreign.files.Cert, Key: foreign.files.Key})
+	_, err := LoadCredentials(Files{CA: own.files.CA, Cert: foreign.files.Cert, Key: foreign.files.Key}, slog.New(slog.DiscardHandler))
 	is.True(err != nil)
 }
