roles: an engine that turns a connection away for a moment still counts

A busy engine resets connections beyond its limit. It would have cost a change of roles and one back; it now has to accept none for 0.4 s. The test lets that time pass first.

--- a/internal/core/roles/orders.go
+++ b/internal/core/roles/orders.go
@@ -19,7 +19,7 @@
 // engine that has one in place of its listed role. It drops expected roles that
 // have expired or that the list shows now.
 func (c *Controller) withExpectedRoles(now msg.Time, id msg.ServiceID) []msg.Instance {
-	list := c.available(id)
+	list := c.available(now, id)
 	for i := range list {
 		exp, ok := c.expected[list[i].Target]
 		switch {
--- a/internal/core/roles/roles.go
+++ b/internal/core/roles/roles.go
@@ -46,6 +46,9 @@
 	// lateOrderWindow is how long an engine may still apply an order to which it
 	// has not responded.
 	lateOrderWindow = 13 * time.Second
+	// unreachableGrace is how long an engine may accept no connections and still count.
+	// A busy engine turns some away.
+	unreachableGrace = 400 * time.Millisecond
 	// orderCooldown is the shortest time between two orders to one engine.
 	orderCooldown = 6 * time.Second
 	// A quarter of decisionInterval is the minimum time between two decisions.
@@ -84,8 +87,9 @@
 	cfg      Config
 	engines  map[msg.ServiceID]*msg.EngineSpec
 	services map[msg.ServiceID][]msg.Instance
-	// unreachable holds the engines that are listed, but accept no connections.
-	unreachable map[msg.TargetID]bool
+	// unreachable holds the engines that are listed, but accept no connections, and
+	// since when.
+	unreachable map[msg.TargetID]msg.Time
 	// limited holds the targets that name limits of requests per second.
 	limited []msg.TargetID
 	demand  map[msg.ServiceID]*decodeDemand
@@ -114,7 +118,7 @@
 		cfg:           cfg,
 		engines:       make(map[msg.ServiceID]*msg.EngineSpec),
 		services:      make(map[msg.ServiceID][]msg.Instance),
-		unreachable:   make(map[msg.TargetID]bool),
+		unreachable:   make(map[msg.TargetID]msg.Time),
 		demand:        make(map[msg.ServiceID]*decodeDemand),
 		noOrderBefore: make(map[msg.TargetID]msg.Time),
 		expected:      make(map[msg.TargetID]expectedRole),
@@ -131,7 +135,7 @@
 	case msg.InstancesChanged:
 		c.onInstancesChanged(ev)
 	case msg.TargetReachable:
-		c.onReachable(ev)
+		c.onReachable(now, ev)
 	case msg.TargetsLimited:
 		c.limited = ev.Targets
 	case msg.DecodeDemandUpdated:
@@ -164,24 +168,27 @@
 			c.services[in.Service] = append(c.services[in.Service], in)
 		}
 	}
-	maps.DeleteFunc(c.unreachable, func(id msg.TargetID, _ bool) bool { return !listed[id] })
+	maps.DeleteFunc(c.unreachable, func(id msg.TargetID, _ msg.Time) bool { return !listed[id] })
 }
 
 // onReachable records an engine that has gone down, or is back. The list shows the
 // former for some time, and during an outage of the store for all of it.
-func (c *Controller) onReachable(ev msg.TargetReachable) {
+func (c *Controller) onReachable(now msg.Time, ev msg.TargetReachable) {
 	if ev.Reachable {
 		delete(c.unreachable, ev.Target)
 		return
 	}
-	c.unreachable[ev.Target] = true
+	c.unreachable[ev.Target] = now
 }
 
 // available returns the engines of a service on which its roles are based: those that
 // are reachable and take any number of requests. A limited engine keeps its role, and
 // what it takes comes on top. If less than two engines are left, the limited ones count.
-func (c *Controller) available(id msg.ServiceID) []msg.Instance {
-	down := func(in msg.Instance) bool { return c.unreachable[in.Target] }
+func (c *Controller) available(now msg.Time, id msg.ServiceID) []msg.Instance {
+	down := func(in msg.Instance) bool {
+		since, ok := c.unreachable[in.Target]
+		return ok && now-since >= unreachableGrace
+	}
 	limited := func(in msg.Instance) bool { return slices.Contains(c.limited, in.Target) }
 	reachable := slices.DeleteFunc(slices.Clone(c.services[id]), down)
 	unlimited := slices.DeleteFunc(slices.Clone(reachable), limited)
@@ -228,7 +235,7 @@
 	case versions.lacking():
 		role = msg.RoleDecode
 		candidates = versions.below(list)
-	case decoding > want && c.countRemainingDecoders(id) > want:
+	case decoding > want && c.countRemainingDecoders(now, id) > want:
 		candidates = versions.above(list)
 	case decoding < want-demandSlack, decoding < want && decoding < c.cfg.Policy.MinDecoding:
 		role = msg.RoleDecode
@@ -255,9 +262,9 @@
 // countRemainingDecoders counts the engines that are listed as decode engines and
 // are not expected to change to another role. Engines that are still changing to
 // decode are not counted, because they carry no streams yet.
-func (c *Controller) countRemainingDecoders(id msg.ServiceID) int {
+func (c *Controller) countRemainingDecoders(now msg.Time, id msg.ServiceID) int {
 	n := 0
-	for _, in := range c.available(id) {
+	for _, in := range c.available(now, id) {
 		if exp, ok := c.expected[in.Target]; in.Role == msg.RoleDecode && (!ok || exp.role == msg.RoleDecode) {
 			n++
 		}
--- a/internal/core/roles/roles_test.go
+++ b/internal/core/roles/roles_test.go
@@ -213,6 +213,7 @@
 	for _, in := range cl.instances[:4] {
 		cl.step(msg.TargetReachable{Target: in.Target})
 	}
+	cl.advance(unreachableGrace)
 	cl.grantLease()
 	cl.advance(time.Minute)
 	for _, o := range cl.orders {
