--- /dev/null
+++ b/internal/core/directrequest/crashrecord.go
@@ -0,0 +1,112 @@
+package directrequest
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/verbenaspur/verbenaspur/internal/core/msg"
+	"github.com/verbenaspur/verbenaspur/internal/core/poison"
+)
+
+// maxLoggedSegments is the largest number of prompt segments in a log line.
+const maxLoggedSegments = 8
+
+// beginTime is how long after its first token an attempt counts as one that has just
+// begun. The prompts of older attempts did not crash their target.
+const beginTime = 250 * time.Millisecond
+
+// recordCrashUnder records the crash of a target under some attempts: for each of their
+// requests, and for the segments of the prompts that it had not long begun to answer.
+func (s *stepContext) recordCrashUnder(t *target, list ...interruptedAttempt) {
+	var records []msg.CrashRecord
+	for _, a := range list {
+		records = append(records, msg.CrashRecord{Fingerprint: a.fingerprint, ID: msg.CrashID(a.id)})
+		if a.runningFor() <= beginTime {
+			records = append(records, s.segmentCrashes(a)...)
+		}
+		s.log("target went down while it was running a request",
+			attr("target", t.Target), attr("attempt", a.id), attr("sent_ms", formatMS(a.at-a.sentAt)),
+			attr("began_ms", formatMS(a.runningFor())), attr("segments", formatSegments(a.segments)),
+		)
+	}
+	s.effects = append(s.effects, s.poison.RecordCrashes(s.now, records)...)
+}
+
+// segmentCrashes returns the crash records of an attempt's prompt segments.
+func (s *stepContext) segmentCrashes(a interruptedAttempt) []msg.CrashRecord {
+	id := msg.CrashID(fmt.Sprintf("%s@%d", a.target.Target, a.process))
+	left := poison.Retention - (s.now - a.at)
+	var records []msg.CrashRecord
+	for _, seg := range a.segments {
+		records = append(records, msg.CrashRecord{
+			Fingerprint: seg.ID, ID: id, Segment: true,
+			LeftMS: left.Milliseconds(), RanMS: (a.at - a.sentAt).Milliseconds(),
+		})
+	}
+	return records
+}
+
+// runningFor returns for how long the first token had arrived as the response was cut
+// short, and 0 if it had not.
+func (a interruptedAttempt) runningFor() time.Duration {
+	if a.startedAt == 0 {
+		return 0
+	}
+	return a.at - a.startedAt
+}
+
+// formatSegments formats the IDs of the first prompt segments.
+func formatSegments(segments []msg.PromptSegment) string {
+	var b strings.Builder
+	for i, seg := range segments[:min(len(segments), maxLoggedSegments)] {
+		if i > 0 {
+			b.WriteByte(' ')
+		}
+		b.WriteString(strconv.FormatUint(seg.ID, 16))
+	}
+	return b.String()
+}
+
+// checkCrashes returns a refusal if the request, or prompts with one of its segments,
+// have crashed too many targets.
+func (s *stepContext) checkCrashes(r *request) *refusal {
+	if s.poison.CrashCount(r.fingerprint) >= poison.CrashLimit {
+		return &refusal{statusUnavailable, "poison", retryAfterPoison}
+	}
+	id, crashes, blocked := s.poison.BlockedSegment(r.segments)
+	if !blocked || crashes == r.trialCrashes {
+		return nil
+	}
+	segment := attr("segment", strconv.FormatUint(id, 16))
+	if s.poison.StartTrial(s.now, id) {
+		r.trialCrashes = crashes
+		s.logRequest(r, "is the trial of a blocked prompt segment", segment, attr("crashes", crashes))
+		return nil
+	}
+	s.logRequest(r, "holds a blocked prompt segment", segment, attr("crashes", crashes))
+	// Without Retry-After: the caller need not come back for this.
+	return &refusal{status: statusUnavailable, code: "poison"}
+}
+
+// logCrashRecord logs the crash record of a request that this daemon did not know. The
+// records of segments are too many for the log.
+func (s *stepContext) logCrashRecord(ev msg.CrashRecorded) {
+	if ev.Record.Segment {
+		return
+	}
+	s.log("crash record received",
+		attr("attempt", ev.Record.ID), attr("source", ev.Source),
+		attr("fingerprint", strconv.FormatUint(ev.Record.Fingerprint, 16)), attr("crashes", ev.Count),
+	)
+}
+
+// logSegmentBlocked logs that prompts with a segment begin or cease to be refused.
+func (s *stepContext) logSegmentBlocked(ev msg.SegmentBlocked) {
+	text := "prompt segment is blocked, it crashes targets"
+	if !ev.Blocked {
+		text = "prompt segment is no longer blocked"
+	}
+	s.log(text, attr("segment", strconv.FormatUint(ev.Segment, 16)), attr("crashes", ev.Crashes))
+}
