direct: a refusal for good has no Retry-After

A request that has crashed two targets was told to come back after 30 s, and came back to be refused again. Such refusals, for a blocked segment and for streams whose version is unknown or gone, are final: 503 (not run) without Retry-After.

--- a/internal/core/directrequest/arrive.go
+++ b/internal/core/directrequest/arrive.go
@@ -29,10 +29,8 @@
 	// retryAfterOtherEntry applies if another entry daemon may be able to serve
 	// the request at once.
 	retryAfterOtherEntry = 50 * time.Millisecond
-	// retryAfterPoison applies if the request was refused because it has crashed
-	// targets, and retryAfterShort to the other refusals with status 503.
-	retryAfterShort  = 500 * time.Millisecond
-	retryAfterPoison = 30 * time.Second
+	// retryAfterShort applies to the other refusals with status 503 that are not final.
+	retryAfterShort = 500 * time.Millisecond
 )
 
 // refusal is the response to a request that this daemon does not serve. A
@@ -44,6 +42,10 @@
 	retryAfter time.Duration
 }
 
+// finalRefusal returns the refusal of a request that will not be served later either.
+// It has no Retry-After, which would bring the request back.
+func finalRefusal(code string) *refusal { return &refusal{status: statusUnavailable, code: code} }
+
 func (s *stepContext) onRequestArrived(ev msg.DirectRequestArrived) {
 	r := &request{arrival: ev, arrivedAt: s.now, lastEvent: ev.LastEvent, segments: sharedSegments(ev.Segments)}
 	if ref := s.admit(r); ref != nil {
--- a/internal/core/directrequest/crashrecord.go
+++ b/internal/core/directrequest/crashrecord.go
@@ -73,7 +73,7 @@
 // have crashed too many targets.
 func (s *stepContext) checkCrashes(r *request) *refusal {
 	if s.poison.CrashCount(r.fingerprint) >= poison.CrashLimit {
-		return &refusal{statusUnavailable, "poison", retryAfterPoison}
+		return finalRefusal("poison")
 	}
 	id, crashes, blocked := s.poison.BlockedSegment(r.segments)
 	if !blocked || crashes == r.trialCrashes {
@@ -86,8 +86,7 @@
 		return nil
 	}
 	s.logRequest(r, "holds a blocked prompt segment", segment, attr("crashes", crashes))
-	// Without Retry-After: the caller need not come back for this.
-	return &refusal{status: statusUnavailable, code: "poison"}
+	return finalRefusal("poison")
 }
 
 // logCrashRecord logs the crash record of a request that this daemon did not know. The
--- a/internal/core/directrequest/fuzz_test.go
+++ b/internal/core/directrequest/fuzz_test.go
@@ -133,8 +133,9 @@
 }
 
 // onRefuse checks that a refusal is correct: with status 503 or 429 the request
-// has certainly not run, 503 comes with Retry-After, and 401 or 404 only with a
-// configuration that was confirmed recently.
+// has certainly not run, 503 comes with Retry-After unless the request will not be
+// served later either, and 401 or 404 only with a configuration that was confirmed
+// recently.
 func (o *oracle) onRefuse(eff msg.RefuseRequest) {
 	r := o.recordRequestEnd(eff.Req)
 	if r.started {
@@ -147,8 +148,9 @@
 	if promise := eff.Status == 503 || eff.Status == 429; promise && mayRun {
 		o.fatalf("request %s may have run and was refused with %d (%s)", eff.Req, eff.Status, eff.Code)
 	}
-	if eff.Status == 503 && eff.RetryAfter <= 0 {
-		o.fatalf("request %s was refused without Retry-After (%s)", eff.Req, eff.Code)
+	final := slices.Contains([]string{"poison", "unknown-version", "version-gone"}, eff.Code)
+	if eff.Status == 503 && (eff.RetryAfter <= 0) != final {
+		o.fatalf("request %s was refused with a Retry-After of %s (%s)", eff.Req, eff.RetryAfter, eff.Code)
 	}
 	if (eff.Status == 401 || eff.Status == 404) && o.now-o.confirmedAt >= testLimits.RejectMaxAge {
 		o.fatalf("request %s was rejected by a configuration that is %s old", eff.Req, o.now-o.confirmedAt)
--- a/internal/core/directrequest/origin.go
+++ b/internal/core/directrequest/origin.go
@@ -101,7 +101,7 @@
 	}
 	recent := s.recentVersions(r.service)
 	if len(recent) != 1 {
-		return &refusal{status: statusUnavailable, code: "unknown-version"}, false
+		return finalRefusal("unknown-version"), false
 	}
 	r.origin = &recent[0]
 	return nil, false
--- a/internal/core/directrequest/place.go
+++ b/internal/core/directrequest/place.go
@@ -79,7 +79,7 @@
 // limits are in the way, another daemon may have a share left.
 func (s *stepContext) noTarget(r *request) *refusal {
 	if r.origin != nil && !slices.ContainsFunc(s.services[r.service], r.fitsOrigin) {
-		return &refusal{status: statusUnavailable, code: "version-gone"}
+		return finalRefusal("version-gone")
 	}
 	limited := func(t *target) bool {
 		return t.usable(s.now) && !slices.Contains(r.exclude, t.Target) && r.fitsOrigin(t) && !s.permits(t)
