directrequest: the fuzz oracle knows versions

Targets of two versions are drawn; a stream that goes on at another one than it began at fails. A placement that ignores versions is caught after 26 cases; 5,000 pass on the code.

--- a/internal/core/directrequest/fuzz_test.go
+++ b/internal/core/directrequest/fuzz_test.go
@@ -46,13 +46,17 @@
 	started                            bool
 	failureHeld                        bool
 	lastEvent                          int64
+	// version is the software version that began the stream.
+	version string
 }
 
 // trackedAttempt is the oracle's state of an attempt.
 type trackedAttempt struct {
 	req  *trackedRequest
 	spec msg.DirectAttemptSpec
-	done bool
+	// version is the listed version of the target when the attempt was sent.
+	version string
+	done    bool
 	// abandoned is set if the attempt is a prefill that was replaced by one at
 	// another target.
 	abandoned bool
@@ -176,7 +180,7 @@
 	}
 	o.countArrival(r, eff)
 	r.open = eff.Attempt
-	o.attempts[eff.Attempt] = &trackedAttempt{req: r, spec: eff.Spec}
+	o.attempts[eff.Attempt] = &trackedAttempt{req: r, spec: eff.Spec, version: o.versionOf(eff.Spec.Target)}
 	o.order = append(o.order, eff.Attempt)
 }
 
@@ -215,6 +219,9 @@
 	if r.runs >= r.route.Attempts {
 		o.fatalf("request %s runs on more than %d targets", eff.Req, r.route.Attempts)
 	}
+	if r.started && o.versionOf(eff.Spec.Target) != r.version {
+		o.fatalf("request %s goes on at another version than %q", eff.Req, r.version)
+	}
 	if r.started && eff.Spec.LastEvent != r.lastEvent {
 		o.fatalf("request %s resumes from event %d, its caller has %d", eff.Req, eff.Spec.LastEvent, r.lastEvent)
 	}
@@ -223,6 +230,11 @@
 	}
 }
 
+func (o *oracle) versionOf(id msg.TargetID) string {
+	i := slices.IndexFunc(o.instances, func(in msg.Instance) bool { return in.Target == id })
+	return o.instances[i].Version
+}
+
 // countArrival counts the arrival of an attempt and checks the retry budget.
 func (o *oracle) countArrival(r *trackedRequest, eff msg.StartDirectAttempt) {
 	isRetry := r.runArrivals > 0
@@ -280,6 +292,9 @@
 		return
 	}
 	if a := o.attempts[id]; !a.req.ended {
+		if !a.req.started {
+			a.req.version = a.version
+		}
 		a.req.started = true
 	}
 	o.step(msg.DirectAttemptStarted{Attempt: id})
@@ -402,6 +417,8 @@
 			in.Draining = true
 		case 2:
 			in.StartedMS = int64(o.seq)
+		case 3, 4:
+			in.Version = "v2"
 		}
 		o.instances = append(o.instances, in)
 	}
