--- a/internal/core/directrequest/completion.go
+++ b/internal/core/directrequest/completion.go
@@ -16,7 +16,7 @@
 func (s *stepContext) clearCrashes(a *attempt, unframed bool) {
 	if unframed {
 		t := a.target
-		t.unconfirmed = append(t.unconfirmed, interruptedAttempt{a, s.now})
+		t.unconfirmed = append(t.unconfirmed, endedAttempt{a, s.now})
 		t.unconfirmed = t.unconfirmed[max(len(t.unconfirmed)-maxUnconfirmed, 0):]
 		return
 	}
@@ -44,8 +44,8 @@
 
 // takeUnconfirmed removes the attempts whose unframed responses had ended at a target
 // that has gone down, and returns those that may have ended with it.
-func (t *target) takeUnconfirmed(now msg.Time) []interruptedAttempt {
+func (t *target) takeUnconfirmed(now msg.Time) []endedAttempt {
 	list := t.unconfirmed
 	t.unconfirmed = nil
-	return slices.DeleteFunc(list, func(a interruptedAttempt) bool { return now-a.at > crashWindow })
+	return slices.DeleteFunc(list, func(a endedAttempt) bool { return now-a.at > crashWindow })
 }
--- a/internal/core/directrequest/crash.go
+++ b/internal/core/directrequest/crash.go
@@ -24,8 +24,9 @@
 	maxProbeDelay = 2 * time.Second
 )
 
-// interruptedAttempt is an attempt whose response was cut short at an instant.
-type interruptedAttempt struct {
+// endedAttempt is an attempt whose response was cut short, or seemed to be complete, at an
+// instant.
+type endedAttempt struct {
 	*attempt
 	at msg.Time
 }
@@ -47,10 +48,10 @@
 // target, unless the list has shown its restart meanwhile.
 func (s *stepContext) addInterrupted(t *target, a *attempt) {
 	if a.process != t.StartedMS {
-		s.recordCrashUnder(t, interruptedAttempt{a, s.now})
+		s.recordCrashUnder(t, endedAttempt{a, s.now})
 		return
 	}
-	t.interrupted = append(t.interrupted, interruptedAttempt{a, s.now})
+	t.interrupted = append(t.interrupted, endedAttempt{a, s.now})
 	t.probe.nextAt = s.now
 	if t.probe.call != 0 {
 		s.countProbing(t, a.fingerprint)
@@ -130,7 +131,7 @@
 
 // takeInterrupted removes and returns the attempts that were interrupted up to an
 // instant.
-func (t *target) takeInterrupted(last msg.Time) []interruptedAttempt {
+func (t *target) takeInterrupted(last msg.Time) []endedAttempt {
 	i := 0
 	for i < len(t.interrupted) && t.interrupted[i].at <= last {
 		i++
@@ -153,9 +154,9 @@
 // recordOpen records a crash for each attempt that was open at a target as its process
 // ended. Their responses may never break off.
 func (s *stepContext) recordOpen(t *target) {
-	var list []interruptedAttempt
+	var list []endedAttempt
 	for _, id := range slices.Sorted(maps.Keys(t.open)) {
-		list = append(list, interruptedAttempt{t.open[id], s.now})
+		list = append(list, endedAttempt{t.open[id], s.now})
 	}
 	s.recordCrashUnder(t, list...)
 }
--- a/internal/core/directrequest/crashrecord.go
+++ b/internal/core/directrequest/crashrecord.go
@@ -19,7 +19,7 @@
 
 // recordCrashUnder records the crash of a target under some attempts: for each of their
 // requests, and for the segments of the prompts that it had not long begun to answer.
-func (s *stepContext) recordCrashUnder(t *target, list ...interruptedAttempt) {
+func (s *stepContext) recordCrashUnder(t *target, list ...endedAttempt) {
 	var records []msg.CrashRecord
 	for _, a := range list {
 		records = append(records, msg.CrashRecord{Fingerprint: a.fingerprint, ID: msg.CrashID(a.id)})
@@ -35,7 +35,7 @@
 }
 
 // segmentCrashes returns the crash records of an attempt's prompt segments.
-func (s *stepContext) segmentCrashes(a interruptedAttempt) []msg.CrashRecord {
+func (s *stepContext) segmentCrashes(a endedAttempt) []msg.CrashRecord {
 	id := msg.CrashID(fmt.Sprintf("%s@%d", a.target.Target, a.process))
 	left := poison.Retention - (s.now - a.at)
 	var records []msg.CrashRecord
@@ -50,7 +50,7 @@
 
 // runningFor returns for how long the first token had arrived as the response was cut
 // short, and 0 if it had not.
-func (a interruptedAttempt) runningFor() time.Duration {
+func (a endedAttempt) runningFor() time.Duration {
 	if a.startedAt == 0 {
 		return 0
 	}
--- a/internal/core/directrequest/target.go
+++ b/internal/core/directrequest/target.go
@@ -74,11 +74,11 @@
 	// interrupted holds the attempts whose responses were cut short and that have no
 	// explanation yet, in order of time. probe is the state of the probes that look
 	// for one.
-	interrupted []interruptedAttempt
+	interrupted []endedAttempt
 	probe       crashProbe
 	// unconfirmed holds the attempts whose unframed responses ended, in order of time,
 	// as long as the process may have gone down under them.
-	unconfirmed []interruptedAttempt
+	unconfirmed []endedAttempt
 	// unreachable is set while the target accepts no connections of this daemon.
 	unreachable bool
 	notices     targetNotices
