--- a/internal/core/poison/sync.go
+++ b/internal/core/poison/sync.go
@@ -147,6 +147,18 @@
 	return append(out, n)
 }
 
+// split divides a notice into some of at most maxRecordsPerNotice records.
+func split(n msg.CrashNotice) []msg.CrashNotice {
+	var parts []msg.CrashNotice
+	for chunk := range slices.Chunk(n.Crashes, maxRecordsPerNotice) {
+		parts = append(parts, msg.CrashNotice{Crashes: chunk})
+	}
+	for chunk := range slices.Chunk(n.Cleared, maxRecordsPerNotice) {
+		parts = append(parts, msg.CrashNotice{Cleared: chunk})
+	}
+	return parts
+}
+
 // historiesOf returns the wanted histories that still count, ordered by fingerprint.
 func (t *Tracker) historiesOf(now msg.Time, wanted func(*crashHistory) bool) []*crashHistory {
 	var list []*crashHistory
--- a/internal/core/poison/tracker.go
+++ b/internal/core/poison/tracker.go
@@ -186,18 +186,6 @@
 	return out
 }
 
-// split divides a notice into some of at most maxRecordsPerNotice records.
-func split(n msg.CrashNotice) []msg.CrashNotice {
-	var parts []msg.CrashNotice
-	for chunk := range slices.Chunk(n.Crashes, maxRecordsPerNotice) {
-		parts = append(parts, msg.CrashNotice{Crashes: chunk})
-	}
-	for chunk := range slices.Chunk(n.Cleared, maxRecordsPerNotice) {
-		parts = append(parts, msg.CrashNotice{Cleared: chunk})
-	}
-	return parts
-}
-
 // applyNotice adds the crashes of a notice of the given age and the crashes that it
 // clears. It returns the events of the crashes that are new.
 func (t *Tracker) applyNotice(now msg.Time, n msg.CrashNotice, age time.Duration, source msg.CrashSource) []msg.Effect {
