platformpoll: after a cut, targets that have left are removed in time

Timeline ( with logs): cut ends 13.0 s; configuration read 13.35; list of targets read 14.05, as the call before hung in the cut; missing targets are kept for 2 s, until 16.05, but removed by the read of 17.05 only.

A successful read of the configuration now lets the list be read at once, past a call that hangs, and a read follows as the 2 s end. Both tests failed before.

--- a/internal/core/platformpoll/instances.go
+++ b/internal/core/platformpoll/instances.go
@@ -51,9 +51,18 @@
 	c.lastListSent = ev.Sent
 	effs = append(effs, c.logInvalidEntries(ev)...)
 	effs = append(effs, c.merge(now, ev.Instances)...)
+	c.readAtGraceEnd()
 	return append(effs, msg.Raise{Event: msg.InstancesChanged{Instances: c.instances()}})
 }
 
+// readAtGraceEnd makes the next read follow as soon as the time ends for which missing
+// targets are kept. They may have left long before.
+func (c *Component) readAtGraceEnd() {
+	for _, until := range c.expired {
+		c.targetPoll.next = min(c.targetPoll.next, until)
+	}
+}
+
 // startEra prepares for the lists of a store that may have lost registrations and may
 // show earlier ones again.
 func (c *Component) startEra(now msg.Time, era msg.StoreEra) msg.Effect {
--- a/internal/core/platformpoll/platformpoll.go
+++ b/internal/core/platformpoll/platformpoll.go
@@ -188,6 +188,10 @@
 		return effs
 	}
 	c.routePoll.next = max(ev.Sent+c.routesInterval(), now)
+	if c.targetPoll.failing {
+		// The platform is back. A read that was sent before may hang in a connection.
+		c.targetPoll.call, c.targetPoll.next = 0, now
+	}
 	if ev.Table.Version < c.newestVersion {
 		return append(effs, msg.LogLine{
 			Component: componentName, Level: msg.LogError, Text: "configuration from platform is older than the one in force",
--- a/internal/core/platformpoll/platformpoll_test.go
+++ b/internal/core/platformpoll/platformpoll_test.go
@@ -137,6 +137,49 @@
 	f.is.True(!f.hasTarget("b"))
 }
 
+// A target that left during an outage must not wait for the next read of the list.
+func TestExpiredTargetIsRemovedAsGracePeriodEnds(t *testing.T) {
+	f := newFakePlatform(t, Config{InstancesInterval: 1600 * time.Millisecond})
+	f.list = twoTargets
+	f.advanceTime(2 * time.Second)
+	f.up = false
+	f.advanceTime(4 * time.Second)
+	f.up = true
+	f.list = twoTargets[:1]
+	const firstRead = 650 * time.Millisecond
+	f.advanceTime(firstRead + DefaultReturn)
+	f.is.True(!f.hasTarget("b"))
+}
+
+// A read of the targets that hangs must not delay the first one after an outage.
+func TestTargetsAreReadOncePlatformIsBack(t *testing.T) {
+	is := is.New(t)
+	c := New(Config{})
+	now := time.Second
+	calls := func() (routes, targets msg.CallID) {
+		for _, eff := range c.Step(now, msg.Tick{}) {
+			switch eff := eff.(type) {
+			case msg.ReadRoutes:
+				routes = eff.Call
+			case msg.ReadInstances:
+				targets = eff.Call
+			}
+		}
+		return routes, targets
+	}
+	routes, targets := calls()
+	c.Step(now, msg.RoutesRead{Call: routes, Status: msg.CallUnavailable})
+	c.Step(now, msg.InstancesRead{Call: targets, Status: msg.CallUnavailable})
+	now += 2 * time.Second
+	routes, targets = calls() // The latter gets no response.
+	c.Step(now, msg.RoutesRead{Call: routes, Sent: now, Table: &msg.RouteTable{Version: 1}})
+	_, again := calls()
+	is.True(again != 0)
+	c.Step(now, msg.InstancesRead{Call: targets, Status: msg.CallUnavailable}) // too late
+	c.Step(now, msg.InstancesRead{Call: again, Sent: now, Revision: 1, Instances: twoTargets})
+	is.Equal(len(c.instances()), 2)
+}
+
 // Tests that a target which was draining before the outage is removed at once.
 func TestDrainingTargetIsNotKept(t *testing.T) {
 	f := newFakePlatform(t, Config{})
