--- a/internal/core/platformpoll/platformpoll_test.go
+++ b/internal/core/platformpoll/platformpoll_test.go
@@ -106,16 +106,23 @@
 	f.is.True(!f.hasTarget("b"))
 }
 
-// Tests that a target whose entry expired during an outage has two seconds to
-// register again.
-func TestExpiredTargetMayRegisterAgain(t *testing.T) {
-	f := newFakePlatform(t, Config{})
+// newPlatformAfterOutage returns a platform that is back after an outage, during which
+// one of two targets has vanished from the list.
+func newPlatformAfterOutage(t *testing.T, cfg Config) *fakePlatform {
+	f := newFakePlatform(t, cfg)
 	f.list = twoTargets
 	f.advanceTime(2 * time.Second)
 	f.up = false
 	f.advanceTime(4 * time.Second)
 	f.up = true
 	f.list = twoTargets[:1]
+	return f
+}
+
+// Tests that a target whose entry expired during an outage has two seconds to
+// register again.
+func TestExpiredTargetMayRegisterAgain(t *testing.T) {
+	f := newPlatformAfterOutage(t, Config{})
 	f.advanceTime(1500 * time.Millisecond)
 	f.is.True(f.hasTarget("b")) // The entry may have expired while the platform was down.
 	f.list = twoTargets
@@ -126,26 +133,14 @@
 }
 
 func TestExpiredTargetIsRemovedAfterGracePeriod(t *testing.T) {
-	f := newFakePlatform(t, Config{})
-	f.list = twoTargets
-	f.advanceTime(2 * time.Second)
-	f.up = false
-	f.advanceTime(4 * time.Second)
-	f.up = true
-	f.list = twoTargets[:1]
+	f := newPlatformAfterOutage(t, Config{})
 	f.advanceTime(4 * time.Second)
 	f.is.True(!f.hasTarget("b"))
 }
 
 // A target that left during an outage must not wait for the next read of the list.
 func TestExpiredTargetIsRemovedAsGracePeriodEnds(t *testing.T) {
-	f := newFakePlatform(t, Config{InstancesInterval: 1600 * time.Millisecond})
-	f.list = twoTargets
-	f.advanceTime(2 * time.Second)
-	f.up = false
-	f.advanceTime(4 * time.Second)
-	f.up = true
-	f.list = twoTargets[:1]
+	f := newPlatformAfterOutage(t, Config{InstancesInterval: 1600 * time.Millisecond})
 	const firstRead = 650 * time.Millisecond
 	f.advanceTime(firstRead + DefaultReturn)
 	f.is.True(!f.hasTarget("b"))
