--- a/internal/core/pool/config/document_test.go
+++ b/internal/core/pool/config/document_test.go
@@ -61,7 +61,7 @@
 
 func example(t *testing.T) document {
 	t.Helper()
-	b, err := os.ReadFile("../../../examples/taichung.yaml")
+	b, err := os.ReadFile("../../../../examples/taichung.yaml")
 	if err != nil {
 		t.Fatal(err)
 	}
