direct/request: overdue prefills and idempotent requests go elsewhere while they can be in time

Cause: a request whose target had turned slow or silent after it was placed waited there: prompts until the engine was done, idempotent requests until their deadline. Only prefills whose engine had begun a later one were started elsewhere. Now an attempt that has taken over twice its expected time is given up for a target that is expected sooner, within the objective or deadline and the retry budget. Runs are given up only if they are idempotent and the route allows another.

--- a/internal/core/direct/request/manager.go
+++ b/internal/core/direct/request/manager.go
@@ -220,7 +220,7 @@
 	s.advanceProbes()
 	s.resumeHeld()
 	s.advanceQueues()
-	s.restartLostPrefills()
+	s.reconsiderAttempts()
 	s.sendDigest()
 	s.reportDecodeDemand()
 	s.readCaches()
--- /dev/null
+++ b/internal/core/direct/request/reconsider.go
@@ -0,0 +1,95 @@
+package request
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/verbenaspur/verbenaspur/internal/core/msg"
+)
+
+// reconsiderInterval is the time between two decisions on one overdue attempt.
+const reconsiderInterval = 100 * time.Millisecond
+
+// reconsiderAttempts starts attempts again at other targets: prefills that are presumed
+// lost, and attempts at targets that have turned slow, as long as another target can
+// still serve the request in time. It answers a load in which targets turn slow for
+// seconds under requests that were placed before.
+func (s *stepContext) reconsiderAttempts() {
+	for _, id := range slices.Sorted(maps.Keys(s.attempts)) {
+		a := s.attempts[id]
+		if a.req == nil || a.req.attemptsSent >= maxAttempts {
+			continue
+		}
+		switch {
+		case a.step == msg.StepPrefill && a.target.presumedLost(s.now, a):
+			s.restartElsewhere(a, "attempt abandoned, its response is presumed lost")
+		case s.mayTakeBack(a) && s.servedSoonerElsewhere(a):
+			s.restartElsewhere(a, "attempt abandoned, another target is expected to be in time")
+		}
+	}
+}
+
+// mayTakeBack reports whether an attempt that is overdue by more than the time that it
+// was expected to take may be started again elsewhere. A prefill is not a run. An idempotent request may run once more if its route allows it;
+// the deployment's bound on attempts counts the run that is given up.
+func (s *stepContext) mayTakeBack(a *attempt) bool {
+	if s.now < a.reconsiderAt || a.overdue(s.now) <= a.expected {
+		return false
+	}
+	a.reconsiderAt = s.now + reconsiderInterval
+	if a.step == msg.StepPrefill {
+		return true
+	}
+	r := a.req
+	return !r.hasPrompt() && r.route.Retry == msg.RetryIdempotent && r.runs+1 < r.route.Attempts
+}
+
+// servedSoonerElsewhere reports whether another target is expected to respond within
+// the request's time limit, which is its objective for a prompt and its deadline
+// otherwise, and in less time than the attempt has taken already. An attempt that is
+// overdue is expected to take about as long again as it has taken.
+func (s *stepContext) servedSoonerElsewhere(a *attempt) bool {
+	r := a.req
+	r.exclude = append(r.exclude, a.target.Target)
+	list := s.candidates(r)
+	r.exclude = r.exclude[:len(r.exclude)-1]
+	if len(list) == 0 {
+		return false
+	}
+	best := slices.MinFunc(list, func(a, b candidate) int { return int(a.cost - b.cost) })
+	until := r.deadline
+	if r.hasPrompt() {
+		until = r.arrivedAt + r.route.Objective
+	}
+	return best.expected < s.now-a.sentAt && s.now+best.expected <= until
+}
+
+// restartElsewhere replaces an attempt by one at another target if place finds one.
+// Otherwise it leaves the request as it was. The text is logged.
+func (s *stepContext) restartElsewhere(a *attempt, text string) {
+	r := a.req
+	if s.mayCrashTargets(r) {
+		return
+	}
+	r.attempt = nil
+	r.exclude = append(r.exclude, a.target.Target)
+	before := len(s.effects)
+	if ref := s.place(r); ref != nil {
+		r.attempt = a
+		r.exclude = r.exclude[:len(r.exclude)-1]
+		return
+	}
+	if a.step != msg.StepPrefill {
+		r.runs++
+		r.mayHaveRun = true
+	}
+	a.req = nil
+	a.target.updateFailureRate(s.now, false)
+	// The cancellation comes first, so that the driver ends the old attempt
+	// before it starts the new one.
+	s.effects = slices.Insert(s.effects, before, msg.Effect(msg.CancelAttempt{Attempt: a.id, Reason: "another attempt takes its place"}))
+	s.logRequest(r, text,
+		attr("attempt", a.id), attr("target", a.target.Target), attr("took_ms", formatMS(s.now-a.sentAt)), attr("expected_ms", formatMS(a.expected)),
+	)
+}
--- a/internal/core/direct/request/request.go
+++ b/internal/core/direct/request/request.go
@@ -83,6 +83,8 @@
 	// dropAt is the instant at which the attempt is dropped if its end has not
 	// been reported and req is nil.
 	dropAt msg.Time
+	// reconsiderAt is the time before which an overdue attempt is not considered again.
+	reconsiderAt msg.Time
 	// started reports whether the first token, or the response, has arrived, and
 	// startedAt is when the first token of a stream arrived.
 	started     bool
--- a/internal/core/direct/request/suspect.go
+++ b/internal/core/direct/request/suspect.go
@@ -1,7 +1,6 @@
 package request
 
 import (
-	"maps"
 	"slices"
 	"time"
 
@@ -54,44 +53,6 @@
 	return laterStarted && a.overdue(now) > a.expected
 }
 
-// restartLostPrefills replaces each prefill that is presumed lost by a prefill
-// at another target. This is allowed because a prefill is not a run. If no other
-// target is suitable or the retry budget is used up, the request continues to
-// wait for the response.
-func (s *stepContext) restartLostPrefills() {
-	for _, id := range slices.Sorted(maps.Keys(s.attempts)) {
-		a := s.attempts[id]
-		if a.step == msg.StepPrefill && a.req != nil && a.req.attemptsSent < maxAttempts && a.target.presumedLost(s.now, a) {
-			s.restartElsewhere(a)
-		}
-	}
-}
-
-// restartElsewhere replaces an attempt by one at another target if place finds
-// one. Otherwise it leaves the request as it was.
-func (s *stepContext) restartElsewhere(a *attempt) {
-	r := a.req
-	if s.mayCrashTargets(r) {
-		return
-	}
-	r.attempt = nil
-	r.exclude = append(r.exclude, a.target.Target)
-	before := len(s.effects)
-	if ref := s.place(r); ref != nil {
-		r.attempt = a
-		r.exclude = r.exclude[:len(r.exclude)-1]
-		return
-	}
-	a.req = nil
-	a.target.updateFailureRate(s.now, false)
-	// The cancellation comes first, so that the driver ends the old attempt
-	// before it starts the new one.
-	s.effects = slices.Insert(s.effects, before, msg.Effect(msg.CancelAttempt{Attempt: a.id, Reason: "its answer is lost"}))
-	s.logRequest(r, "attempt abandoned, its response is presumed lost",
-		attr("attempt", a.id), attr("target", a.target.Target), attr("took_ms", formatMS(s.now-a.sentAt)), attr("expected_ms", formatMS(a.expected)),
-	)
-}
-
 // lateness returns the longest time for which the first token of an open attempt
 // has been overdue. It ignores attempts that were overtaken by later ones, and
 // returns 0 if no other attempt is overdue.
