direct/request: only idempotent requests are taken back, prefills stay

Cause as read: a busy engine delays many prefills at once; each one given up was work for nothing. That part is reverted.

--- a/internal/core/direct/request/reconsider.go
+++ b/internal/core/direct/request/reconsider.go
@@ -12,9 +12,9 @@
 const reconsiderInterval = 100 * time.Millisecond
 
 // reconsiderAttempts starts attempts again at other targets: prefills that are presumed
-// lost, and attempts at targets that have turned slow, as long as another target can
-// still serve the request in time. It answers a load in which targets turn slow for
-// seconds under requests that were placed before.
+// lost, and idempotent requests at targets that have turned slow or silent, as long as
+// another target is expected to serve them in time. It answers a load in which targets
+// turn slow for seconds under requests that were placed before.
 func (s *stepContext) reconsiderAttempts() {
 	for _, id := range slices.Sorted(maps.Keys(s.attempts)) {
 		a := s.attempts[id]
@@ -31,23 +31,23 @@
 }
 
 // mayTakeBack reports whether an attempt that is overdue by more than the time that it
-// was expected to take may be started again elsewhere. A prefill is not a run. An idempotent request may run once more if its route allows it;
-// the deployment's bound on attempts counts the run that is given up.
+// was expected to take may be started again elsewhere. Its request must be idempotent
+// and its route must allow one more run, since the run that is given up counts. Prefills
+// stay: a busy engine delays many at once, and each of them would be work for nothing.
 func (s *stepContext) mayTakeBack(a *attempt) bool {
+	r := a.req
+	if r.hasPrompt() || r.route.Retry != msg.RetryIdempotent || r.runs+1 >= r.route.Attempts {
+		return false
+	}
 	if s.now < a.reconsiderAt || a.overdue(s.now) <= a.expected {
 		return false
 	}
 	a.reconsiderAt = s.now + reconsiderInterval
-	if a.step == msg.StepPrefill {
-		return true
-	}
-	r := a.req
-	return !r.hasPrompt() && r.route.Retry == msg.RetryIdempotent && r.runs+1 < r.route.Attempts
+	return true
 }
 
-// servedSoonerElsewhere reports whether another target is expected to respond within
-// the request's time limit, which is its objective for a prompt and its deadline
-// otherwise, and in less time than the attempt has taken already. An attempt that is
+// servedSoonerElsewhere reports whether another target is expected to respond before the
+// deadline, and in less time than the attempt has taken already. An attempt that is
 // overdue is expected to take about as long again as it has taken.
 func (s *stepContext) servedSoonerElsewhere(a *attempt) bool {
 	r := a.req
@@ -58,11 +58,7 @@
 		return false
 	}
 	best := slices.MinFunc(list, func(a, b candidate) int { return int(a.cost - b.cost) })
-	until := r.deadline
-	if r.hasPrompt() {
-		until = r.arrivedAt + r.route.Objective
-	}
-	return best.expected < s.now-a.sentAt && s.now+best.expected <= until
+	return best.expected < s.now-a.sentAt && s.now+best.expected <= r.deadline
 }
 
 // restartElsewhere replaces an attempt by one at another target if place finds one.
