quota: accounts' quotas in tokens, decided by a few holders that each request asks

Nothing read the quotas of client accounts. Package sharedrate (was targetlimit) divides targets' limits and quotas alike.

--- /dev/null
+++ b/internal/core/direct/quota/asker.go
@@ -0,0 +1,458 @@
+package quota
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/verbenaspur/verbenaspur/internal/core/direct/sharedrate"
+	"github.com/verbenaspur/verbenaspur/internal/core/msg"
+)
+
+const (
+	// askTimeout is the time after which the next holder is asked.
+	askTimeout = 40 * time.Millisecond
+	// askMemory is how long the reply to an ask is awaited. What may have been granted to
+	// an ask without a reply is then returned.
+	askMemory = time.Second
+	// silentTime is how long a holder that did not reply is asked only if no other is
+	// left.
+	silentTime = 500 * time.Millisecond
+	// maxRefusalAge limits how long a denial is remembered. Room may also come from what
+	// is returned, or from a raised quota.
+	maxRefusalAge = 500 * time.Millisecond
+)
+
+// State is the state of a reservation.
+type State uint8
+
+// States of reservations.
+const (
+	// Pending means that a reply is awaited.
+	Pending State = iota
+	// Granted means that the request's cost is reserved.
+	Granted
+	// Denied means that the quota does not allow the request now.
+	Denied
+	// Unanswered means that no holder has answered.
+	Unanswered
+)
+
+// Reservation is the reservation of what a request costs. The fields that are not
+// exported belong to the [Asker].
+type Reservation struct {
+	Req     msg.RequestID
+	Account msg.AccountID
+	Cost    float64
+	State   State
+	// Wait is the time after which the caller of a denied request should come back.
+	Wait time.Duration
+	// Home is the holder that decided, Level what was left of its share, and Age how old
+	// that information is.
+	Home  msg.HostID
+	Level float64
+	Age   time.Duration
+
+	quota *msg.AccountQuota
+	// partial is set if several holders have to grant the request together. rest is
+	// what remains to be granted, and parts are the grants.
+	partial bool
+	rest    float64
+	parts   []part
+
+	left []msg.HostID // holders that have not been asked
+	seq  uint64       // of the last ask, or of the one that was granted
+	next msg.Time     // when the next holder is asked
+}
+
+// part is a grant.
+type part struct {
+	home msg.HostID
+	seq  uint64
+}
+
+// Send is a message to another daemon.
+type Send struct {
+	To      msg.HostID
+	Message msg.PeerMessage
+}
+
+// ask is an ask to which no reply has come.
+type ask struct {
+	res     *Reservation
+	home    msg.HostID
+	account msg.AccountID
+	at      msg.Time
+}
+
+type refusalKey struct {
+	home    msg.HostID
+	account msg.AccountID
+}
+
+// refusal is a denial that is remembered. It holds for requests of at least its cost
+// until a time.
+type refusal struct {
+	cost      float64
+	at, until msg.Time
+	comeBack  msg.Time
+	level     float64
+}
+
+// allHolders stands for all holders of a quota together, which have denied a partial ask.
+const allHolders msg.HostID = ""
+
+// Asker reserves the costs of one daemon's requests at the holders of quotas.
+type Asker struct {
+	self    msg.HostID
+	members *sharedrate.Members
+	home    *Home
+	limits  msg.DirectLimits
+	seq     uint64
+
+	asks     map[uint64]*ask
+	waiting  []*Reservation
+	silent   map[msg.HostID]msg.Time // until when
+	refusals map[refusalKey]refusal
+	holders  map[msg.AccountID]holderList
+	results  []msg.QuotaResult
+	repeat   []Send // returns that are sent once more
+}
+
+// holderList lists the holders of a quota, as computed for a version of the members.
+type holderList struct {
+	version uint64
+	n       int
+	hosts   []msg.HostID
+}
+
+// NewAsker returns an Asker. Its asks have the numbers after firstSeq, which must be
+// drawn at random for each process. This daemon's own decisions are made by home.
+func NewAsker(self msg.HostID, members *sharedrate.Members, home *Home, firstSeq uint64) *Asker {
+	return &Asker{
+		self: self, members: members, home: home, seq: firstSeq,
+		asks: make(map[uint64]*ask), silent: make(map[msg.HostID]msg.Time),
+		refusals: make(map[refusalKey]refusal), holders: make(map[msg.AccountID]holderList),
+	}
+}
+
+// Configure sets the limits. It forgets denials, which may not hold for the new quotas.
+func (a *Asker) Configure(limits msg.DirectLimits) {
+	a.limits = limits
+	clear(a.refusals)
+	clear(a.holders)
+}
+
+// Reserve begins a reservation. It may be decided at once.
+func (a *Asker) Reserve(now msg.Time, req msg.RequestID, account *msg.DirectAccount, cost float64) (*Reservation, []Send) {
+	r := &Reservation{Req: req, Account: account.Account, Cost: cost, quota: account.Quota, rest: cost}
+	t := termsOf(r.quota, &a.limits)
+	r.partial = t.partial(cost)
+	if r.partial && a.denies(now, r, allHolders) {
+		r.State = Denied
+		return r, nil
+	}
+	r.left = a.order(now, r)
+	sends := a.askNext(now, r)
+	if r.State == Pending {
+		a.waiting = append(a.waiting, r)
+	}
+	return r, sends
+}
+
+// order returns the holders in the order in which they are asked: this daemon itself, then
+// the others from one that varies. Those that are silent come last. If all are silent,
+// only one is asked, so that the request is refused soon. A single holder is asked twice,
+// since a datagram may be lost.
+func (a *Asker) order(now msg.Time, r *Reservation) []msg.HostID {
+	all := a.holdersOf(r)
+	list := make([]msg.HostID, 0, len(all))
+	if len(all) > 0 {
+		first := int(a.seq % uint64(len(all)))
+		list = append(append(list, all[first:]...), all[:first]...)
+	}
+	class := func(h msg.HostID) int {
+		switch {
+		case h == a.self:
+			return 0
+		case a.isSilent(now, h):
+			return 2
+		}
+		return 1
+	}
+	slices.SortStableFunc(list, func(x, y msg.HostID) int { return cmp.Compare(class(x), class(y)) })
+	switch {
+	case len(list) > 0 && class(list[0]) == 2:
+		return list[:1]
+	case len(list) == 1 && list[0] != a.self:
+		return append(list, list[0])
+	}
+	return list
+}
+
+func (a *Asker) holdersOf(r *Reservation) []msg.HostID {
+	n := termsOf(r.quota, &a.limits).holders
+	l := a.holders[r.Account]
+	if l.version == a.members.Version && l.n == n {
+		return l.hosts
+	}
+	l = holderList{version: a.members.Version, n: n}
+	for _, h := range a.members.Holders(string(r.Account), n) {
+		l.hosts = append(l.hosts, h.Host)
+	}
+	a.holders[r.Account] = l
+	return l.hosts
+}
+
+func (a *Asker) isSilent(now msg.Time, h msg.HostID) bool { return now < a.silent[h] }
+
+// askNext asks the next holder that may grant the request. Without one, it decides the
+// reservation, unless a reply is still awaited.
+func (a *Asker) askNext(now msg.Time, r *Reservation) []Send {
+	for r.State == Pending && len(r.left) > 0 {
+		home := r.left[0]
+		r.left = r.left[1:]
+		if !r.partial && a.denies(now, r, home) {
+			continue
+		}
+		if home == a.self {
+			a.askSelf(now, r)
+			continue
+		}
+		if a.isSilent(now, home) && r.Wait > 0 {
+			continue // Others have denied.
+		}
+		return []Send{a.send(now, r, home)}
+	}
+	if r.State == Pending && !a.awaits(r) {
+		return a.giveUp(now, r)
+	}
+	return nil
+}
+
+// giveUp decides a reservation that the holders have not granted. What some have granted
+// of it is returned.
+func (a *Asker) giveUp(now msg.Time, r *Reservation) []Send {
+	if r.partial && len(r.parts) > 0 {
+		wait := min(time.Duration(r.rest/r.quota.PerSecond*float64(time.Second)), maxWait)
+		a.refusals[refusalKey{allHolders, r.Account}] = refusal{cost: r.Cost, at: now, until: now + min(wait, maxRefusalAge), comeBack: now + wait}
+		r.noteDenial(r.parts[0].home, r.Level, 0, wait)
+	}
+	r.State = Unanswered
+	if r.Wait > 0 {
+		r.State = Denied
+	}
+	return a.returnParts(now, r)
+}
+
+// returnParts returns what was granted of a reservation.
+func (a *Asker) returnParts(now msg.Time, r *Reservation) []Send {
+	var sends []Send
+	for _, p := range r.parts {
+		m := msg.QuotaReturn{Seq: p.seq, Account: r.Account}
+		if p.home == a.self {
+			a.home.Return(now, a.self, m)
+			continue
+		}
+		sends = append(sends, a.sendReturn(p.home, m))
+	}
+	r.parts = nil
+	return sends
+}
+
+// sendReturn returns a grant. It is sent again by the next Advance, since what a lost
+// return held would be lost, too.
+func (a *Asker) sendReturn(home msg.HostID, m msg.QuotaReturn) Send {
+	send := Send{home, m}
+	a.repeat = append(a.repeat, send)
+	return send
+}
+
+// awaits reports whether a reply to the last ask of a reservation may still come soon.
+func (a *Asker) awaits(r *Reservation) bool {
+	k := a.asks[r.seq]
+	return k != nil && k.res == r && r.next > 0
+}
+
+func (a *Asker) askSelf(now msg.Time, r *Reservation) {
+	a.seq++
+	reply := a.home.Ask(now, a.self, a.message(now, r))
+	a.results = append(a.results, reply.Result)
+	a.apply(now, r, a.self, reply)
+}
+
+func (a *Asker) send(now msg.Time, r *Reservation, home msg.HostID) Send {
+	a.seq++
+	a.asks[a.seq] = &ask{res: r, home: home, account: r.Account, at: now}
+	r.seq, r.next = a.seq, now+askTimeout
+	return Send{home, a.message(now, r)}
+}
+
+func (a *Asker) message(now msg.Time, r *Reservation) msg.QuotaAsk {
+	return msg.QuotaAsk{Seq: a.seq, Account: r.Account, Cost: r.rest, Last: a.isLast(now, r), Partial: r.partial}
+}
+
+// isLast reports whether no other holder is left to be asked.
+func (a *Asker) isLast(now msg.Time, r *Reservation) bool {
+	return !slices.ContainsFunc(r.left, func(h msg.HostID) bool {
+		ref, ok := a.refusals[refusalKey{h, r.Account}]
+		return !a.isSilent(now, h) && (!ok || !ref.applies(now, r))
+	})
+}
+
+// denies reports whether a remembered denial of a holder applies to a reservation.
+func (a *Asker) denies(now msg.Time, r *Reservation, home msg.HostID) bool {
+	ref, ok := a.refusals[refusalKey{home, r.Account}]
+	if !ok || !ref.applies(now, r) {
+		return false
+	}
+	r.noteDenial(home, ref.level, now-ref.at, max(ref.comeBack, ref.until)-now)
+	return true
+}
+
+func (ref *refusal) applies(now msg.Time, r *Reservation) bool {
+	return now < ref.until && r.Cost >= ref.cost
+}
+
+// noteDenial records a denial in the reservation. The shortest wait counts.
+func (r *Reservation) noteDenial(home msg.HostID, level float64, age, wait time.Duration) {
+	if r.Wait == 0 || wait < r.Wait {
+		r.Home, r.Level, r.Age, r.Wait = home, level, age, max(wait, time.Millisecond)
+	}
+}
+
+// apply applies a reply to a reservation that is pending.
+func (a *Asker) apply(now msg.Time, r *Reservation, home msg.HostID, reply msg.QuotaReply) {
+	key := refusalKey{home, r.Account}
+	switch reply.Result {
+	case msg.QuotaGranted:
+		r.Home, r.Level, r.Age = home, reply.Level, 0
+		r.parts = append(r.parts, part{home, reply.Seq})
+		if r.partial {
+			r.rest -= reply.Amount
+		}
+		if !r.partial || r.rest <= 0 {
+			r.State = Granted
+			delete(a.refusals, key)
+		}
+	case msg.QuotaDenied:
+		if r.partial {
+			r.noteDenial(home, reply.Level, 0, time.Duration(reply.WaitMS)*time.Millisecond)
+			return
+		}
+		room := time.Duration(reply.RoomMS) * time.Millisecond
+		wait := time.Duration(reply.WaitMS) * time.Millisecond
+		a.refusals[key] = refusal{cost: r.Cost, at: now, until: now + min(room, maxRefusalAge), comeBack: now + wait, level: reply.Level}
+		r.noteDenial(home, reply.Level, 0, wait)
+	}
+}
+
+// OnReply processes a reply. It returns the reservation that it decides, or nil.
+func (a *Asker) OnReply(now msg.Time, from msg.HostID, reply msg.QuotaReply) (*Reservation, []Send) {
+	k := a.asks[reply.Seq]
+	if k == nil || k.home != from {
+		return nil, nil
+	}
+	delete(a.asks, reply.Seq)
+	delete(a.silent, from)
+	a.results = append(a.results, reply.Result)
+	r := k.res
+	late := r.partial && r.seq != reply.Seq
+	if r.State != Pending || late {
+		if reply.Result == msg.QuotaGranted {
+			return nil, []Send{a.sendReturn(from, msg.QuotaReturn{Seq: reply.Seq, Account: reply.Account})}
+		}
+		return nil, nil
+	}
+	a.apply(now, r, from, reply)
+	var sends []Send
+	if r.State == Pending && r.seq == reply.Seq {
+		sends = a.askNext(now, r)
+	}
+	return a.settle(r), sends
+}
+
+// settle removes a decided reservation from the waiting ones.
+func (a *Asker) settle(r *Reservation) *Reservation {
+	if r.State == Pending {
+		return nil
+	}
+	a.waiting = slices.DeleteFunc(a.waiting, func(o *Reservation) bool { return o == r })
+	return r
+}
+
+// Advance asks the next holders for the reservations whose replies are late. It returns
+// the reservations that are decided.
+func (a *Asker) Advance(now msg.Time) ([]*Reservation, []Send) {
+	var decided []*Reservation
+	sends := a.repeat
+	a.repeat = nil
+	for _, r := range slices.Clone(a.waiting) {
+		if now < r.next {
+			continue
+		}
+		if k := a.asks[r.seq]; k != nil {
+			a.silent[k.home] = now + silentTime
+			a.results = append(a.results, msg.QuotaSilent)
+		}
+		r.next = 0
+		sends = append(sends, a.askNext(now, r)...)
+		if a.settle(r) != nil {
+			decided = append(decided, r)
+		}
+	}
+	sends = append(sends, a.dropAsks(now)...)
+	for key, ref := range a.refusals {
+		if now >= ref.until {
+			delete(a.refusals, key)
+		}
+	}
+	return decided, sends
+}
+
+// dropAsks gives up the asks that no reply has come to for long.
+func (a *Asker) dropAsks(now msg.Time) []Send {
+	var old []uint64
+	for seq, k := range a.asks {
+		if now-k.at >= askMemory {
+			old = append(old, seq)
+		}
+	}
+	slices.Sort(old)
+	var sends []Send
+	for _, seq := range old {
+		k := a.asks[seq]
+		delete(a.asks, seq)
+		sends = append(sends, a.sendReturn(k.home, msg.QuotaReturn{Seq: seq, Account: k.account}))
+	}
+	return sends
+}
+
+// Release gives a reservation up, because its request has not run and will not run. What
+// was granted, or is granted late, is returned.
+func (a *Asker) Release(now msg.Time, r *Reservation) []Send {
+	r.State = Unanswered
+	a.settle(r)
+	return a.returnParts(now, r)
+}
+
+// Charge takes the cost of a granted reservation once more, for a second run.
+func (a *Asker) Charge(now msg.Time, r *Reservation) []Send {
+	if r.State != Granted {
+		return nil
+	}
+	a.seq++
+	m := msg.QuotaAsk{Seq: a.seq, Account: r.Account, Cost: r.Cost, Charge: true}
+	if r.Home == a.self {
+		a.home.Ask(now, a.self, m)
+		return nil
+	}
+	return []Send{{r.Home, m}}
+}
+
+// TakeResults returns the results of the asks since the last call.
+func (a *Asker) TakeResults() []msg.QuotaResult {
+	list := a.results
+	a.results = nil
+	return list
+}
--- /dev/null
+++ b/internal/core/direct/quota/home.go
@@ -0,0 +1,228 @@
+package quota
+
+import (
+	"time"
+
+	"github.com/verbenaspur/verbenaspur/internal/core/direct/sharedrate"
+	"github.com/verbenaspur/verbenaspur/internal/core/msg"
+)
+
+const (
+	// grantMemory is how long a grant can be returned, and how long the same ask is not
+	// granted again. It exceeds the duration of a request that has not begun to run.
+	grantMemory = 30 * time.Second
+	// fairMemory is how long after the denial of a long request shorter ones leave room
+	// for it.
+	fairMemory = 2 * time.Second
+	// maxWait limits the times at which denied callers are told to come back, and
+	// maxPromised how far ahead of the account's rate such times are given.
+	maxWait     = 10 * time.Second
+	maxPromised = 4 * time.Second
+	// usePeriod is the time between two reports of use.
+	usePeriod = 5 * time.Second
+)
+
+// Home decides at this daemon about the quotas of which it is a holder.
+type Home struct {
+	members  *sharedrate.Members
+	self     msg.HostID
+	limits   msg.DirectLimits
+	accounts map[msg.AccountID]*account
+	grants   map[grantKey]float64
+	// granted lists the grants in order of their times, and first is the index of the
+	// oldest that is kept.
+	granted []grantRecord
+	use     useReport
+}
+
+// account is an account with a quota.
+type account struct {
+	id    msg.AccountID
+	quota msg.AccountQuota
+	terms terms
+	// version is the version of the members for which holds was computed.
+	version uint64
+	holds   bool
+	bucket  sharedrate.Bucket
+	// denied is the largest cost of a request that was denied lately by all holders, and
+	// deniedAt when.
+	denied   float64
+	deniedAt msg.Time
+	// promised is the time up to which what the account's rate brings is promised to
+	// callers that were denied.
+	promised msg.Time
+	// used and refused sum up what was granted and denied since the last report.
+	used    float64
+	refused int
+}
+
+type grantKey struct {
+	from msg.HostID
+	seq  uint64
+}
+
+type grantRecord struct {
+	key grantKey
+	at  msg.Time
+}
+
+// NewHome returns a Home that knows no accounts.
+func NewHome(self msg.HostID, members *sharedrate.Members) *Home {
+	return &Home{self: self, members: members, accounts: make(map[msg.AccountID]*account), grants: make(map[grantKey]float64)}
+}
+
+// Configure sets the accounts and the limits. A changed quota holds at once. Accounts that
+// are not listed are forgotten.
+func (h *Home) Configure(now msg.Time, accounts []msg.DirectAccount, limits msg.DirectLimits) {
+	h.limits = limits
+	old := h.accounts
+	h.accounts = make(map[msg.AccountID]*account)
+	for i := range accounts {
+		q := accounts[i].Quota
+		if q == nil {
+			continue
+		}
+		id := accounts[i].Account
+		a := old[id]
+		if a == nil {
+			a = &account{id: id}
+		}
+		h.accounts[id] = a
+		a.set(now, q, termsOf(q, &limits))
+	}
+}
+
+// set changes the quota. If that changes the number of holders, this daemon becomes one
+// anew.
+func (a *account) set(now msg.Time, q *msg.AccountQuota, t terms) {
+	if a.quota == *q && a.terms == t {
+		return
+	}
+	if a.terms.holders != t.holders {
+		a.version, a.holds = 0, false
+	}
+	a.quota, a.terms = *q, t
+	a.promised = 0
+	a.denied = 0
+	if a.holds {
+		a.bucket.SetRate(now, t.perSecond, t.capacity)
+	}
+}
+
+// Holds reports whether this daemon is a holder of an account's quota.
+func (h *Home) Holds(now msg.Time, id msg.AccountID) bool {
+	a := h.accounts[id]
+	return a != nil && h.refresh(now, a)
+}
+
+// refresh updates whether this daemon is a holder of a quota. One that becomes a holder
+// begins with the largest debt, as its share may just have been used by another.
+func (h *Home) refresh(now msg.Time, a *account) bool {
+	if a.version == h.members.Version {
+		return a.holds
+	}
+	a.version = h.members.Version
+	held := a.holds
+	a.holds = h.members.Holds(string(a.id), h.self, a.terms.holders)
+	if a.holds && !held {
+		a.bucket = sharedrate.NewBucket(now, -a.terms.debt)
+		a.bucket.SetRate(now, a.terms.perSecond, a.terms.capacity)
+	}
+	return a.holds
+}
+
+// Ask decides on an ask of a daemon.
+func (h *Home) Ask(now msg.Time, from msg.HostID, ask msg.QuotaAsk) msg.QuotaReply {
+	reply := msg.QuotaReply{Seq: ask.Seq, Account: ask.Account}
+	a := h.accounts[ask.Account]
+	if a == nil || !h.refresh(now, a) {
+		reply.Result = msg.QuotaUnknown
+		return reply
+	}
+	reply.Level = a.bucket.Level(now)
+	key := grantKey{from, ask.Seq}
+	if cost, ok := h.grants[key]; ok {
+		reply.Amount = cost
+		return reply
+	}
+	if ask.Partial {
+		ask.Cost = min(ask.Cost, reply.Level+a.terms.debt)
+		reply.Amount = ask.Cost
+		if ask.Cost <= 0 {
+			a.deny(now, &ask, &reply, 0, true)
+			return reply
+		}
+	}
+	need, fits := a.terms.needFair(ask.Cost, a.deniedCost(now))
+	if !ask.Charge && !ask.Partial && (!fits || reply.Level < need) {
+		a.deny(now, &ask, &reply, need, fits)
+		return reply
+	}
+	a.bucket.Take(now, ask.Cost)
+	a.used += ask.Cost
+	h.grants[key] = ask.Cost
+	h.granted = append(h.granted, grantRecord{key, now})
+	return reply
+}
+
+// deniedCost returns the largest cost that was denied within fairMemory.
+func (a *account) deniedCost(now msg.Time) float64 {
+	if now-a.deniedAt > fairMemory {
+		return 0
+	}
+	return a.denied
+}
+
+// deny sets the result of a denial, with the times after which the request may come back.
+func (a *account) deny(now msg.Time, ask *msg.QuotaAsk, reply *msg.QuotaReply, need float64, fits bool) {
+	a.refused++
+	reply.Result = msg.QuotaDenied
+	if !fits {
+		reply.RoomMS, reply.WaitMS = maxWait.Milliseconds(), maxWait.Milliseconds()
+		return
+	}
+	if ask.Last {
+		a.denied = max(a.deniedCost(now), ask.Cost)
+		a.deniedAt = now
+	}
+	room := a.timeFor(need - reply.Level)
+	a.promised = min(max(a.promised, now+room), now+max(room, maxPromised))
+	wait := a.promised - now
+	if ask.Last {
+		a.promised += a.timeFor(ask.Cost)
+	}
+	reply.RoomMS = room.Milliseconds() + 1
+	reply.WaitMS = min(wait, maxWait).Milliseconds() + 1
+}
+
+// timeFor returns the time in which the holder's share of the rate brings n tokens.
+func (a *account) timeFor(n float64) time.Duration {
+	return min(time.Duration(n/a.terms.perSecond*float64(time.Second)), maxWait)
+}
+
+// Return takes back what was granted to an ask. A grant is taken back once only.
+func (h *Home) Return(now msg.Time, from msg.HostID, m msg.QuotaReturn) {
+	key := grantKey{from, m.Seq}
+	cost, ok := h.grants[key]
+	a := h.accounts[m.Account]
+	if !ok || a == nil {
+		return
+	}
+	// The grant stays known, so that the same ask is not granted again.
+	h.grants[key] = 0
+	if h.refresh(now, a) {
+		a.bucket.Take(now, -cost)
+		a.used -= cost
+	}
+}
+
+// Advance forgets old grants, and returns a report of use if one is due.
+func (h *Home) Advance(now msg.Time) *msg.QuotaUsed {
+	n := 0
+	for n < len(h.granted) && now-h.granted[n].at >= grantMemory {
+		delete(h.grants, h.granted[n].key)
+		n++
+	}
+	h.granted = h.granted[n:]
+	return h.report(now)
+}
--- a/internal/core/direct/request/arrive.go
+++ b/internal/core/direct/request/arrive.go
@@ -53,6 +53,17 @@
 		return
 	}
 	s.requests[ev.Req] = r
+	ref, pending := s.reserve(r)
+	switch {
+	case ref != nil:
+		s.refuse(r, *ref)
+	case !pending:
+		s.begin(r)
+	}
+}
+
+// begin places a request that its account's quota allows.
+func (s *stepContext) begin(r *request) {
 	s.retryBudget(r.service).countRequest(s.now, s.limits)
 	if ref := s.place(r); ref != nil {
 		s.refuse(r, *ref)
--- a/internal/core/direct/request/end.go
+++ b/internal/core/direct/request/end.go
@@ -84,6 +84,7 @@
 func (s *stepContext) afterAttempt(r *request, a *attempt, ev msg.DirectAttemptEnded) {
 	switch ev.Result {
 	case msg.DirectDone:
+		r.mayHaveRun = true
 		s.countRun(r)
 		s.clearCrashes(a, ev.Unframed)
 		s.emit(msg.FinishRequest{Req: r.arrival.Req})
@@ -91,6 +92,7 @@
 	case msg.DirectCancelled:
 		// While a request is open, its current attempt is cancelled only if the
 		// caller disconnects.
+		r.mayHaveRun = r.mayHaveRun || a.step != msg.StepPrefill
 		s.logRequest(r, "caller disconnected")
 		s.close(r, msg.EndCallerDisconnected, "")
 	case msg.DirectPrefilled:
@@ -211,6 +213,7 @@
 func (s *stepContext) close(r *request, end msg.DirectRequestResult, code string) {
 	s.raise(msg.DirectRequestEnded{Req: r.arrival.Req, End: end, Code: code, Waited: s.now - r.arrivedAt})
 	s.leaveQueue(r, false)
+	s.settleQuota(r)
 	if a := r.attempt; a != nil {
 		a.req = nil
 		r.attempt = nil
--- a/internal/core/direct/request/limit.go
+++ b/internal/core/direct/request/limit.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"github.com/verbenaspur/verbenaspur/internal/core/direct/targetlimit"
+	"github.com/verbenaspur/verbenaspur/internal/core/direct/sharedrate"
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
 )
 
@@ -26,7 +26,7 @@
 	announced bool
 	// bucket permits this daemon's share, which was computed for the given version of
 	// the members.
-	bucket  targetlimit.Bucket
+	bucket  sharedrate.TargetBucket
 	version uint64
 }
 
@@ -63,7 +63,7 @@
 	}
 	if l.version != s.limitMembers.Version {
 		l.version = s.limitMembers.Version
-		l.bucket.SetRate(s.now, s.limitMembers.Share(t.Target, s.self.Host, l.perSecond))
+		l.bucket.SetRate(s.now, s.limitMembers.TargetShare(t.Target, s.self.Host, l.perSecond))
 	}
 	return l.bucket.Permits(s.now)
 }
--- a/internal/core/direct/request/loadexchange.go
+++ b/internal/core/direct/request/loadexchange.go
@@ -134,6 +134,8 @@
 		s.exchange.addPrefill(s.now, ev.From, m)
 	case msg.StreamOrigins:
 		s.resumeHeld()
+	case msg.QuotaAsk, msg.QuotaReply, msg.QuotaReturn:
+		s.onQuotaMessage(ev.From, m)
 	}
 }
 
--- a/internal/core/direct/request/manager.go
+++ b/internal/core/direct/request/manager.go
@@ -27,8 +27,9 @@
 
 	"github.com/verbenaspur/verbenaspur/internal/core/direct/admission"
 	"github.com/verbenaspur/verbenaspur/internal/core/direct/prefilltime"
+	"github.com/verbenaspur/verbenaspur/internal/core/direct/quota"
+	"github.com/verbenaspur/verbenaspur/internal/core/direct/sharedrate"
 	"github.com/verbenaspur/verbenaspur/internal/core/direct/streamorigin"
-	"github.com/verbenaspur/verbenaspur/internal/core/direct/targetlimit"
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
 	"github.com/verbenaspur/verbenaspur/internal/core/poison"
 )
@@ -65,7 +66,11 @@
 	services map[msg.ServiceID][]*target
 	// entries lists the live entry daemons, including this one.
 	entries      []msg.Host
-	limitMembers targetlimit.Members
+	limitMembers sharedrate.Members
+	// quotaHome decides about the quotas that this daemon holds, and quotaAsker reserves
+	// what requests cost. Both are set once the process has started.
+	quotaHome    *quota.Home
+	quotaAsker   *quota.Asker
 	caches       *cacheView
 	retryBudgets map[msg.ServiceID]*retryBudget
 	prefillTimes map[engineKind]*prefilltime.Estimator
@@ -169,14 +174,17 @@
 		s.incarnation = ev.Incarnation
 		s.wall = ev.Wall
 		s.rand = rand.New(rand.NewPCG(ev.Seed, 0))
+		s.startQuotas(ev.Seed)
 	case msg.StopRequested:
 		s.stopping = true
 		s.updateReady()
 	case msg.LimitsChanged:
 		s.limits = ev.Limits
+		s.configureQuotas()
 	case msg.RoutesChanged:
 		s.table = newRouteTable(ev.Table)
 		s.forgetRemoved()
+		s.configureQuotas()
 		s.emit(msg.SetCallerLimits{Limits: ev.Table.Limits})
 		s.updateReady()
 	case msg.RoutesConfirmed:
@@ -217,6 +225,7 @@
 	}
 	s.dropAbandonedAttempts()
 	s.limitMembers.Advance(s.now)
+	s.advanceQuotas()
 	s.advanceProbes()
 	s.resumeHeld()
 	s.advanceQueues()
--- a/internal/core/direct/request/request.go
+++ b/internal/core/direct/request/request.go
@@ -5,6 +5,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/verbenaspur/verbenaspur/internal/core/direct/quota"
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
 )
 
@@ -20,6 +21,10 @@
 	// the last one, which belongs to the request or its session.
 	segments []msg.PromptSegment
 
+	// reservation is the reservation of the request's cost, or nil if its account has no
+	// quota.
+	reservation *quota.Reservation
+
 	attempt *attempt
 	// runs counts the ended attempts that may have run. attemptsSent counts all
 	// attempts that were sent. runArrivals counts the runs that were sent, and
--- a/internal/core/direct/request/start.go
+++ b/internal/core/direct/request/start.go
@@ -29,6 +29,7 @@
 	r.attempt = a
 	r.attemptsSent++
 	s.leaveQueue(r, true)
+	s.chargeRun(r, c.step)
 	r.countArrival(c.step, 1)
 	s.attempts[a.id] = a
 	c.target.addAttempt(s.now, a)
--- a/internal/core/direct/request/table.go
+++ b/internal/core/direct/request/table.go
@@ -14,6 +14,7 @@
 	routes       map[string][]*msg.DirectRoute // by host, the longest prefix first
 	keys         map[string]*msg.DirectAccount
 	keysRequired bool
+	accounts     []msg.DirectAccount
 	services     map[msg.ServiceID]*msg.DirectService
 }
 
@@ -23,6 +24,7 @@
 		routes:       make(map[string][]*msg.DirectRoute),
 		keys:         make(map[string]*msg.DirectAccount),
 		keysRequired: len(t.Accounts) > 0,
+		accounts:     t.Accounts,
 		services:     make(map[msg.ServiceID]*msg.DirectService, len(t.Services)),
 	}
 	for i := range t.Routes {
--- a/internal/core/direct/targetlimit/targetlimit_test.go
+++ b/internal/core/direct/sharedrate/sharedrate_test.go
@@ -1,4 +1,4 @@
-package targetlimit
+package sharedrate
 
 import (
 	"fmt"
@@ -17,7 +17,7 @@
 	now     msg.Time
 	hosts   []msg.Host
 	members map[msg.HostID]*Members
-	buckets map[msg.HostID]*Bucket
+	buckets map[msg.HostID]*TargetBucket
 	// versions holds the version of the members for which each bucket's rate was set.
 	versions map[msg.HostID]uint64
 	// sent holds the times of the requests that the target got.
@@ -25,14 +25,14 @@
 }
 
 func newFleet(size int) *fleet {
-	f := &fleet{members: make(map[msg.HostID]*Members), buckets: make(map[msg.HostID]*Bucket), versions: make(map[msg.HostID]uint64)}
+	f := &fleet{members: make(map[msg.HostID]*Members), buckets: make(map[msg.HostID]*TargetBucket), versions: make(map[msg.HostID]uint64)}
 	for i := range size {
 		f.hosts = append(f.hosts, msg.Host{Host: msg.HostID(fmt.Sprint("e", i))})
 	}
 	for _, h := range f.hosts {
 		m := &Members{}
 		m.SetListed(0, f.hosts)
-		f.members[h.Host], f.buckets[h.Host] = m, &Bucket{}
+		f.members[h.Host], f.buckets[h.Host] = m, &TargetBucket{}
 	}
 	return f
 }
@@ -45,7 +45,7 @@
 			m.Advance(f.now)
 			if f.versions[h.Host] != m.Version {
 				f.versions[h.Host] = m.Version
-				b.SetRate(f.now, m.Share("t", h.Host, limit))
+				b.SetRate(f.now, m.TargetShare("t", h.Host, limit))
 			}
 			for send && b.Permits(f.now) {
 				b.Take(f.now)
@@ -116,3 +116,21 @@
 	f.run(settleTime-time.Second, 5, true)
 	is.Equal(len(f.sent), 0)
 }
+
+// A process uses its shares once the list of daemons has stayed the same for a while, so
+// that a fleet that restarts whole is not held up, and a growing list is not relied on.
+func TestSharesWaitForStableMembers(t *testing.T) {
+	is := is.New(t)
+	all := newFleet(5).hosts
+	var restarted, growing Members
+	restarted.SetListed(100*time.Millisecond, all)
+	for now := msg.Time(0); now < settleTime; now += 100 * time.Millisecond {
+		restarted.Advance(now)
+		is.Equal(restarted.Settled(), now >= 100*time.Millisecond+stableTime)
+		growing.SetListed(now, all[:1+int(now/(700*time.Millisecond))])
+		growing.Advance(now)
+		is.True(!growing.Settled())
+	}
+	growing.Advance(settleTime)
+	is.True(growing.Settled())
+}
--- a/internal/core/msg/direct_config.go
+++ b/internal/core/msg/direct_config.go
@@ -62,6 +62,8 @@
 	// Priority overrides the priority of routes if HasPriority is set.
 	Priority    int
 	HasPriority bool
+	// Quota is nil if the account has none.
+	Quota *AccountQuota
 }
 
 // DirectService describes the targets of a service.
@@ -151,6 +153,13 @@
 	RetryRatio  float64
 	RetryWindow time.Duration
 	RetrySlack  float64
+	// QuotaWindow, QuotaOverage and QuotaSlack tell how far the use of an account may
+	// exceed its quota: within any window of length QuotaWindow, it may use
+	// 1+QuotaOverage times what the quota allows, plus QuotaSlack. Requests count as
+	// they do for the quota.
+	QuotaWindow  time.Duration
+	QuotaOverage float64
+	QuotaSlack   float64
 }
 
 // LimitsChanged carries the limits after a change of the settings.
--- a/internal/core/msg/types.go
+++ b/internal/core/msg/types.go
@@ -16,6 +16,7 @@
 		reflect.TypeFor[CatalogQuery](), reflect.TypeFor[CatalogReply](),
 		reflect.TypeFor[CrashDigest](), reflect.TypeFor[WindowsFrozen](),
 		reflect.TypeFor[StreamOrigins](), reflect.TypeFor[StreamOriginQuery](),
+		reflect.TypeFor[QuotaAsk](), reflect.TypeFor[QuotaReply](), reflect.TypeFor[QuotaReturn](),
 	}
 }
 
@@ -51,6 +52,7 @@
 		reflect.TypeFor[PrefillTimed](), reflect.TypeFor[CrashRecorded](),
 		reflect.TypeFor[TargetProbed](), reflect.TypeFor[StoreEraChanged](), reflect.TypeFor[TargetNoticed](),
 		reflect.TypeFor[SegmentBlocked](), reflect.TypeFor[TargetReachable](), reflect.TypeFor[TargetsLimited](),
+		reflect.TypeFor[QuotaAsked](), reflect.TypeFor[QuotaUsed](),
 	}
 }
 
--- a/internal/core/msg/types_test.go
+++ b/internal/core/msg/types_test.go
@@ -14,6 +14,7 @@
 		"ConfigQuery", "ConfigQueryReply", "ConfigFetch", "ConfigTransfer", "LeaseReleased",
 		"ExchangePoll", "ExchangeReply", "CrashNotice", "LoadDigest", "RunCounts", "PrefillSent",
 		"CatalogQuery", "CatalogReply", "CrashDigest", "WindowsFrozen", "StreamOrigins", "StreamOriginQuery",
+		"QuotaAsk", "QuotaReply", "QuotaReturn",
 	}
 	var got []string
 	for _, typ := range PeerTypes() {
--- a/internal/daemon/direct_run.go
+++ b/internal/daemon/direct_run.go
@@ -168,6 +168,9 @@
 		RetryRatio:   s.Bounds.RetryRatio,
 		RetryWindow:  s.Bounds.RetryWindow,
 		RetrySlack:   s.Bounds.RetrySlack,
+		QuotaWindow:  s.Bounds.QuotaWindow,
+		QuotaOverage: s.Bounds.QuotaOverage,
+		QuotaSlack:   s.Bounds.QuotaSlack,
 	}
 }
 
--- a/internal/metrics/direct.go
+++ b/internal/metrics/direct.go
@@ -28,6 +28,10 @@
 	blocked        prometheus.Gauge
 	notices        *prometheus.CounterVec
 	events         prometheus.Counter
+	quotaAsks      *prometheus.CounterVec
+	quotaUse       *prometheus.GaugeVec
+	quotaShare     *prometheus.GaugeVec
+	quotaDenied    *prometheus.GaugeVec
 
 	// confirmedAt is the latest time at which the configuration was confirmed to
 	// be the newest.
@@ -56,6 +60,10 @@
 		blocked:        f.gauge("direct_blocked_segments", "Prompt segments that crash targets and whose prompts are refused."),
 		notices:        f.counterVec("direct_target_notices_total", "Changes of what targets state about themselves in their responses, by kind.", "kind"),
 		events:         f.counter("direct_events_total", "Events handled, raised ones included."),
+		quotaAsks:      f.counterVec("direct_quota_asks_total", "Asks of this daemon for quotas of accounts, by result.", "result"),
+		quotaUse:       f.gaugeVec("direct_quota_granted_per_second", "What this daemon, as a holder of quotas, has granted lately, for the accounts that use most of theirs and the rest.", "account"),
+		quotaShare:     f.gaugeVec("direct_quota_share_per_second", "This daemon's share of the rates of the same accounts' quotas.", "account"),
+		quotaDenied:    f.gaugeVec("direct_quota_denied_per_second", "Asks that this daemon, as a holder of quotas, has denied lately, for the accounts that use most of theirs and the rest.", "account"),
 	}
 }
 
@@ -115,6 +123,10 @@
 		if ev.Held {
 			d.leaseHeld.Set(1)
 		}
+	case msg.QuotaAsked:
+		d.quotaAsks.WithLabelValues(ev.Result.String()).Inc()
+	case msg.QuotaUsed:
+		d.observeQuotas(ev)
 	case msg.WindowReported:
 		d.usageReports.WithLabelValues(label(callStatusLabels[:], ev.Status)).Inc()
 	case msg.RoutesRead:
@@ -124,6 +136,22 @@
 	}
 }
 
+// restOfAccounts is the label of the accounts that are not reported by name.
+const restOfAccounts = "(rest)"
+
+func (d *Direct) observeQuotas(ev msg.QuotaUsed) {
+	d.quotaUse.Reset()
+	d.quotaShare.Reset()
+	d.quotaDenied.Reset()
+	rest := ev.Rest
+	rest.Account = restOfAccounts
+	for _, u := range append(ev.Largest, rest) {
+		d.quotaUse.WithLabelValues(string(u.Account)).Set(u.PerSecond)
+		d.quotaShare.WithLabelValues(string(u.Account)).Set(u.Allowed)
+		d.quotaDenied.WithLabelValues(string(u.Account)).Set(float64(u.Denied) / ev.Period.Seconds())
+	}
+}
+
 func (d *Direct) observeInstances(ev msg.InstancesChanged) {
 	d.targets.Reset()
 	for _, in := range ev.Instances {
--- a/internal/metrics/direct_test.go
+++ b/internal/metrics/direct_test.go
@@ -29,6 +29,8 @@
 		msg.RunCounted{Account: "x"},
 		msg.WindowReported{Status: msg.CallOK},
 		msg.CrashRecorded{Source: msg.CrashFromPeer, Count: 1},
+		msg.QuotaUsed{Period: time.Second, Largest: []msg.QuotaUse{{Account: "gone", PerSecond: 1}}},
+		msg.QuotaUsed{Period: 5 * time.Second, Largest: []msg.QuotaUse{{Account: "x", PerSecond: 70, Allowed: 100, Denied: 10}}},
 	} {
 		is.Equal(len(d.Step(3*time.Second, ev)), 0)
 	}
@@ -44,11 +46,15 @@
 # HELP verbenaspur_direct_crash_records_total Crashes of targets while they were running requests, as this daemon learnt of them, by source.
 # TYPE verbenaspur_direct_crash_records_total counter
 verbenaspur_direct_crash_records_total{source="peer"} 1
+# HELP verbenaspur_direct_quota_denied_per_second Asks that this daemon, as a holder of quotas, has denied lately, for the accounts that use most of theirs and the rest.
+# TYPE verbenaspur_direct_quota_denied_per_second gauge
+verbenaspur_direct_quota_denied_per_second{account="(rest)"} 0
+verbenaspur_direct_quota_denied_per_second{account="x"} 2
 # HELP verbenaspur_direct_targets Targets as listed.
 # TYPE verbenaspur_direct_targets gauge
 verbenaspur_direct_targets{role="decode",service="s",state="draining"} 1
 verbenaspur_direct_targets{role="decode",service="s",state="ready"} 1
 `
 	is.NoErr(testutil.GatherAndCompare(reg, strings.NewReader(want),
-		"verbenaspur_direct_closed_total", "verbenaspur_direct_config_age_seconds", "verbenaspur_direct_crash_records_total", "verbenaspur_direct_targets"))
+		"verbenaspur_direct_closed_total", "verbenaspur_direct_config_age_seconds", "verbenaspur_direct_crash_records_total", "verbenaspur_direct_quota_denied_per_second", "verbenaspur_direct_targets"))
 }
