Speed of each target: lasting factors shared by entries, paces that age; long prompts' estimates

Cause: engines of one service and role counted as equally fast, reports of load with four figures were discarded, and the estimate of long prompts was too short.

--- a/internal/core/direct/request/cost.go
+++ b/internal/core/direct/request/cost.go
@@ -42,6 +42,8 @@
 		}
 	}
 	maps.DeleteFunc(s.typicalPrefill, func(id msg.RouteID, _ time.Duration) bool { return !routes[id] })
+	maps.DeleteFunc(s.latencies, func(id msg.RouteID, _ *routeLatency) bool { return !routes[id] })
+	maps.DeleteFunc(s.paced, func(id msg.ServiceID, _ bool) bool { return s.table.services[id] == nil })
 	maps.DeleteFunc(s.streamDurations, func(id msg.ServiceID, _ time.Duration) bool { return s.table.services[id] == nil })
 	maps.DeleteFunc(s.prefillTimes, func(k engineKind, _ *prefilltime.Estimator) bool { return s.table.services[k.service] == nil })
 }
@@ -65,11 +67,23 @@
 	}
 	took := s.now - a.sentAt
 	if a.unqueued {
-		s.prefillEstimator(a.target).Observe(a.work, max(took-sendTime, 0))
+		s.observeUnqueued(a, max(took-sendTime, 0))
 	}
 	s.raise(msg.PrefillTimed{Step: a.step, Expected: a.expected, Took: took})
 }
 
+// observeUnqueued learns from a prefill that its target began at once: how fast the
+// target is, and with this taken off, how fast the engines of its service are.
+func (s *stepContext) observeUnqueued(a *attempt, took time.Duration) {
+	e := s.prefillEstimator(a.target)
+	base := e.Base()
+	if e.Observations() >= minKnownPrefills {
+		s.observeSpeed(a, base+e.Prefill(a.work), base, took)
+	}
+	// The base does not depend on the speed of the target.
+	e.Observe(a.work, min(took, base)+time.Duration(float64(max(took-base, 0))/s.factorOver(a, took)))
+}
+
 // streamDuration returns the average duration of a service's streams, from the first
 // token to the end.
 func (s *stepContext) streamDuration(id msg.ServiceID) time.Duration {
--- a/internal/core/direct/request/crash.go
+++ b/internal/core/direct/request/crash.go
@@ -103,6 +103,10 @@
 // sent, if the probe was conclusive.
 func (s *stepContext) onTargetProbed(ev msg.TargetProbed) {
 	t := s.targets[ev.Target]
+	if t != nil && ev.Call != 0 && t.paceProbe.call == ev.Call {
+		s.onPaceProbed(t, ev)
+		return
+	}
 	if t == nil || t.probe.call != ev.Call {
 		return
 	}
--- a/internal/core/direct/request/end.go
+++ b/internal/core/direct/request/end.go
@@ -42,10 +42,7 @@
 // recordResult updates what is known about a target from the end of an attempt.
 func (s *stepContext) recordResult(a *attempt, ev msg.DirectAttemptEnded) {
 	t := a.target
-	if ev.Load != nil {
-		t.load = ev.Load
-		t.loadAt = s.now
-	}
+	s.recordLoad(a, ev.Load)
 	s.applyNotice(a, ev.Notice)
 	if ev.Status != 0 && !ev.Misdirected {
 		s.setReachable(t, true)
@@ -58,7 +55,7 @@
 		t.recordFirstToken(s.now, a)
 		t.updateFailureRate(s.now, true)
 		if a.segments == nil && a.prefill == 0 {
-			t.recordLatency(s.now - a.sentAt)
+			s.observeLatency(a, s.now-a.sentAt)
 		}
 		if ev.Result == msg.DirectPrefilled {
 			s.recordCached(a)
--- a/internal/core/direct/request/instances.go
+++ b/internal/core/direct/request/instances.go
@@ -44,6 +44,8 @@
 			delete(s.targets, id)
 		}
 	}
+	s.speeds.SetTargets(ev.Instances)
+	s.assignPaceProbes()
 	s.services = make(map[msg.ServiceID][]*target)
 	for _, in := range ev.Instances {
 		s.services[in.Service] = append(s.services[in.Service], s.targets[in.Target])
@@ -62,7 +64,8 @@
 	t.notices = targetNotices{}
 	t.limit = requestLimit{}
 	t.skipCacheRead = true // the cache is empty after a restart
-	t.slowdown = 1
+	t.congestion = 1
+	s.speeds.Restarted(t.Target)
 	t.failureRate = 0
 	t.refusedDecodes = 0
 	t.backoffUntil = 0
--- a/internal/core/direct/request/loadexchange.go
+++ b/internal/core/direct/request/loadexchange.go
@@ -62,11 +62,11 @@
 	return loadExchange{peers: make(map[msg.HostID]*peerLoad), roleChanges: make(map[msg.TargetID]bool)}
 }
 
-// sendCacheToNewEntries sends the estimated cache contents of all engines to
-// the entry daemons that have joined. Each of them receives the contents from
-// one daemon only, because the list is long, and after a restart of all daemons
+// informNewEntries sends the estimated cache contents of all engines and the speeds of all
+// targets to the entry daemons that have joined. Each of them receives these from
+// one daemon only, because the lists are long, and after a restart of all daemons
 // each one is new to every other.
-func (s *stepContext) sendCacheToNewEntries(entries []msg.Host) {
+func (s *stepContext) informNewEntries(entries []msg.Host) {
 	var segments []msg.CachedSegment
 	for _, h := range entries {
 		known := slices.ContainsFunc(s.entries, func(o msg.Host) bool { return o.Host == h.Host })
@@ -80,6 +80,9 @@
 		if segments == nil {
 			segments = s.caches.segments()
 		}
+		for chunk := range slices.Chunk(s.speeds.Known(s.now), maxSpeedsPerMessage) {
+			s.emit(msg.SendPeer{To: h.Host, Message: msg.LoadDigest{WallMS: s.wall.UnixMilli(), Targets: s.exchange.lastDigest, Speeds: chunk}})
+		}
 		for chunk := range slices.Chunk(segments, maxSegmentsPerMessage) {
 			s.emit(msg.SendPeer{To: h.Host, Message: msg.LoadDigest{WallMS: s.wall.UnixMilli(), Targets: s.exchange.lastDigest, Cached: chunk}})
 		}
@@ -186,6 +189,7 @@
 	}
 	s.onLimits(d.Limits)
 	s.onLeaving(d.Leaving)
+	s.speeds.Merge(s.now, d.Speeds)
 	for _, c := range d.Cached {
 		s.recordSegment(c.Target, msg.PromptSegment{ID: c.Segment, Tokens: c.Tokens})
 	}
@@ -209,7 +213,7 @@
 	s.exchange.unsentSegments = slices.Clone(s.exchange.unsentSegments[len(batch):])
 	s.exchange.digestSentAt = s.now
 	s.exchange.lastDigest = digest
-	s.broadcast(msg.LoadDigest{WallMS: s.wall.UnixMilli(), Targets: digest, Cached: batch, Changing: s.changingTargets(), Limits: s.namedLimits(), Leaving: s.leavingTargets()})
+	s.broadcast(msg.LoadDigest{WallMS: s.wall.UnixMilli(), Targets: digest, Cached: batch, Changing: s.changingTargets(), Limits: s.namedLimits(), Leaving: s.leavingTargets(), Speeds: s.speeds.Unsent(s.now, maxSpeedsPerDigest)})
 }
 
 // maxDigestSegments returns the largest number of cached segments in one
@@ -242,6 +246,7 @@
 	}
 	s.exchange.nextDemandAt = s.now + demandInterval
 	s.reportLimited()
+	s.reportSpeeds()
 	for _, id := range slices.Sorted(maps.Keys(s.services)) {
 		d := msg.DecodeDemandUpdated{Service: id}
 		for _, t := range s.services[id] {
--- a/internal/core/direct/request/manager.go
+++ b/internal/core/direct/request/manager.go
@@ -30,6 +30,7 @@
 	"github.com/verbenaspur/verbenaspur/internal/core/direct/quota"
 	"github.com/verbenaspur/verbenaspur/internal/core/direct/sharedrate"
 	"github.com/verbenaspur/verbenaspur/internal/core/direct/streamorigin"
+	"github.com/verbenaspur/verbenaspur/internal/core/direct/targetspeed"
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
 	"github.com/verbenaspur/verbenaspur/internal/core/poison"
 )
@@ -74,6 +75,11 @@
 	caches       *cacheView
 	retryBudgets map[msg.ServiceID]*retryBudget
 	prefillTimes map[engineKind]*prefilltime.Estimator
+	speeds       *targetspeed.Tracker
+	// paced holds the services whose targets have reported paces to this daemon.
+	paced map[msg.ServiceID]bool
+	// latencies holds the average response times of the routes of plain services.
+	latencies map[msg.RouteID]*routeLatency
 	// streamDurations holds the average duration of each service's streams.
 	streamDurations map[msg.ServiceID]time.Duration
 	// queues holds the prompts that wait for an engine of a service.
@@ -113,6 +119,9 @@
 		caches:          newCacheView(),
 		retryBudgets:    make(map[msg.ServiceID]*retryBudget),
 		prefillTimes:    make(map[engineKind]*prefilltime.Estimator),
+		speeds:          targetspeed.New(),
+		paced:           make(map[msg.ServiceID]bool),
+		latencies:       make(map[msg.RouteID]*routeLatency),
 		streamDurations: make(map[msg.ServiceID]time.Duration),
 		queues:          make(map[msg.ServiceID]*admission.Queue),
 		typicalPrefill:  make(map[msg.RouteID]time.Duration),
@@ -197,8 +206,9 @@
 		s.listedAt = s.now
 		s.updateReady()
 	case msg.MembersChanged:
-		s.sendCacheToNewEntries(ev.Entries)
+		s.informNewEntries(ev.Entries)
 		s.entries = ev.Entries
+		s.assignPaceProbes()
 		s.limitMembers.SetListed(s.now, ev.Entries)
 		s.exchange.dropNonMembers(ev.Entries)
 	case msg.CacheRead:
@@ -226,6 +236,7 @@
 	s.dropAbandonedAttempts()
 	s.limitMembers.Advance(s.now)
 	s.advanceQuotas()
+	s.speeds.Advance(s.now)
 	s.advanceProbes()
 	s.resumeHeld()
 	s.advanceQueues()
@@ -233,6 +244,7 @@
 	s.sendDigest()
 	s.reportDecodeDemand()
 	s.readCaches()
+	s.probePaces()
 	s.updateReady()
 }
 
--- a/internal/core/direct/request/place.go
+++ b/internal/core/direct/request/place.go
@@ -27,7 +27,7 @@
 	fetchFrom *target
 	// work is the duration of the prefill on the reference engine of package
 	// prefilltime.
-	work time.Duration
+	work prefilltime.Work
 	// All four are estimates: prefill is the duration of the prefill at the
 	// target, wait is the time until it begins, response is the time to the target's
 	// first token, handle or response, and expected is the time to the first token
@@ -126,7 +126,7 @@
 func (s *stepContext) score(r *request, t *target) (candidate, bool) {
 	switch {
 	case !r.hasPrompt():
-		return s.scorePlain(t), true
+		return s.scorePlain(r, t), true
 	case r.handle != "":
 		return s.scoreDecode(r, t)
 	}
@@ -134,12 +134,12 @@
 }
 
 // scorePlain scores a target of a plain service, one without model engines, by
-// its open requests and its average response time.
-func (s *stepContext) scorePlain(t *target) candidate {
-	open := max(len(t.open)+s.exchange.openWork(s.now, t.Target).Open, t.reportedLoad(s.now))
-	slots := max(t.Slots, 1)
-	latency := max(t.latency, time.Millisecond)
-	wait := time.Duration(float64(latency) * float64(open) / float64(slots))
+// its open requests, the usual response time and the target's speed.
+func (s *stepContext) scorePlain(r *request, t *target) candidate {
+	open := max(float64(s.openStreams(t)), t.reportedLoad(s.now))
+	share := open / float64(max(t.Slots, 1))
+	latency := s.slowed(t, 0, s.latency(r))
+	wait := time.Duration(float64(latency) * share)
 	c := candidate{target: t, step: msg.StepWhole, wait: wait, response: wait + latency, expected: wait + latency}
 	c.cost = penalize(c.expected, t)
 	return c
@@ -153,12 +153,19 @@
 	}
 	far := r.source.Domain != t.Domain
 	c := candidate{target: t, step: msg.StepDecode, wait: s.queueTime(t)}
-	c.expected = c.wait/4 + s.capacityDelay(r, t) + transferTime(s.engineSpec(t), r.arrival.PromptTokens, far)
+	transfer := transferTime(s.engineSpec(t), r.arrival.PromptTokens, far)
+	c.expected = c.wait/4 + transfer + s.decodeStart(r, t, transfer)
 	c.response = c.expected
 	c.cost = c.expected + s.riskCost(r, t)
 	return c, true
 }
 
+// decodeStart estimates the time until an engine that the KV cache reaches after a delay has
+// room for another stream, plus the time that its open streams add to the first token.
+func (s *stepContext) decodeStart(r *request, t *target, delay time.Duration) time.Duration {
+	return s.slowed(t, delay, s.capacityDelay(r, t))
+}
+
 // capacityDelay estimates the time until an engine has a slot and KV cache for
 // another stream, plus the time that the open streams add to its first token.
 func (s *stepContext) capacityDelay(r *request, t *target) time.Duration {
@@ -173,14 +180,14 @@
 	return d + time.Duration(overflow*float64(s.streamDuration(t.Service)))
 }
 
-// decodeDelay returns the shortest capacityDelay of the engines of a request's
+// decodeDelay returns the shortest decodeStart of the engines of a request's
 // service that decode. It is part of the time to the first token of a prompt that
 // another engine prefills.
 func (s *stepContext) decodeDelay(r *request) time.Duration {
 	shortest := time.Duration(math.MaxInt64)
 	for _, t := range s.services[r.service] {
 		if t.Role == msg.RoleDecode && t.usable(s.now) && s.permits(t) {
-			shortest = min(shortest, s.capacityDelay(r, t))
+			shortest = min(shortest, s.decodeStart(r, t, 0))
 		}
 	}
 	if shortest == math.MaxInt64 {
@@ -220,9 +227,10 @@
 		cached = held
 	}
 	estimator := s.prefillEstimator(t)
-	c.work = prefilltime.Work(t.Role, r.arrival.PromptTokens, cached)
-	c.prefill = time.Duration(t.slowdown * float64(estimator.Prefill(c.work)))
-	c.response = sendTime + estimator.Base() + c.wait + fetch + c.prefill
+	c.work = prefilltime.WorkOf(t.Role, r.arrival.PromptTokens, cached)
+	start := sendTime + c.wait + fetch
+	c.prefill = time.Duration(t.congestionFactor(s.now) * float64(s.slowed(t, start, estimator.Prefill(c.work))))
+	c.response = start + estimator.Base() + c.prefill
 	c.expected = c.response
 	if t.Role == msg.RolePrefill {
 		if r.route.Retry != msg.RetryStream || r.lastEvent > 0 {
@@ -233,7 +241,7 @@
 	}
 	c.cost = penalize(c.expected, t)
 	if t.Role == msg.RoleDecode {
-		c.expected += s.capacityDelay(r, t)
+		c.expected += s.slowed(t, start, s.capacityDelay(r, t))
 		c.response = c.expected
 		harm := time.Duration(s.policy.DecodeInterference * float64(s.openStreams(t)) * float64(c.prefill))
 		c.cost = c.expected + s.riskCost(r, t) + c.prefill + harm
--- a/internal/core/direct/request/policy.go
+++ b/internal/core/direct/request/policy.go
@@ -19,6 +19,8 @@
 	// it. The default is less than 1 because many streams can tolerate the
 	// delay.
 	DecodeInterference float64 `yaml:"stream_harm" validate:"min=0"`
+	// IgnoreSpeeds makes placement take all targets of a service to be equally fast.
+	IgnoreSpeeds bool `yaml:"ignore_speeds"`
 }
 
 const (
--- a/internal/core/direct/request/request.go
+++ b/internal/core/direct/request/request.go
@@ -5,6 +5,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/verbenaspur/verbenaspur/internal/core/direct/prefilltime"
 	"github.com/verbenaspur/verbenaspur/internal/core/direct/quota"
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
 )
@@ -78,7 +79,8 @@
 	// work is the duration of the prefill on the reference engine of package
 	// prefilltime, prefill its expected duration at the target, and expected the
 	// expected time to the first token or handle.
-	work, prefill, expected time.Duration
+	work              prefilltime.Work
+	prefill, expected time.Duration
 	// unqueued reports whether the target was expected to begin the prefill at once.
 	unqueued bool
 	// handle names the prefilled prompt from which a decode step continues.
@@ -100,6 +102,10 @@
 	// software, as they were listed when the attempt was sent.
 	process int64
 	version string
+	// pace is the pace that the target reported in the head of its response, and
+	// loadKnown reports whether that has been recorded.
+	pace      float64
+	loadKnown bool
 	// noticed reports whether the head of the response has been taken into account.
 	noticed bool
 }
--- a/internal/core/direct/request/start.go
+++ b/internal/core/direct/request/start.go
@@ -22,7 +22,7 @@
 func (s *stepContext) startAttempt(r *request, c candidate, list []candidate) {
 	a := &attempt{
 		id: s.newAttemptID(), req: r, target: c.target, step: c.step, priority: r.priority(), sentAt: s.now,
-		dropAt: r.deadline + attemptGrace, work: c.work, prefill: c.prefill, expected: c.response, unqueued: s.findsIdle(c),
+		dropAt: r.deadline + attemptGrace, work: c.work, prefill: c.prefill, expected: c.response, unqueued: s.findsIdle(r, c),
 		tokens: r.arrival.PromptTokens, segments: r.segments, fingerprint: r.fingerprint,
 		process: c.target.StartedMS, version: c.target.Version,
 	}
@@ -56,9 +56,12 @@
 	s.logPlaced(r, a, c, list)
 }
 
-// findsIdle reports whether a prefill at a candidate is expected to begin at once,
-// and its duration to show the speed of the engine.
-func (s *stepContext) findsIdle(c candidate) bool {
+// findsIdle reports whether a prefill or a request of a plain service at a candidate is
+// expected to begin at once, and its duration to show the speed of the target.
+func (s *stepContext) findsIdle(r *request, c candidate) bool {
+	if !r.hasPrompt() {
+		return s.openStreams(c.target) < c.target.Slots
+	}
 	return c.wait == 0 && c.fetchFrom == nil && c.target.pendingPrefill(s.now) == 0
 }
 
@@ -71,11 +74,21 @@
 		attr("attempt", a.id), attr("target", c.target.Target), attr("step", c.step),
 		attr("route", r.route.Name), attr("account", r.accountID()), attr("version", s.table.version), attr("tokens", r.arrival.PromptTokens),
 		attr("cost_ms", formatMS(c.cost)), attr("expected_ms", formatMS(c.expected)), attr("wait_ms", formatMS(c.wait)), attr("work_ms", formatMS(c.prefill)),
+		attr("speed", fmt.Sprintf("%.2f", s.speedFactor(c.target, 0, 0))), attr("pace_age_ms", s.formatPaceAge(c.target)),
 		attr("fetch_from", from), attr("candidates", len(list)), attr("losers", formatLosers(list)),
 		attr("target_version", c.target.Version), attr("resumes", r.arrival.Resumes), attr("last_event", r.lastEvent),
 	)
 }
 
+// formatPaceAge formats the age of the pace that a target's speed takes into account.
+func (s *stepContext) formatPaceAge(t *target) string {
+	age, ok := s.speeds.PaceAge(s.now, t.Target)
+	if !ok {
+		return "none"
+	}
+	return formatMS(age)
+}
+
 // formatLosers formats the first candidates that were not chosen, with their
 // costs. The list is in order of the costs, the chosen candidate first.
 func formatLosers(list []candidate) string {
@@ -96,6 +109,7 @@
 	if a == nil {
 		return
 	}
+	s.recordLoad(a, ev.Load)
 	s.applyNotice(a, ev.Notice)
 	s.setReachable(a.target, true)
 	s.confirmCompleted(a.target, a)
@@ -111,7 +125,7 @@
 		s.raise(msg.FirstTokenReceived{Route: a.req.route.Name, Waited: s.now - a.req.arrivedAt})
 		s.logRequest(a.req, "first token received",
 			attr("attempt", a.id), attr("target", a.target.Target), attr("took_ms", formatMS(s.now-a.sentAt)),
-			attr("expected_ms", formatMS(a.expected)), attr("slow", fmt.Sprintf("%.2f", a.target.slowdown)),
+			attr("expected_ms", formatMS(a.expected)), attr("pace", fmt.Sprintf("%.2f", a.pace)),
 		)
 	}
 }
--- a/internal/core/direct/request/target.go
+++ b/internal/core/direct/request/target.go
@@ -21,15 +21,9 @@
 	failureRateWeight = 0.12
 	// riskDecay is the time constant with which the weight of a failure decays.
 	riskDecay = 5 * time.Second
-	// speedWeight is the weight of one observation in the averages of a
-	// target's slowdown and latency.
-	speedWeight = 0.2
-	// maxSlowdown and minSlowdown limit one observation of a target's slowdown.
-	maxSlowdown = 8.0
-	// loadMaxAge is the largest age at which a load that a target reported is
-	// used.
-	loadMaxAge  = 150 * time.Millisecond
-	minSlowdown = 0.6 // see maxSlowdown
+	// loadMemory is the time constant with which a load that a target reported loses
+	// its influence.
+	loadMemory = 150 * time.Millisecond
 )
 
 // target is the state that the manager keeps of one target.
@@ -46,9 +40,6 @@
 	// probeInterval later.
 	lastSentAt    msg.Time
 	probeInterval time.Duration
-	// slowdown is the weighted average of the factor by which the time to the
-	// first token is longer than the cost model predicts.
-	slowdown float64
 	// failureRate is the weighted fraction of failed attempts. lastFailureAt is
 	// the time of the last failure.
 	failureRate   float64
@@ -66,8 +57,10 @@
 	// engine's cache any more: it has requested them, the read is the task of
 	// another daemon, or the engine was restarted.
 	skipCacheRead bool
-	// latency is the weighted average response time of a plain service.
-	latency time.Duration
+	// congestion is the average of the factor by which prefills took longer than was
+	// expected, as of congestionAt; see congestionFactor.
+	congestion   float64
+	congestionAt msg.Time
 	// load is the last load that the target reported, at loadAt.
 	load   *msg.TargetLoad
 	loadAt msg.Time
@@ -76,6 +69,7 @@
 	// for one.
 	interrupted []endedAttempt
 	probe       crashProbe
+	paceProbe   paceProbe
 	// unconfirmed holds the attempts whose unframed responses ended, in order of time,
 	// as long as the process may have gone down under them.
 	unconfirmed []endedAttempt
@@ -86,7 +80,7 @@
 }
 
 func newTarget(in msg.Instance) *target {
-	return &target{Instance: in, open: make(map[msg.AttemptID]*attempt), slowdown: 1, probeInterval: minProbeInterval}
+	return &target{Instance: in, open: make(map[msg.AttemptID]*attempt), probeInterval: minProbeInterval, congestion: 1}
 }
 
 // usable reports whether the target takes new attempts.
@@ -148,20 +142,19 @@
 // recordFirstToken records that an attempt's first token, or its response, has
 // arrived. It removes the attempt's prefill from the backlog, clears a suspicion
 // of the target, resets its backoff and its count of refused decode steps, and
-// updates its slowdown from the observed time.
+// updates the target's congestion from the observed time.
 func (t *target) recordFirstToken(now msg.Time, a *attempt) {
 	if a.started {
 		return
 	}
 	a.started = true
 	t.clearSuspicion(a)
+	if a.prefill > 0 {
+		t.observeCongestion(now, float64(now-a.sentAt)/float64(a.expected))
+	}
 	t.backlogUntil = now + t.pendingPrefill(now)
 	t.backoff = 0
 	t.refusedDecodes = 0
-	if a.prefill > 0 {
-		ratio := t.slowdown * float64(now-a.sentAt) / float64(a.expected)
-		t.slowdown += speedWeight * (min(max(ratio, minSlowdown), maxSlowdown) - t.slowdown)
-	}
 }
 
 // removeAttempt removes an attempt that has ended.
@@ -173,15 +166,6 @@
 	}
 }
 
-// reportedLoad returns the number of requests that the target last reported. It
-// returns 0 if there is no report or it is older than loadMaxAge.
-func (t *target) reportedLoad(now msg.Time) int {
-	if t.load == nil || now-t.loadAt > loadMaxAge {
-		return 0
-	}
-	return t.load.Running + t.load.Waiting
-}
-
 // updateFailureRate updates the failure rate from the result of an attempt.
 func (t *target) updateFailureRate(now msg.Time, ok bool) {
 	v := 1.0
@@ -221,15 +205,6 @@
 	t.backoffUntil = now + t.backoff
 }
 
-// recordLatency updates the average latency.
-func (t *target) recordLatency(d time.Duration) {
-	if t.latency == 0 {
-		t.latency = d
-		return
-	}
-	t.latency += time.Duration(speedWeight * float64(d-t.latency))
-}
-
 // roundMS rounds a duration to whole milliseconds.
 func roundMS(d time.Duration) float32 {
 	return float32(math.Round(float64(d) / float64(time.Millisecond)))
--- a/internal/core/direct_fleet_test.go
+++ b/internal/core/direct_fleet_test.go
@@ -71,6 +71,8 @@
 	at time.Duration
 	// began reports whether its response has begun.
 	began bool
+	// answeredAt is when the whole response had arrived; 0 until then.
+	answeredAt time.Duration
 	// stream is the stream of a resumable route that the request is a part of.
 	stream *fleetStream
 }
--- a/internal/core/msg/direct_peer.go
+++ b/internal/core/msg/direct_peer.go
@@ -18,6 +18,22 @@
 	Limits []TargetLimit `cbor:"5,keyasint,omitempty"`
 	// Leaving lists the targets that have told the sender that they are leaving.
 	Leaving []LeavingTarget `cbor:"6,keyasint,omitempty"`
+	// Speeds lists what the sender has observed of the speeds of targets and not told
+	// yet. To a daemon that has just started it lists all that the sender knows.
+	Speeds []TargetSpeed `cbor:"7,keyasint,omitempty"`
+}
+
+// TargetSpeed is what a daemon has observed of the speed of a target.
+type TargetSpeed struct {
+	Target TargetID `cbor:"1,keyasint"`
+	// Factor is the geometric mean of the observed times, each divided by the time that
+	// is usual in the service, and Weight the sum of the weights of the observations.
+	Factor float32 `cbor:"2,keyasint,omitempty"`
+	Weight float32 `cbor:"3,keyasint,omitempty"`
+	// PacePercent is the pace that the target reported PaceAgeMS milliseconds ago, where
+	// 100 is the usual one. Zero means that it reported none.
+	PacePercent uint16 `cbor:"4,keyasint,omitempty"`
+	PaceAgeMS   int64  `cbor:"5,keyasint,omitempty"`
 }
 
 // LeavingTarget is a target whose process, which started at StartedMS, is leaving.
--- a/internal/core/msg/direct_request.go
+++ b/internal/core/msg/direct_request.go
@@ -94,8 +94,10 @@
 // attempt.
 type DirectAttemptStarted struct {
 	Attempt AttemptID
-	// Notice is what the target stated in the head of its response.
+	// Notice is what the target stated in the head of its response, and Load the load
+	// that it reported there, if any.
 	Notice *TargetNotice
+	Load   *TargetLoad
 }
 
 // DirectResult is the result of an attempt of the direct path.
@@ -129,7 +131,12 @@
 }
 
 // TargetLoad is the load that a target reports with its response.
-type TargetLoad struct{ Running, Waiting, Slots int }
+type TargetLoad struct {
+	Running, Waiting, Slots int
+	// Pace is the factor by which work takes longer on the target's host at this moment
+	// than it usually does there. Zero means that the target reported none.
+	Pace float64
+}
 
 // DirectAttemptEnded reports the end of an attempt of the direct path.
 type DirectAttemptEnded struct {
--- a/internal/core/msg/direct_target.go
+++ b/internal/core/msg/direct_target.go
@@ -41,6 +41,8 @@
 	Target     TargetID
 	Addr       string
 	HealthPath string
+	// Once is set if a failed probe is not to be repeated on a new connection.
+	Once bool
 }
 
 // ProbeResult is the result of a probe of a target.
@@ -65,6 +67,8 @@
 	Call   CallID
 	Target TargetID
 	Result ProbeResult
+	// Load is the load that the target reported, if any.
+	Load *TargetLoad
 }
 
 func (TargetNoticed) event() {}
@@ -79,9 +83,19 @@
 	Reachable bool
 }
 
+// SpeedsUpdated is raised from time to time with the factors by which the fastest and the
+// slowest target of a service take longer than its mean, and the mean age of the paces
+// that targets reported lately. PaceAge is 0 if there are none.
+type SpeedsUpdated struct {
+	Service          ServiceID
+	Fastest, Slowest float64
+	PaceAge          time.Duration
+}
+
 // TargetsLimited is raised when other targets than before name limits of requests per
 // second. Targets lists all that do, in order.
 type TargetsLimited struct{ Targets []TargetID }
 
 func (TargetReachable) event() {}
 func (TargetsLimited) event()  {}
+func (SpeedsUpdated) event()   {}
--- a/internal/core/msg/types.go
+++ b/internal/core/msg/types.go
@@ -53,6 +53,7 @@
 		reflect.TypeFor[TargetProbed](), reflect.TypeFor[StoreEraChanged](), reflect.TypeFor[TargetNoticed](),
 		reflect.TypeFor[SegmentBlocked](), reflect.TypeFor[TargetReachable](), reflect.TypeFor[TargetsLimited](),
 		reflect.TypeFor[QuotaAsked](), reflect.TypeFor[QuotaUsed](),
+		reflect.TypeFor[SpeedsUpdated](),
 	}
 }
 
--- a/internal/daemon/direct_exchange.go
+++ b/internal/daemon/direct_exchange.go
@@ -172,7 +172,7 @@
 // kind of the response allows that.
 func (x *directExchange) receiveResponse(eff *msg.StartDirectAttempt, resp *httpclient.Response, result platform.TargetResponse, watch *stallWatch) msg.DirectAttemptEnded {
 	if result.Kind == platform.ResponseStream {
-		return x.forwardStream(eff, resp, &result.Notice, watch)
+		return x.forwardStream(eff, resp, &result, watch)
 	}
 	watch.stop()
 	defer x.releaseHeld()
--- a/internal/daemon/direct_probe.go
+++ b/internal/daemon/direct_probe.go
@@ -21,23 +21,23 @@
 func (d *directDriver) probe(eff msg.ProbeTarget) {
 	ctx, cancel := context.WithTimeout(d.ctx, probeTimeout)
 	defer cancel()
-	result, err := d.probeOnce(ctx, eff)
-	if err != nil && !errors.Is(err, httpclient.ErrNotSent) {
+	result, load, err := d.probeOnce(ctx, eff)
+	if err != nil && !eff.Once && !errors.Is(err, httpclient.ErrNotSent) {
 		d.pool.CloseIdle(eff.Addr)
-		result, err = d.probeOnce(ctx, eff)
+		result, load, err = d.probeOnce(ctx, eff)
 	}
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		result = msg.ProbeDown
 	}
-	d.loop.Post(msg.TargetProbed{Call: eff.Call, Target: eff.Target, Result: result})
+	d.loop.Post(msg.TargetProbed{Call: eff.Call, Target: eff.Target, Result: result, Load: load})
 }
 
-func (d *directDriver) probeOnce(ctx context.Context, eff msg.ProbeTarget) (msg.ProbeResult, error) {
+func (d *directDriver) probeOnce(ctx context.Context, eff msg.ProbeTarget) (msg.ProbeResult, *msg.TargetLoad, error) {
 	resp, err := d.pool.Do(ctx, eff.Addr, platform.ProbeRequest(eff))
 	if err != nil {
-		return msg.ProbeUnknown, err
+		return msg.ProbeUnknown, nil, err
 	}
-	result := platform.ReadProbe(resp)
+	result, load := platform.ReadProbe(resp)
 	resp.Discard()
-	return result, nil
+	return result, load, nil
 }
--- a/internal/daemon/direct_stream.go
+++ b/internal/daemon/direct_stream.go
@@ -12,9 +12,9 @@
 	"github.com/verbenaspur/verbenaspur/platform"
 )
 
-// forwardStream forwards each event when it has arrived completely. The notice is that
-// of the head of the response.
-func (x *directExchange) forwardStream(eff *msg.StartDirectAttempt, resp *httpclient.Response, notice *msg.TargetNotice, watch *stallWatch) msg.DirectAttemptEnded {
+// forwardStream forwards each event when it has arrived completely. The parameter head
+// is what the head of the response says.
+func (x *directExchange) forwardStream(eff *msg.StartDirectAttempt, resp *httpclient.Response, head *platform.TargetResponse, watch *stallWatch) msg.DirectAttemptEnded {
 	events := sse.NewReader(resp.Body)
 	for first := true; ; first = false {
 		ev, err := events.Next()
@@ -28,7 +28,7 @@
 			return interruptedAttempt(err)
 		}
 		if first {
-			x.driver.loop.Post(msg.DirectAttemptStarted{Attempt: eff.Attempt, Notice: notice})
+			x.driver.loop.Post(msg.DirectAttemptStarted{Attempt: eff.Attempt, Notice: &head.Notice, Load: head.Load})
 		}
 		watch.pause()
 		if err := x.forwardEvent(resp, ev, !events.Buffered()); err != nil {
--- a/internal/experiment/simulation.go
+++ b/internal/experiment/simulation.go
@@ -133,6 +133,10 @@
 			Domain: sim.domain(i), Slots: sim.spec.Engines.Slots, Role: msg.RoleDecode, StartedMS: 1,
 		}
 		e := newEngine(sim, in)
+		if speeds := sim.spec.Engines.Speeds; len(speeds) > 0 {
+			e.lastingFactor = speeds[i%len(speeds)]
+		}
+		e.drawPace()
 		sim.engines = append(sim.engines, e)
 		sim.byAddr[in.Addr] = e
 	}
--- a/internal/experiment/spec.go
+++ b/internal/experiment/spec.go
@@ -58,11 +58,24 @@
 	// engine. DecodeChunks is the divisor of Chunk at a decode engine.
 	DecodeSlowdown float64 `yaml:"decode_slowdown" validate:"min=1"`
 	DecodeChunks   int     `yaml:"decode_chunks" validate:"min=1"`
+	// Speeds holds the factors by which the steps of the engines take longer, for one
+	// engine after the other and then from the beginning. Without it all are alike.
+	Speeds []float64 `yaml:"speeds" validate:"dive,gt=0"`
+	Noise  Noise     `yaml:"noise"`
 	// Change is the duration of a role change after the running requests have
 	// ended.
 	Change time.Duration `yaml:"change"`
 }
 
+// Noise is other work on the hosts of the engines. Each host draws at random times, Every
+// on average, whether it has such work, with the probability Share. Steps then take
+// Factor times as long, and the engine reports it.
+type Noise struct {
+	Share  float64       `yaml:"share" validate:"min=0,max=1"`
+	Factor float64       `yaml:"factor" validate:"min=0"`
+	Every  time.Duration `yaml:"every" validate:"min=0"`
+}
+
 // Kind describes a kind of requests.
 type Kind struct {
 	Name string `yaml:"name" validate:"required"`
--- a/internal/metrics/direct.go
+++ b/internal/metrics/direct.go
@@ -27,6 +27,8 @@
 	crashRecords   *prometheus.CounterVec
 	blocked        prometheus.Gauge
 	notices        *prometheus.CounterVec
+	targetSpeed    *prometheus.GaugeVec
+	paceAge        *prometheus.GaugeVec
 	events         prometheus.Counter
 	quotaAsks      *prometheus.CounterVec
 	quotaUse       *prometheus.GaugeVec
@@ -59,6 +61,8 @@
 		crashRecords:   f.counterVec("direct_crash_records_total", "Crashes of targets while they were running requests, as this daemon learnt of them, by source.", "source"),
 		blocked:        f.gauge("direct_blocked_segments", "Prompt segments that crash targets and whose prompts are refused."),
 		notices:        f.counterVec("direct_target_notices_total", "Changes of what targets state about themselves in their responses, by kind.", "kind"),
+		targetSpeed:    f.gaugeVec("direct_target_speed_factor", "Factor by which the fastest and the slowest target of a service take longer than its mean.", "service", "target"),
+		paceAge:        f.gaugeVec("direct_pace_age_seconds", "Mean age of the paces that the targets of a service reported lately.", "service"),
 		events:         f.counter("direct_events_total", "Events handled, raised ones included."),
 		quotaAsks:      f.counterVec("direct_quota_asks_total", "Asks of this daemon for quotas of accounts, by result.", "result"),
 		quotaUse:       f.gaugeVec("direct_quota_granted_per_second", "What this daemon, as a holder of quotas, has granted lately, for the accounts that use most of theirs and the rest.", "account"),
@@ -129,6 +133,10 @@
 		d.observeQuotas(ev)
 	case msg.WindowReported:
 		d.usageReports.WithLabelValues(label(callStatusLabels[:], ev.Status)).Inc()
+	case msg.SpeedsUpdated:
+		d.targetSpeed.WithLabelValues(string(ev.Service), "fastest").Set(ev.Fastest)
+		d.targetSpeed.WithLabelValues(string(ev.Service), "slowest").Set(ev.Slowest)
+		d.paceAge.WithLabelValues(string(ev.Service)).Set(ev.PaceAge.Seconds())
 	case msg.RoutesRead:
 		d.reads.WithLabelValues("routes", label(callStatusLabels[:], ev.Status)).Inc()
 	case msg.InstancesRead:
@@ -154,6 +162,8 @@
 
 func (d *Direct) observeInstances(ev msg.InstancesChanged) {
 	d.targets.Reset()
+	d.targetSpeed.Reset()
+	d.paceAge.Reset()
 	for _, in := range ev.Instances {
 		d.targets.WithLabelValues(string(in.Service), in.Role.String(), in.State()).Inc()
 	}
