--- a/internal/core/direct/quota/home.go
+++ b/internal/core/direct/quota/home.go
@@ -28,7 +28,7 @@
 	self     msg.HostID
 	limits   msg.DirectLimits
 	accounts map[msg.AccountID]*account
-	grants   map[grantKey]float64
+	grants   map[grantKey]grant
 	// granted lists the grants in order of their times, and first is the index of the
 	// oldest that is kept.
 	granted []grantRecord
@@ -44,6 +44,7 @@
 	version uint64
 	holds   bool
 	bucket  sharedrate.Bucket
+	window  window
 	// denied is the largest cost of a request that was denied lately by all holders, and
 	// deniedAt when.
 	denied   float64
@@ -61,6 +62,12 @@
 	seq  uint64
 }
 
+// grant is what was granted to an ask, and when.
+type grant struct {
+	cost float64
+	at   msg.Time
+}
+
 type grantRecord struct {
 	key grantKey
 	at  msg.Time
@@ -68,7 +75,7 @@
 
 // NewHome returns a Home that knows no accounts.
 func NewHome(self msg.HostID, members *sharedrate.Members) *Home {
-	return &Home{self: self, members: members, accounts: make(map[msg.AccountID]*account), grants: make(map[grantKey]float64)}
+	return &Home{self: self, members: members, accounts: make(map[msg.AccountID]*account), grants: make(map[grantKey]grant)}
 }
 
 // Configure sets the accounts and the limits. A changed quota holds at once. Accounts that
@@ -104,11 +111,21 @@
 	a.quota, a.terms = *q, t
 	a.promised = 0
 	a.denied = 0
+	if a.window.width != t.window/windowSlots {
+		a.window = newWindow(now, t.window, t.target)
+	}
 	if a.holds {
-		a.bucket.SetRate(now, t.perSecond, t.capacity)
+		a.adjust(now)
 	}
 }
 
+// adjust sets the rate of the bucket by the use in the window, which it returns.
+func (a *account) adjust(now msg.Time) float64 {
+	used := a.window.used(now)
+	a.bucket.SetRate(now, a.terms.rate(used), a.terms.capacity)
+	return used
+}
+
 // Holds reports whether this daemon is a holder of an account's quota.
 func (h *Home) Holds(now msg.Time, id msg.AccountID) bool {
 	a := h.accounts[id]
@@ -116,7 +133,7 @@
 }
 
 // refresh updates whether this daemon is a holder of a quota. One that becomes a holder
-// begins with the largest debt, as its share may just have been used by another.
+// has saved nothing, as its share may just have been used by another.
 func (h *Home) refresh(now msg.Time, a *account) bool {
 	if a.version == h.members.Version {
 		return a.holds
@@ -125,8 +142,9 @@
 	held := a.holds
 	a.holds = h.members.Holds(string(a.id), h.self, a.terms.holders)
 	if a.holds && !held {
-		a.bucket = sharedrate.NewBucket(now, -a.terms.debt)
-		a.bucket.SetRate(now, a.terms.perSecond, a.terms.capacity)
+		a.bucket = sharedrate.NewBucket(now)
+		a.window = newWindow(now, a.terms.window, a.terms.target)
+		a.adjust(now)
 	}
 	return a.holds
 }
@@ -139,28 +157,36 @@
 		reply.Result = msg.QuotaUnknown
 		return reply
 	}
+	used := a.adjust(now)
 	reply.Level = a.bucket.Level(now)
 	key := grantKey{from, ask.Seq}
-	if cost, ok := h.grants[key]; ok {
-		reply.Amount = cost
+	if g, ok := h.grants[key]; ok {
+		reply.Amount = g.cost
 		return reply
 	}
 	if ask.Partial {
 		ask.Cost = min(ask.Cost, reply.Level+a.terms.debt)
+		if a.terms.window > 0 {
+			ask.Cost = min(ask.Cost, a.terms.limit-used)
+		}
 		reply.Amount = ask.Cost
 		if ask.Cost <= 0 {
 			a.deny(now, &ask, &reply, 0, true)
 			return reply
 		}
 	}
-	need, fits := a.terms.needFair(ask.Cost, a.deniedCost(now))
-	if !ask.Charge && !ask.Partial && (!fits || reply.Level < need) {
+	denied := a.deniedCost(now)
+	need, fits := a.terms.needFair(ask.Cost, denied)
+	allowed := reply.Level >= need && a.terms.withinLimit(used, max(ask.Cost, denied))
+	if !ask.Charge && !ask.Partial && (!fits || !allowed) {
 		a.deny(now, &ask, &reply, need, fits)
 		return reply
 	}
 	a.bucket.Take(now, ask.Cost)
+	a.window.add(now, now, ask.Cost)
+	a.adjust(now)
 	a.used += ask.Cost
-	h.grants[key] = ask.Cost
+	h.grants[key] = grant{ask.Cost, now}
 	h.granted = append(h.granted, grantRecord{key, now})
 	return reply
 }
@@ -185,7 +211,7 @@
 		a.denied = max(a.deniedCost(now), ask.Cost)
 		a.deniedAt = now
 	}
-	room := a.timeFor(need - reply.Level)
+	room := max(a.timeFor(need-reply.Level), a.window.width)
 	a.promised = min(max(a.promised, now+room), now+max(room, maxPromised))
 	wait := a.promised - now
 	if ask.Last {
@@ -203,16 +229,18 @@
 // Return takes back what was granted to an ask. A grant is taken back once only.
 func (h *Home) Return(now msg.Time, from msg.HostID, m msg.QuotaReturn) {
 	key := grantKey{from, m.Seq}
-	cost, ok := h.grants[key]
+	g, ok := h.grants[key]
 	a := h.accounts[m.Account]
 	if !ok || a == nil {
 		return
 	}
 	// The grant stays known, so that the same ask is not granted again.
-	h.grants[key] = 0
+	h.grants[key] = grant{at: g.at}
 	if h.refresh(now, a) {
-		a.bucket.Take(now, -cost)
-		a.used -= cost
+		a.bucket.Take(now, -g.cost)
+		a.window.add(now, g.at, -g.cost)
+		a.adjust(now)
+		a.used -= g.cost
 	}
 }
 
--- a/internal/core/direct/quota/quota_test.go
+++ b/internal/core/direct/quota/quota_test.go
@@ -200,3 +200,26 @@
 	h.home.Return(h.now(), "e", msg.QuotaReturn{Seq: 7, Account: "a"})
 	is.Equal(h.home.accounts["a"].bucket.Level(h.now()), 400.0)
 }
+
+// Holders that start again have nothing saved up.
+func TestRestartsBringNoNewBurst(t *testing.T) {
+	for _, size := range sizes {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			is := is.New(t)
+			limits := testLimits
+			limits.QuotaSlack = 120_000
+			s := newSim(t, size, limits, testAccount("hot", 50_000, 300_000))
+			s.run(2 * settled)
+			s.flood(&s.accounts[0], 4_000_000, 1_400, 18_000, 45_000)
+			for range 6 {
+				s.run(3200 * time.Millisecond)
+				for _, h := range s.hosts {
+					h.start()
+				}
+			}
+			s.run(10 * time.Second)
+			t.Logf("%.2f of what is allowed", s.most("hot", 0)/s.allowed(s.accounts[0].Quota))
+			is.True(s.most("hot", 0) <= s.allowed(s.accounts[0].Quota))
+		})
+	}
+}
--- a/internal/core/direct/quota/terms.go
+++ b/internal/core/direct/quota/terms.go
@@ -10,6 +10,8 @@
 package quota
 
 import (
+	"time"
+
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
 )
 
@@ -20,14 +22,21 @@
 	// It makes up for what flows over at one holder while another is short. excessPart
 	// is a further part for requests that are larger than the burst. The rest covers the
 	// time in which daemons disagree about the holders.
-	debtPart   = 0.5
-	excessPart = 0.25
+	debtPart   = 0.4
+	excessPart = 0.1
+	// targetPart and limitPart are the parts of the tolerance that the target and the
+	// limit of the use in a window lie above the quota.
+	targetPart = 0.4
+	limitPart  = 0.7
+	// adjustTime is the time in which the bucket of an account that asks for more would
+	// fill by what its use in the window is below the target.
+	adjustTime = 2 * time.Second
 	// minDebt is the debt, as a part of the burst, with which several daemons hold a
 	// quota. With less, one holder must see all requests of the account.
 	minDebt = 0.3
 	// maxSinglePart is the part of a holder's capacity, besides its debt, that a request
 	// may need to be granted by one holder alone.
-	maxSinglePart = 0.5
+	maxSinglePart = 0.7
 	// maxFairPart limits the level that short requests have to leave to long ones that
 	// were denied, as a part of the capacity. A bucket that had to be full would waste
 	// what flows over until the next request.
@@ -52,6 +61,25 @@
 	// perSecond and capacity are those of the bucket. Its level may fall to -debt, and
 	// after a request that is larger than the burst to -debt-excess.
 	perSecond, capacity, debt, excess float64
+	// window is the length over which use is limited; zero if it is not limited. target
+	// is the use that an account that asks for more is led to, and limit the largest.
+	window        time.Duration
+	target, limit float64
+}
+
+// rate returns the rate at which the bucket fills. What the quota allows in a window,
+// rate and burst, may be used in each: an account that has used less gets more than its
+// rate, and one that always asks for more a steady rate.
+func (t *terms) rate(used float64) float64 {
+	if t.window == 0 {
+		return t.perSecond
+	}
+	return max(t.perSecond, (t.target-used)/adjustTime.Seconds())
+}
+
+// withinLimit reports whether the use in the window allows a grant.
+func (t *terms) withinLimit(used, cost float64) bool {
+	return t.window == 0 || used+cost <= t.limit
 }
 
 // termsOf returns the terms of each holder. The sum of what the holders grant in a
@@ -65,7 +93,9 @@
 		n = maxHolders
 	}
 	share := float64(n)
+	allowed := q.PerSecond*l.QuotaWindow.Seconds() + burst
 	return terms{
+		window: l.QuotaWindow, target: (allowed + targetPart*tolerance) / share, limit: (allowed + limitPart*tolerance) / share,
 		holders: n, perSecond: q.PerSecond / share, capacity: burst / share,
 		debt: debt / share, excess: excessPart * tolerance / share,
 	}
--- a/internal/core/direct_fleet_target_test.go
+++ b/internal/core/direct_fleet_target_test.go
@@ -92,6 +92,7 @@
 		return
 	}
 	t.arrivals = append(t.arrivals, fleetArrival{f.now, j.from()})
+	f.recordQuotaUse(j)
 	id := j.start.Attempt
 	t.jobs[id] = j
 	if j.request.crashesTargets() && (!f.harmlessPrefill || j.start.Spec.Step != msg.StepPrefill) {
--- a/internal/core/direct_fleet_test.go
+++ b/internal/core/direct_fleet_test.go
@@ -63,6 +63,10 @@
 	answered               int
 	// unframed is the probability with which a response ends with its connection.
 	unframed float64
+	// accounts holds the accounts with quotas, and tableVersion the version of the
+	// configuration that names them.
+	accounts     map[msg.AccountID]*fleetAccount
+	tableVersion uint64
 }
 
 // fleetRequest is a request that was sent to an entry.
--- a/internal/daemon/direct_stall.go
+++ b/internal/daemon/direct_stall.go
@@ -21,7 +21,8 @@
 	limit  time.Duration
 	cancel context.CancelCauseFunc
 
-	mu sync.Mutex
+	mu    sync.Mutex
+	timer *time.Timer
 	// since is when the last event arrived, put off by the pauses since then. pausedAt is
 	// zero unless the watch is paused.
 	since, pausedAt time.Time
@@ -38,7 +39,9 @@
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	w := &stallWatch{limit: limit, cancel: cancel, since: time.Now()}
-	time.AfterFunc(limit, w.check)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.timer = time.AfterFunc(limit, w.check)
 	return ctx, w
 }
 
@@ -54,7 +57,7 @@
 	}
 	if left > 0 {
 		w.suspected = false
-		time.AfterFunc(left, w.check)
+		w.timer.Reset(left)
 		return
 	}
 	if w.suspected {
@@ -62,7 +65,7 @@
 		return
 	}
 	w.suspected = true
-	time.AfterFunc(stallRecheck, w.check)
+	w.timer.Reset(stallRecheck)
 }
 
 // pause reports that nothing is awaited from the target until the watch proceeds.
@@ -99,6 +102,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.stopped = true
+	w.timer.Stop()
 }
 
 // stallOr returns errStalled if the watch has ended the context, and otherwise err.
