--- a/internal/core/direct.go
+++ b/internal/core/direct.go
@@ -11,6 +11,7 @@
 	"github.com/verbenaspur/verbenaspur/internal/core/lease"
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
 	"github.com/verbenaspur/verbenaspur/internal/core/reducer"
+	"github.com/verbenaspur/verbenaspur/internal/core/store"
 )
 
 // DirectConfig configures a [Direct].
@@ -78,7 +79,7 @@
 	})
 	members := peerdiscovery.New(cfg.Self, cfg.Incarnation, cfg.PeerAddr)
 	flushers := []idler{leases, members}
-	components := []reducer.Component{leases, members, platformpoll.New(pollConfig(cfg)), requests}
+	components := []reducer.Component{&store.Reach{}, leases, members, platformpoll.New(pollConfig(cfg)), requests}
 	if cfg.UsageWindow > 0 {
 		meter := usage.New(usage.Config{
 			Self: cfg.Self.Host, Incarnation: cfg.Incarnation,
--- a/internal/core/direct/peerdiscovery/peerdiscovery.go
+++ b/internal/core/direct/peerdiscovery/peerdiscovery.go
@@ -92,6 +92,8 @@
 	// writeBackoff and readBackoff are the delays after the last failures.
 	writeBackoff, readBackoff backoff
 	leaving                   bool
+	// nextTell is when the others are told again that this daemon is leaving.
+	nextTell msg.Time
 	// writingDeparture reports that the record in flight says that this daemon is
 	// leaving. departureWritten is set once the record at the platform says so.
 	writingDeparture, departureWritten bool
@@ -101,6 +103,9 @@
 	// published is set.
 	lastPublished []msg.Host
 	published     bool
+	// complete is set once a list has shown the record of an earlier process of this
+	// host. The fleet was there before this process, so that the list names all of it.
+	complete bool
 }
 
 // New returns a component without peers. addr is the address at which the other
@@ -128,6 +133,7 @@
 		if p := c.peers[ev.From]; p != nil {
 			p.lastSeen = now
 			p.byMessage = true
+			p.onMessage(ev.Message)
 		}
 	case msg.StoreEraChanged:
 		c.onEraChanged(now, ev)
@@ -149,7 +155,7 @@
 		c.reading = true
 		effs = append(effs, c.store.ListStale(tagList, msg.KindEntry))
 	}
-	return append(effs, c.publish(now)...)
+	return append(append(effs, c.tellLeaving(now)...), c.publish(now)...)
 }
 
 func (c *Component) write(now msg.Time) msg.Effect {
@@ -217,15 +223,26 @@
 		c.nextRead = now + startupReadInterval
 	}
 	for _, o := range r.Objects {
+		if msg.HostID(o.Name) == c.self.Host {
+			c.noteEarlierProcess(o)
+			continue
+		}
 		c.updatePeer(now, o)
 	}
 }
 
+// noteEarlierProcess learns from the record of this host whether an earlier process has
+// written it.
+func (c *Component) noteEarlierProcess(o msg.Object) {
+	var rec msg.EntryRecord
+	if json.Unmarshal(o.Value, &rec) == nil && rec.Incarnation != c.incarnation && !c.complete {
+		c.complete = true
+		c.published = false
+	}
+}
+
 func (c *Component) updatePeer(now msg.Time, o msg.Object) {
 	id := msg.HostID(o.Name)
-	if id == c.self.Host {
-		return
-	}
 	var rec msg.EntryRecord
 	if json.Unmarshal(o.Value, &rec) != nil {
 		return
@@ -238,11 +255,12 @@
 	if o.Version <= p.version || rec.Incarnation == p.incarnation && rec.Heartbeat <= p.heartbeat {
 		return
 	}
+	sameProcess := rec.Incarnation == p.incarnation
 	p.version = o.Version
 	p.incarnation, p.heartbeat = rec.Incarnation, rec.Heartbeat
 	p.lastSeen = now
 	p.byMessage = false
-	p.leaving = rec.Leaving
+	p.leaving = rec.Leaving || sameProcess && p.leaving
 	p.host = msg.Host{Host: id, Addr: rec.Addr, Domain: rec.Domain, Region: rec.Region, Kind: msg.HostEntry}
 }
 
@@ -280,7 +298,7 @@
 	c.published = true
 	c.lastPublished = hosts
 	effs := []msg.Effect{
-		msg.Raise{Event: msg.MembersChanged{Entries: hosts}},
+		msg.Raise{Event: msg.MembersChanged{Entries: hosts, Complete: c.complete}},
 		msg.LogLine{Component: "roster", Text: "set of live entry daemons changed", Attrs: []msg.Attr{{Key: "count", Value: strconv.Itoa(len(hosts))}}},
 	}
 	for _, h := range hosts {
--- a/internal/core/direct/peerdiscovery/peerdiscovery_test.go
+++ b/internal/core/direct/peerdiscovery/peerdiscovery_test.go
@@ -1,6 +1,7 @@
 package peerdiscovery
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -18,6 +19,7 @@
 	objects    *coretest.Objects
 	components map[msg.HostID]*Component
 	members    map[msg.HostID][]msg.HostID
+	complete   map[msg.HostID]bool
 	down       bool
 	calls      int
 	// holdPuts keeps writes from being executed. They are kept in held.
@@ -26,7 +28,7 @@
 }
 
 func newCluster(t *testing.T, hosts ...msg.HostID) *cluster {
-	c := &cluster{is: is.New(t), objects: coretest.NewObjects(), components: make(map[msg.HostID]*Component), members: make(map[msg.HostID][]msg.HostID), held: make(map[msg.HostID][]msg.Effect)}
+	c := &cluster{is: is.New(t), objects: coretest.NewObjects(), components: make(map[msg.HostID]*Component), members: make(map[msg.HostID][]msg.HostID), complete: make(map[msg.HostID]bool), held: make(map[msg.HostID][]msg.Effect)}
 	for _, h := range hosts {
 		c.start(h, "1")
 	}
@@ -42,12 +44,17 @@
 		if r, ok := eff.(msg.Raise); ok {
 			if m, ok := r.Event.(msg.MembersChanged); ok {
 				c.members[h] = nil
+				c.complete[h] = m.Complete
 				for _, e := range m.Entries {
 					c.members[h] = append(c.members[h], e.Host)
 				}
 			}
 			continue
 		}
+		if p, ok := eff.(msg.SendPeer); ok {
+			c.step(p.To, msg.PeerReceived{From: h, Message: p.Message})
+			continue
+		}
 		if _, put := eff.(msg.PutObject); put && c.holdPuts {
 			c.held[h] = append(c.held[h], eff)
 			continue
@@ -74,6 +81,20 @@
 	}
 }
 
+// A daemon that stops while the store is away tells the others. Its next process is live.
+func TestDepartureIsToldWhileStoreIsAway(t *testing.T) {
+	c := newCluster(t, "a", "b")
+	c.advance(2 * time.Second)
+	c.down = true
+	c.step("b", msg.StopRequested{})
+	c.advance(time.Second)
+	c.is.Equal(c.members["a"], []msg.HostID{"a"})
+	c.down = false
+	c.start("b", "2")
+	c.advance(4 * time.Second)
+	c.is.Equal(c.members["a"], []msg.HostID{"a", "b"})
+}
+
 func TestEntriesDiscoverEachOther(t *testing.T) {
 	c := newCluster(t, "a", "b", "c")
 	c.advance(2 * time.Second)
@@ -189,3 +210,17 @@
 	c.advance(recordTimeout + 4*time.Second)
 	c.is.Equal(c.members["e1"], []msg.HostID{"e1"})
 }
+
+// A process knows that the list names the whole fleet if it shows an earlier process of
+// its own host.
+func TestListIsCompleteAfterRestart(t *testing.T) {
+	c := newCluster(t, "e1", "e2")
+	c.advance(5 * time.Second)
+	c.is.True(!c.complete["e1"]) // the fleet is new
+	c.start("e1", "2")
+	c.start("e3", "1")
+	c.advance(200 * time.Millisecond)
+	c.is.True(c.complete["e1"])
+	c.is.True(slices.Contains(c.members["e1"], "e2"))
+	c.is.True(!c.complete["e3"])
+}
--- a/internal/core/direct/quota/asker.go
+++ b/internal/core/direct/quota/asker.go
@@ -23,54 +23,6 @@
 	maxRefusalAge = 500 * time.Millisecond
 )
 
-// State is the state of a reservation.
-type State uint8
-
-// States of reservations.
-const (
-	// Pending means that a reply is awaited.
-	Pending State = iota
-	// Granted means that the request's cost is reserved.
-	Granted
-	// Denied means that the quota does not allow the request now.
-	Denied
-	// Unanswered means that no holder has answered.
-	Unanswered
-)
-
-// Reservation is the reservation of what a request costs. The fields that are not
-// exported belong to the [Asker].
-type Reservation struct {
-	Req     msg.RequestID
-	Account msg.AccountID
-	Cost    float64
-	State   State
-	// Wait is the time after which the caller of a denied request should come back.
-	Wait time.Duration
-	// Home is the holder that decided, Level what was left of its share, and Age how old
-	// that information is.
-	Home  msg.HostID
-	Level float64
-	Age   time.Duration
-
-	quota *msg.AccountQuota
-	// partial is set if several holders have to grant the request together. rest is
-	// what remains to be granted, and parts are the grants.
-	partial bool
-	rest    float64
-	parts   []part
-
-	left []msg.HostID // holders that have not been asked
-	seq  uint64       // of the last ask, or of the one that was granted
-	next msg.Time     // when the next holder is asked
-}
-
-// part is a grant.
-type part struct {
-	home msg.HostID
-	seq  uint64
-}
-
 // Send is a message to another daemon.
 type Send struct {
 	To      msg.HostID
@@ -85,20 +37,6 @@
 	at      msg.Time
 }
 
-type refusalKey struct {
-	home    msg.HostID
-	account msg.AccountID
-}
-
-// refusal is a denial that is remembered. It holds for requests of at least its cost
-// until a time.
-type refusal struct {
-	cost      float64
-	at, until msg.Time
-	comeBack  msg.Time
-	level     float64
-}
-
 // allHolders stands for all holders of a quota together, which have denied a partial ask.
 const allHolders msg.HostID = ""
 
@@ -230,44 +168,6 @@
 	return nil
 }
 
-// giveUp decides a reservation that the holders have not granted. What some have granted
-// of it is returned.
-func (a *Asker) giveUp(now msg.Time, r *Reservation) []Send {
-	if r.partial && len(r.parts) > 0 {
-		wait := min(time.Duration(r.rest/r.quota.PerSecond*float64(time.Second)), maxWait)
-		a.refusals[refusalKey{allHolders, r.Account}] = refusal{cost: r.Cost, at: now, until: now + min(wait, maxRefusalAge), comeBack: now + wait}
-		r.noteDenial(r.parts[0].home, r.Level, 0, wait)
-	}
-	r.State = Unanswered
-	if r.Wait > 0 {
-		r.State = Denied
-	}
-	return a.returnParts(now, r)
-}
-
-// returnParts returns what was granted of a reservation.
-func (a *Asker) returnParts(now msg.Time, r *Reservation) []Send {
-	var sends []Send
-	for _, p := range r.parts {
-		m := msg.QuotaReturn{Seq: p.seq, Account: r.Account}
-		if p.home == a.self {
-			a.home.Return(now, a.self, m)
-			continue
-		}
-		sends = append(sends, a.sendReturn(p.home, m))
-	}
-	r.parts = nil
-	return sends
-}
-
-// sendReturn returns a grant. It is sent again by the next Advance, since what a lost
-// return held would be lost, too.
-func (a *Asker) sendReturn(home msg.HostID, m msg.QuotaReturn) Send {
-	send := Send{home, m}
-	a.repeat = append(a.repeat, send)
-	return send
-}
-
 // awaits reports whether a reply to the last ask of a reservation may still come soon.
 func (a *Asker) awaits(r *Reservation) bool {
 	k := a.asks[r.seq]
@@ -300,27 +200,6 @@
 	})
 }
 
-// denies reports whether a remembered denial of a holder applies to a reservation.
-func (a *Asker) denies(now msg.Time, r *Reservation, home msg.HostID) bool {
-	ref, ok := a.refusals[refusalKey{home, r.Account}]
-	if !ok || !ref.applies(now, r) {
-		return false
-	}
-	r.noteDenial(home, ref.level, now-ref.at, max(ref.comeBack, ref.until)-now)
-	return true
-}
-
-func (ref *refusal) applies(now msg.Time, r *Reservation) bool {
-	return now < ref.until && r.Cost >= ref.cost
-}
-
-// noteDenial records a denial in the reservation. The shortest wait counts.
-func (r *Reservation) noteDenial(home msg.HostID, level float64, age, wait time.Duration) {
-	if r.Wait == 0 || wait < r.Wait {
-		r.Home, r.Level, r.Age, r.Wait = home, level, age, max(wait, time.Millisecond)
-	}
-}
-
 // apply applies a reply to a reservation that is pending.
 func (a *Asker) apply(now msg.Time, r *Reservation, home msg.HostID, reply msg.QuotaReply) {
 	key := refusalKey{home, r.Account}
@@ -410,46 +289,6 @@
 	return decided, sends
 }
 
-// dropAsks gives up the asks that no reply has come to for long.
-func (a *Asker) dropAsks(now msg.Time) []Send {
-	var old []uint64
-	for seq, k := range a.asks {
-		if now-k.at >= askMemory {
-			old = append(old, seq)
-		}
-	}
-	slices.Sort(old)
-	var sends []Send
-	for _, seq := range old {
-		k := a.asks[seq]
-		delete(a.asks, seq)
-		sends = append(sends, a.sendReturn(k.home, msg.QuotaReturn{Seq: seq, Account: k.account}))
-	}
-	return sends
-}
-
-// Release gives a reservation up, because its request has not run and will not run. What
-// was granted, or is granted late, is returned.
-func (a *Asker) Release(now msg.Time, r *Reservation) []Send {
-	r.State = Unanswered
-	a.settle(r)
-	return a.returnParts(now, r)
-}
-
-// Charge takes the cost of a granted reservation once more, for a second run.
-func (a *Asker) Charge(now msg.Time, r *Reservation) []Send {
-	if r.State != Granted {
-		return nil
-	}
-	a.seq++
-	m := msg.QuotaAsk{Seq: a.seq, Account: r.Account, Cost: r.Cost, Charge: true}
-	if r.Home == a.self {
-		a.home.Ask(now, a.self, m)
-		return nil
-	}
-	return []Send{{r.Home, m}}
-}
-
 // TakeResults returns the results of the asks since the last call.
 func (a *Asker) TakeResults() []msg.QuotaResult {
 	list := a.results
--- a/internal/core/direct/quota/home.go
+++ b/internal/core/direct/quota/home.go
@@ -45,6 +45,9 @@
 	holds   bool
 	bucket  sharedrate.Bucket
 	window  window
+	// since is when this daemon became a holder, and granted what it has granted since.
+	since   msg.Time
+	granted float64
 	// denied is the largest cost of a request that was denied lately by all holders, and
 	// deniedAt when.
 	denied   float64
@@ -133,7 +136,8 @@
 }
 
 // refresh updates whether this daemon is a holder of a quota. One that becomes a holder
-// has saved nothing, as its share may just have been used by another.
+// begins with the largest debt, as its share may just have been used by another, or by an
+// earlier process of this host.
 func (h *Home) refresh(now msg.Time, a *account) bool {
 	if a.version == h.members.Version {
 		return a.holds
@@ -142,8 +146,9 @@
 	held := a.holds
 	a.holds = h.members.Holds(string(a.id), h.self, a.terms.holders)
 	if a.holds && !held {
-		a.bucket = sharedrate.NewBucket(now)
+		a.bucket = sharedrate.NewBucket(now, -a.terms.debt)
 		a.window = newWindow(now, a.terms.window, a.terms.target)
+		a.since, a.granted = now, 0
 		a.adjust(now)
 	}
 	return a.holds
@@ -180,17 +185,28 @@
 	allowed := reply.Level >= need && a.terms.withinLimit(used, max(ask.Cost, denied))
 	if !ask.Charge && !ask.Partial && (!fits || !allowed) {
 		a.deny(now, &ask, &reply, need, fits)
+		if fits && a.isNew(now, ask.Cost) {
+			reply.Result = msg.QuotaUnknown
+		}
 		return reply
 	}
 	a.bucket.Take(now, ask.Cost)
 	a.window.add(now, now, ask.Cost)
 	a.adjust(now)
 	a.used += ask.Cost
+	a.granted += ask.Cost
 	h.grants[key] = grant{ask.Cost, now}
 	h.granted = append(h.granted, grantRecord{key, now})
 	return reply
 }
 
+// isNew reports whether this daemon has become a holder so recently that it can't tell a
+// request to be beyond the quota: what it has granted itself leaves room.
+func (a *account) isNew(now msg.Time, cost float64) bool {
+	held := now - a.since
+	return held < a.terms.window && a.granted+cost <= a.quota.Burst+a.terms.perSecond*held.Seconds()
+}
+
 // deniedCost returns the largest cost that was denied within fairMemory.
 func (a *account) deniedCost(now msg.Time) float64 {
 	if now-a.deniedAt > fairMemory {
--- a/internal/core/direct/quota/quota_test.go
+++ b/internal/core/direct/quota/quota_test.go
@@ -182,6 +182,19 @@
 	})
 }
 
+// A holder that has just started does not tell an account that it is beyond its quota, for
+// what the account has used before.
+func TestNewHolderDeniesNoQuietAccount(t *testing.T) {
+	is := is.New(t)
+	s := newSim(t, 28, testLimits, testAccount("calm", 50_000, 75_000), testAccount("hot", 50_000, 75_000))
+	s.flood(&s.accounts[0], 30_000, 1_400, 18_000, 33_000)
+	s.flood(&s.accounts[1], 500_000, 1_400, 18_000, 33_000)
+	s.run(20 * time.Second)
+	t.Logf("calm %v, hot %v", s.results["calm"], s.results["hot"])
+	is.Equal(s.results["calm"][Denied], 0)
+	is.True(s.results["hot"][Denied] > s.results["hot"][Granted])
+}
+
 // What is returned can be used again once, and what is asked twice is granted once.
 func TestReturnCountsOnce(t *testing.T) {
 	is := is.New(t)
--- a/internal/core/direct/request/cost.go
+++ b/internal/core/direct/request/cost.go
@@ -43,6 +43,7 @@
 	}
 	maps.DeleteFunc(s.typicalPrefill, func(id msg.RouteID, _ time.Duration) bool { return !routes[id] })
 	maps.DeleteFunc(s.latencies, func(id msg.RouteID, _ *routeLatency) bool { return !routes[id] })
+	maps.DeleteFunc(s.sentAt, func(id msg.ServiceID, _ msg.Time) bool { return s.table.services[id] == nil })
 	maps.DeleteFunc(s.paced, func(id msg.ServiceID, _ bool) bool { return s.table.services[id] == nil })
 	maps.DeleteFunc(s.streamDurations, func(id msg.ServiceID, _ time.Duration) bool { return s.table.services[id] == nil })
 	maps.DeleteFunc(s.prefillTimes, func(k engineKind, _ *prefilltime.Estimator) bool { return s.table.services[k.service] == nil })
--- a/internal/core/direct/request/end.go
+++ b/internal/core/direct/request/end.go
@@ -34,7 +34,7 @@
 	r.streaming = r.streaming || ev.Streaming
 	s.logRequest(r, "attempt ended",
 		attr("attempt", a.id), attr("target", a.target.Target), attr("result", ev.Result),
-		attr("status", ev.Status), attr("took_ms", formatMS(s.now-a.sentAt)), attr("reason", ev.Reason),
+		attr("status", ev.Status), attr("took_ms", formatMS(s.now-a.sentAt)), attr("expected_ms", formatMS(a.expected)), attr("reason", ev.Reason),
 	)
 	s.afterAttempt(r, a, ev)
 }
@@ -51,6 +51,7 @@
 	case msg.DirectDone, msg.DirectPrefilled:
 		s.confirmCompleted(t, a)
 		s.observePrefill(a)
+		s.observeCongestion(a)
 		s.observeStream(a)
 		t.recordFirstToken(s.now, a)
 		t.updateFailureRate(s.now, true)
--- a/internal/core/direct/request/manager.go
+++ b/internal/core/direct/request/manager.go
@@ -78,6 +78,8 @@
 	speeds       *targetspeed.Tracker
 	// paced holds the services whose targets have reported paces to this daemon.
 	paced map[msg.ServiceID]bool
+	// sentAt holds when this daemon last sent a request to a target of each service.
+	sentAt map[msg.ServiceID]msg.Time
 	// latencies holds the average response times of the routes of plain services.
 	latencies map[msg.RouteID]*routeLatency
 	// streamDurations holds the average duration of each service's streams.
@@ -121,6 +123,7 @@
 		prefillTimes:    make(map[engineKind]*prefilltime.Estimator),
 		speeds:          targetspeed.New(),
 		paced:           make(map[msg.ServiceID]bool),
+		sentAt:          make(map[msg.ServiceID]msg.Time),
 		latencies:       make(map[msg.RouteID]*routeLatency),
 		streamDurations: make(map[msg.ServiceID]time.Duration),
 		queues:          make(map[msg.ServiceID]*admission.Queue),
@@ -210,6 +213,9 @@
 		s.entries = ev.Entries
 		s.assignPaceProbes()
 		s.limitMembers.SetListed(s.now, ev.Entries)
+		if ev.Complete {
+			s.limitMembers.Settle()
+		}
 		s.exchange.dropNonMembers(ev.Entries)
 	case msg.CacheRead:
 		s.onCacheRead(ev)
--- a/internal/core/direct/request/pace.go
+++ b/internal/core/direct/request/pace.go
@@ -9,9 +9,14 @@
 	"github.com/verbenaspur/verbenaspur/internal/core/rendezvous"
 )
 
-// paceProbeInterval is the age of a target's pace at which the target is asked for a new
-// one.
-const paceProbeInterval = 300 * time.Millisecond
+const (
+	// paceProbeInterval is the age of a target's pace at which the target is asked for a
+	// new one.
+	paceProbeInterval = 300 * time.Millisecond
+	// workMemory is how long a service counts as one with work after this daemon has
+	// sent it a request.
+	workMemory = time.Second
+)
 
 // paceProbe is a health check of a target that is to show the target's pace.
 type paceProbe struct {
@@ -37,7 +42,7 @@
 	}
 	for _, id := range slices.Sorted(maps.Keys(s.services)) {
 		spec := s.table.services[id]
-		if spec == nil || spec.HealthPath == "" || !s.paced[id] || !s.hasWork(id) {
+		if spec == nil || spec.HealthPath == "" || !s.paced[id] {
 			continue
 		}
 		for _, t := range s.services[id] {
@@ -46,20 +51,15 @@
 	}
 }
 
-// hasWork reports whether a service has open requests.
-func (s *stepContext) hasWork(id msg.ServiceID) bool {
-	for _, t := range s.services[id] {
-		if s.openStreams(t) > 0 {
-			return true
-		}
-	}
-	return false
+// hasWork reports whether a target or its service has got requests lately.
+func (s *stepContext) hasWork(t *target) bool {
+	return s.now-s.sentAt[t.Service] < workMemory || s.openStreams(t) > 0
 }
 
 // probePace asks a target for its pace if that is due.
 func (s *stepContext) probePace(t *target, path string) {
 	p := &t.paceProbe
-	if !p.assigned || s.now-p.sentAt < paceProbeInterval || !t.usable(s.now) || t.limit.limited(s.now) {
+	if !p.assigned || s.now-p.sentAt < paceProbeInterval || !t.usable(s.now) || t.limit.limited(s.now) || !s.hasWork(t) {
 		return
 	}
 	if age, ok := s.speeds.PaceAge(s.now, t.Target); ok && age < paceProbeInterval {
--- a/internal/core/direct/request/place.go
+++ b/internal/core/direct/request/place.go
@@ -229,7 +229,7 @@
 	estimator := s.prefillEstimator(t)
 	c.work = prefilltime.WorkOf(t.Role, r.arrival.PromptTokens, cached)
 	start := sendTime + c.wait + fetch
-	c.prefill = time.Duration(t.congestionFactor(s.now) * float64(s.slowed(t, start, estimator.Prefill(c.work))))
+	c.prefill = time.Duration(s.congestionFactor(t) * float64(s.slowed(t, start, estimator.Prefill(c.work))))
 	c.response = start + estimator.Base() + c.prefill
 	c.expected = c.response
 	if t.Role == msg.RolePrefill {
--- a/internal/core/direct/request/speed.go
+++ b/internal/core/direct/request/speed.go
@@ -51,12 +51,20 @@
 // service, for work of the given duration that it begins after a delay. It is the only
 // way by which placement asks for the speed of a target.
 func (s *stepContext) speedFactor(t *target, delay, duration time.Duration) float64 {
-	if s.policy.IgnoreSpeeds {
+	if s.policy.IgnoreSpeeds || !s.knowsSpeed(t) {
 		return 1
 	}
 	return s.speeds.Factor(s.now, t.Target, delay, duration)
 }
 
+// knowsSpeed reports whether placement heeds the speed of a target. What prefills took also
+// shows the work of daemons that this one has not heard of, and the sooner all daemons
+// agree on small differences of that kind, the more of them choose the same engine.
+// Engines are therefore told apart only in services that report paces.
+func (s *stepContext) knowsSpeed(t *target) bool {
+	return s.paced[t.Service] || s.engineSpec(t) == nil
+}
+
 // slowed returns the time that work takes at a target that begins it after a delay. The
 // parameter usual is the time that is usual in the target's service.
 func (s *stepContext) slowed(t *target, delay, usual time.Duration) time.Duration {
@@ -97,6 +105,9 @@
 
 // factorOver returns the factor of an attempt's target over the time that the attempt took.
 func (s *stepContext) factorOver(a *attempt, took time.Duration) float64 {
+	if !s.knowsSpeed(a.target) {
+		return 1
+	}
 	return s.speeds.Over(s.now, a.target.Target, a.pace, took)
 }
 
@@ -131,20 +142,29 @@
 	l.mean += (usual - l.mean) / l.n
 }
 
-// observeCongestion updates the target's congestion. The parameter ratio is the time to
-// the first token, divided by the expected one.
-func (t *target) observeCongestion(now msg.Time, ratio float64) {
-	c := t.congestionFactor(now)
-	t.congestion = c + congestionWeight*(min(max(c*ratio, minCongestion), maxCongestion)-c)
-	t.congestionAt = now
+// observeCongestion updates the congestion of an attempt's target from the time to the
+// attempt's first token.
+func (s *stepContext) observeCongestion(a *attempt) {
+	if a.started || a.prefill == 0 {
+		return
+	}
+	t := a.target
+	c := s.congestionFactor(t)
+	ratio := c * float64(s.now-a.sentAt) / float64(a.expected)
+	t.congestion = c + congestionWeight*(min(max(ratio, minCongestion), maxCongestion)-c)
+	t.congestionAt = s.now
 }
 
-// congestionFactor returns the factor by which prefills at the target take longer than its
+// congestionFactor returns the factor by which prefills at a target take longer than its
 // speed and the work that is known to be there explain: other daemons may have sent work of
 // which this one has not been told yet. Such work is soon done, so that the factor
-// returns to 1.
-func (t *target) congestionFactor(now msg.Time) float64 {
-	return math.Pow(t.congestion, math.Exp(-float64(now-t.congestionAt)/float64(congestionMemory)))
+// returns to 1. Where placement does not heed speeds, it stands for the target's speed as
+// well, and remains.
+func (s *stepContext) congestionFactor(t *target) float64 {
+	if !s.knowsSpeed(t) {
+		return t.congestion
+	}
+	return math.Pow(t.congestion, math.Exp(-float64(s.now-t.congestionAt)/float64(congestionMemory)))
 }
 
 // reportedLoad returns the number of requests that the target last reported. Its influence
--- a/internal/core/direct/request/start.go
+++ b/internal/core/direct/request/start.go
@@ -33,6 +33,7 @@
 	r.countArrival(c.step, 1)
 	s.attempts[a.id] = a
 	c.target.addAttempt(s.now, a)
+	s.sentAt[r.service] = s.now
 	s.announcePrefill(a)
 	spec := msg.DirectAttemptSpec{
 		Step: c.step, Target: c.target.Target, Addr: c.target.Addr, Service: r.service,
@@ -114,6 +115,7 @@
 	s.setReachable(a.target, true)
 	s.confirmCompleted(a.target, a)
 	s.observePrefill(a)
+	s.observeCongestion(a)
 	a.startedAt = s.now
 	a.target.recordFirstToken(s.now, a)
 	s.recordCached(a)
--- a/internal/core/direct/request/target.go
+++ b/internal/core/direct/request/target.go
@@ -141,17 +141,13 @@
 
 // recordFirstToken records that an attempt's first token, or its response, has
 // arrived. It removes the attempt's prefill from the backlog, clears a suspicion
-// of the target, resets its backoff and its count of refused decode steps, and
-// updates the target's congestion from the observed time.
+// of the target, and resets its backoff and its count of refused decode steps.
 func (t *target) recordFirstToken(now msg.Time, a *attempt) {
 	if a.started {
 		return
 	}
 	a.started = true
 	t.clearSuspicion(a)
-	if a.prefill > 0 {
-		t.observeCongestion(now, float64(now-a.sentAt)/float64(a.expected))
-	}
 	t.backlogUntil = now + t.pendingPrefill(now)
 	t.backoff = 0
 	t.refusedDecodes = 0
--- a/internal/core/direct/sharedrate/bucket.go
+++ b/internal/core/direct/sharedrate/bucket.go
@@ -8,8 +8,8 @@
 	updatedAt                  msg.Time
 }
 
-// NewBucket returns an empty bucket, at the rate zero.
-func NewBucket(now msg.Time) Bucket { return Bucket{updatedAt: now} }
+// NewBucket returns a bucket with the given level, at the rate zero.
+func NewBucket(now msg.Time, level float64) Bucket { return Bucket{level: level, updatedAt: now} }
 
 // SetRate sets the rate at which the bucket fills, and its capacity. What exceeds the
 // capacity is lost.
--- a/internal/core/direct/sharedrate/members.go
+++ b/internal/core/direct/sharedrate/members.go
@@ -23,8 +23,7 @@
 	departureDelay = 15 * time.Second
 	// settleTime is how long after its start a daemon uses no share, because it may not
 	// know the others. stableTime is the time after which it does if it knows others and
-	// they have not changed meanwhile: a second read of the list has shown the same. A
-	// list that a restarted fleet left behind names all of them at the first read.
+	// they have not changed meanwhile: a second read of the list has shown the same.
 	settleTime = 3 * time.Second
 	stableTime = 1200 * time.Millisecond
 )
@@ -74,9 +73,8 @@
 
 // Advance drops the daemons that have been gone for long.
 func (m *Members) Advance(now msg.Time) {
-	if !m.settled && (now >= settleTime || m.stable(now)) {
-		m.settled = true
-		m.Version++
+	if now >= settleTime || m.stable(now) {
+		m.Settle()
 	}
 	var gone bool
 	for id, until := range m.lost {
@@ -90,6 +88,16 @@
 	}
 }
 
+// Settle records that the listed daemons are all there are. A list that a restarted fleet
+// left behind names at least these, so that no other daemon uses the same share.
+func (m *Members) Settle() {
+	if m.settled {
+		return
+	}
+	m.settled = true
+	m.Version++
+}
+
 // stable reports whether the daemon knows others that have not changed for a while.
 func (m *Members) stable(now msg.Time) bool {
 	return len(m.listed) > 1 && now-m.changedAt >= stableTime
--- a/internal/core/direct/targetspeed/targetspeed.go
+++ b/internal/core/direct/targetspeed/targetspeed.go
@@ -34,7 +34,7 @@
 	ratioPrior = 3
 	pacePrior  = 0.2
 	// maxPaceWeight limits the weight of the reported paces of a target. A report weighs 1
-	// if it comes PaceMemory or longer after the one before.
+	// if it comes paceMemory or longer after the one before.
 	maxPaceWeight = 30
 	// minPaceWeight is the weight of a report that comes at the same time as the last.
 	minPaceWeight = 0.05
@@ -44,10 +44,10 @@
 	// minFactor and maxFactor limit factors and paces.
 	minFactor = 0.2
 	maxFactor = 8.0
-	// PaceMemory is the time constant with which a reported pace gives way to the usual
+	// paceMemory is the time constant with which a reported pace gives way to the usual
 	// one, and paceRetention the age after which it has no influence.
-	PaceMemory    = 400 * time.Millisecond
-	paceRetention = 10 * PaceMemory
+	paceMemory    = 400 * time.Millisecond
+	paceRetention = 10 * paceMemory
 	// centerInterval is the time between two updates of the means of the services.
 	centerInterval = 500 * time.Millisecond
 	// restartShare is the share of their weight that observations keep when a target
@@ -179,17 +179,21 @@
 }
 
 // paceOver returns the mean pace over work that took the given time, relative to the mean
-// of the service. At its end the target reported the given pace, or none if that is 0.
+// of the service. At its end the target reported the given pace; without one, 0, the last
+// report counts with its age.
 func (t *Tracker) paceOver(now msg.Time, id msg.TargetID, pace float64, took time.Duration) float64 {
 	sp := t.targets[id]
 	if sp == nil {
 		return 1
 	}
 	usual := t.usualPace(now, sp)
+	mean := usual
 	if pace > 0 {
-		usual += (clampFactor(pace) - usual) * meanInfluence(took)
+		mean += (clampFactor(pace) - usual) * meanInfluence(took)
+	} else if age, ok := t.PaceAge(now, id); ok {
+		mean += (sp.pace - usual) * influence(age) * meanInfluence(took)
 	}
-	return usual / math.Exp(t.services[sp.service].pace)
+	return mean / math.Exp(t.services[sp.service].pace)
 }
 
 // usualPace returns the pace that a target usually reports. It is that of its service as
@@ -232,7 +236,7 @@
 	}
 	pace := t.usualPace(now, sp)
 	if age, ok := t.PaceAge(now, id); ok {
-		pace += (sp.pace - pace) * math.Exp(-float64(age+delay)/float64(PaceMemory)) * meanInfluence(duration)
+		pace += (sp.pace - pace) * influence(age+delay) * meanInfluence(duration)
 	}
 	return clampFactor(t.ratio(now, sp) * pace / math.Exp(t.services[sp.service].pace))
 }
@@ -259,7 +263,7 @@
 func (sp *speed) report(at msg.Time, pace float64) {
 	weight := 1.0
 	if sp.pace > 0 {
-		weight = min(max(float64(at-sp.paceAt)/float64(PaceMemory), minPaceWeight), 1)
+		weight = min(max(float64(at-sp.paceAt)/float64(paceMemory), minPaceWeight), 1)
 	}
 	sp.paces.add(at, math.Log(pace), weight, maxPaceWeight)
 	sp.pace, sp.paceAt = pace, at
@@ -274,10 +278,13 @@
 	return now - sp.paceAt, true
 }
 
+// influence returns the influence that a pace has at an age.
+func influence(age time.Duration) float64 { return math.Exp(-float64(age) / float64(paceMemory)) }
+
 // meanInfluence returns the mean share of its influence that a pace has over the given
 // time from or up to its report.
 func meanInfluence(duration time.Duration) float64 {
-	x := float64(duration) / float64(PaceMemory)
+	x := float64(duration) / float64(paceMemory)
 	if x < 1e-3 {
 		return 1
 	}
--- a/internal/core/direct/usage/era.go
+++ b/internal/core/direct/usage/era.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
-	"github.com/verbenaspur/verbenaspur/internal/core/rendezvous"
 	"github.com/verbenaspur/verbenaspur/internal/core/store"
 )
 
@@ -15,13 +14,8 @@
 // finds windows missing restores those it remembers, and gives up those that another
 // holder may have reported with counts it does not know.
 
-const (
-	// toldDaemons is the number of daemons that remember the frozen windows: those that
-	// come first for the lease.
-	toldDaemons = 3
-	// maxAuthority is how long a holder that has not learnt of the loss may go on.
-	maxAuthority = 4 * time.Second
-)
+// maxAuthority is how long a holder that has not learnt of the loss may go on.
+const maxAuthority = 4 * time.Second
 
 // onEraChanged has this daemon's record written again, and the frozen windows read
 // again.
@@ -53,13 +47,7 @@
 	for w, c := range m.frozen.Windows {
 		notice.Windows[w] = c
 	}
-	var effs []msg.Effect
-	for _, h := range rendezvous.Spread(string(LeaseName), m.entries, toldDaemons) {
-		if h.Host != m.cfg.Self {
-			effs = append(effs, msg.SendPeer{To: h.Host, Message: notice})
-		}
-	}
-	return effs
+	return m.tell(notice)
 }
 
 // remember records the windows that the holder has frozen.
@@ -74,14 +62,17 @@
 }
 
 // restoreLost returns the frozen windows with which this daemon begins as the first
-// holder in an era of the store.
+// holder in an era of the store. It gives up windows once: while nobody has frozen any in
+// the era, those that it gave up first are all that holders before the loss may have
+// reported.
 func (m *Meter) restoreLost() frozenWindows {
 	rec := frozenWindows{Windows: maps.Clone(m.remembered.Windows), Last: m.remembered.Last}
 	if rec.Windows == nil {
 		rec.Windows = make(map[int64]runCounts)
 	}
-	if !m.heldAtLoss {
+	if !m.heldAtLoss && m.restoredEra != m.era {
 		rec.Last = max(rec.Last, m.lostThrough())
 	}
+	m.restoredEra = m.era
 	return rec
 }
--- a/internal/core/direct/usage/exchange.go
+++ b/internal/core/direct/usage/exchange.go
@@ -15,8 +15,8 @@
 	// sentWindows is the number of windows with complete counts in a message. The
 	// message holds all later windows as well.
 	sentWindows = 3
-	// recipients is the number of daemons that receive the counts. They are the
-	// candidates for the usage lease.
+	// recipients is the number of daemons that receive the counts, and remember the frozen
+	// windows. They are the candidates for the usage lease.
 	recipients = 3
 )
 
@@ -36,15 +36,26 @@
 		}
 	}
 	slices.SortFunc(update.Windows, func(a, b msg.WindowRuns) int { return cmp.Compare(a.Window, b.Window) })
+	return m.tell(update)
+}
+
+// tell sends a message to the other daemons that may hold the usage lease.
+func (m *Meter) tell(message msg.PeerMessage) []msg.Effect {
 	var effs []msg.Effect
 	for _, h := range rendezvous.Spread(string(LeaseName), m.entries, recipients) {
 		if h.Host != m.cfg.Self {
-			effs = append(effs, msg.SendPeer{To: h.Host, Message: update})
+			effs = append(effs, msg.SendPeer{To: h.Host, Message: message})
 		}
 	}
 	return effs
 }
 
+// isRecipient reports whether the other daemons send their counts to this one.
+func (m *Meter) isRecipient() bool {
+	chosen := rendezvous.Spread(string(LeaseName), m.entries, recipients)
+	return slices.ContainsFunc(chosen, func(h msg.Host) bool { return h.Host == m.cfg.Self })
+}
+
 // onPeerRuns records the counts that another daemon sent.
 func (m *Meter) onPeerRuns(from msg.HostID, runs msg.RunCounts) {
 	rec := daemonRecord{Windows: make(map[int64]runCounts, len(runs.Windows)), Through: runs.Through}
@@ -54,10 +65,13 @@
 	m.peerRecords[from] = rec
 }
 
-// mergePeerRecords merges the counts received from other daemons into the
-// records read from the platform. Counts only grow, so the higher of two counts
+// mergePeerRecords merges the counts received from other daemons, and this daemon's own,
+// into the records read from the platform. Counts only grow, so the higher of two counts
 // is the newer one.
 func (m *Meter) mergePeerRecords(records map[msg.HostID]daemonRecord) {
+	if m.recordLoaded { // the counts of earlier processes are known
+		m.peerRecords[m.cfg.Self] = m.snapshot()
+	}
 	for id, peer := range m.peerRecords {
 		rec, ok := records[id]
 		if !ok {
--- a/internal/core/direct/usage/meter_test.go
+++ b/internal/core/direct/usage/meter_test.go
@@ -162,6 +162,21 @@
 	c.is.Equal(n, int64(3))
 }
 
+// A daemon that was silent for a whole window has stopped. Later windows do not wait for it.
+func TestStoppedDaemonDelaysOneWindow(t *testing.T) {
+	c := newCluster(t, "a", "b")
+	c.grantLease("a", 1)
+	c.advance(testWindow / 2)
+	delete(c.daemons, "b")
+	c.hosts = []msg.HostID{"a"}
+	c.advance(testWindow + 2*time.Second)
+	_, ok := c.reported(0)
+	c.is.True(!ok) // b has stopped within this window
+	c.advance(testWindow)
+	_, ok = c.reported(testWindow)
+	c.is.True(ok)
+}
+
 // The next holder of the lease reports a window with the counts that were
 // frozen, even if it has received other counts itself.
 func TestSuccessorReportsFrozenCounts(t *testing.T) {
--- a/internal/core/direct/usage/reporter.go
+++ b/internal/core/direct/usage/reporter.go
@@ -65,6 +65,8 @@
 	era        msg.StoreEra
 	lossAt     time.Time
 	heldAtLoss bool
+	// restoredEra is the era in which restoreLost was last called.
+	restoredEra msg.StoreEra
 }
 
 func newReporter(writer string) reporter {
@@ -87,6 +89,8 @@
 		if f, ok := ev.Message.(msg.WindowsFrozen); ok {
 			m.remember(f)
 		}
+	case msg.StoreReachable:
+		m.retryAt = min(m.retryAt, now)
 	case msg.WindowReported:
 		if ev.Call == m.lastCall {
 			effs = append(effs, m.onReported(now, ev)...)
@@ -104,7 +108,7 @@
 
 // advanceReport makes the lease holder's next call: it reads the frozen windows,
 // reports the oldest unreported one, or reads the daemons' counts to freeze the
-// next window.
+// windows that are due.
 func (m *Meter) advanceReport(now msg.Time) []msg.Effect {
 	if !m.lease.Valid(now) || now < m.retryAt || m.callPending {
 		return nil
@@ -220,16 +224,28 @@
 		}
 	}
 	m.mergePeerRecords(records)
-	window := m.windowToFreeze(records)
 	if !m.lease.Valid(now) {
 		return nil
 	}
-	complete := m.complete(records, window)
-	if !complete && m.wall.Before(m.endOf(window).Add(m.cfg.CollectTimeout)) {
+	first := m.windowToFreeze(records)
+	last := m.lastDue(records, first)
+	if last < first {
 		m.retryAt = now + retryInterval
 		return nil
 	}
-	return m.freeze(now, window, records, complete)
+	return m.freeze(now, first, last, records)
+}
+
+// lastDue returns the last of the windows from first on that can be frozen now. After an
+// outage of the store, several windows are due at once.
+func (m *Meter) lastDue(records map[msg.HostID]daemonRecord, first int64) int64 {
+	w := first
+	for ; w < first+keptFrozen && !m.wall.Before(m.endOf(w).Add(collectDelay)); w++ {
+		if !m.complete(records, w) && m.wall.Before(m.endOf(w).Add(m.cfg.CollectTimeout)) {
+			break
+		}
+	}
+	return w - 1
 }
 
 // windowToFreeze returns the next window to freeze. If none was frozen before,
@@ -248,37 +264,44 @@
 	return next
 }
 
-// complete reports whether the records hold the complete counts of a window from
-// all live daemons.
+// complete reports whether the records hold the complete counts of a window from all live
+// daemons. A daemon that has told nothing since before the window began, neither by record
+// nor by message, has stopped, and nothing of it is to come.
 func (m *Meter) complete(records map[msg.HostID]daemonRecord, window int64) bool {
-	return !slices.ContainsFunc(m.entries, func(h msg.Host) bool { return records[h.Host].Through < window })
+	hearsAll := m.isRecipient()
+	return !slices.ContainsFunc(m.entries, func(h msg.Host) bool {
+		rec, known := records[h.Host]
+		stopped := hearsAll && known && rec.Through < window-1
+		return rec.Through < window && !stopped
+	})
 }
 
-func (m *Meter) freeze(now msg.Time, window int64, records map[msg.HostID]daemonRecord, complete bool) []msg.Effect {
-	sum := make(runCounts)
-	for _, rec := range records {
-		sum = addCounts(sum, rec.Windows[window])
-	}
-	// A window is frozen only after all earlier ones were reported, see
-	// advanceReport.
-	next := frozenWindows{Windows: make(map[int64]runCounts), Last: window, Reported: m.frozen.Last}
+// freeze writes the counts of the windows from first to last in one write. A window is
+// frozen only after all earlier ones were reported, see advanceReport.
+func (m *Meter) freeze(now msg.Time, first, last int64, records map[msg.HostID]daemonRecord) []msg.Effect {
+	next := frozenWindows{Windows: make(map[int64]runCounts), Last: last, Reported: m.frozen.Last}
 	for w, c := range m.frozen.Windows {
-		if w > window-keptFrozen {
+		if w > last-keptFrozen {
 			next.Windows[w] = c
 		}
 	}
-	next.Windows[window] = sum
-	m.frozen = next
-	m.callPending = true
-	return []msg.Effect{
-		m.frozenStore.Put(now, tagFreeze, msg.KindWindow, m.era.Name(frozenName), next, m.frozenVersion, m.lease.Until),
-		msg.LogLine{Component: logComponent, Text: "usage window frozen", Attrs: []msg.Attr{
-			{Key: "window", Value: strconv.FormatInt(window, 10)},
+	var effs []msg.Effect
+	for w := first; w <= last; w++ {
+		sum := make(runCounts)
+		for _, rec := range records {
+			sum = addCounts(sum, rec.Windows[w])
+		}
+		next.Windows[w] = sum
+		effs = append(effs, msg.LogLine{Component: logComponent, Text: "usage window frozen", Attrs: []msg.Attr{
+			{Key: "window", Value: strconv.FormatInt(w, 10)},
 			{Key: "runs", Value: strconv.FormatInt(sum.total(), 10)},
-			{Key: "complete", Value: strconv.FormatBool(complete)},
-			{Key: "daemons", Value: runsByDaemon(records, window)},
-		}},
+			{Key: "complete", Value: strconv.FormatBool(m.complete(records, w))},
+			{Key: "daemons", Value: runsByDaemon(records, w)},
+		}})
 	}
+	m.frozen = next
+	m.callPending = true
+	return append(effs, m.frozenStore.Put(now, tagFreeze, msg.KindWindow, m.era.Name(frozenName), next, m.frozenVersion, m.lease.Until))
 }
 
 // runsByDaemon returns the numbers of runs that each daemon counted in a window,
--- a/internal/core/direct_quota_test.go
+++ b/internal/core/direct_quota_test.go
@@ -148,6 +148,7 @@
 	}
 }
 
+// newQuotaFleet returns a fleet whose holders of quotas have been that for a window.
 func newQuotaFleet(t *testing.T, entries int) *directFleet {
 	f := newDirectFleet(t, entries, 18)
 	f.tableVersion = 2
@@ -155,7 +156,7 @@
 		"hot":  {AccountQuota: msg.AccountQuota{PerSecond: 30_000, Burst: 30_000, ByTokens: true, PlainCost: 200}},
 		"calm": {AccountQuota: msg.AccountQuota{PerSecond: 47_000, Burst: 47_000, ByTokens: true, PlainCost: 200}},
 	}
-	f.run(10 * time.Second)
+	f.run(20 * time.Second)
 	return f
 }
 
--- a/internal/core/direct_test.go
+++ b/internal/core/direct_test.go
@@ -51,6 +51,13 @@
 	// usage holds the counts that the platform received, by window.
 	usage  map[int64]map[msg.AccountID]int64
 	duties map[string]*duty
+	// reportedAt holds when each window was first reported, and lastReporter is the node
+	// that made the last report.
+	reportedAt   map[int64]time.Duration
+	lastReporter *directNode
+	storeOutage  outage
+	// prompt is set if no call or message is slow.
+	prompt bool
 }
 
 // duty is the history of the calls for one subject: the usage reports, or the
@@ -93,7 +100,7 @@
 func newDirectSimulation(t *rapid.T) *directSimulation {
 	sim := &directSimulation{
 		t: t, rand: rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0)), objects: coretest.NewObjects(), era: rapid.SampledFrom([]msg.StoreEra{1, 3}).Draw(t, "era"), startedRuns: make(map[int64]int64),
-		usage: make(map[int64]map[msg.AccountID]int64), duties: make(map[string]*duty),
+		usage: make(map[int64]map[msg.AccountID]int64), duties: make(map[string]*duty), reportedAt: make(map[int64]time.Duration),
 	}
 	for i := range 8 {
 		sim.engines = append(sim.engines, msg.Instance{
@@ -136,7 +143,7 @@
 
 // delay draws how long a call, a result or a message is in flight.
 func (sim *directSimulation) delay() time.Duration {
-	if sim.rand.IntN(10) == 0 {
+	if !sim.prompt && sim.rand.IntN(10) == 0 {
 		return time.Duration(sim.rand.Int64N(int64(fuzzDelay)))
 	}
 	return 5 * time.Millisecond
@@ -158,6 +165,10 @@
 
 // execute performs an effect as the driver and the platform would.
 func (sim *directSimulation) execute(n *directNode, eff msg.Effect) {
+	if sim.storeOutage.contains(sim.now) && callsStore(eff) {
+		sim.fail(n, eff)
+		return
+	}
 	switch eff := eff.(type) {
 	case msg.ReadRoutes:
 		sim.respond(n, msg.RoutesRead{Call: eff.Call, Sent: sim.now - n.start, Table: routeTable()}, msg.RoutesRead{Call: eff.Call, Status: msg.CallUnavailable})
@@ -165,7 +176,7 @@
 		list := slices.Clone(sim.engines)
 		sim.respond(n, msg.InstancesRead{Call: eff.Call, Sent: sim.now - n.start, Revision: msg.Revision(sim.now + 1), Instances: list}, msg.InstancesRead{Call: eff.Call, Status: msg.CallUnavailable})
 	case msg.ReportWindow:
-		sim.after(nil, func() { sim.onReport(n.host, eff) })
+		sim.after(nil, func() { sim.onReport(n, eff) })
 		sim.respond(n, msg.WindowReported{Call: eff.Call}, msg.WindowReported{Call: eff.Call, Status: msg.CallUnknown})
 	case msg.ChangeRole:
 		sim.after(nil, func() { sim.onRoleChange(n.host, eff) })
@@ -205,6 +216,10 @@
 	// The call takes effect later, even if its sender is killed.
 	processID := n.processID
 	sim.after(nil, func() {
+		if sim.storeOutage.contains(sim.now) {
+			sim.fail(n, eff)
+			return
+		}
 		ev, ok := sim.objects.Do(eff)
 		if !ok || n.processID != processID {
 			return
@@ -266,8 +281,12 @@
 }
 
 // onReport checks a usage report as it reaches the platform.
-func (sim *directSimulation) onReport(from msg.HostID, eff msg.ReportWindow) {
-	sim.checkDuty("usage", from, eff.Epoch)
+func (sim *directSimulation) onReport(n *directNode, eff msg.ReportWindow) {
+	sim.checkDuty("usage", n.host, eff.Epoch)
+	sim.lastReporter = n
+	if _, ok := sim.reportedAt[eff.Window]; !ok {
+		sim.reportedAt[eff.Window] = sim.now
+	}
 	if old, ok := sim.usage[eff.Window]; ok && !maps.Equal(old, eff.Counts) {
 		sim.t.Fatalf("window %d was reported with %v and then with %v", eff.Window, old, eff.Counts)
 	}
--- a/internal/core/lease/hold.go
+++ b/internal/core/lease/hold.go
@@ -16,6 +16,8 @@
 	requested  bool
 	rank       int
 	candidates []msg.HostID
+	// told lists the daemons that this one tells of its writes as holder.
+	told []msg.Host
 
 	// record and version are those of the last read or write. firstSeenAt is
 	// when this version was first seen, and lastSeenAt when it was last seen.
@@ -49,6 +51,8 @@
 	sentAt  msg.Time
 	writing msg.LeaseRecord
 	renewAt msg.Time
+	// toldAt is when the candidates were last told of the last write.
+	toldAt msg.Time
 }
 
 // advance performs the next step that is due for a lease.
@@ -57,6 +61,9 @@
 	if l.held && now >= l.until {
 		effs = l.loseAuthority("it was not renewed in time")
 	}
+	if l.held && now-l.toldAt >= c.cfg.RenewInterval/2 {
+		effs = append(effs, c.tellWritten(now, l)...)
+	}
 	switch {
 	case l.callOpen:
 	case l.held && now >= l.renewAt:
@@ -64,7 +71,7 @@
 	case l.held || !l.requested || c.stopping:
 	case l.observed && c.mayAcquire(now, l):
 		effs = append(effs, c.write(now, l, c.nextEpoch(l), now+c.authorityDuration()))
-	case l.rank < candidates && now >= l.observeAt:
+	case (l.rank < candidates || c.isOwn(l.record)) && now >= l.observeAt:
 		l.callOpen = true
 		effs = append(effs, c.store.Get(l.tag, msg.KindLease, c.objectName(l)))
 	}
@@ -81,6 +88,11 @@
 	if l.backoff > 0 && now < l.observeAt {
 		return false
 	}
+	if c.isOwn(l.record) && !c.newInEra(l) {
+		// This holds for a holder that is no candidate any more too. Calls under the
+		// old epoch may be in flight, and must not arrive after those under the next.
+		return l.epoch == 0 || now >= l.until+c.cfg.CallDeadline
+	}
 	free := l.firstSeenAt + c.exclusionTime(l) + time.Duration(l.rank)*rankDelay
 	if l.rank >= candidates && l.lastSeenAt < free {
 		return false
@@ -173,7 +185,8 @@
 	if acquired {
 		effs = append(effs, l.logLine("lease acquired"))
 	}
-	return append(effs, l.changeEvent())
+	effs = append(effs, l.changeEvent())
+	return append(effs, c.tellWritten(now, l)...)
 }
 
 // onUnusableWrite handles a write that took effect but gives this daemon no
@@ -223,6 +236,19 @@
 	return effs
 }
 
+// tellWritten tells those that may take over of the last write. It is repeated, as
+// messages may be lost: while the store is away, nobody can read the lease.
+func (c *Component) tellWritten(now msg.Time, l *lease) []msg.Effect {
+	l.toldAt = now
+	var effs []msg.Effect
+	for _, h := range l.told {
+		if h.Host != c.cfg.Self {
+			effs = append(effs, msg.SendPeer{To: h.Host, Message: msg.LeaseWritten{Name: l.name, Record: l.record, Version: l.version, Era: c.era}})
+		}
+	}
+	return effs
+}
+
 func (c *Component) onReadDone(now msg.Time, l *lease, r store.Result) []msg.Effect {
 	l.callOpen = false
 	if l.callVoid {
@@ -260,11 +286,16 @@
 			}}
 		}
 	}
+	return l.observeRecord(now, rec, o.Version)
+}
+
+// observeRecord records a version of the object that was not seen before.
+func (l *lease) observeRecord(now msg.Time, rec msg.LeaseRecord, version msg.Version) []msg.Effect {
 	rec.Epoch = max(rec.Epoch, l.record.Epoch, l.epoch)
 	changed := rec.Holder != l.record.Holder || rec.Epoch != l.record.Epoch
 	l.observed = true
 	l.record = rec
-	l.version = o.Version
+	l.version = version
 	l.firstSeenAt = now
 	l.lastSeenAt = now
 	if !changed || rec.Holder == "" {
--- a/internal/core/lease/lease.go
+++ b/internal/core/lease/lease.go
@@ -44,9 +44,15 @@
 const (
 	// candidates is the number of daemons that are ready to take over a lease.
 	candidates = 3
+	// toldDaemons is the number of daemons that are told of a holder's writes: the
+	// candidates, and those that take their place if several stop at once.
+	toldDaemons = 9
 	// rankDelay is how much longer each candidate waits than the candidate of the
 	// rank before it, so that they do not compete. Ranks count from 0.
 	rankDelay = 500 * time.Millisecond
+	// told is the number of observe intervals for which a candidate does not read a
+	// lease after the holder has told of a write.
+	toldIntervals = 2
 	// minBackoff is the backoff after the first failed call. It doubles with
 	// each further failure.
 	minBackoff = 200 * time.Millisecond
@@ -157,7 +163,9 @@
 	case msg.StopRequested:
 		effs = append(effs, c.onStop(now)...)
 	case msg.PeerReceived:
-		c.onPeer(now, ev)
+		effs = append(effs, c.onPeer(now, ev)...)
+	case msg.StoreReachable:
+		c.onStoreReachable(now)
 	case msg.StoreEraChanged:
 		effs = append(effs, c.onEraChanged(now, ev)...)
 	}
@@ -258,15 +266,38 @@
 	return effs
 }
 
-// onPeer schedules an immediate read of a lease whose holder reports that it
-// was released.
-func (c *Component) onPeer(now msg.Time, ev msg.PeerReceived) {
-	m, ok := ev.Message.(msg.LeaseReleased)
-	if !ok {
-		return
+// onPeer processes what a holder tells of a lease. A lease that was released is read at
+// once.
+func (c *Component) onPeer(now msg.Time, ev msg.PeerReceived) []msg.Effect {
+	switch m := ev.Message.(type) {
+	case msg.LeaseReleased:
+		if l, known := c.leases[m.Name]; known && m.Epoch >= l.record.Epoch {
+			l.observeAt = now
+		}
+	case msg.LeaseWritten:
+		return c.onHolderWrote(now, m)
 	}
-	if l, known := c.leases[m.Name]; known && m.Epoch >= l.record.Epoch {
-		l.observeAt = now
+	return nil
+}
+
+// onHolderWrote observes a write of the holder from its message. The message was sent
+// after the write took effect, so that it shows the version as a read would.
+func (c *Component) onHolderWrote(now msg.Time, m msg.LeaseWritten) []msg.Effect {
+	l, known := c.leases[m.Name]
+	if !known || l.held || l.callOpen || m.Era != c.era || m.Version <= l.version {
+		return nil
+	}
+	l.observeAt = now + toldIntervals*c.cfg.ObserveInterval
+	return l.observeRecord(now, m.Record, m.Version)
+}
+
+// onStoreReachable ends the delays after failed calls.
+func (c *Component) onStoreReachable(now msg.Time) {
+	for _, l := range c.sortedLeases() {
+		if l.backoff > 0 {
+			l.renewAt = min(l.renewAt, now)
+			l.observeAt = min(l.observeAt, now)
+		}
 	}
 }
 
@@ -286,6 +317,7 @@
 			l.rank = i
 		}
 	}
+	l.told = rendezvous.Spread(string(l.name), c.entries, toldDaemons)
 }
 
 func (c *Component) sortedLeases() []*lease {
--- a/internal/core/msg/direct_peer.go
+++ b/internal/core/msg/direct_peer.go
@@ -129,7 +129,14 @@
 	ConfigAge     time.Duration `cbor:"3,keyasint"`
 }
 
+// EntryLeaving reports that the sender's process is stopping. Its record at the platform
+// says so too, but can't be written while the store is away.
+type EntryLeaving struct {
+	Incarnation Incarnation `cbor:"1,keyasint"`
+}
+
 func (LoadDigest) peerMessage()    {}
+func (EntryLeaving) peerMessage()  {}
 func (CatalogQuery) peerMessage()  {}
 func (CatalogReply) peerMessage()  {}
 func (PrefillSent) peerMessage()   {}
--- a/internal/core/msg/lease_record.go
+++ b/internal/core/msg/lease_record.go
@@ -18,4 +18,15 @@
 	Epoch Epoch     `cbor:"2,keyasint"`
 }
 
+// LeaseWritten notifies the candidates that the sender has acquired or renewed a lease,
+// after the write took effect. They need not read the object then.
+type LeaseWritten struct {
+	Name    LeaseName   `cbor:"1,keyasint"`
+	Record  LeaseRecord `cbor:"2,keyasint"`
+	Version Version     `cbor:"3,keyasint"`
+	// Era is the era of the store in which the version was given out.
+	Era StoreEra `cbor:"4,keyasint"`
+}
+
 func (LeaseReleased) peerMessage() {}
+func (LeaseWritten) peerMessage()  {}
--- a/internal/core/msg/peer.go
+++ b/internal/core/msg/peer.go
@@ -72,6 +72,9 @@
 	// Entries are the live entry daemons, this one included, in order of host
 	// ID.
 	Entries []Host
+	// Complete reports that Entries names all live entry daemons, as far as the platform's
+	// list shows them. A daemon that is new to a fleet does not know that.
+	Complete bool
 	// Leaving are the hosts that accept no new work.
 	Leaving []HostID
 	// Targets are the hosts of targets, live or leaving.
--- a/internal/core/msg/store.go
+++ b/internal/core/msg/store.go
@@ -50,6 +50,10 @@
 	return base + "@" + strconv.FormatUint(uint64(e), 10)
 }
 
+// StoreReachable reports that a call of the store has succeeded after a time in which all
+// calls of this process had failed. What failed then may be tried again at once.
+type StoreReachable struct{}
+
 // StoreEraChanged reports that the store is in a later era than the process has seen
 // before. What was written shortly before may be lost, also if it was acknowledged.
 // Previous is zero if the process has not seen an era before.
@@ -215,6 +219,7 @@
 func (ListHosts) effect()    {}
 
 func (StoreEraChanged) event() {}
+func (StoreReachable) event()  {}
 func (GetDone) event()         {}
 func (ListDone) event()        {}
 func (PutDone) event()         {}
--- a/internal/core/msg/types.go
+++ b/internal/core/msg/types.go
@@ -17,6 +17,7 @@
 		reflect.TypeFor[CrashDigest](), reflect.TypeFor[WindowsFrozen](),
 		reflect.TypeFor[StreamOrigins](), reflect.TypeFor[StreamOriginQuery](),
 		reflect.TypeFor[QuotaAsk](), reflect.TypeFor[QuotaReply](), reflect.TypeFor[QuotaReturn](),
+		reflect.TypeFor[LeaseWritten](), reflect.TypeFor[EntryLeaving](),
 	}
 }
 
@@ -54,6 +55,7 @@
 		reflect.TypeFor[SegmentBlocked](), reflect.TypeFor[TargetReachable](), reflect.TypeFor[TargetsLimited](),
 		reflect.TypeFor[QuotaAsked](), reflect.TypeFor[QuotaUsed](),
 		reflect.TypeFor[SpeedsUpdated](),
+		reflect.TypeFor[StoreReachable](),
 	}
 }
 
--- a/internal/core/store/era.go
+++ b/internal/core/store/era.go
@@ -42,7 +42,7 @@
 // result of the write is CallConflict.
 func (c *Client) rejectOutdated(cl *call, kind msg.Kind, name string) msg.Effect {
 	cl.outdated = true
-	return msg.GetObject{Call: c.register(cl), Kind: kind, Name: name}
+	return c.sendGet(cl, kind, name)
 }
 
 // conflict returns the result of a write that was not sent.
--- a/internal/core/store/resolve.go
+++ b/internal/core/store/resolve.go
@@ -28,8 +28,7 @@
 
 func (c *Client) readBack(cl *call) []msg.Effect {
 	cl.readingBack = true
-	id := c.register(cl)
-	return []msg.Effect{msg.GetObject{Call: id, Kind: cl.put.Kind, Name: cl.put.Name}}
+	return []msg.Effect{c.sendGet(cl, cl.put.Kind, cl.put.Name)}
 }
 
 func (c *Client) onReadBack(now msg.Time, cl *call, ev msg.GetDone) ([]Result, []msg.Effect) {
--- a/internal/core/store/store.go
+++ b/internal/core/store/store.go
@@ -96,16 +96,22 @@
 	// waiting lists the writes with an unknown outcome, whose objects are to be
 	// read back after a delay.
 	waiting []*call
+	// now is the time of the last step.
+	now msg.Time
 	// rewound is set once the store has lost writes. From then on, only versions in
 	// history are known to be of the present era.
 	rewound bool
 }
 
 type call struct {
-	tag         uint64
-	op          Op
-	put         msg.PutObject
-	del         msg.DeleteObject
+	tag uint64
+	op  Op
+	put msg.PutObject
+	del msg.DeleteObject
+	// get is the read that was sent last, if it reads one object, and sentAt is when
+	// the last call was sent.
+	get         msg.GetObject
+	sentAt      msg.Time
 	token       string
 	readingBack bool
 	startedAt   msg.Time
@@ -138,8 +144,12 @@
 
 // Get reads one object.
 func (c *Client) Get(tag uint64, kind msg.Kind, name string) msg.Effect {
-	id := c.register(&call{tag: tag, op: OpGet})
-	return msg.GetObject{Call: id, Kind: kind, Name: name}
+	return c.sendGet(&call{tag: tag, op: OpGet}, kind, name)
+}
+
+func (c *Client) sendGet(cl *call, kind msg.Kind, name string) msg.Effect {
+	cl.get = msg.GetObject{Call: c.register(cl), Kind: kind, Name: name}
+	return cl.get
 }
 
 // List reads the objects of a kind whose names start with prefix.
@@ -198,6 +208,7 @@
 // Step processes an event and returns the results that become final with it and
 // the effects to perform. It ignores events of other components.
 func (c *Client) Step(now msg.Time, ev msg.Event) ([]Result, []msg.Effect) {
+	c.now = now
 	switch ev := ev.(type) {
 	case msg.GetDone:
 		return c.onGet(now, ev)
@@ -209,6 +220,8 @@
 		return c.onPut(now, ev)
 	case msg.StoreEraChanged:
 		c.onEraChanged(ev)
+	case msg.StoreReachable:
+		return nil, c.onReachable(now)
 	case msg.Tick:
 		return c.onTick(now)
 	}
@@ -219,6 +232,7 @@
 	c.seq++
 	id := msg.CallID(uint64(c.component)<<componentShift | c.seq)
 	c.calls[id] = cl
+	cl.sentAt = c.now
 	return id
 }
 
