quota: review of charges, last asks and memory of denials; dead code out

Faults, each with a test that failed before: - A run in place of one that was given up was not charged, and its attempt was not marked Patient, as the run was counted only after the placement. - A second run that needed several attempts was charged for each of them. - The holder of a quota with one holder was never told that it is asked as the last, so that denials of other daemons' requests moved no promised time and left no room for long requests. - Short requests left room for a long one that never came back, as long as they were denied. The memory ends now maxFairMemory after the denial of the long one. - A new holder counted what was returned as granted. - The denial of a partial ask took promised times back.

Dead code: Asker.awaits, Home.Holds, Members.Count and Settled (its test reads the field). Expired entries of Asker.silent are dropped. Comments corrected.

--- a/internal/core/direct/quota/asker.go
+++ b/internal/core/direct/quota/asker.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -145,7 +146,7 @@
 func (a *Asker) isSilent(now msg.Time, h msg.HostID) bool { return now < a.silent[h] }
 
 // askNext asks the next holder that may grant the request. Without one, it decides the
-// reservation, unless a reply is still awaited.
+// reservation. It is called when no reply to an ask for the reservation is waited for.
 func (a *Asker) askNext(now msg.Time, r *Reservation) []Send {
 	for r.State == Pending && len(r.left) > 0 {
 		home := r.left[0]
@@ -162,21 +163,15 @@
 		}
 		return []Send{a.send(now, r, home)}
 	}
-	if r.State == Pending && !a.awaits(r) {
+	if r.State == Pending {
 		return a.giveUp(now, r)
 	}
 	return nil
 }
 
-// awaits reports whether a reply to the last ask of a reservation may still come soon.
-func (a *Asker) awaits(r *Reservation) bool {
-	k := a.asks[r.seq]
-	return k != nil && k.res == r && r.next > 0
-}
-
 func (a *Asker) askSelf(now msg.Time, r *Reservation) {
 	a.seq++
-	reply := a.home.Ask(now, a.self, a.message(now, r))
+	reply := a.home.Ask(now, a.self, a.message(now, r, a.self))
 	a.results = append(a.results, reply.Result)
 	a.apply(now, r, a.self, reply)
 }
@@ -185,18 +180,18 @@
 	a.seq++
 	a.asks[a.seq] = &ask{res: r, home: home, account: r.Account, at: now}
 	r.seq, r.next = a.seq, now+askTimeout
-	return Send{home, a.message(now, r)}
+	return Send{home, a.message(now, r, home)}
 }
 
-func (a *Asker) message(now msg.Time, r *Reservation) msg.QuotaAsk {
-	return msg.QuotaAsk{Seq: a.seq, Account: r.Account, Cost: r.rest, Last: a.isLast(now, r), Partial: r.partial}
+func (a *Asker) message(now msg.Time, r *Reservation, home msg.HostID) msg.QuotaAsk {
+	return msg.QuotaAsk{Seq: a.seq, Account: r.Account, Cost: r.rest, Last: a.isLast(now, r, home), Partial: r.partial}
 }
 
-// isLast reports whether no other holder is left to be asked.
-func (a *Asker) isLast(now msg.Time, r *Reservation) bool {
+// isLast reports whether no holder but home, which is asked now, is left to be asked.
+func (a *Asker) isLast(now msg.Time, r *Reservation, home msg.HostID) bool {
 	return !slices.ContainsFunc(r.left, func(h msg.HostID) bool {
 		ref, ok := a.refusals[refusalKey{h, r.Account}]
-		return !a.isSilent(now, h) && (!ok || !ref.applies(now, r))
+		return h != home && !a.isSilent(now, h) && (!ok || !ref.applies(now, r))
 	})
 }
 
@@ -274,18 +269,14 @@
 			a.silent[k.home] = now + silentTime
 			a.results = append(a.results, msg.QuotaSilent)
 		}
-		r.next = 0
 		sends = append(sends, a.askNext(now, r)...)
 		if a.settle(r) != nil {
 			decided = append(decided, r)
 		}
 	}
 	sends = append(sends, a.dropAsks(now)...)
-	for key, ref := range a.refusals {
-		if now >= ref.until {
-			delete(a.refusals, key)
-		}
-	}
+	maps.DeleteFunc(a.refusals, func(_ refusalKey, ref refusal) bool { return now >= ref.until })
+	maps.DeleteFunc(a.silent, func(_ msg.HostID, until msg.Time) bool { return now >= until })
 	return decided, sends
 }
 
--- a/internal/core/direct/quota/home.go
+++ b/internal/core/direct/quota/home.go
@@ -11,9 +11,12 @@
 	// grantMemory is how long a grant can be returned, and how long the same ask is not
 	// granted again. It exceeds the duration of a request that has not begun to run.
 	grantMemory = 30 * time.Second
-	// fairMemory is how long after the denial of a long request shorter ones leave room
-	// for it.
-	fairMemory = 2 * time.Second
+	// fairMemory is how long after an account's last denial its shorter requests leave
+	// room for the longest one that was denied. An account that is denied all the time
+	// does so until maxFairMemory after the denial of that one, which has been told to
+	// come back before.
+	fairMemory    = 2 * time.Second
+	maxFairMemory = maxWait + fairMemory
 	// maxWait limits the times at which denied callers are told to come back, and
 	// maxPromised how far ahead of the account's rate such times are given.
 	maxWait     = 10 * time.Second
@@ -29,10 +32,10 @@
 	limits   msg.DirectLimits
 	accounts map[msg.AccountID]*account
 	grants   map[grantKey]grant
-	// granted lists the grants in order of their times, and first is the index of the
-	// oldest that is kept.
+	// granted lists the grants that are kept, in order of their times.
 	granted []grantRecord
-	use     useReport
+	// reportedAt is when use was last reported.
+	reportedAt msg.Time
 }
 
 // account is an account with a quota.
@@ -45,13 +48,14 @@
 	holds   bool
 	bucket  sharedrate.Bucket
 	window  window
-	// since is when this daemon became a holder, and granted what it has granted since.
+	// since is when this daemon became a holder, and granted what it has granted since,
+	// less what was returned.
 	since   msg.Time
 	granted float64
 	// denied is the largest cost of a request that was denied lately by all holders, and
-	// deniedAt when.
-	denied   float64
-	deniedAt msg.Time
+	// largestAt when one of that cost was last denied. deniedAt is when any was.
+	denied              float64
+	largestAt, deniedAt msg.Time
 	// promised is the time up to which what the account's rate brings is promised to
 	// callers that were denied.
 	promised msg.Time
@@ -129,12 +133,6 @@
 	return used
 }
 
-// Holds reports whether this daemon is a holder of an account's quota.
-func (h *Home) Holds(now msg.Time, id msg.AccountID) bool {
-	a := h.accounts[id]
-	return a != nil && h.refresh(now, a)
-}
-
 // refresh updates whether this daemon is a holder of a quota. One that becomes a holder
 // begins with the largest debt, as its share may just have been used by another, or by an
 // earlier process of this host.
@@ -174,8 +172,9 @@
 		if a.terms.window > 0 {
 			ask.Cost = min(ask.Cost, a.terms.limit-used)
 		}
+		ask.Cost = max(ask.Cost, 0)
 		reply.Amount = ask.Cost
-		if ask.Cost <= 0 {
+		if ask.Cost == 0 {
 			a.deny(now, &ask, &reply, 0, true)
 			return reply
 		}
@@ -207,9 +206,9 @@
 	return held < a.terms.window && a.granted+cost <= a.quota.Burst+a.terms.perSecond*held.Seconds()
 }
 
-// deniedCost returns the largest cost that was denied within fairMemory.
+// deniedCost returns the largest cost of a denied request for which there must be room.
 func (a *account) deniedCost(now msg.Time) float64 {
-	if now-a.deniedAt > fairMemory {
+	if now-a.deniedAt > fairMemory || now-a.largestAt > maxFairMemory {
 		return 0
 	}
 	return a.denied
@@ -224,7 +223,9 @@
 		return
 	}
 	if ask.Last {
-		a.denied = max(a.deniedCost(now), ask.Cost)
+		if ask.Cost >= a.deniedCost(now) {
+			a.denied, a.largestAt = ask.Cost, now
+		}
 		a.deniedAt = now
 	}
 	room := max(a.timeFor(need-reply.Level), a.window.width)
@@ -257,6 +258,9 @@
 		a.window.add(now, g.at, -g.cost)
 		a.adjust(now)
 		a.used -= g.cost
+		if g.at >= a.since {
+			a.granted -= g.cost
+		}
 	}
 }
 
--- a/internal/core/direct/quota/quota_test.go
+++ b/internal/core/direct/quota/quota_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/verbenaspur/verbenaspur/internal/core/direct/sharedrate"
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
 )
 
@@ -236,3 +237,79 @@
 		})
 	}
 }
+
+// newTestHome returns a holder of the quota of the account a, which has run for long, and
+// the time.
+func newTestHome(limits msg.DirectLimits, account msg.DirectAccount) (*Home, msg.Time) {
+	members := &sharedrate.Members{}
+	members.SetListed(0, []msg.Host{{Host: "self"}})
+	members.Settle()
+	h := NewHome("self", members)
+	h.Configure(0, []msg.DirectAccount{account}, limits)
+	h.Ask(0, "e", msg.QuotaAsk{Account: account.Account})
+	return h, 2000 * time.Second
+}
+
+// Short requests leave room for a long one that was denied, but not for ever if it does
+// not come back while they are denied all the time.
+func TestRoomForLongRequestIsLeftForAWhile(t *testing.T) {
+	is := is.New(t)
+	h, now := newTestHome(msg.DirectLimits{}, testAccount("a", 10, 1000))
+	ask := func(seq uint64, cost float64) msg.QuotaResult {
+		return h.Ask(now, "e", msg.QuotaAsk{Seq: seq, Account: "a", Cost: cost, Last: true}).Result
+	}
+	is.Equal(ask(1, 1000), msg.QuotaGranted)
+	is.Equal(ask(2, 800), msg.QuotaDenied)
+	for seq := uint64(3); now < 2000*time.Second+maxFairMemory; seq++ {
+		now += 100 * time.Millisecond
+		is.Equal(ask(seq, 100), msg.QuotaDenied)
+	}
+	now += 100 * time.Millisecond
+	is.Equal(ask(1000, 100), msg.QuotaGranted)
+}
+
+// A holder of which there is only one is asked as the last.
+func TestSingleHolderIsAskedAsLast(t *testing.T) {
+	is := is.New(t)
+	account := testAccount("a", 100, 1000)
+	members := &sharedrate.Members{}
+	hosts := []msg.Host{{Host: "x"}, {Host: "y"}}
+	members.SetListed(0, hosts)
+	members.Settle()
+	holder := members.Holders("a", 1)[0].Host
+	for _, h := range hosts {
+		if h.Host == holder {
+			continue
+		}
+		asker := NewAsker(h.Host, members, NewHome(h.Host, members), 0)
+		_, sends := asker.Reserve(0, "r", &account, 100)
+		is.Equal(len(sends), 1)
+		is.True(sends[0].Message.(msg.QuotaAsk).Last)
+	}
+}
+
+// What is returned does not count as granted by a holder that is new.
+func TestReturnIsNotCountedForNewHolder(t *testing.T) {
+	is := is.New(t)
+	limits := msg.DirectLimits{QuotaWindow: 8 * time.Second}
+	h, _ := newTestHome(limits, testAccount("a", 100, 1000))
+	now := 7 * time.Second
+	is.Equal(h.Ask(now, "e", msg.QuotaAsk{Seq: 1, Account: "a", Cost: 600}).Result, msg.QuotaGranted)
+	h.Return(now, "e", msg.QuotaReturn{Seq: 1, Account: "a"})
+	is.Equal(h.accounts["a"].granted, 0.0)
+}
+
+// The denial of a part of a request takes back none of the times that were promised to
+// others.
+func TestPartialDenialKeepsPromises(t *testing.T) {
+	is := is.New(t)
+	h, now := newTestHome(msg.DirectLimits{}, testAccount("a", 100, 1000))
+	h.Ask(now, "e", msg.QuotaAsk{Seq: 1, Account: "a", Cost: 1100, Charge: true})
+	for seq := uint64(2); seq < 4; seq++ {
+		h.Ask(now, "e", msg.QuotaAsk{Seq: seq, Account: "a", Cost: 100, Last: true})
+	}
+	promised := h.accounts["a"].promised
+	reply := h.Ask(now, "e", msg.QuotaAsk{Seq: 5, Account: "a", Cost: 900, Last: true, Partial: true})
+	is.Equal(reply.Result, msg.QuotaDenied)
+	is.True(h.accounts["a"].promised >= promised)
+}
--- a/internal/core/direct/quota/reservation.go
+++ b/internal/core/direct/quota/reservation.go
@@ -43,8 +43,8 @@
 	rest    float64
 	parts   []part
 
-	left []msg.HostID // holders that have not been asked
-	seq  uint64       // of the last ask, or of the one that was granted
+	left []msg.HostID // holders that are still to be asked
+	seq  uint64       // of the last ask that was sent to another daemon
 	next msg.Time     // when the next holder is asked
 }
 
--- a/internal/core/direct/quota/terms.go
+++ b/internal/core/direct/quota/terms.go
@@ -86,14 +86,14 @@
 // window stays within what [msg.DirectLimits] allows.
 func termsOf(q *msg.AccountQuota, l *msg.DirectLimits) terms {
 	burst := max(q.Burst, q.PlainCost) // A quota without a burst allows single requests.
-	tolerance := l.QuotaOverage*(q.PerSecond*l.QuotaWindow.Seconds()+burst) + l.QuotaSlack
+	allowed := q.PerSecond*l.QuotaWindow.Seconds() + burst
+	tolerance := l.QuotaOverage*allowed + l.QuotaSlack
 	debt := debtPart * tolerance
 	n := 1
 	if debt >= minDebt*burst {
 		n = maxHolders
 	}
 	share := float64(n)
-	allowed := q.PerSecond*l.QuotaWindow.Seconds() + burst
 	return terms{
 		window: l.QuotaWindow, target: (allowed + targetPart*tolerance) / share, limit: (allowed + limitPart*tolerance) / share,
 		holders: n, perSecond: q.PerSecond / share, capacity: burst / share,
--- a/internal/core/direct/quota/use.go
+++ b/internal/core/direct/quota/use.go
@@ -10,16 +10,13 @@
 // maxReported is the number of accounts whose use is reported by name.
 const maxReported = 5
 
-// useReport is when the last report of use was made.
-type useReport struct{ at msg.Time }
-
 // report returns what the accounts have used since the last report, once in usePeriod.
 func (h *Home) report(now msg.Time) *msg.QuotaUsed {
-	period := now - h.use.at
+	period := now - h.reportedAt
 	if period < usePeriod {
 		return nil
 	}
-	h.use.at = now
+	h.reportedAt = now
 	var list []msg.QuotaUse
 	for _, a := range h.accounts {
 		if !h.refresh(now, a) {
--- a/internal/core/direct/request/quota.go
+++ b/internal/core/direct/request/quota.go
@@ -118,9 +118,11 @@
 	s.sendQuota(s.quotaAsker.Release(s.now, r.reservation))
 }
 
-// chargeRun charges a further run of a request. The first is reserved.
+// chargeRun charges a further run of a request when an attempt at it is sent. The first
+// run is reserved.
 func (s *stepContext) chargeRun(r *request, step msg.DirectStep) {
-	if r.reservation != nil && r.runs > 0 && step != msg.StepPrefill {
+	if r.reservation != nil && r.runs > r.runsCharged && step != msg.StepPrefill {
+		r.runsCharged = r.runs
 		s.sendQuota(s.quotaAsker.Charge(s.now, r.reservation))
 	}
 }
--- a/internal/core/direct/request/quota_test.go
+++ b/internal/core/direct/request/quota_test.go
@@ -157,3 +157,32 @@
 	_, returned = sent[msg.QuotaReturn](h)
 	h.is.True(returned)
 }
+
+// A second run is charged, also one in place of a run that was given up, and only once if
+// further attempts are needed for it.
+func TestSecondRunIsCharged(t *testing.T) {
+	charged := func(h *harness) bool {
+		ask, ok := sent[msg.QuotaAsk](h)
+		return ok && ask.Charge && ask.Cost == 200
+	}
+	arrive := func() (*harness, msg.StartDirectAttempt) {
+		h, holder := newQuotaHarness(t)
+		h.setInstances(append(testInstances(), msg.Instance{Target: "app-3", Service: "app", Addr: "10.0.0.3:1", Domain: "d3", Slots: 6})...)
+		h.arrive("/lookup/x")
+		h.reply(holder, h.asked(), msg.QuotaGranted)
+		return h, h.started()
+	}
+	h, first := arrive()
+	h.end(first.Attempt, msg.DirectInterrupted)
+	second := h.started()
+	h.is.True(charged(h))
+	h.end(second.Attempt, msg.DirectNotRun)
+	h.started()
+	h.is.True(!charged(h)) // the second run has not begun
+
+	h, _ = arrive()
+	replacement, ok := h.moved(300 * time.Millisecond)
+	h.is.True(ok)
+	h.is.True(charged(h))
+	h.is.True(replacement.Spec.Patient) // no other run may follow
+}
--- a/internal/core/direct/request/reconsider.go
+++ b/internal/core/direct/request/reconsider.go
@@ -68,16 +68,20 @@
 	if s.mayCrashTargets(r) {
 		return
 	}
+	runs := r.runs
+	if a.step != msg.StepPrefill {
+		r.runs++ // The next attempt is a further run.
+	}
 	r.attempt = nil
 	r.exclude = append(r.exclude, a.target.Target)
 	before := len(s.effects)
 	if ref := s.place(r); ref != nil {
 		r.attempt = a
+		r.runs = runs
 		r.exclude = r.exclude[:len(r.exclude)-1]
 		return
 	}
 	if a.step != msg.StepPrefill {
-		r.runs++
 		r.mayHaveRun = true
 	}
 	a.req = nil
--- a/internal/core/direct/request/request.go
+++ b/internal/core/direct/request/request.go
@@ -25,6 +25,8 @@
 	// reservation is the reservation of the request's cost, or nil if its account has no
 	// quota.
 	reservation *quota.Reservation
+	// runsCharged is the number of runs that were charged after the reserved one.
+	runsCharged int
 
 	attempt *attempt
 	// runs counts the ended attempts that may have run. attemptsSent counts all
--- a/internal/core/direct/sharedrate/members.go
+++ b/internal/core/direct/sharedrate/members.go
@@ -103,9 +103,6 @@
 	return len(m.listed) > 1 && now-m.changedAt >= stableTime
 }
 
-// Settled reports whether this daemon has run long enough to use its shares.
-func (m *Members) Settled() bool { return m.settled }
-
 // Holds reports whether a daemon is one of the holders of a rate, of which there are n,
 // and may use its share.
 func (m *Members) Holds(key string, self msg.HostID, n int) bool {
@@ -118,6 +115,3 @@
 	order := rendezvous.Order(key, m.all)
 	return order[:min(n, len(order))]
 }
-
-// Count returns the number of daemons, with those that have left recently.
-func (m *Members) Count() int { return len(m.all) }
--- a/internal/core/direct/sharedrate/sharedrate_test.go
+++ b/internal/core/direct/sharedrate/sharedrate_test.go
@@ -126,11 +126,11 @@
 	restarted.SetListed(100*time.Millisecond, all)
 	for now := msg.Time(0); now < settleTime; now += 100 * time.Millisecond {
 		restarted.Advance(now)
-		is.Equal(restarted.Settled(), now >= 100*time.Millisecond+stableTime)
+		is.Equal(restarted.settled, now >= 100*time.Millisecond+stableTime)
 		growing.SetListed(now, all[:1+int(now/(700*time.Millisecond))])
 		growing.Advance(now)
-		is.True(!growing.Settled())
+		is.True(!growing.settled)
 	}
 	growing.Advance(settleTime)
-	is.True(growing.Settled())
+	is.True(growing.settled)
 }
--- a/internal/core/msg/direct_quota.go
+++ b/internal/core/msg/direct_quota.go
@@ -20,7 +20,8 @@
 	Seq     uint64    `cbor:"1,keyasint"`
 	Account AccountID `cbor:"2,keyasint"`
 	Cost    float64   `cbor:"3,keyasint"`
-	// Last reports that the other holders have denied the request.
+	// Last reports that no other holder is left to be asked: the others have denied the
+	// request or are silent.
 	Last bool `cbor:"4,keyasint,omitempty"`
 	// Charge takes the cost in any case, for a run that was begun already.
 	Charge bool `cbor:"5,keyasint,omitempty"`
