Review of relay, sse and targetspeed: whole events are sent at once, only data fields are data, ages of paces are bounded

sse: a whole event waited in the entry's write buffer while a part of the next one had arrived, up to the stall limit if its target then hung. A field whose name only begins with data counted as data, so that it kept a stalled stream open. relay: a refused body was logged under the lock that each write to a slow caller needs. A body of known size whose reader shows the end only after its last byte doubled its room (no such reader in use). targetspeed: an age whose duration overflows made a pace one of the future, which outlasted all later ones.

--- a/internal/core/direct/request/stall.go
+++ b/internal/core/direct/request/stall.go
@@ -17,8 +17,8 @@
 )
 
 // stallTimeout returns the time without a whole event after which a stream of the route
-// counts as interrupted, however many bytes arrive. What is no stream may arrive until
-// its deadline.
+// counts as interrupted, however many bytes arrive. It returns 0, which is no limit, for
+// responses that are not streams. Only their deadline ends these.
 func stallTimeout(route *msg.DirectRoute, step msg.DirectStep) time.Duration {
 	if route.Retry != msg.RetryStream || step == msg.StepPrefill {
 		return 0
--- a/internal/core/direct/targetspeed/share.go
+++ b/internal/core/direct/targetspeed/share.go
@@ -70,6 +70,10 @@
 	return m
 }
 
+// maxPaceAgeMS limits the age of a pace in a message, so that its duration does not
+// overflow.
+const maxPaceAgeMS = int64(24 * time.Hour / time.Millisecond)
+
 // Merge adds what another daemon has observed. Each observation is sent once, so that
 // none counts twice.
 func (t *Tracker) Merge(now msg.Time, list []msg.TargetSpeed) {
@@ -78,11 +82,11 @@
 		if sp == nil {
 			continue
 		}
-		// The conditions also hold for no number that is not one.
+		// A NaN fails both conditions.
 		if f, w := float64(m.Factor), float64(m.Weight); f > 0 && w > 0 {
 			sp.ratios.add(now, math.Log(clampFactor(f)), min(w, maxWeight), maxWeight)
 		}
-		at := now - time.Duration(max(m.PaceAgeMS, 0))*time.Millisecond
+		at := now - time.Duration(min(max(m.PaceAgeMS, 0), maxPaceAgeMS))*time.Millisecond
 		if m.PacePercent > 0 && at >= sp.paceAt {
 			sp.report(at, clampFactor(float64(m.PacePercent)/100))
 			sp.unsentPace = false
--- a/internal/core/direct/targetspeed/targetspeed.go
+++ b/internal/core/direct/targetspeed/targetspeed.go
@@ -259,7 +259,8 @@
 	}
 }
 
-// report records a pace that was true at an instant. A later one is kept.
+// report records a pace that was true at an instant, which must not be before that of the
+// last one.
 func (sp *speed) report(at msg.Time, pace float64) {
 	weight := 1.0
 	if sp.pace > 0 {
--- a/internal/core/direct/targetspeed/targetspeed_test.go
+++ b/internal/core/direct/targetspeed/targetspeed_test.go
@@ -171,3 +171,19 @@
 	is.Equal(len(tr.Unsent(3, 16)), 16)
 	is.Equal(len(tr.Unsent(3, 30)), 24)
 }
+
+// An age so large that its duration overflows must not count as one in the future, which
+// would outlast all later paces.
+func TestPaceOfSenselessAgeIsNotNewest(t *testing.T) {
+	is := is.New(t)
+	tr := newTracker(2)
+	now := time.Hour
+	tr.Report(now, id(0), 1)
+	for _, age := range []int64{1 << 44, math.MaxInt64} {
+		tr.Merge(now, []msg.TargetSpeed{{Target: id(0), PacePercent: 800, PaceAgeMS: age}})
+		last, ok := tr.PaceAge(now, id(0))
+		is.True(ok)
+		is.Equal(last, time.Duration(0))
+		is.Equal(tr.targets[id(0)].pace, 1.0)
+	}
+}
--- a/internal/relay/body.go
+++ b/internal/relay/body.go
@@ -50,15 +50,18 @@
 type Body struct {
 	io.ReadCloser
 	budget *Budget
+	// sized reports that the size is known, so that no more room is needed.
+	sized bool
 	// reserved is the room that is reserved, and unused the part that is left.
 	reserved, unused int64
 }
 
 // Body returns a request's body of the given size, or of unknown size if that is
 // negative. It reserves room at once if the size is known, and otherwise as the body is
-// read. It returns false if there is no room.
+// read. It returns false if there is no room. The reader must not return more than a
+// known size.
 func (b *Budget) Body(body io.ReadCloser, size int64) (*Body, bool) {
-	held := &Body{ReadCloser: body, budget: b}
+	held := &Body{ReadCloser: body, budget: b, sized: size >= 0}
 	return held, held.reserve(max(size, 0))
 }
 
@@ -73,6 +76,9 @@
 
 // Read implements [io.Reader]. It fails with [ErrNoRoom] if no room is left.
 func (b *Body) Read(p []byte) (int, error) {
+	if b.sized {
+		return b.ReadCloser.Read(p)
+	}
 	if b.unused == 0 && !b.reserve(max(b.reserved, firstReadBytes)) {
 		return 0, ErrNoRoom
 	}
--- a/internal/relay/budget.go
+++ b/internal/relay/budget.go
@@ -52,7 +52,8 @@
 	mu sync.Mutex
 	// responses and bodies are the bytes held of responses and of requests.
 	responses, bodies int64
-	behind            int
+	// behind is the number of callers that have not yet taken all that was written.
+	behind int
 	// idle is closed when no caller is behind. It is nil unless somebody waits.
 	idle  chan struct{}
 	stats Stats
@@ -95,15 +96,20 @@
 // is none. The room is freed by ReleaseBody.
 func (b *Budget) ReserveBody(n int64) bool {
 	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.bodies+n > b.limit/bodyShare || n > b.free()-b.limit/reserveShare {
+	ok := b.bodies+n <= b.limit/bodyShare && n <= b.free()-b.limit/reserveShare
+	if ok {
+		b.bodies += n
+		b.notePeak()
+	} else {
 		b.stats.Refused++
-		b.log.Info("relay: no room for the body of a request", "bytes", n, "held_bodies", b.bodies, "held_responses", b.responses, "limit", b.limit)
-		return false
 	}
-	b.bodies += n
-	b.notePeak()
-	return true
+	bodies, responses := b.bodies, b.responses
+	b.mu.Unlock()
+	// Every write to a caller that is behind needs the lock. It must not wait for the log.
+	if !ok {
+		b.log.Info("relay: no room for the body of a request", "bytes", n, "held_bodies", bodies, "held_responses", responses, "limit", b.limit)
+	}
+	return ok
 }
 
 // ReleaseBody frees n bytes that were reserved by ReserveBody.
--- a/internal/relay/doc.go
+++ b/internal/relay/doc.go
@@ -9,6 +9,6 @@
 // host with little memory, while many others send bodies. A [Budget] bounds what is held
 // for all of them. Each caller may hold a share of what is still free (the dynamic
 // threshold of switches with shared memory), so that those that hold the most are held
-// back first, and a first block is left for each of the others. A caller that takes nothing for a while is given
-// up.
+// back first, and a first block is left for each of the others. A caller that takes
+// nothing for a while is given up: its connection is reset.
 package relay
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -337,3 +337,19 @@
 	cancel()
 	is.New(t).True(b.Wait(ctx) != nil)
 }
+
+// A body of known size needs no room beyond it, also if its end shows only after its last
+// byte.
+func TestBodyOfKnownSizeNeedsNoMoreRoom(t *testing.T) {
+	is := is.New(t)
+	const size = 24 << 10
+	b := NewBudget(2*size, slog.New(slog.DiscardHandler))
+	held, ok := b.Body(io.NopCloser(bytes.NewReader(response(size))), size)
+	is.True(ok)
+	got, err := io.ReadAll(held)
+	is.NoErr(err)
+	is.Equal(len(got), size)
+	is.Equal(b.Stats().BodyBytes, int64(size))
+	held.Release()
+	is.Equal(b.Stats().BodyBytes, int64(0))
+}
--- a/internal/sse/sse.go
+++ b/internal/sse/sse.go
@@ -26,8 +26,8 @@
 	// ID is the id of the event. It is valid if HasID is set.
 	ID    int64
 	HasID bool
-	// HasData reports whether the event has a data field. One without it is a comment,
-	// which targets and proxies send to keep a connection open.
+	// HasData reports whether the event has a data field. Targets and proxies send events
+	// without one, such as comments, to keep a connection open.
 	HasData bool
 }
 
@@ -41,8 +41,14 @@
 // NewReader returns a reader of the events in r.
 func NewReader(r io.Reader) *Reader { return &Reader{r: bufio.NewReaderSize(r, bufferBytes)} }
 
-// Buffered reports whether data that Next has not yet consumed is buffered.
-func (r *Reader) Buffered() bool { return r.r.Buffered() > 0 }
+// Buffered reports whether the next event is buffered to its end, so that Next will return
+// it without waiting.
+func (r *Reader) Buffered() bool {
+	// Peek does not read, and can't fail for as many bytes as are buffered.
+	b, _ := r.r.Peek(r.r.Buffered())
+	return bytes.HasPrefix(b, []byte("\n")) || bytes.HasPrefix(b, []byte("\r\n")) ||
+		bytes.Contains(b, []byte("\n\n")) || bytes.Contains(b, []byte("\n\r\n"))
+}
 
 // Next returns the next event. At the end of the stream it returns [io.EOF], or
 // [ErrPartial] if the stream ends inside an event. Other errors are read errors of
@@ -84,7 +90,7 @@
 
 // parseField parses a line of an event. Only a numeric id is evaluated.
 func (e *Event) parseField(line []byte) {
-	if bytes.HasPrefix(line, []byte("data")) {
+	if name, _, _ := bytes.Cut(line, []byte(":")); string(name) == "data" {
 		e.HasData = true
 	}
 	value, ok := bytes.CutPrefix(line, []byte("id:"))
--- a/internal/sse/sse_test.go
+++ b/internal/sse/sse_test.go
@@ -67,3 +67,31 @@
 	_, err := NewReader(strings.NewReader(text)).Next()
 	is.True(err != nil)
 }
+
+// Only a field of the name "data" is data. An empty one and one without a colon count too.
+func TestOnlyDataFieldsAreData(t *testing.T) {
+	is := is.New(t)
+	for text, want := range map[string]bool{
+		"data: a\n\n": true, "data:\n\n": true, "data\n\n": true, "id: 1\ndata: a\n\n": true,
+		"dataset: a\n\n": false, "datax\n\n": false, ": data\n\n": false, "id: 1\n\n": false,
+	} {
+		ev, err := NewReader(strings.NewReader(text)).Next()
+		is.NoErr(err)
+		is.Equal(ev.HasData, want) // text
+	}
+}
+
+// A part of an event does not count as buffered: what arrived before it must not wait for
+// the rest.
+func TestOnlyWholeEventsAreBuffered(t *testing.T) {
+	is := is.New(t)
+	for rest, want := range map[string]bool{
+		"": false, "data: b": false, "data: b\n": false, "data: b\r\n\r": false,
+		"data: b\n\n": true, "data: b\r\n\r\n": true, "\n": true, "\r\n": true, "data: b\n\ndata": true,
+	} {
+		r := NewReader(strings.NewReader("data: a\n\n" + rest))
+		_, err := r.Next()
+		is.NoErr(err)
+		is.Equal(r.Buffered(), want) // rest
+	}
+}
