--- a/internal/core/direct/usage/exchange.go
+++ b/internal/core/direct/usage/exchange.go
@@ -50,17 +50,33 @@
 	return effs
 }
 
+// onMembers notes the live entry daemons, and since when they send their counts to this one.
+func (m *Meter) onMembers(ev msg.MembersChanged) {
+	was := m.isRecipient()
+	m.entries = ev.Entries
+	if !was {
+		m.recipientSince = m.wall
+	}
+}
+
 // isRecipient reports whether the other daemons send their counts to this one.
 func (m *Meter) isRecipient() bool {
 	chosen := rendezvous.Spread(string(LeaseName), m.entries, recipients)
 	return slices.ContainsFunc(chosen, func(h msg.Host) bool { return h.Host == m.cfg.Self })
 }
 
-// onPeerRuns records the counts that another daemon sent.
+// onPeerRuns records the counts that another daemon sent. Those of earlier windows are kept
+// for as long as the windows may still have to be frozen: while the store is away, they may
+// be nowhere else.
 func (m *Meter) onPeerRuns(from msg.HostID, runs msg.RunCounts) {
 	rec := daemonRecord{Windows: make(map[int64]runCounts, len(runs.Windows)), Through: runs.Through}
+	for w, c := range m.peerRecords[from].Windows {
+		if w > runs.Through-keptFrozen {
+			rec.Windows[w] = c
+		}
+	}
 	for _, w := range runs.Windows {
-		rec.Windows[w.Window] = w.Counts
+		rec.Windows[w.Window] = maxCounts(rec.Windows[w.Window], w.Counts)
 	}
 	m.peerRecords[from] = rec
 }
--- a/internal/core/direct/usage/meter_test.go
+++ b/internal/core/direct/usage/meter_test.go
@@ -195,3 +195,38 @@
 	}
 	c.is.True(len(counts) >= 2)
 }
+
+// While the store is away, the holder remembers what it was told of all windows that it has
+// yet to freeze, also of those that later messages leave out.
+func TestRunsToldInLongOutageAreCounted(t *testing.T) {
+	c := newCluster(t, "a", "b")
+	c.advance(time.Second)
+	c.grantLease("a", 1)
+	c.daemons["a"].connected = false
+	c.daemons["b"].connected = false
+	c.countRuns("b", 4)
+	c.advance(5 * testWindow)
+	c.daemons["a"].connected = true
+	c.advance(3 * time.Second)
+	n, ok := c.reported(time.Second)
+	c.is.True(ok)
+	c.is.Equal(n, int64(4))
+}
+
+// A daemon to which the others have just begun to send their counts can't tell from their
+// silence that they have stopped.
+func TestNewRecipientWaitsForCounts(t *testing.T) {
+	c := newCluster(t, "a", "b")
+	c.advance(time.Second) // b has written its record
+	c.daemons["b"].connected = false
+	c.members("b") // a is unknown to b, which tells it nothing
+	c.advance(2*testWindow - time.Second)
+	c.countRuns("b", 4)
+	c.members("a", "b")
+	c.daemons["b"].meter.sendAt = c.now + testWindow + 2*time.Second // its messages are late
+	c.grantLease("a", 1)
+	c.advance(testWindow + 4*time.Second)
+	n, ok := c.reported(2 * testWindow)
+	c.is.True(ok)
+	c.is.Equal(n, int64(4))
+}
--- a/internal/core/direct/usage/reporter.go
+++ b/internal/core/direct/usage/reporter.go
@@ -40,6 +40,9 @@
 type reporter struct {
 	frozenStore *store.Client
 	entries     []msg.Host
+	// recipientSince is when this daemon last became one of those that receive the counts
+	// of the others. It has no meaning while the daemon is none of them.
+	recipientSince time.Time
 
 	lease lease.Authority
 
@@ -80,7 +83,7 @@
 	}
 	switch ev := ev.(type) {
 	case msg.MembersChanged:
-		m.entries = ev.Entries
+		m.onMembers(ev)
 	case msg.LeaseChanged:
 		if ev.Name == LeaseName {
 			m.onLease(ev)
@@ -266,9 +269,10 @@
 
 // complete reports whether the records hold the complete counts of a window from all live
 // daemons. A daemon that has told nothing since before the window began, neither by record
-// nor by message, has stopped, and nothing of it is to come.
+// nor by message, has stopped, and nothing of it is to come. Only a daemon that has received
+// the others' messages for a whole window before can tell.
 func (m *Meter) complete(records map[msg.HostID]daemonRecord, window int64) bool {
-	hearsAll := m.isRecipient()
+	hearsAll := m.isRecipient() && !m.recipientSince.After(m.endOf(window-2))
 	return !slices.ContainsFunc(m.entries, func(h msg.Host) bool {
 		rec, known := records[h.Host]
 		stopped := hearsAll && known && rec.Through < window-1
--- a/internal/core/lease/lease.go
+++ b/internal/core/lease/lease.go
@@ -50,7 +50,7 @@
 	// rankDelay is how much longer each candidate waits than the candidate of the
 	// rank before it, so that they do not compete. Ranks count from 0.
 	rankDelay = 500 * time.Millisecond
-	// told is the number of observe intervals for which a candidate does not read a
+	// toldIntervals is the number of observe intervals for which a candidate does not read a
 	// lease after the holder has told of a write.
 	toldIntervals = 2
 	// minBackoff is the backoff after the first failed call. It doubles with
--- a/internal/core/store/reach.go
+++ b/internal/core/store/reach.go
@@ -64,7 +64,8 @@
 
 // onReachable makes the calls anew whose responses are overdue: they may hang in
 // connections that broke in the outage. A write is read back, since it may have taken
-// effect or may still do so.
+// effect or may still do so. Lists, deletions and the reads of rejectOutdated are left to
+// time out.
 func (c *Client) onReachable(now msg.Time) []msg.Effect {
 	var effs []msg.Effect
 	for _, id := range slices.Sorted(maps.Keys(c.calls)) {
--- a/internal/metrics/direct.go
+++ b/internal/metrics/direct.go
@@ -1,6 +1,8 @@
 package metrics
 
 import (
+	"slices"
+
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promauto"
 
@@ -153,7 +155,7 @@
 	d.quotaDenied.Reset()
 	rest := ev.Rest
 	rest.Account = restOfAccounts
-	for _, u := range append(ev.Largest, rest) {
+	for _, u := range append(slices.Clip(ev.Largest), rest) {
 		d.quotaUse.WithLabelValues(string(u.Account)).Set(u.PerSecond)
 		d.quotaShare.WithLabelValues(string(u.Account)).Set(u.Allowed)
 		d.quotaDenied.WithLabelValues(string(u.Account)).Set(float64(u.Denied) / ev.Period.Seconds())
