--- a/internal/core/direct/quota/asker.go
+++ b/internal/core/direct/quota/asker.go
@@ -229,6 +229,8 @@
 	}
 	delete(a.asks, reply.Seq)
 	delete(a.silent, from)
+	// A later version may send results that this one does not know.
+	reply.Result = min(reply.Result, msg.QuotaUnknown)
 	a.results = append(a.results, reply.Result)
 	r := k.res
 	late := r.partial && r.seq != reply.Seq
--- a/internal/core/direct/quota/quota_test.go
+++ b/internal/core/direct/quota/quota_test.go
@@ -313,3 +313,22 @@
 	is.Equal(reply.Result, msg.QuotaDenied)
 	is.True(h.accounts["a"].promised >= promised)
 }
+
+// A reply with a result that this version does not know grants nothing.
+func TestResultOfLaterVersionIsUnknown(t *testing.T) {
+	is := is.New(t)
+	s := newSim(t, 6, testLimits, testAccount("a", 50_000, 75_000))
+	s.run(settled)
+	for _, h := range s.hosts {
+		r, sends := h.asker.Reserve(h.now(), "", &s.accounts[0], 500)
+		if len(sends) == 0 {
+			continue // This host is a holder itself.
+		}
+		ask, _ := sends[0].Message.(msg.QuotaAsk)
+		h.asker.OnReply(h.now(), sends[0].To, msg.QuotaReply{Seq: ask.Seq, Account: "a", Result: 200})
+		is.True(r.State != Granted)
+		is.Equal(h.asker.TakeResults(), []msg.QuotaResult{msg.QuotaUnknown})
+		return
+	}
+	t.Fatal("all hosts are holders")
+}
