--- a/internal/core/direct/quota/asker.go
+++ b/internal/core/direct/quota/asker.go
@@ -33,7 +33,7 @@
 // ask is an ask to which no reply has come.
 type ask struct {
 	res     *Reservation
-	home    msg.HostID
+	holder  msg.HostID
 	account msg.AccountID
 	at      msg.Time
 }
@@ -45,7 +45,7 @@
 type Asker struct {
 	self    msg.HostID
 	members *sharedrate.Members
-	home    *Home
+	holder  *Holder
 	limits  msg.DirectLimits
 	seq     uint64
 
@@ -66,10 +66,10 @@
 }
 
 // NewAsker returns an Asker. Its asks have the numbers after firstSeq, which must be
-// drawn at random for each process. This daemon's own decisions are made by home.
-func NewAsker(self msg.HostID, members *sharedrate.Members, home *Home, firstSeq uint64) *Asker {
+// drawn at random for each process. This daemon's own decisions are made by holder.
+func NewAsker(self msg.HostID, members *sharedrate.Members, holder *Holder, firstSeq uint64) *Asker {
 	return &Asker{
-		self: self, members: members, home: home, seq: firstSeq,
+		self: self, members: members, holder: holder, seq: firstSeq,
 		asks: make(map[uint64]*ask), silent: make(map[msg.HostID]msg.Time),
 		refusals: make(map[refusalKey]refusal), holders: make(map[msg.AccountID]holderList),
 	}
@@ -149,19 +149,19 @@
 // reservation. It is called when no reply to an ask for the reservation is waited for.
 func (a *Asker) askNext(now msg.Time, r *Reservation) []Send {
 	for r.State == Pending && len(r.left) > 0 {
-		home := r.left[0]
+		holder := r.left[0]
 		r.left = r.left[1:]
-		if !r.partial && a.denies(now, r, home) {
+		if !r.partial && a.denies(now, r, holder) {
 			continue
 		}
-		if home == a.self {
+		if holder == a.self {
 			a.askSelf(now, r)
 			continue
 		}
-		if a.isSilent(now, home) && r.Wait > 0 {
+		if a.isSilent(now, holder) && r.Wait > 0 {
 			continue // Others have denied.
 		}
-		return []Send{a.send(now, r, home)}
+		return []Send{a.send(now, r, holder)}
 	}
 	if r.State == Pending {
 		return a.giveUp(now, r)
@@ -171,37 +171,37 @@
 
 func (a *Asker) askSelf(now msg.Time, r *Reservation) {
 	a.seq++
-	reply := a.home.Ask(now, a.self, a.message(now, r, a.self))
+	reply := a.holder.Ask(now, a.self, a.message(now, r, a.self))
 	a.results = append(a.results, reply.Result)
 	a.apply(now, r, a.self, reply)
 }
 
-func (a *Asker) send(now msg.Time, r *Reservation, home msg.HostID) Send {
+func (a *Asker) send(now msg.Time, r *Reservation, holder msg.HostID) Send {
 	a.seq++
-	a.asks[a.seq] = &ask{res: r, home: home, account: r.Account, at: now}
+	a.asks[a.seq] = &ask{res: r, holder: holder, account: r.Account, at: now}
 	r.seq, r.next = a.seq, now+askTimeout
-	return Send{home, a.message(now, r, home)}
+	return Send{holder, a.message(now, r, holder)}
 }
 
-func (a *Asker) message(now msg.Time, r *Reservation, home msg.HostID) msg.QuotaAsk {
-	return msg.QuotaAsk{Seq: a.seq, Account: r.Account, Cost: r.rest, Last: a.isLast(now, r, home), Partial: r.partial}
+func (a *Asker) message(now msg.Time, r *Reservation, holder msg.HostID) msg.QuotaAsk {
+	return msg.QuotaAsk{Seq: a.seq, Account: r.Account, Cost: r.rest, Last: a.isLast(now, r, holder), Partial: r.partial}
 }
 
-// isLast reports whether no holder but home, which is asked now, is left to be asked.
-func (a *Asker) isLast(now msg.Time, r *Reservation, home msg.HostID) bool {
+// isLast reports whether no holder but holder, which is asked now, is left to be asked.
+func (a *Asker) isLast(now msg.Time, r *Reservation, holder msg.HostID) bool {
 	return !slices.ContainsFunc(r.left, func(h msg.HostID) bool {
 		ref, ok := a.refusals[refusalKey{h, r.Account}]
-		return h != home && !a.isSilent(now, h) && (!ok || !ref.applies(now, r))
+		return h != holder && !a.isSilent(now, h) && (!ok || !ref.applies(now, r))
 	})
 }
 
 // apply applies a reply to a reservation that is pending.
-func (a *Asker) apply(now msg.Time, r *Reservation, home msg.HostID, reply msg.QuotaReply) {
-	key := refusalKey{home, r.Account}
+func (a *Asker) apply(now msg.Time, r *Reservation, holder msg.HostID, reply msg.QuotaReply) {
+	key := refusalKey{holder, r.Account}
 	switch reply.Result {
 	case msg.QuotaGranted:
-		r.Home, r.Level, r.Age = home, reply.Level, 0
-		r.parts = append(r.parts, part{home, reply.Seq})
+		r.Holder, r.Level, r.Age = holder, reply.Level, 0
+		r.parts = append(r.parts, part{holder, reply.Seq})
 		if r.partial {
 			r.rest -= reply.Amount
 		}
@@ -211,20 +211,20 @@
 		}
 	case msg.QuotaDenied:
 		if r.partial {
-			r.noteDenial(home, reply.Level, 0, time.Duration(reply.WaitMS)*time.Millisecond)
+			r.noteDenial(holder, reply.Level, 0, time.Duration(reply.WaitMS)*time.Millisecond)
 			return
 		}
 		room := time.Duration(reply.RoomMS) * time.Millisecond
 		wait := time.Duration(reply.WaitMS) * time.Millisecond
 		a.refusals[key] = refusal{cost: r.Cost, at: now, until: now + min(room, maxRefusalAge), comeBack: now + wait, level: reply.Level}
-		r.noteDenial(home, reply.Level, 0, wait)
+		r.noteDenial(holder, reply.Level, 0, wait)
 	}
 }
 
 // OnReply processes a reply. It returns the reservation that it decides, or nil.
 func (a *Asker) OnReply(now msg.Time, from msg.HostID, reply msg.QuotaReply) (*Reservation, []Send) {
 	k := a.asks[reply.Seq]
-	if k == nil || k.home != from {
+	if k == nil || k.holder != from {
 		return nil, nil
 	}
 	delete(a.asks, reply.Seq)
@@ -268,7 +268,7 @@
 			continue
 		}
 		if k := a.asks[r.seq]; k != nil {
-			a.silent[k.home] = now + silentTime
+			a.silent[k.holder] = now + silentTime
 			a.results = append(a.results, msg.QuotaSilent)
 		}
 		sends = append(sends, a.askNext(now, r)...)
--- a/internal/core/direct/quota/home.go
+++ b/internal/core/direct/quota/holder.go
@@ -25,8 +25,8 @@
 	usePeriod = 5 * time.Second
 )
 
-// Home decides at this daemon about the quotas of which it is a holder.
-type Home struct {
+// Holder decides at this daemon about the quotas of which it is a holder.
+type Holder struct {
 	members  *sharedrate.Members
 	self     msg.HostID
 	limits   msg.DirectLimits
@@ -80,14 +80,14 @@
 	at  msg.Time
 }
 
-// NewHome returns a Home that knows no accounts.
-func NewHome(self msg.HostID, members *sharedrate.Members) *Home {
-	return &Home{self: self, members: members, accounts: make(map[msg.AccountID]*account), grants: make(map[grantKey]grant)}
+// NewHolder returns a Holder that knows no accounts.
+func NewHolder(self msg.HostID, members *sharedrate.Members) *Holder {
+	return &Holder{self: self, members: members, accounts: make(map[msg.AccountID]*account), grants: make(map[grantKey]grant)}
 }
 
 // Configure sets the accounts and the limits. A changed quota holds at once. Accounts that
 // are not listed are forgotten.
-func (h *Home) Configure(now msg.Time, accounts []msg.DirectAccount, limits msg.DirectLimits) {
+func (h *Holder) Configure(now msg.Time, accounts []msg.DirectAccount, limits msg.DirectLimits) {
 	h.limits = limits
 	old := h.accounts
 	h.accounts = make(map[msg.AccountID]*account)
@@ -136,7 +136,7 @@
 // refresh updates whether this daemon is a holder of a quota. One that becomes a holder
 // begins with the largest debt, as its share may just have been used by another, or by an
 // earlier process of this host.
-func (h *Home) refresh(now msg.Time, a *account) bool {
+func (h *Holder) refresh(now msg.Time, a *account) bool {
 	if a.version == h.members.Version {
 		return a.holds
 	}
@@ -153,7 +153,7 @@
 }
 
 // Ask decides on an ask of a daemon.
-func (h *Home) Ask(now msg.Time, from msg.HostID, ask msg.QuotaAsk) msg.QuotaReply {
+func (h *Holder) Ask(now msg.Time, from msg.HostID, ask msg.QuotaAsk) msg.QuotaReply {
 	reply := msg.QuotaReply{Seq: ask.Seq, Account: ask.Account}
 	a := h.accounts[ask.Account]
 	if a == nil || !h.refresh(now, a) {
@@ -244,7 +244,7 @@
 }
 
 // Return takes back what was granted to an ask. A grant is taken back once only.
-func (h *Home) Return(now msg.Time, from msg.HostID, m msg.QuotaReturn) {
+func (h *Holder) Return(now msg.Time, from msg.HostID, m msg.QuotaReturn) {
 	key := grantKey{from, m.Seq}
 	g, ok := h.grants[key]
 	a := h.accounts[m.Account]
@@ -265,7 +265,7 @@
 }
 
 // Advance forgets old grants, and returns a report of use if one is due.
-func (h *Home) Advance(now msg.Time) *msg.QuotaUsed {
+func (h *Holder) Advance(now msg.Time) *msg.QuotaUsed {
 	n := 0
 	for n < len(h.granted) && now-h.granted[n].at >= grantMemory {
 		delete(h.grants, h.granted[n].key)
--- a/internal/core/direct/quota/quota_test.go
+++ b/internal/core/direct/quota/quota_test.go
@@ -145,7 +145,7 @@
 				s.accounts = nil
 				for _, h := range s.hosts {
 					h.configure()
-					is.Equal(len(h.home.accounts), 0)
+					is.Equal(len(h.holder.accounts), 0)
 				}
 			})
 		}
@@ -203,16 +203,16 @@
 	h := s.hosts[0]
 	s.run(2000 * time.Second)
 	ask := msg.QuotaAsk{Seq: 7, Account: "a", Cost: 600}
-	is.Equal(h.home.Ask(h.now(), "e", ask).Result, msg.QuotaGranted)
-	is.Equal(h.home.Ask(h.now(), "e", ask).Result, msg.QuotaGranted) // the same
-	is.Equal(h.home.accounts["a"].bucket.Level(h.now()), 400.0)
+	is.Equal(h.holder.Ask(h.now(), "e", ask).Result, msg.QuotaGranted)
+	is.Equal(h.holder.Ask(h.now(), "e", ask).Result, msg.QuotaGranted) // the same
+	is.Equal(h.holder.accounts["a"].bucket.Level(h.now()), 400.0)
 	for range 2 {
-		h.home.Return(h.now(), "e", msg.QuotaReturn{Seq: 7, Account: "a"})
-		is.Equal(h.home.accounts["a"].bucket.Level(h.now()), 1000.0)
+		h.holder.Return(h.now(), "e", msg.QuotaReturn{Seq: 7, Account: "a"})
+		is.Equal(h.holder.accounts["a"].bucket.Level(h.now()), 1000.0)
 	}
-	h.home.Ask(h.now(), "e", msg.QuotaAsk{Seq: 8, Account: "a", Cost: 600})
-	h.home.Return(h.now(), "e", msg.QuotaReturn{Seq: 7, Account: "a"})
-	is.Equal(h.home.accounts["a"].bucket.Level(h.now()), 400.0)
+	h.holder.Ask(h.now(), "e", msg.QuotaAsk{Seq: 8, Account: "a", Cost: 600})
+	h.holder.Return(h.now(), "e", msg.QuotaReturn{Seq: 7, Account: "a"})
+	is.Equal(h.holder.accounts["a"].bucket.Level(h.now()), 400.0)
 }
 
 // Holders that start again have nothing saved up.
@@ -240,11 +240,11 @@
 
 // newTestHome returns a holder of the quota of the account a, which has run for long, and
 // the time.
-func newTestHome(limits msg.DirectLimits, account msg.DirectAccount) (*Home, msg.Time) {
+func newTestHome(limits msg.DirectLimits, account msg.DirectAccount) (*Holder, msg.Time) {
 	members := &sharedrate.Members{}
 	members.SetListed(0, []msg.Host{{Host: "self"}})
 	members.Settle()
-	h := NewHome("self", members)
+	h := NewHolder("self", members)
 	h.Configure(0, []msg.DirectAccount{account}, limits)
 	h.Ask(0, "e", msg.QuotaAsk{Account: account.Account})
 	return h, 2000 * time.Second
@@ -281,7 +281,7 @@
 		if h.Host == holder {
 			continue
 		}
-		asker := NewAsker(h.Host, members, NewHome(h.Host, members), 0)
+		asker := NewAsker(h.Host, members, NewHolder(h.Host, members), 0)
 		_, sends := asker.Reserve(0, "r", &account, 100)
 		is.Equal(len(sends), 1)
 		is.True(sends[0].Message.(msg.QuotaAsk).Last)
--- a/internal/core/direct/quota/refusal.go
+++ b/internal/core/direct/quota/refusal.go
@@ -7,7 +7,7 @@
 )
 
 type refusalKey struct {
-	home    msg.HostID
+	holder  msg.HostID
 	account msg.AccountID
 }
 
@@ -21,12 +21,12 @@
 }
 
 // denies reports whether a remembered denial of a holder applies to a reservation.
-func (a *Asker) denies(now msg.Time, r *Reservation, home msg.HostID) bool {
-	ref, ok := a.refusals[refusalKey{home, r.Account}]
+func (a *Asker) denies(now msg.Time, r *Reservation, holder msg.HostID) bool {
+	ref, ok := a.refusals[refusalKey{holder, r.Account}]
 	if !ok || !ref.applies(now, r) {
 		return false
 	}
-	r.noteDenial(home, ref.level, now-ref.at, max(ref.comeBack, ref.until)-now)
+	r.noteDenial(holder, ref.level, now-ref.at, max(ref.comeBack, ref.until)-now)
 	return true
 }
 
@@ -35,8 +35,8 @@
 }
 
 // noteDenial records a denial in the reservation. The shortest wait counts.
-func (r *Reservation) noteDenial(home msg.HostID, level float64, age, wait time.Duration) {
+func (r *Reservation) noteDenial(holder msg.HostID, level float64, age, wait time.Duration) {
 	if r.Wait == 0 || wait < r.Wait {
-		r.Home, r.Level, r.Age, r.Wait = home, level, age, max(wait, time.Millisecond)
+		r.Holder, r.Level, r.Age, r.Wait = holder, level, age, max(wait, time.Millisecond)
 	}
 }
--- a/internal/core/direct/quota/reservation.go
+++ b/internal/core/direct/quota/reservation.go
@@ -30,11 +30,11 @@
 	State   State
 	// Wait is the time after which the caller of a denied request should come back.
 	Wait time.Duration
-	// Home is the holder that decided, Level what was left of its share, and Age how old
+	// Holder is the holder that decided, Level what was left of its share, and Age how old
 	// that information is.
-	Home  msg.HostID
-	Level float64
-	Age   time.Duration
+	Holder msg.HostID
+	Level  float64
+	Age    time.Duration
 
 	quota *msg.AccountQuota
 	// partial is set if several holders have to grant the request together. rest is
@@ -50,6 +50,6 @@
 
 // part is a grant.
 type part struct {
-	home msg.HostID
-	seq  uint64
+	holder msg.HostID
+	seq    uint64
 }
--- a/internal/core/direct/quota/settle.go
+++ b/internal/core/direct/quota/settle.go
@@ -13,7 +13,7 @@
 	if r.partial && len(r.parts) > 0 {
 		wait := min(time.Duration(r.rest/r.quota.PerSecond*float64(time.Second)), maxWait)
 		a.refusals[refusalKey{allHolders, r.Account}] = refusal{cost: r.Cost, at: now, until: now + min(wait, maxRefusalAge), comeBack: now + wait}
-		r.noteDenial(r.parts[0].home, r.Level, 0, wait)
+		r.noteDenial(r.parts[0].holder, r.Level, 0, wait)
 	}
 	r.State = Unanswered
 	if r.Wait > 0 {
@@ -27,11 +27,11 @@
 	var sends []Send
 	for _, p := range r.parts {
 		m := msg.QuotaReturn{Seq: p.seq, Account: r.Account}
-		if p.home == a.self {
-			a.home.Return(now, a.self, m)
+		if p.holder == a.self {
+			a.holder.Return(now, a.self, m)
 			continue
 		}
-		sends = append(sends, a.sendReturn(p.home, m))
+		sends = append(sends, a.sendReturn(p.holder, m))
 	}
 	r.parts = nil
 	return sends
@@ -39,8 +39,8 @@
 
 // sendReturn returns a grant. It is sent again by the next Advance, since what a lost
 // return held would be lost, too.
-func (a *Asker) sendReturn(home msg.HostID, m msg.QuotaReturn) Send {
-	send := Send{home, m}
+func (a *Asker) sendReturn(holder msg.HostID, m msg.QuotaReturn) Send {
+	send := Send{holder, m}
 	a.repeat = append(a.repeat, send)
 	return send
 }
@@ -58,7 +58,7 @@
 	for _, seq := range old {
 		k := a.asks[seq]
 		delete(a.asks, seq)
-		sends = append(sends, a.sendReturn(k.home, msg.QuotaReturn{Seq: seq, Account: k.account}))
+		sends = append(sends, a.sendReturn(k.holder, msg.QuotaReturn{Seq: seq, Account: k.account}))
 	}
 	return sends
 }
@@ -78,9 +78,9 @@
 	}
 	a.seq++
 	m := msg.QuotaAsk{Seq: a.seq, Account: r.Account, Cost: r.Cost, Charge: true}
-	if r.Home == a.self {
-		a.home.Ask(now, a.self, m)
+	if r.Holder == a.self {
+		a.holder.Ask(now, a.self, m)
 		return nil
 	}
-	return []Send{{r.Home, m}}
+	return []Send{{r.Holder, m}}
 }
--- a/internal/core/direct/quota/sim_test.go
+++ b/internal/core/direct/quota/sim_test.go
@@ -48,7 +48,7 @@
 	down    bool
 	cut     bool
 	members *sharedrate.Members
-	home    *Home
+	holder  *Holder
 	asker   *Asker
 }
 
@@ -123,14 +123,14 @@
 	h.down = false
 	h.started = s.now
 	h.members = &sharedrate.Members{}
-	h.home = NewHome(h.id, h.members)
-	h.asker = NewAsker(h.id, h.members, h.home, s.rand.Uint64()>>1)
+	h.holder = NewHolder(h.id, h.members)
+	h.asker = NewAsker(h.id, h.members, h.holder, s.rand.Uint64()>>1)
 	h.configure()
 	h.members.SetListed(0, s.listed())
 }
 
 func (h *simHost) configure() {
-	h.home.Configure(h.now(), h.sim.accounts, h.sim.limits)
+	h.holder.Configure(h.now(), h.sim.accounts, h.sim.limits)
 	h.asker.Configure(h.sim.limits)
 }
 
@@ -176,7 +176,7 @@
 			h.decided(r)
 		}
 		h.asker.TakeResults()
-		h.home.Advance(h.now())
+		h.holder.Advance(h.now())
 	}
 }
 
@@ -208,12 +208,12 @@
 func (h *simHost) receive(from msg.HostID, m msg.PeerMessage) {
 	switch m := m.(type) {
 	case msg.QuotaAsk:
-		reply := h.home.Ask(h.now(), from, m)
+		reply := h.holder.Ask(h.now(), from, m)
 		if !m.Charge {
 			h.send(Send{from, reply})
 		}
 	case msg.QuotaReturn:
-		h.home.Return(h.now(), from, m)
+		h.holder.Return(h.now(), from, m)
 	case msg.QuotaReply:
 		r, sends := h.asker.OnReply(h.now(), from, m)
 		h.sendAll(sends)
--- a/internal/core/direct/quota/terms.go
+++ b/internal/core/direct/quota/terms.go
@@ -4,7 +4,7 @@
 // It is designed for up to thousands of accounts, of which a few are large and may send
 // many times their quota, and for requests that differ a hundredfold in cost, so that a
 // single one may take most of a burst. A few daemons hold each account's quota (package
-// sharedrate). A [Home] decides at a holder, and an [Asker] asks holders for the requests
+// sharedrate). A [Holder] decides at a holder, and an [Asker] asks holders for the requests
 // of one daemon. A message for each request keeps the sum exact. What is denied is
 // remembered, so that a flood of denied requests costs few messages.
 package quota
--- a/internal/core/direct/quota/use.go
+++ b/internal/core/direct/quota/use.go
@@ -11,7 +11,7 @@
 const maxReported = 5
 
 // report returns what the accounts have used since the last report, once in usePeriod.
-func (h *Home) report(now msg.Time) *msg.QuotaUsed {
+func (h *Holder) report(now msg.Time) *msg.QuotaUsed {
 	period := now - h.reportedAt
 	if period < usePeriod {
 		return nil
--- a/internal/core/direct/request/manager.go
+++ b/internal/core/direct/request/manager.go
@@ -68,9 +68,9 @@
 	// entries lists the live entry daemons, including this one.
 	entries      []msg.Host
 	limitMembers sharedrate.Members
-	// quotaHome decides about the quotas that this daemon holds, and quotaAsker reserves
+	// quotaHolder decides about the quotas that this daemon holds, and quotaAsker reserves
 	// what requests cost. Both are set once the process has started.
-	quotaHome    *quota.Home
+	quotaHolder  *quota.Holder
 	quotaAsker   *quota.Asker
 	caches       *cacheView
 	retryBudgets map[msg.ServiceID]*retryBudget
--- a/internal/core/direct/request/quota.go
+++ b/internal/core/direct/request/quota.go
@@ -22,16 +22,16 @@
 // startQuotas sets up the decisions about quotas of a process that has just started.
 func (s *stepContext) startQuotas(seed uint64) {
 	firstSeq := rand.New(rand.NewPCG(seed, 1)).Uint64() >> 1
-	s.quotaHome = quota.NewHome(s.self.Host, &s.limitMembers)
-	s.quotaAsker = quota.NewAsker(s.self.Host, &s.limitMembers, s.quotaHome, firstSeq)
+	s.quotaHolder = quota.NewHolder(s.self.Host, &s.limitMembers)
+	s.quotaAsker = quota.NewAsker(s.self.Host, &s.limitMembers, s.quotaHolder, firstSeq)
 }
 
 // configureQuotas applies a change of the configuration or the limits.
 func (s *stepContext) configureQuotas() {
-	if s.table == nil || s.quotaHome == nil {
+	if s.table == nil || s.quotaHolder == nil {
 		return
 	}
-	s.quotaHome.Configure(s.now, s.table.accounts, s.limits)
+	s.quotaHolder.Configure(s.now, s.table.accounts, s.limits)
 	s.quotaAsker.Configure(s.limits)
 	s.logQuotas()
 }
@@ -91,7 +91,7 @@
 	s.logRequest(
 		r, text, attr("account", res.Account), attr("cost", res.Cost),
 		attr("per_second", r.account.Quota.PerSecond), attr("burst", r.account.Quota.Burst),
-		attr("level", fmt.Sprintf("%.0f", res.Level)), attr("holder", res.Home), attr("known_ms_ago", formatMS(res.Age)),
+		attr("level", fmt.Sprintf("%.0f", res.Level)), attr("holder", res.Holder), attr("known_ms_ago", formatMS(res.Age)),
 	)
 }
 
@@ -131,12 +131,12 @@
 func (s *stepContext) onQuotaMessage(from msg.HostID, m msg.PeerMessage) {
 	switch m := m.(type) {
 	case msg.QuotaAsk:
-		reply := s.quotaHome.Ask(s.now, from, m)
+		reply := s.quotaHolder.Ask(s.now, from, m)
 		if !m.Charge {
 			s.emit(msg.SendPeer{To: from, Message: reply})
 		}
 	case msg.QuotaReturn:
-		s.quotaHome.Return(s.now, from, m)
+		s.quotaHolder.Return(s.now, from, m)
 	case msg.QuotaReply:
 		res, sends := s.quotaAsker.OnReply(s.now, from, m)
 		s.sendQuota(sends)
@@ -156,7 +156,7 @@
 	for _, result := range s.quotaAsker.TakeResults() {
 		s.raise(msg.QuotaAsked{Result: result})
 	}
-	if used := s.quotaHome.Advance(s.now); used != nil {
+	if used := s.quotaHolder.Advance(s.now); used != nil {
 		s.raise(*used)
 	}
 }
