experiment: the gain asked of heeded speeds is 0.02 again, and noise alone is checked again

While the test was built, its asked gain was lowered to 0.01 and the case of noise alone was dropped. Bounds come from the target: both are back.

--- a/internal/core/direct/sharedrate/members.go
+++ b/internal/core/direct/sharedrate/members.go
@@ -4,7 +4,7 @@
 //
 // It is designed for a fleet of up to hundreds of daemons that share targets whose limits
 // are a few requests a second, and accounts that send requests as large as a second's
-// worth of their quota. A small part of such a rate for each daemon would be of no use,
+// allowance of their quota. A small part of such a rate for each daemon would be of no use,
 // and what the daemons had saved up together would be a burst. The rate is therefore
 // divided among a few daemons, its holders, that the key of the rate selects.
 package sharedrate
--- a/internal/core/direct/targetspeed/share.go
+++ b/internal/core/direct/targetspeed/share.go
@@ -57,7 +57,7 @@
 	return list
 }
 
-// minKnownWeight is the weight from which what is known of a target is worth sending.
+// minKnownWeight is the least weight of what is known of a target that is sent.
 const minKnownWeight = 1
 
 func percent(v float64) uint16 { return uint16(math.Round(100 * v)) }
--- a/internal/experiment/speed_test.go
+++ b/internal/experiment/speed_test.go
@@ -20,7 +20,8 @@
 		noise  Noise
 		gain   float64
 	}{
-		{speeds: []float64{0.7, 0.7, 1, 1.7, 3, 1.2, 0.8}, noise: Noise{Share: 0.15, Factor: 2.5, Every: 600 * time.Millisecond}, gain: 0.01},
+		{speeds: []float64{0.7, 0.7, 1, 1.7, 3, 1.2, 0.8}, noise: Noise{Share: 0.15, Factor: 2.5, Every: 600 * time.Millisecond}, gain: 0.02},
+		{noise: Noise{Share: 0.15, Factor: 2.5, Every: 600 * time.Millisecond}, gain: -0.015},
 		{gain: -0.015},
 	} {
 		s := steadySpec(t)
