--- a/internal/capacity/manifest.go
+++ b/internal/capacity/manifest.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"strings"
 
-	"github.com/verbenaspur/verbenaspur/internal/core/apikey"
+	"github.com/verbenaspur/verbenaspur/internal/core/pool/apikey"
 )
 
 const (
--- a/internal/capacity/requests.go
+++ b/internal/capacity/requests.go
@@ -4,8 +4,8 @@
 	"fmt"
 	"time"
 
-	"github.com/verbenaspur/verbenaspur/internal/core/apikey"
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
+	"github.com/verbenaspur/verbenaspur/internal/core/pool/apikey"
 )
 
 const (
--- a/internal/core/direct.go
+++ b/internal/core/direct.go
@@ -3,14 +3,14 @@
 import (
 	"time"
 
-	"github.com/verbenaspur/verbenaspur/internal/core/directrequest"
-	"github.com/verbenaspur/verbenaspur/internal/core/directusage"
+	"github.com/verbenaspur/verbenaspur/internal/core/direct/peerdiscovery"
+	"github.com/verbenaspur/verbenaspur/internal/core/direct/platformpoll"
+	"github.com/verbenaspur/verbenaspur/internal/core/direct/request"
+	"github.com/verbenaspur/verbenaspur/internal/core/direct/roles"
+	"github.com/verbenaspur/verbenaspur/internal/core/direct/usage"
 	"github.com/verbenaspur/verbenaspur/internal/core/lease"
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
-	"github.com/verbenaspur/verbenaspur/internal/core/peerdiscovery"
-	"github.com/verbenaspur/verbenaspur/internal/core/platformpoll"
 	"github.com/verbenaspur/verbenaspur/internal/core/reducer"
-	"github.com/verbenaspur/verbenaspur/internal/core/roles"
 )
 
 // DirectConfig configures a [Direct].
@@ -65,7 +65,7 @@
 
 // NewDirect returns the reducer of an entry daemon on the direct path.
 func NewDirect(cfg DirectConfig) *Direct {
-	requests := directrequest.New(cfg.Limits)
+	requests := request.New(cfg.Limits)
 	leases := lease.New(lease.Config{
 		Self: cfg.Self.Host, Incarnation: cfg.Incarnation,
 		Duration: directLeaseLength, Margin: directLeaseMargin, RenewInterval: directLeaseRenew,
@@ -80,12 +80,12 @@
 	flushers := []idler{leases, members}
 	components := []reducer.Component{leases, members, platformpoll.New(pollConfig(cfg)), requests}
 	if cfg.UsageWindow > 0 {
-		usage := directusage.New(directusage.Config{
+		meter := usage.New(usage.Config{
 			Self: cfg.Self.Host, Incarnation: cfg.Incarnation,
 			Window: cfg.UsageWindow, CollectTimeout: cfg.UsageCollectTimeout,
 		})
-		components = append(components, usage)
-		flushers = append(flushers, usage)
+		components = append(components, meter)
+		flushers = append(flushers, meter)
 	}
 	components = append(components, roles.New(roles.Config{Self: cfg.Self.Host}))
 	components = append(components, &stopper{requests: requests, flushers: flushers})
--- a/internal/core/directrequest/cache.go
+++ b/internal/core/direct/request/cache.go
@@ -1,12 +1,12 @@
-package directrequest
+package request
 
 import (
 	"maps"
 	"slices"
 
+	"github.com/verbenaspur/verbenaspur/internal/core/direct/segmentcache"
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
 	"github.com/verbenaspur/verbenaspur/internal/core/rendezvous"
-	"github.com/verbenaspur/verbenaspur/internal/core/segmentcache"
 )
 
 const (
--- a/internal/core/directrequest/completion.go
+++ b/internal/core/direct/request/completion.go
@@ -1,4 +1,4 @@
-package directrequest
+package request
 
 import (
 	"slices"
--- a/internal/core/directrequest/cost.go
+++ b/internal/core/direct/request/cost.go
@@ -1,11 +1,11 @@
-package directrequest
+package request
 
 import (
 	"maps"
 	"time"
 
+	"github.com/verbenaspur/verbenaspur/internal/core/direct/prefilltime"
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
-	"github.com/verbenaspur/verbenaspur/internal/core/prefilltime"
 )
 
 const (
--- a/internal/core/directrequest/limit.go
+++ b/internal/core/direct/request/limit.go
@@ -1,12 +1,12 @@
-package directrequest
+package request
 
 import (
 	"cmp"
 	"slices"
 	"time"
 
+	"github.com/verbenaspur/verbenaspur/internal/core/direct/targetlimit"
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
-	"github.com/verbenaspur/verbenaspur/internal/core/targetlimit"
 )
 
 // limitRetention is how long a limit holds that no response has confirmed. Its holders
--- a/internal/core/directrequest/manager.go
+++ b/internal/core/direct/request/manager.go
@@ -1,4 +1,4 @@
-// Package directrequest handles the requests of callers on an entry daemon that
+// Package request handles the requests of callers on an entry daemon that
 // sends them to its targets itself, without side daemons. It resolves the route
 // and checks the key, chooses a target, starts attempts, retries, and ends the
 // request.
@@ -16,7 +16,7 @@
 // target. An attempt that makes the target produce the response is a run; a
 // prefill is not. A retry is an attempt beyond the request's first prefill and
 // its first run.
-package directrequest
+package request
 
 import (
 	"cmp"
@@ -25,12 +25,12 @@
 	"slices"
 	"time"
 
-	"github.com/verbenaspur/verbenaspur/internal/core/admission"
+	"github.com/verbenaspur/verbenaspur/internal/core/direct/admission"
+	"github.com/verbenaspur/verbenaspur/internal/core/direct/prefilltime"
+	"github.com/verbenaspur/verbenaspur/internal/core/direct/streamorigin"
+	"github.com/verbenaspur/verbenaspur/internal/core/direct/targetlimit"
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
 	"github.com/verbenaspur/verbenaspur/internal/core/poison"
-	"github.com/verbenaspur/verbenaspur/internal/core/prefilltime"
-	"github.com/verbenaspur/verbenaspur/internal/core/streamorigin"
-	"github.com/verbenaspur/verbenaspur/internal/core/targetlimit"
 )
 
 const componentName = "request"
--- a/internal/core/directrequest/origin.go
+++ b/internal/core/direct/request/origin.go
@@ -1,4 +1,4 @@
-package directrequest
+package request
 
 import (
 	"maps"
@@ -7,8 +7,8 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/verbenaspur/verbenaspur/internal/core/direct/streamorigin"
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
-	"github.com/verbenaspur/verbenaspur/internal/core/streamorigin"
 )
 
 // A stream that a caller resumes may go on only at a target of the software version
--- a/internal/core/directrequest/place.go
+++ b/internal/core/direct/request/place.go
@@ -1,12 +1,12 @@
-package directrequest
+package request
 
 import (
 	"math"
 	"slices"
 	"time"
 
+	"github.com/verbenaspur/verbenaspur/internal/core/direct/prefilltime"
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
-	"github.com/verbenaspur/verbenaspur/internal/core/prefilltime"
 )
 
 const (
--- a/internal/core/directrequest/queue.go
+++ b/internal/core/direct/request/queue.go
@@ -1,11 +1,11 @@
-package directrequest
+package request
 
 import (
 	"maps"
 	"slices"
 	"time"
 
-	"github.com/verbenaspur/verbenaspur/internal/core/admission"
+	"github.com/verbenaspur/verbenaspur/internal/core/direct/admission"
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
 )
 
--- a/internal/core/directusage/era.go
+++ b/internal/core/direct/usage/era.go
@@ -1,4 +1,4 @@
-package directusage
+package usage
 
 import (
 	"maps"
--- a/internal/core/directusage/meter.go
+++ b/internal/core/direct/usage/meter.go
@@ -1,4 +1,4 @@
-// Package directusage is the reducer component of an entry daemon without side
+// Package usage is the reducer component of an entry daemon without side
 // daemons that counts runs: for each window of wall time and each client
 // account, it reports how many requests began to run.
 //
@@ -6,7 +6,7 @@
 // the usage lease adds them up, freezes a window's counts by a conditional write
 // and only then reports them. A window is thus never reported with different
 // counts, even if it is reported several times or by several holders.
-package directusage
+package usage
 
 import (
 	"encoding/json"
--- a/internal/core/entry.go
+++ b/internal/core/entry.go
@@ -1,17 +1,17 @@
 package core
 
 import (
-	"github.com/verbenaspur/verbenaspur/internal/core/config"
-	"github.com/verbenaspur/verbenaspur/internal/core/exchange"
-	"github.com/verbenaspur/verbenaspur/internal/core/fleet"
-	"github.com/verbenaspur/verbenaspur/internal/core/idempotency"
 	"github.com/verbenaspur/verbenaspur/internal/core/lease"
-	"github.com/verbenaspur/verbenaspur/internal/core/membership"
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
+	"github.com/verbenaspur/verbenaspur/internal/core/pool/config"
+	"github.com/verbenaspur/verbenaspur/internal/core/pool/exchange"
+	"github.com/verbenaspur/verbenaspur/internal/core/pool/fleet"
+	"github.com/verbenaspur/verbenaspur/internal/core/pool/idempotency"
+	"github.com/verbenaspur/verbenaspur/internal/core/pool/membership"
+	"github.com/verbenaspur/verbenaspur/internal/core/pool/request"
+	"github.com/verbenaspur/verbenaspur/internal/core/pool/targetagent"
+	"github.com/verbenaspur/verbenaspur/internal/core/pool/usage"
 	"github.com/verbenaspur/verbenaspur/internal/core/reducer"
-	"github.com/verbenaspur/verbenaspur/internal/core/request"
-	"github.com/verbenaspur/verbenaspur/internal/core/targetagent"
-	"github.com/verbenaspur/verbenaspur/internal/core/usage"
 	"github.com/verbenaspur/verbenaspur/internal/manifest"
 )
 
--- a/internal/core/config/fresh.go
+++ b/internal/core/pool/config/fresh.go
@@ -4,8 +4,8 @@
 	"slices"
 	"time"
 
-	"github.com/verbenaspur/verbenaspur/internal/core/exchange"
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
+	"github.com/verbenaspur/verbenaspur/internal/core/pool/exchange"
 )
 
 const (
--- a/internal/core/fleet/authority.go
+++ b/internal/core/pool/fleet/authority.go
@@ -8,8 +8,8 @@
 	"time"
 
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
+	"github.com/verbenaspur/verbenaspur/internal/core/pool/targetagent"
 	"github.com/verbenaspur/verbenaspur/internal/core/store"
-	"github.com/verbenaspur/verbenaspur/internal/core/targetagent"
 )
 
 // stage is the progress of this daemon in taking over a pool.
--- a/internal/core/fleet/controller.go
+++ b/internal/core/pool/fleet/controller.go
@@ -11,11 +11,11 @@
 	"slices"
 	"time"
 
-	"github.com/verbenaspur/verbenaspur/internal/core/fleet/demand"
-	"github.com/verbenaspur/verbenaspur/internal/core/fleet/planner"
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
+	"github.com/verbenaspur/verbenaspur/internal/core/pool/fleet/demand"
+	"github.com/verbenaspur/verbenaspur/internal/core/pool/fleet/planner"
+	"github.com/verbenaspur/verbenaspur/internal/core/pool/targetagent"
 	"github.com/verbenaspur/verbenaspur/internal/core/store"
-	"github.com/verbenaspur/verbenaspur/internal/core/targetagent"
 	"github.com/verbenaspur/verbenaspur/internal/manifest"
 )
 
--- a/internal/core/fleet/orders.go
+++ b/internal/core/pool/fleet/orders.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
-	"github.com/verbenaspur/verbenaspur/internal/core/targetagent"
+	"github.com/verbenaspur/verbenaspur/internal/core/pool/targetagent"
 )
 
 // delivery tracks the sending of one recorded order until the order is closed.
--- a/internal/core/fleet/planner/planner.go
+++ b/internal/core/pool/fleet/planner/planner.go
@@ -11,8 +11,8 @@
 	"slices"
 	"time"
 
-	"github.com/verbenaspur/verbenaspur/internal/core/fleet/demand"
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
+	"github.com/verbenaspur/verbenaspur/internal/core/pool/fleet/demand"
 )
 
 // Engine is the planner's input for one engine.
--- a/internal/core/fleet/planner/value.go
+++ b/internal/core/pool/fleet/planner/value.go
@@ -1,6 +1,6 @@
 package planner
 
-import "github.com/verbenaspur/verbenaspur/internal/core/fleet/demand"
+import "github.com/verbenaspur/verbenaspur/internal/core/pool/fleet/demand"
 
 // Efficiency holds the shares of engine time that each role can spend on work
 // that meets the latency limits.
--- a/internal/core/fleet/pool.go
+++ b/internal/core/pool/fleet/pool.go
@@ -3,9 +3,9 @@
 import (
 	"time"
 
-	"github.com/verbenaspur/verbenaspur/internal/core/fleet/demand"
-	"github.com/verbenaspur/verbenaspur/internal/core/fleet/planner"
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
+	"github.com/verbenaspur/verbenaspur/internal/core/pool/fleet/demand"
+	"github.com/verbenaspur/verbenaspur/internal/core/pool/fleet/planner"
 	"github.com/verbenaspur/verbenaspur/internal/manifest"
 )
 
--- a/internal/core/fleet/status.go
+++ b/internal/core/pool/fleet/status.go
@@ -1,9 +1,9 @@
 package fleet
 
 import (
-	"github.com/verbenaspur/verbenaspur/internal/core/fleet/demand"
-	"github.com/verbenaspur/verbenaspur/internal/core/fleet/planner"
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
+	"github.com/verbenaspur/verbenaspur/internal/core/pool/fleet/demand"
+	"github.com/verbenaspur/verbenaspur/internal/core/pool/fleet/planner"
 )
 
 // Status is the state of the pools as this entry daemon sees it, for operators.
--- a/internal/core/fleet/traffic.go
+++ b/internal/core/pool/fleet/traffic.go
@@ -4,8 +4,8 @@
 	"maps"
 	"slices"
 
-	"github.com/verbenaspur/verbenaspur/internal/core/fleet/demand"
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
+	"github.com/verbenaspur/verbenaspur/internal/core/pool/fleet/demand"
 	"github.com/verbenaspur/verbenaspur/internal/manifest"
 )
 
--- a/internal/core/membership/connect.go
+++ b/internal/core/pool/membership/connect.go
@@ -4,8 +4,8 @@
 	"maps"
 	"slices"
 
-	"github.com/verbenaspur/verbenaspur/internal/core/exchange"
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
+	"github.com/verbenaspur/verbenaspur/internal/core/pool/exchange"
 	"github.com/verbenaspur/verbenaspur/internal/core/rendezvous"
 )
 
--- a/internal/core/membership/membership.go
+++ b/internal/core/pool/membership/membership.go
@@ -17,8 +17,8 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/verbenaspur/verbenaspur/internal/core/exchange"
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
+	"github.com/verbenaspur/verbenaspur/internal/core/pool/exchange"
 	"github.com/verbenaspur/verbenaspur/internal/core/store"
 )
 
--- a/internal/core/prefixindex/prefixindex.go
+++ b/internal/core/pool/prefixindex/prefixindex.go
@@ -3,7 +3,7 @@
 //
 // A prefix is a number of whole cache blocks at the start of a prompt. It is
 // identified by the hash of its last block, which covers all its blocks. (On the
-// direct path, package directrequest tracks the segments of prompts instead,
+// direct path, package direct/request tracks the segments of prompts instead,
 // which callers declare.)
 //
 // The index is updated from the engines' cache events, which arrive late and
--- a/internal/core/request/arrive.go
+++ b/internal/core/pool/request/arrive.go
@@ -5,9 +5,9 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/verbenaspur/verbenaspur/internal/core/apikey"
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
 	"github.com/verbenaspur/verbenaspur/internal/core/poison"
+	"github.com/verbenaspur/verbenaspur/internal/core/pool/apikey"
 	"github.com/verbenaspur/verbenaspur/internal/manifest"
 )
 
--- a/internal/core/request/attempt.go
+++ b/internal/core/pool/request/attempt.go
@@ -6,7 +6,7 @@
 
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
 	"github.com/verbenaspur/verbenaspur/internal/core/poison"
-	"github.com/verbenaspur/verbenaspur/internal/core/routing"
+	"github.com/verbenaspur/verbenaspur/internal/core/pool/routing"
 	"github.com/verbenaspur/verbenaspur/internal/manifest"
 )
 
--- a/internal/core/request/explain.go
+++ b/internal/core/pool/request/explain.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
-	"github.com/verbenaspur/verbenaspur/internal/core/routing"
+	"github.com/verbenaspur/verbenaspur/internal/core/pool/routing"
 )
 
 const (
--- a/internal/core/request/manager.go
+++ b/internal/core/pool/request/manager.go
@@ -7,11 +7,11 @@
 	"fmt"
 	"time"
 
-	"github.com/verbenaspur/verbenaspur/internal/core/fairqueue"
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
 	"github.com/verbenaspur/verbenaspur/internal/core/poison"
-	"github.com/verbenaspur/verbenaspur/internal/core/retry"
-	"github.com/verbenaspur/verbenaspur/internal/core/routing"
+	"github.com/verbenaspur/verbenaspur/internal/core/pool/fairqueue"
+	"github.com/verbenaspur/verbenaspur/internal/core/pool/retry"
+	"github.com/verbenaspur/verbenaspur/internal/core/pool/routing"
 	"github.com/verbenaspur/verbenaspur/internal/manifest"
 )
 
--- a/internal/core/request/pool.go
+++ b/internal/core/pool/request/pool.go
@@ -5,8 +5,8 @@
 	"strings"
 	"time"
 
-	"github.com/verbenaspur/verbenaspur/internal/core/fairqueue"
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
+	"github.com/verbenaspur/verbenaspur/internal/core/pool/fairqueue"
 )
 
 const (
--- a/internal/core/request/request.go
+++ b/internal/core/pool/request/request.go
@@ -3,9 +3,9 @@
 import (
 	"time"
 
-	"github.com/verbenaspur/verbenaspur/internal/core/fairqueue"
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
-	"github.com/verbenaspur/verbenaspur/internal/core/routing"
+	"github.com/verbenaspur/verbenaspur/internal/core/pool/fairqueue"
+	"github.com/verbenaspur/verbenaspur/internal/core/pool/routing"
 	"github.com/verbenaspur/verbenaspur/internal/manifest"
 )
 
--- a/internal/core/routing/router.go
+++ b/internal/core/pool/routing/router.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
-	"github.com/verbenaspur/verbenaspur/internal/core/prefixindex"
+	"github.com/verbenaspur/verbenaspur/internal/core/pool/prefixindex"
 	"github.com/verbenaspur/verbenaspur/internal/manifest"
 )
 
--- a/internal/core/side.go
+++ b/internal/core/side.go
@@ -1,14 +1,14 @@
 package core
 
 import (
-	"github.com/verbenaspur/verbenaspur/internal/core/config"
-	"github.com/verbenaspur/verbenaspur/internal/core/exchange"
-	"github.com/verbenaspur/verbenaspur/internal/core/membership"
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
 	"github.com/verbenaspur/verbenaspur/internal/core/poison"
+	"github.com/verbenaspur/verbenaspur/internal/core/pool/config"
+	"github.com/verbenaspur/verbenaspur/internal/core/pool/exchange"
+	"github.com/verbenaspur/verbenaspur/internal/core/pool/membership"
+	"github.com/verbenaspur/verbenaspur/internal/core/pool/targetagent"
+	"github.com/verbenaspur/verbenaspur/internal/core/pool/usage"
 	"github.com/verbenaspur/verbenaspur/internal/core/reducer"
-	"github.com/verbenaspur/verbenaspur/internal/core/targetagent"
-	"github.com/verbenaspur/verbenaspur/internal/core/usage"
 )
 
 // SideConfig configures a [Side].
--- a/internal/core/status.go
+++ b/internal/core/status.go
@@ -1,13 +1,13 @@
 package core
 
 import (
-	"github.com/verbenaspur/verbenaspur/internal/core/config"
-	"github.com/verbenaspur/verbenaspur/internal/core/fleet"
-	"github.com/verbenaspur/verbenaspur/internal/core/idempotency"
 	"github.com/verbenaspur/verbenaspur/internal/core/lease"
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
-	"github.com/verbenaspur/verbenaspur/internal/core/request"
-	"github.com/verbenaspur/verbenaspur/internal/core/usage"
+	"github.com/verbenaspur/verbenaspur/internal/core/pool/config"
+	"github.com/verbenaspur/verbenaspur/internal/core/pool/fleet"
+	"github.com/verbenaspur/verbenaspur/internal/core/pool/idempotency"
+	"github.com/verbenaspur/verbenaspur/internal/core/pool/request"
+	"github.com/verbenaspur/verbenaspur/internal/core/pool/usage"
 )
 
 // EntryStatus describes an entry daemon to operators.
--- a/internal/ctl/keys.go
+++ b/internal/ctl/keys.go
@@ -10,7 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/urfave/cli/v3"
 
-	"github.com/verbenaspur/verbenaspur/internal/core/apikey"
+	"github.com/verbenaspur/verbenaspur/internal/core/pool/apikey"
 	"github.com/verbenaspur/verbenaspur/internal/manifest"
 	"github.com/verbenaspur/verbenaspur/internal/strictyaml"
 )
--- a/internal/daemon/callers.go
+++ b/internal/daemon/callers.go
@@ -12,8 +12,8 @@
 	"github.com/gorilla/mux"
 	"github.com/oklog/ulid/v2"
 
-	"github.com/verbenaspur/verbenaspur/internal/core/apikey"
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
+	"github.com/verbenaspur/verbenaspur/internal/core/pool/apikey"
 	"github.com/verbenaspur/verbenaspur/internal/link"
 	"github.com/verbenaspur/verbenaspur/internal/manifest"
 	"github.com/verbenaspur/verbenaspur/internal/prefixhash"
--- a/internal/daemon/direct_run.go
+++ b/internal/daemon/direct_run.go
@@ -15,8 +15,8 @@
 
 	"github.com/verbenaspur/verbenaspur/internal/bootclock"
 	"github.com/verbenaspur/verbenaspur/internal/core"
+	"github.com/verbenaspur/verbenaspur/internal/core/direct/platformpoll"
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
-	"github.com/verbenaspur/verbenaspur/internal/core/platformpoll"
 	"github.com/verbenaspur/verbenaspur/internal/httpclient"
 	"github.com/verbenaspur/verbenaspur/internal/metrics"
 	"github.com/verbenaspur/verbenaspur/platform"
--- a/internal/daemon/operators.go
+++ b/internal/daemon/operators.go
@@ -12,10 +12,10 @@
 
 	"github.com/gorilla/mux"
 
-	"github.com/verbenaspur/verbenaspur/internal/core/fleet"
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
-	"github.com/verbenaspur/verbenaspur/internal/core/request"
-	"github.com/verbenaspur/verbenaspur/internal/core/usage"
+	"github.com/verbenaspur/verbenaspur/internal/core/pool/fleet"
+	"github.com/verbenaspur/verbenaspur/internal/core/pool/request"
+	"github.com/verbenaspur/verbenaspur/internal/core/pool/usage"
 	"github.com/verbenaspur/verbenaspur/internal/manifest"
 	"github.com/verbenaspur/verbenaspur/internal/settings"
 )
--- a/internal/docscheck/source_test.go
+++ b/internal/docscheck/source_test.go
@@ -188,3 +188,8 @@
 	}
 	return false
 }
+
+// component reports whether a folder of internal/core is a package.
+func (s *source) component(folder string) bool {
+	return s.literals[filepath.Join(root, "internal/core", folder)] != nil
+}
--- a/internal/experiment/entry.go
+++ b/internal/experiment/entry.go
@@ -3,10 +3,10 @@
 import (
 	"time"
 
-	"github.com/verbenaspur/verbenaspur/internal/core/directrequest"
+	directrequest "github.com/verbenaspur/verbenaspur/internal/core/direct/request"
+	"github.com/verbenaspur/verbenaspur/internal/core/direct/roles"
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
 	"github.com/verbenaspur/verbenaspur/internal/core/reducer"
-	"github.com/verbenaspur/verbenaspur/internal/core/roles"
 )
 
 const serviceID msg.ServiceID = "llm"
--- a/internal/experiment/lru.go
+++ b/internal/experiment/lru.go
@@ -1,8 +1,8 @@
 package experiment
 
 import (
+	"github.com/verbenaspur/verbenaspur/internal/core/direct/segmentcache"
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
-	"github.com/verbenaspur/verbenaspur/internal/core/segmentcache"
 )
 
 // lru is an engine's LRU cache of prompt segments.
--- a/internal/experiment/spec.go
+++ b/internal/experiment/spec.go
@@ -12,8 +12,8 @@
 	"slices"
 	"time"
 
-	"github.com/verbenaspur/verbenaspur/internal/core/directrequest"
-	"github.com/verbenaspur/verbenaspur/internal/core/roles"
+	directrequest "github.com/verbenaspur/verbenaspur/internal/core/direct/request"
+	"github.com/verbenaspur/verbenaspur/internal/core/direct/roles"
 	"github.com/verbenaspur/verbenaspur/internal/strictyaml"
 )
 
--- a/internal/measure/requests/result.go
+++ b/internal/measure/requests/result.go
@@ -3,9 +3,9 @@
 import (
 	"time"
 
-	"github.com/verbenaspur/verbenaspur/internal/core/fairqueue"
-	"github.com/verbenaspur/verbenaspur/internal/core/request"
-	"github.com/verbenaspur/verbenaspur/internal/core/routing"
+	"github.com/verbenaspur/verbenaspur/internal/core/pool/fairqueue"
+	"github.com/verbenaspur/verbenaspur/internal/core/pool/request"
+	"github.com/verbenaspur/verbenaspur/internal/core/pool/routing"
 )
 
 // Goals that a request must meet to count as goodput.
--- a/internal/measure/requests/world.go
+++ b/internal/measure/requests/world.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
-	"github.com/verbenaspur/verbenaspur/internal/core/request"
+	"github.com/verbenaspur/verbenaspur/internal/core/pool/request"
 )
 
 // Delays of the simulation.
