poison: what was merely there at crashes is told from what causes them

Cause: a sound segment was blocked when engines crashed for other reasons. (1) Engines that go down together are noticed within some 10 ms, and attempts sent in between counted as independent evidence. (2) A crash becomes known up to 10 s later, or from a peer; answers that had completed since did not count against it. (3) While all decode engines are down nothing completes, and a segment of a third of the prompts stands under each crash.

Now an independent crash needs an attempt sent 250 ms or more after the one before; a completion also clears crashes before it that become known later; a segment of which answers completed here within two minutes is blocked at four independent crashes in place of two.

--- a/internal/core/direct/request/completion.go
+++ b/internal/core/direct/request/completion.go
@@ -20,11 +20,11 @@
 		t.unconfirmed = t.unconfirmed[max(len(t.unconfirmed)-maxUnconfirmed, 0):]
 		return
 	}
-	fingerprints := []uint64{a.fingerprint}
+	var segments []uint64
 	for _, seg := range a.segments {
-		fingerprints = append(fingerprints, seg.ID)
+		segments = append(segments, seg.ID)
 	}
-	s.effects = append(s.effects, s.poison.ClearCrashes(fingerprints...)...)
+	s.effects = append(s.effects, s.poison.ClearCrashes(s.now, a.fingerprint, segments...)...)
 }
 
 // confirmCompleted confirms the unframed responses that had ended at a target before
--- a/internal/core/direct_crash_segment_test.go
+++ b/internal/core/direct_crash_segment_test.go
@@ -182,22 +182,73 @@
 	})
 }
 
+// crashSeeds is the number of seeds with which tests of ordinary crashes are played.
+const crashSeeds = 24
+
+// playOrdinaryCrashes plays prompts of which none crashes targets, while crash makes
+// targets go down for 35 s, and checks that hardly any prompt is refused for that.
+func playOrdinaryCrashes(t *testing.T, crash func(f *directFleet)) {
+	t.Parallel()
+	for seed := range uint64(crashSeeds) {
+		t.Run(fmt.Sprint(seed+1), func(t *testing.T) {
+			t.Parallel()
+			f := newSeededFleet(t, 4, 18, seed+1)
+			l := f.loadSegments(100, 40*time.Second, 0, 0)
+			f.run(3 * time.Second)
+			end := f.now + 35*time.Second
+			for f.now < end {
+				crash(f)
+			}
+			t.Logf("refused %v, answered %d", f.refusals, f.answered)
+			if n := f.refusals["poison"]; n > len(l.others)/100 {
+				t.Errorf("%d of %d prompts were refused for crashes that they did not cause", n, len(l.others))
+			}
+		})
+	}
+}
+
 // Targets that crash by themselves must not get the prompts refused that they ran.
 func TestOrdinaryCrashesBlockNoSegment(t *testing.T) {
-	t.Parallel()
-	f := newDirectFleet(t, 4, 18)
-	l := f.loadSegments(100, 40*time.Second, 0, 0)
-	f.run(3 * time.Second)
-	for range 10 {
+	playOrdinaryCrashes(t, func(f *directFleet) {
 		for i := range f.targets[:18] {
 			if target := f.targets[i]; !target.down && f.rand.IntN(3) == 0 {
 				target.crash()
 			}
 		}
 		f.run(3500 * time.Millisecond)
-	}
-	t.Logf("refused %v, answered %d", f.refusals, f.answered)
-	if n := f.refusals["poison"]; n > len(l.others)/100 {
-		t.Errorf("%d of %d prompts were refused for crashes that they did not cause", n, len(l.others))
+	})
+}
+
+// Targets that crash one by one, at any moment, show no more about what they ran.
+func TestScatteredCrashesBlockNoSegment(t *testing.T) {
+	playOrdinaryCrashes(t, func(f *directFleet) {
+		if target := f.targets[f.rand.IntN(18)]; !target.down {
+			target.crash()
+		}
+		f.run(time.Duration(f.rand.ExpFloat64() * float64(400*time.Millisecond)))
+	})
+}
+
+// A segment that crashes targets is found beside targets that crash by themselves.
+func TestCrashingSegmentIsStoppedBesideOtherCrashes(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(crashSeeds) {
+		t.Run(fmt.Sprint(seed+1), func(t *testing.T) {
+			t.Parallel()
+			f := newSeededFleet(t, 4, 18, seed+1)
+			f.harmlessPrefill = true
+			l := f.loadSegments(100, 30*time.Second, 4*time.Second, 26*time.Second)
+			end := f.now + 30*time.Second
+			for f.now < end {
+				if target := f.targets[f.rand.IntN(18)]; !target.down {
+					target.crash()
+				}
+				f.run(time.Duration(f.rand.ExpFloat64() * float64(2*time.Second)))
+			}
+			l.check()
+			if n := f.refusals["poison"]; n > len(l.others)/10 {
+				t.Errorf("%d prompts were refused for crashes, beside %d that did not cause them", n, len(l.others))
+			}
+		})
 	}
 }
--- a/internal/core/direct_fleet_test.go
+++ b/internal/core/direct_fleet_test.go
@@ -110,8 +110,13 @@
 
 // newDirectFleet returns a fleet that has run for some seconds without a load.
 func newDirectFleet(t *testing.T, entries, engines int) *directFleet {
+	return newSeededFleet(t, entries, engines, 1)
+}
+
+// newSeededFleet is newDirectFleet with a seed.
+func newSeededFleet(t *testing.T, entries, engines int, seed uint64) *directFleet {
 	f := &directFleet{
-		t: t, rand: rand.New(rand.NewPCG(1, uint64(entries))), objects: coretest.NewObjects(),
+		t: t, rand: rand.New(rand.NewPCG(seed, uint64(entries))), objects: coretest.NewObjects(),
 		byAddr: make(map[string]*fleetTarget), refusals: make(map[string]int), era: 1,
 	}
 	for i := range engines + 4 {
--- a/internal/core/poison/history.go
+++ b/internal/core/poison/history.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"math"
 	"slices"
+	"time"
 
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
 )
@@ -47,14 +48,19 @@
 	return len(h.uncleared())
 }
 
+// minCrashGap is the shortest time from one crash to the sending of the attempt under
+// which an independent one happens. Targets that go down together are noticed one after
+// the other, by attempts that may have been sent meanwhile.
+const minCrashGap = 250 * time.Millisecond
+
 // independent returns the number of independent crashes in a list ordered by time.
 func independent(crashes []crash) int {
 	n := 0
-	last := msg.Time(math.MinInt64)
+	next := msg.Time(math.MinInt64)
 	for _, c := range crashes {
-		if c.sentAt > last {
+		if c.sentAt > next {
 			n++
-			last = c.at
+			next = c.at + minCrashGap
 		}
 	}
 	return n
--- a/internal/core/poison/poison_test.go
+++ b/internal/core/poison/poison_test.go
@@ -97,7 +97,7 @@
 	tracker := newTestTracker("e1", coretest.NewObjects(), wall)
 	tracker.Step(0, msg.MembersChanged{Entries: []msg.Host{{Host: "e1"}, {Host: "e2"}}})
 	tracker.RecordCrash(0, 7, "a1")
-	effects := tracker.ClearCrashes(7)
+	effects := tracker.ClearCrashes(3*time.Second, 7)
 	is.Equal(tracker.CrashCount(7), 0)
 	sent := effects[0].(msg.SendPeer)
 	is.Equal(sent.To, msg.HostID("e2"))
--- a/internal/core/poison/segment.go
+++ b/internal/core/poison/segment.go
@@ -27,8 +27,11 @@
 //     one prompt with it is let through.
 const (
 	// SegmentCrashLimit is the number of independent crashes at which a segment is
-	// blocked.
+	// blocked of which no completed answer is known, and provenCrashLimit that of any
+	// other. The latter was at many targets, so that it is at many crashes by chance,
+	// but a new version of the targets may also crash under what earlier ones answered.
 	SegmentCrashLimit = 2
+	provenCrashLimit  = 4
 	// minTrialDelay is the delay before the first trial of a segment, and
 	// trialDelayFactor that by which each further crash lengthens it.
 	minTrialDelay    = time.Minute
@@ -53,7 +56,7 @@
 	}
 	crashes := h.count()
 	_, was := t.blocked[h.fingerprint]
-	is := crashes >= SegmentCrashLimit
+	is := crashes >= t.crashLimit(h.fingerprint)
 	if is == was {
 		return nil
 	}
@@ -65,6 +68,14 @@
 	return []msg.Effect{msg.Raise{Event: msg.SegmentBlocked{Segment: h.fingerprint, Crashes: crashes, Blocked: is}}}
 }
 
+// crashLimit returns the number of independent crashes at which a segment is blocked.
+func (t *Tracker) crashLimit(id uint64) int {
+	if _, ok := t.completions[id]; ok {
+		return provenCrashLimit
+	}
+	return SegmentCrashLimit
+}
+
 // unblockForgotten ends the block of segments whose crashes were removed.
 func (t *Tracker) unblockForgotten() []msg.Effect {
 	var effects []msg.Effect
--- a/internal/core/poison/segment_test.go
+++ b/internal/core/poison/segment_test.go
@@ -94,11 +94,11 @@
 	tracker := NewTracker()
 	crashSegments(tracker, "t1@1", 1*time.Second, 1, 2)
 	crashSegments(tracker, "t2@1", 2*time.Second, 1, 2)
-	tracker.ClearCrashes(9, 1)
+	tracker.ClearCrashes(3*time.Second, 9, 1)
 	is.True(refuses(tracker, 1, 2)) // for segment 2
 	is.Equal(tracker.CrashCount(1), 0)
 	is.True(!refuses(tracker, 1))
-	tracker.ClearCrashes(9, 2)
+	tracker.ClearCrashes(3*time.Second, 9, 2)
 	is.True(!refuses(tracker, 1, 2))
 }
 
@@ -141,3 +141,73 @@
 		})
 	}
 }
+
+// It takes a while to tell a crash from a broken response. Answers that completed
+// meanwhile show that the segment did not cause it.
+func TestLateRecordIsRefutedByCompletion(t *testing.T) {
+	is := is.New(t)
+	tracker := NewTracker()
+	tracker.Step(0, started("e1"))
+	tracker.Step(0, msg.MembersChanged{Entries: []msg.Host{{Host: "e1"}, {Host: "e2"}}})
+	tracker.ClearCrashes(9*time.Second, 1, 7)
+	early := segmentCrash(7, "t1@1", 10*time.Second, 5*time.Second, 100*time.Millisecond)
+	effects := tracker.RecordCrashes(10*time.Second, []msg.CrashRecord{early})
+	is.Equal(tracker.CrashCount(7), 0)
+	is.Equal(clearedIn(effects), 1)
+	late := segmentCrash(7, "t2@1", 10*time.Second, 9500*time.Millisecond, 100*time.Millisecond)
+	tracker.RecordCrashes(10*time.Second, []msg.CrashRecord{late})
+	is.Equal(tracker.CrashCount(7), 1)
+	peer := segmentCrash(7, "t3@1", 10*time.Second, 4*time.Second, 100*time.Millisecond)
+	tracker.Step(10*time.Second, msg.PeerReceived{From: "e2", Message: msg.CrashNotice{Crashes: []msg.CrashRecord{peer}}})
+	is.Equal(tracker.CrashCount(7), 1)
+}
+
+// clearedIn returns how many crashes the sent notices clear.
+func clearedIn(effects []msg.Effect) int {
+	n := 0
+	for _, e := range effects {
+		if sent, ok := e.(msg.SendPeer); ok {
+			notice, _ := sent.Message.(msg.CrashNotice)
+			n += len(notice.Cleared)
+		}
+	}
+	return n
+}
+
+// The crashes of targets that lose power together become known one after the other, and
+// attempts are still sent to some of them meanwhile.
+func TestCrashesWithinGapCountOnce(t *testing.T) {
+	is := is.New(t)
+	tracker := NewTracker()
+	crashSegments(tracker, "t1@1", time.Second, 7)
+	tracker.RecordCrashes(1300*time.Millisecond, []msg.CrashRecord{
+		segmentCrash(7, "t2@1", 1300*time.Millisecond, 1300*time.Millisecond, 100*time.Millisecond),
+	})
+	is.Equal(tracker.CrashCount(7), 1)
+}
+
+// A segment of answers that completed runs at many targets and is at many crashes by
+// chance. It is blocked after more of them, in case new targets crash under it.
+func TestProvenSegmentIsBlockedLater(t *testing.T) {
+	is := is.New(t)
+	tracker := NewTracker()
+	tracker.ClearCrashes(time.Second, 1, 7)
+	for i := range provenCrashLimit - 1 {
+		crashSegments(tracker, msg.CrashID(fmt.Sprint("t", i, "@1")), time.Duration(i+2)*time.Second, 7, 8)
+	}
+	is.True(!refuses(tracker, 7))
+	is.True(refuses(tracker, 8))
+	crashSegments(tracker, "t9@1", 9*time.Second, 7)
+	is.True(refuses(tracker, 7))
+}
+
+// What is kept of completions is bounded.
+func TestCompletionsAreBounded(t *testing.T) {
+	is := is.New(t)
+	tracker := NewTracker()
+	for i := range uint64(3 * maxCompletions) {
+		tracker.ClearCrashes(time.Duration(i)*time.Millisecond, 0, i+1)
+	}
+	is.True(len(tracker.completions) <= maxCompletions)
+	is.True(len(tracker.completions) > maxCompletions/4)
+}
--- a/internal/core/poison/tracker.go
+++ b/internal/core/poison/tracker.go
@@ -64,7 +64,9 @@
 	entries   []msg.Host
 	histories map[uint64]*crashHistory
 	// blocked holds the histories of segments with SegmentCrashLimit crashes or more.
-	blocked    map[uint64]*crashHistory
+	blocked map[uint64]*crashHistory
+	// completions holds the last completed answer to a prompt with each segment.
+	completions completions
 	nextReadAt msg.Time
 	reading    bool
 	// nextExpiryAt is when expired histories are removed next.
@@ -76,7 +78,10 @@
 
 // NewTracker returns a tracker without crash records.
 func NewTracker() *Tracker {
-	return &Tracker{histories: make(map[uint64]*crashHistory), blocked: make(map[uint64]*crashHistory)}
+	return &Tracker{
+		histories: make(map[uint64]*crashHistory), blocked: make(map[uint64]*crashHistory),
+		completions: make(completions),
+	}
 }
 
 // CrashCount returns the number of crashes that count against a request.
@@ -108,30 +113,64 @@
 	}
 	effects = append(effects, t.evict()...)
 	t.enqueue(notice)
-	return append(effects, t.broadcast(notice)...)
+	effects = append(effects, t.broadcast(notice)...)
+	return append(effects, t.clearRefuted(notice.Crashes)...)
 }
 
-// ClearCrashes records that a request completed, so that the crashes up to now of
-// the request and of the segments of its prompt no longer count.
-func (t *Tracker) ClearCrashes(fingerprints ...uint64) []msg.Effect {
+// ClearCrashes records that a request and the prompt segments of its answer completed,
+// so that their crashes up to now no longer count.
+func (t *Tracker) ClearCrashes(now msg.Time, request uint64, segments ...uint64) []msg.Effect {
+	t.completions.add(now, segments)
 	var notice msg.CrashNotice
 	var effects []msg.Effect
-	for _, f := range fingerprints {
-		h := t.histories[f]
-		if h == nil || len(h.uncleared()) == 0 {
-			continue
+	for _, f := range append([]uint64{request}, segments...) {
+		if h := t.histories[f]; h != nil {
+			effects = append(effects, t.clearUpTo(h, now, &notice)...)
 		}
-		for _, c := range h.crashes {
-			notice.Cleared = append(notice.Cleared, msg.CrashRecord{Fingerprint: f, ID: c.id, Segment: h.segment})
+	}
+	return append(effects, t.announceCleared(notice)...)
+}
+
+// clearRefuted clears those of the recorded crashes that a completed answer with their
+// segment had refuted before they became known: it takes a while to tell a crash from a
+// broken response, and records travel.
+func (t *Tracker) clearRefuted(records []msg.CrashRecord) []msg.Effect {
+	var notice msg.CrashNotice
+	var effects []msg.Effect
+	for _, r := range records {
+		at, ok := t.completions[r.Fingerprint]
+		if h := t.histories[r.Fingerprint]; ok && h != nil && h.segment {
+			effects = append(effects, t.clearUpTo(h, at, &notice)...)
 		}
-		h.cleared = crashIDs(h.crashes)
-		effects = append(effects, t.updateBlocked(h)...)
 	}
+	return append(effects, t.announceCleared(notice)...)
+}
+
+// clearUpTo clears the crashes of a history up to an instant, and adds those that
+// counted to a notice.
+func (t *Tracker) clearUpTo(h *crashHistory, at msg.Time, notice *msg.CrashNotice) []msg.Effect {
+	cleared := false
+	for _, c := range h.uncleared() {
+		if c.at > at {
+			continue
+		}
+		cleared = true
+		h.cleared = append(h.cleared, c.id)
+		notice.Cleared = append(notice.Cleared, msg.CrashRecord{Fingerprint: h.fingerprint, ID: c.id, Segment: h.segment})
+	}
+	if !cleared {
+		return nil
+	}
+	return t.updateBlocked(h)
+}
+
+// announceCleared tells the other daemons and the store which crashes no longer count.
+func (t *Tracker) announceCleared(notice msg.CrashNotice) []msg.Effect {
 	if len(notice.Cleared) == 0 {
 		return nil
 	}
 	t.enqueue(notice)
-	return append(effects, t.broadcast(notice)...)
+	return t.broadcast(notice)
 }
 
 // Step handles one event.
@@ -200,7 +239,8 @@
 			effects = append(effects, t.addCleared(s, now+left)...)
 		}
 	}
-	return append(effects, t.evict()...)
+	effects = append(effects, t.evict()...)
+	return append(effects, t.clearRefuted(n.Crashes)...)
 }
 
 // addCleared adds the clearance of a crash.
@@ -286,6 +326,7 @@
 		return nil
 	}
 	t.nextExpiryAt = now + readInterval
+	t.completions.removeExpired(now)
 	for _, h := range t.histories {
 		if now >= h.expires {
 			delete(t.histories, h.fingerprint)
--- a/internal/core/pool/request/attempt.go
+++ b/internal/core/pool/request/attempt.go
@@ -166,7 +166,7 @@
 	case msg.AttemptLost:
 		r.crashes++
 	case msg.AttemptDone:
-		s.effects = append(s.effects, s.poison.ClearCrashes(r.fingerprint)...)
+		s.effects = append(s.effects, s.poison.ClearCrashes(s.now, r.fingerprint)...)
 	}
 }
 
