direct/request: requests wait for a share of a limit that comes within their objective

Cause: at 28 entries a share of a limit is a request in 1.5 s; callers that came between two of them were refused, and the next one, beyond the 1.5 that are saved, was lost. Entries that hold shares of several targets lost most.

A request without a share now waits if this entry's shares permit it within its objective, after those that wait already; else it is refused at once, as before. Ruled out: more saved for each holder (the bound of the target's window has 0.2 of the limit left), fewer holders (more uneven).

--- a/internal/core/direct/request/crash.go
+++ b/internal/core/direct/request/crash.go
@@ -189,7 +189,8 @@
 	return s.poison.CrashCount(r.fingerprint)+s.probing[r.fingerprint] >= poison.CrashLimit
 }
 
-// hold lets a request wait for the probes in flight, or for the origin of its stream.
+// hold lets a request wait for the probes in flight, for the origin of its stream or for
+// a share of a limit.
 // One that waits in the queue of its service stays there.
 func (s *stepContext) hold(r *request, reason string) {
 	if r.waiting || slices.Contains(s.held, r) {
--- a/internal/core/direct/request/place.go
+++ b/internal/core/direct/request/place.go
@@ -41,8 +41,8 @@
 
 // place chooses a target for the request's next attempt and starts the attempt.
 // A prompt that can only be late may be left waiting instead (see enqueue), as may a
-// request whose last attempts are being explained or that resumes a stream of unknown
-// origin (see hold). It returns
+// request whose last attempts are being explained, that resumes a stream of unknown
+// origin (see hold) or for which there is soon a share of a limit (see waitForShare). It returns
 // a refusal if the key is no longer valid, if the request crashes targets, if there is no
 // suitable target, if the wait would be too long, or if the retry budget is used up.
 func (s *stepContext) place(r *request) *refusal {
@@ -81,13 +81,14 @@
 	if r.origin != nil && !slices.ContainsFunc(s.services[r.service], r.fitsOrigin) {
 		return finalRefusal("version-gone")
 	}
-	limited := func(t *target) bool {
-		return t.usable(s.now) && !slices.Contains(r.exclude, t.Target) && r.fitsOrigin(t) && !s.permits(t)
-	}
-	if slices.ContainsFunc(s.services[r.service], limited) {
-		return &refusal{statusUnavailable, "limited", retryAfterOtherEntry}
+	limited := s.limitedTargets(r)
+	switch {
+	case len(limited) == 0:
+		return &refusal{statusUnavailable, "no-target", retryAfterShort}
+	case s.waitForShare(r, limited):
+		return nil
 	}
-	return &refusal{statusUnavailable, "no-target", retryAfterShort}
+	return &refusal{statusUnavailable, "limited", retryAfterOtherEntry}
 }
 
 // candidates returns the service's usable targets, each with its cost.
--- a/internal/core/direct/request/request.go
+++ b/internal/core/direct/request/request.go
@@ -64,6 +64,9 @@
 	decodeDelay time.Duration
 	// waiting reports whether the request is in the queue of its service.
 	waiting bool
+	// shareBy is the instant up to which the request may wait for a share of a target's
+	// limit. It is zero until it has to.
+	shareBy msg.Time
 	// trialCrashes is set if the request is the trial of a blocked prompt segment, to
 	// the number of crashes that counted against the segment.
 	trialCrashes int
--- a/internal/core/direct/sharedrate/target.go
+++ b/internal/core/direct/sharedrate/target.go
@@ -35,5 +35,9 @@
 // Permits reports whether a request is permitted now.
 func (b *TargetBucket) Permits(now msg.Time) bool { return b.bucket.Level(now) >= 1 }
 
+// Level returns the number of requests that are permitted now, with the part of the next
+// one that has been saved.
+func (b *TargetBucket) Level(now msg.Time) float64 { return b.bucket.Level(now) }
+
 // Take counts a request, permitted or not.
 func (b *TargetBucket) Take(now msg.Time) { b.bucket.Take(now, 1) }
--- a/internal/core/direct_limit_test.go
+++ b/internal/core/direct_limit_test.go
@@ -93,28 +93,36 @@
 func TestLimitsAreUsedUnderLoad(t *testing.T) {
 	t.Parallel()
 	for _, entries := range []int{6, 28} {
-		t.Run(fmt.Sprint(entries), func(t *testing.T) {
-			t.Parallel()
-			f := newDirectFleet(t, entries, 18)
-			f.load(200, 40*time.Second)
-			f.run(5 * time.Second)
-			named := f.now
-			var sum, arrived float64
-			for _, target := range f.targets[18:] {
-				target.notice = msg.TargetNotice{RequestLimit: 6}
-				sum += target.notice.RequestLimit
-			}
-			f.run(30 * time.Second)
-			from := named + fleetContact
-			for _, target := range f.targets[18:] {
-				target.checkLimit(named)
-				arrived += float64(target.arrivalsBetween(from, f.now)) / (f.now - from).Seconds()
-			}
-			t.Logf("%.1f of %.0f requests a second put to use; refused %v", arrived, sum, f.refusals)
-			if arrived < minLimitUse*sum {
-				t.Errorf("%.1f of %.0f requests a second are put to use", arrived, sum)
-			}
-		})
+		for seed := range uint64(6) {
+			t.Run(fmt.Sprint(entries, "/", seed+1), func(t *testing.T) {
+				t.Parallel()
+				useLimits(newSeededFleet(t, entries, 18, seed+1))
+			})
+		}
+	}
+}
+
+// useLimits plays twice the load that the plain targets take, and checks what reaches
+// them.
+func useLimits(f *directFleet) {
+	f.t.Helper()
+	f.load(200, 40*time.Second)
+	f.run(5 * time.Second)
+	named := f.now
+	var sum, arrived float64
+	for _, target := range f.targets[18:] {
+		target.notice = msg.TargetNotice{RequestLimit: 6}
+		sum += target.notice.RequestLimit
+	}
+	f.run(30 * time.Second)
+	from := named + fleetContact
+	for _, target := range f.targets[18:] {
+		target.checkLimit(named)
+		arrived += float64(target.arrivalsBetween(from, f.now)) / (f.now - from).Seconds()
+	}
+	f.t.Logf("%.1f of %.0f requests a second put to use; refused %v", arrived, sum, f.refusals)
+	if arrived < minLimitUse*sum {
+		f.t.Errorf("%.1f of %.0f requests a second are put to use", arrived, sum)
 	}
 }
 
