--- a/internal/core/poison/tracker.go
+++ b/internal/core/poison/tracker.go
@@ -67,8 +67,8 @@
 	blocked map[uint64]*crashHistory
 	// completions holds the last completed answer to a prompt with each segment.
 	completions completions
-	nextReadAt msg.Time
-	reading    bool
+	nextReadAt  msg.Time
+	reading     bool
 	// nextExpiryAt is when expired histories are removed next.
 	nextExpiryAt msg.Time
 	syncState
--- a/internal/experiment/engine.go
+++ b/internal/experiment/engine.go
@@ -157,8 +157,11 @@
 // admit moves waiting jobs to the batch while there are slots and memory. If the
 // batch is empty it admits a job without enough memory.
 func (e *engine) admit() {
-	for len(e.waiting) > 0 && len(e.running) < e.spec.Slots {
+	for len(e.waiting) > 0 {
 		j := e.waiting[0]
+		if len(e.running) >= e.spec.Slots && !e.preemptFor(j) {
+			return
+		}
 		if e.runningTokens()+j.promptTokens > e.spec.CacheTokens && len(e.running) > 0 {
 			return
 		}
@@ -171,6 +174,20 @@
 	}
 }
 
+// preemptFor puts the newest of the least urgent running jobs back into the queue, if it
+// is less urgent than a job. It keeps what is cached of its prompt.
+func (e *engine) preemptFor(j *job) bool {
+	last := slices.MaxFunc(e.running, byPriority)
+	if last.priority <= j.priority {
+		return false
+	}
+	e.running = slices.DeleteFunc(e.running, func(o *job) bool { return o == last })
+	last.prefilledTokens = 0
+	e.waiting = append(e.waiting, last)
+	slices.SortStableFunc(e.waiting, byPriority)
+	return true
+}
+
 // runningTokens returns the memory that the running jobs need, in tokens.
 func (e *engine) runningTokens() int {
 	sum := 0
--- a/internal/experiment/noise.go
+++ b/internal/experiment/noise.go
@@ -21,5 +21,9 @@
 
 // load returns the load that the engine reports.
 func (e *engine) load() *msg.TargetLoad {
-	return &msg.TargetLoad{Running: len(e.running), Waiting: len(e.waiting), Slots: e.spec.Slots, Pace: e.lastingFactor * e.pace}
+	l := &msg.TargetLoad{Running: len(e.running), Waiting: len(e.waiting), Slots: e.spec.Slots}
+	if !e.spec.HidePace {
+		l.Pace = e.lastingFactor * e.pace
+	}
+	return l
 }
--- a/internal/experiment/requests.go
+++ b/internal/experiment/requests.go
@@ -46,14 +46,17 @@
 	return t
 }
 
+// kindSizes holds the sizes of the segments that the prompts of a kind share.
+type kindSizes struct{ common, shared []int }
+
 // scheduleRequests draws the arrivals of each kind from a Poisson process whose
 // rate follows the swings.
 func (sim *simulation) scheduleRequests() {
 	for i := range sim.spec.Kinds {
 		k := &sim.spec.Kinds[i]
-		sizes := make([]int, k.Shared)
-		for p := range sizes {
-			sizes[p] = sim.drawSize(k.SharedTokens, k.Spread)
+		sizes := kindSizes{
+			common: sim.drawSizes(k.Common, k.CommonTokens, k.Spread),
+			shared: sim.drawSizes(k.Shared, k.SharedTokens, k.Spread),
 		}
 		var t time.Duration
 		for {
@@ -67,6 +70,15 @@
 	}
 }
 
+// drawSizes draws n sizes.
+func (sim *simulation) drawSizes(n int, mean, spread float64) []int {
+	sizes := make([]int, n)
+	for i := range sizes {
+		sizes[i] = sim.drawSize(mean, spread)
+	}
+	return sizes
+}
+
 // rateFactor returns the factor of a kind's arrival rate at time t.
 func (s *Spec) rateFactor(kind string, t time.Duration) float64 {
 	f := 1.0
@@ -85,19 +97,33 @@
 	return max(int(min(v, maxSizeRatio*mean)), 1)
 }
 
-// drawRequest draws a request of a kind. sizes are the sizes of the kind's shared
-// segments.
-func (sim *simulation) drawRequest(kind int, sizes []int) *request {
+// drawRequest draws a request of a kind.
+func (sim *simulation) drawRequest(kind int, sizes kindSizes) *request {
 	k := &sim.spec.Kinds[kind]
 	// Inverse transform sampling of a power law over the shared segments.
 	n := min(int(float64(k.Shared)*math.Pow(sim.rand.Float64(), 1/(1-popularityExponent))), k.Shared-1)
 	own := sim.drawSize(k.OwnTokens, k.Spread)
 	id := uint64(kind+1) << 32
-	return &request{
-		sim: sim, kind: kind, promptTokens: sizes[n] + own,
-		segments:     []msg.PromptSegment{{ID: id + uint64(n), Tokens: sizes[n]}, {ID: id<<16 + uint64(sim.nextSeq()), Tokens: own}},
-		outputTokens: max(int(float64(sim.drawSize(k.Events, 1))), 1) * sim.spec.Engines.EventTokens,
+	var segments []msg.PromptSegment
+	if len(sizes.common) > 0 {
+		first := n % len(sizes.common)
+		segments = append(segments, msg.PromptSegment{ID: id<<8 + uint64(first), Tokens: sizes.common[first]})
 	}
+	segments = append(segments,
+		msg.PromptSegment{ID: id + uint64(n), Tokens: sizes.shared[n]},
+		msg.PromptSegment{ID: id<<16 + uint64(sim.nextSeq()), Tokens: own},
+	)
+	req := &request{sim: sim, kind: kind, segments: segments, outputTokens: sim.drawOutput(k)}
+	for _, seg := range segments {
+		req.promptTokens += seg.Tokens
+	}
+	return req
+}
+
+// drawOutput draws the number of tokens of an answer. Its first event holds one token.
+func (sim *simulation) drawOutput(k *Kind) int {
+	events := max(sim.drawSize(k.Events, 1), 1)
+	return 1 + (events-1)*sim.spec.Engines.EventTokens
 }
 
 func (req *request) arrive() {
--- a/internal/experiment/spec.go
+++ b/internal/experiment/spec.go
@@ -62,6 +62,8 @@
 	// engine after the other and then from the beginning. Without it all are alike.
 	Speeds []float64 `yaml:"speeds" validate:"dive,gt=0"`
 	Noise  Noise     `yaml:"noise"`
+	// HidePace makes the engines report no pace.
+	HidePace bool `yaml:"hide_pace"`
 	// Change is the duration of a role change after the running requests have
 	// ended.
 	Change time.Duration `yaml:"change"`
@@ -81,6 +83,11 @@
 	Name string `yaml:"name" validate:"required"`
 	// Rate is the mean number of requests per second.
 	Rate float64 `yaml:"rate" validate:"gt=0"`
+	// Common is the number of segments with which the prompts of the kind begin, each
+	// followed by some of the shared ones, and CommonTokens their mean size. Without
+	// it prompts begin with a shared segment.
+	Common       int     `yaml:"common" validate:"min=0"`
+	CommonTokens float64 `yaml:"common_tokens" validate:"min=0"`
 	// Shared is the number of shared prompt segments and SharedTokens their mean
 	// size. OwnTokens is the mean size of the rest of a prompt.
 	Shared       int     `yaml:"shared" validate:"min=1"`
