roles: demand for decoding follows a rise within seconds

Cause: each momentary rise of running streams was taken at once and fell by 2% a report, so the highest peak ruled. With dossiers at 1.5 times their load the planner turned two of four prefill engines to decode (wanted 6, then 7) while 1,100 prompts a second came.

The rise now has a weight of 0.1 a report (half in 3.5 s). Ruled out: fewer decode engines.

--- a/internal/core/direct/roles/demand.go
+++ b/internal/core/direct/roles/demand.go
@@ -20,11 +20,12 @@
 	d.tokens = smoothDemand(d.tokens, float64(ev.Tokens))
 }
 
-// smoothDemand returns the new moving average of a demand. It follows a rise
-// at once and a fall slowly.
+// smoothDemand returns the new moving average of a demand. It follows a rise within
+// seconds, because a role change for a spike of short streams costs more than it
+// brings, and a fall more slowly.
 func smoothDemand(old, v float64) float64 {
 	if v > old {
-		return v
+		return old + demandRiseWeight*(v-old)
 	}
 	return old + demandFallWeight*(v-old)
 }
--- a/internal/core/direct/roles/roles.go
+++ b/internal/core/direct/roles/roles.go
@@ -30,8 +30,9 @@
 	// need the rest.
 	maxStreamSlotShare  = 0.6
 	maxStreamCacheShare = 0.5
-	// demandFallWeight is the weight of a new, lower demand in the moving
-	// average. A higher demand replaces the average at once.
+	// demandRiseWeight and demandFallWeight are the weights of a new demand in the moving
+	// average, if it is higher or lower.
+	demandRiseWeight = 0.1
 	demandFallWeight = 0.02
 	// demandSlack is the number of decode engines that may be missing before
 	// another engine is ordered to decode.
