direct/request: what can only be late gives way; copies of cached prefixes have a cost

Cause: at overload a third of the engines' time went to prompts that could only be late (waiting, or back after a refusal). They ran at the priority of the others and counted in the wait that newcomers expected.

--- /dev/null
+++ b/internal/core/direct/request/class_test.go
@@ -0,0 +1,66 @@
+package request
+
+import (
+	"testing"
+	"time"
+
+	"github.com/verbenaspur/verbenaspur/internal/core/msg"
+)
+
+// A prompt that can only be late gives way at its engine, and the prompts that come after
+// it do not expect to wait for it.
+func TestLatePromptGivesWay(t *testing.T) {
+	h := newBusyHarness(t)
+	h.arrive("/chat/x", prompt(1, 300, 50))
+	h.advance(time.Second)
+	h.is.Equal(len(h.m.attempts), 1)
+	for _, a := range h.m.attempts {
+		h.is.Equal(a.class, background)
+		h.is.Equal(a.priority, maxPriority)
+	}
+	dec := h.m.targets["dec-1"]
+	h.is.True(dec.backlog(h.now, background) > 0)
+	s := &stepContext{Manager: h.m, now: h.now}
+	h.is.Equal(s.queueTime(dec), time.Duration(0))
+	h.arrive("/chat/x", prompt(2, 300, 50))
+	h.is.Equal(h.started().Spec.Priority, 2) // that of the route
+}
+
+// A prompt that can only be late waits for the background work that others have sent.
+func TestLatePromptsWaitForEachOther(t *testing.T) {
+	h := newBusyHarness(t)
+	h.step(msg.PeerReceived{From: "entry-2", Message: msg.LoadDigest{Targets: []msg.TargetDigest{{Target: "dec-1", BacklogMS: 800, BackgroundMS: 400}}}})
+	h.arrive("/chat/x", prompt(1, 300, 50))
+	h.advance(300 * time.Millisecond)
+	h.is.Equal(len(h.m.attempts), 0)
+	h.advance(500 * time.Millisecond)
+	h.is.Equal(len(h.m.attempts), 1)
+}
+
+// Announced background work is kept apart from the other.
+func TestBackgroundPrefillIsAnnounced(t *testing.T) {
+	h := newBusyHarness(t)
+	h.occupy("dec-1", 0)
+	h.step(msg.PeerReceived{From: "entry-2", Message: msg.PrefillSent{Target: "dec-1", PrefillMS: 300, Background: true}})
+	h.step(msg.PeerReceived{From: "entry-2", Message: msg.PrefillSent{Target: "dec-1", PrefillMS: 200}})
+	h.is.Equal(h.m.exchange.backlog(h.now, "dec-1", foreground), 200*time.Millisecond)
+	h.is.Equal(h.m.exchange.backlog(h.now, "dec-1", background), 300*time.Millisecond)
+}
+
+// Another copy of a cached prefix takes the place of others' prefixes, so that it must
+// save more than a little time.
+func TestPrefixIsCopiedOnlyWhereItPays(t *testing.T) {
+	for wait, want := range map[time.Duration]msg.TargetID{40 * time.Millisecond: "pre-1", 300 * time.Millisecond: "pre-2"} {
+		h := newReadyHarness(t)
+		pre := testInstances()[4]
+		other := pre
+		other.Target, other.Addr, other.Domain = "pre-2", "10.0.2.2:1", "d2"
+		h.setInstances(testInstances()[2], pre, other)
+		h.m.caches.add("pre-1", 500_000, 1, 13_000)
+		h.step(msg.PeerReceived{From: "entry-2", Message: msg.LoadDigest{Targets: []msg.TargetDigest{
+			{Target: "pre-1", BacklogMS: roundMS(wait)}, {Target: "dec-1", BacklogMS: 5000},
+		}}})
+		h.arrive("/chat/x", prompt(1, 13_000, 500))
+		h.is.Equal(h.started().Spec.Target, want)
+	}
+}
--- a/internal/core/direct/request/loadexchange.go
+++ b/internal/core/direct/request/loadexchange.go
@@ -99,20 +99,29 @@
 }
 
 // backlog estimates the remaining prefill work of the other daemons at a
-// target.
-func (x *loadExchange) backlog(now msg.Time, id msg.TargetID) time.Duration {
+// target in a class.
+func (x *loadExchange) backlog(now msg.Time, id msg.TargetID, c class) time.Duration {
 	var sum time.Duration
 	for _, p := range x.peers {
 		age := now - p.receivedAt
 		if age > digestMaxAge {
 			continue
 		}
-		reported := time.Duration(p.targets[id].BacklogMS) * time.Millisecond
+		t := p.targets[id]
+		reported := time.Duration(*backlogOf(&t, c)) * time.Millisecond
 		sum += max(reported-age, 0)
 	}
 	return sum
 }
 
+// backlogOf returns the field of a digest with the work of a class.
+func backlogOf(t *msg.TargetDigest, c class) *float32 {
+	if c == background {
+		return &t.BackgroundMS
+	}
+	return &t.BacklogMS
+}
+
 // openWork returns the sum of the other daemons' open work at a target. A digest
 // that is older than digestMaxAge is left out: its daemon no longer says what is open.
 func (x *loadExchange) openWork(now msg.Time, id msg.TargetID) msg.TargetDigest {
@@ -152,11 +161,15 @@
 	t := p.targets[m.Target]
 	t.Target = m.Target
 	t.Open++
-	// BacklogMS counts from the time at which the digest was received, which is
+	// The backlog counts from the time at which the digest was received, which is
 	// age ago. Earlier work that was due by now is taken to be finished; the new
 	// prefill then begins now.
 	age := roundMS(now - p.receivedAt)
-	t.BacklogMS = max(t.BacklogMS, age) + m.PrefillMS
+	backlog := backlogOf(&t, foreground)
+	if m.Background {
+		backlog = backlogOf(&t, background)
+	}
+	*backlog = max(*backlog, age) + m.PrefillMS
 	p.targets[m.Target] = t
 }
 
@@ -166,7 +179,7 @@
 	if float64(a.prefill) < announcedShare*float64(a.req.route.Objective) {
 		return
 	}
-	s.broadcast(msg.PrefillSent{Target: a.target.Target, PrefillMS: roundMS(a.prefill)})
+	s.broadcast(msg.PrefillSent{Target: a.target.Target, PrefillMS: roundMS(a.prefill), Background: a.class == background})
 }
 
 // broadcast sends a message to all other daemons.
@@ -274,7 +287,7 @@
 		if len(t.open) > 0 || late > 0 {
 			running, tokens := t.running()
 			list = append(list, msg.TargetDigest{
-				Target: id, BacklogMS: roundMS(t.backlog(s.now)), Open: len(t.open), Running: running, Tokens: tokens,
+				Target: id, BacklogMS: roundMS(t.backlog(s.now, foreground)), BackgroundMS: roundMS(t.backlog(s.now, background)), Open: len(t.open), Running: running, Tokens: tokens,
 				LateMS: roundMS(late),
 			})
 		}
--- a/internal/core/direct/request/place.go
+++ b/internal/core/direct/request/place.go
@@ -22,6 +22,7 @@
 type candidate struct {
 	target *target
 	step   msg.DirectStep
+	class  class
 	// fetchFrom is the target from which a cached prefix is fetched first, or
 	// nil.
 	fetchFrom *target
@@ -218,6 +219,9 @@
 // runs the whole request. It returns false for a prefill engine if the route's
 // responses are not streams or a stream is to be resumed.
 func (s *stepContext) scorePrefill(r *request, t *target) (candidate, bool) {
+	if t.Role == msg.RolePrefill && (r.route.Retry != msg.RetryStream || r.lastEvent > 0) {
+		return candidate{}, false
+	}
 	c := candidate{target: t, step: msg.StepWhole, wait: s.queueTime(t)}
 	cached := s.caches.cachedTokens(t.Target, r.segments)
 	from, held := s.bestHolder(r, t, cached)
@@ -225,39 +229,40 @@
 	if from != nil {
 		c.fetchFrom = from
 		fetch = transferTime(s.engineSpec(t), held-cached, from.Domain != t.Domain)
-		cached = held
 	}
 	estimator := s.prefillEstimator(t)
-	c.work = prefilltime.WorkOf(t.Role, r.arrival.PromptTokens, cached)
+	c.work = prefilltime.WorkOf(t.Role, r.arrival.PromptTokens, held)
 	start := sendTime + c.wait + fetch
-	c.prefill = time.Duration(s.congestionFactor(t) * float64(s.slowed(t, start, estimator.Prefill(c.work))))
+	usual := estimator.Prefill(c.work)
+	c.prefill = time.Duration(s.congestionFactor(t) * float64(s.slowed(t, start, usual)))
 	c.response = start + estimator.Base() + c.prefill
 	c.expected = c.response
 	if t.Role == msg.RolePrefill {
-		if r.route.Retry != msg.RetryStream || r.lastEvent > 0 {
-			return candidate{}, false
-		}
 		c.step = msg.StepPrefill
 		c.expected += sendTime + transferTime(s.engineSpec(t), r.arrival.PromptTokens, true) + r.decodeDelay
 	}
-	c.cost = penalize(c.expected, t)
+	slowdown := s.slowed(t, start, usual) - usual
+	c.cost = penalize(c.expected, t) - slowdown + s.copyCost(estimator, held-cached)
 	if t.Role == msg.RoleDecode {
 		c.expected += s.slowed(t, start, s.capacityDelay(r, t))
 		c.response = c.expected
 		harm := time.Duration(s.policy.DecodeInterference * float64(s.openStreams(t)) * float64(c.prefill))
 		c.cost = c.expected + s.riskCost(r, t) + c.prefill + harm
 	}
+	if s.isLate(r, c.expected) {
+		s.moveToBackground(&c)
+	}
 	return c, true
 }
 
 // bestHolder returns the engine other than t that holds the longest prefix of
 // the prompt in its cache, with the length of that prefix in tokens. The
-// parameter cached is the length of the prefix that t holds. The result is nil
-// unless the other prefix is longer by at least minSharedTokens. Of engines with
+// parameter cached is the length of the prefix that t holds. The result is nil and
+// cached unless the other prefix is longer by at least minSharedTokens. Of engines with
 // equally long prefixes, one in t's failure domain is preferred.
 func (s *stepContext) bestHolder(r *request, t *target, cached int) (*target, int) {
 	if len(r.segments) == 0 {
-		return nil, 0
+		return nil, cached
 	}
 	var best *target
 	longest := cached
@@ -273,7 +278,7 @@
 		}
 	}
 	if longest-cached < minSharedTokens {
-		return nil, 0
+		return nil, cached
 	}
 	return best, longest
 }
@@ -287,11 +292,17 @@
 	return h.Target < best.Target
 }
 
-// queueTime estimates the time until a target begins new work. It counts the
+// queueTime estimates the time until a target begins new foreground work. It counts the
 // work that all daemons have sent. For a suspect target it is at least the
 // target's lateness (see suspicionDelay).
 func (s *stepContext) queueTime(t *target) time.Duration {
-	return max(t.backlog(s.now)+s.exchange.backlog(s.now, t.Target), s.suspicionDelay(t))
+	return max(s.backlog(t, foreground), s.suspicionDelay(t))
+}
+
+// backlog estimates the time that a target needs for the work of a class that all daemons
+// have sent.
+func (s *stepContext) backlog(t *target, c class) time.Duration {
+	return t.backlog(s.now, c) + s.exchange.backlog(s.now, t.Target, c)
 }
 
 // engineSpec returns the configuration of the engines of a target's service. It
--- a/internal/core/direct/request/policy.go
+++ b/internal/core/direct/request/policy.go
@@ -19,19 +19,24 @@
 	// it. The default is less than 1 because many streams can tolerate the
 	// delay.
 	DecodeInterference float64 `yaml:"stream_harm" validate:"min=0"`
+	// CopyCost is the cost of copying a cached prefix to one more engine, as a multiple of
+	// the time in which it is prefilled.
+	CopyCost float64 `yaml:"copy_cost" validate:"min=0"`
 	// IgnoreSpeeds makes placement take all targets of a service to be equally fast.
 	IgnoreSpeeds bool `yaml:"ignore_speeds"`
 }
 
 const (
 	defaultMaxDelayRatio      = 1.0
-	defaultWaitingStartRatio  = 0.3
+	defaultWaitingStartRatio  = 0.1
 	defaultDecodeInterference = 0.4
+	defaultCopyCost           = 0.4
 )
 
 func (p Policy) withDefaults() Policy {
 	p.MaxDelayRatio = cmp.Or(p.MaxDelayRatio, defaultMaxDelayRatio)
 	p.WaitingStartRatio = cmp.Or(p.WaitingStartRatio, defaultWaitingStartRatio)
 	p.DecodeInterference = cmp.Or(p.DecodeInterference, defaultDecodeInterference)
+	p.CopyCost = cmp.Or(p.CopyCost, defaultCopyCost)
 	return p
 }
--- a/internal/core/direct/request/request.go
+++ b/internal/core/direct/request/request.go
@@ -78,6 +78,7 @@
 	req    *request // nil once the request has ended or has another attempt
 	target *target
 	step   msg.DirectStep
+	class  class
 	// priority is the priority of the attempt at an engine; 0 is the highest.
 	priority int
 	sentAt   msg.Time
--- a/internal/core/direct/request/start.go
+++ b/internal/core/direct/request/start.go
@@ -21,7 +21,7 @@
 // candidates, in order of their costs, is for the log.
 func (s *stepContext) startAttempt(r *request, c candidate, list []candidate) {
 	a := &attempt{
-		id: s.newAttemptID(), req: r, target: c.target, step: c.step, priority: r.priority(), sentAt: s.now,
+		id: s.newAttemptID(), req: r, target: c.target, step: c.step, class: c.class, priority: c.class.priority(r), sentAt: s.now,
 		dropAt: r.deadline + attemptGrace, work: c.work, prefill: c.prefill, expected: c.response, unqueued: s.findsIdle(r, c),
 		tokens: r.arrival.PromptTokens, segments: r.segments, fingerprint: r.fingerprint,
 		process: c.target.StartedMS, version: c.target.Version,
@@ -63,7 +63,7 @@
 	if !r.hasPrompt() {
 		return s.openStreams(c.target) < c.target.Slots
 	}
-	return c.wait == 0 && c.fetchFrom == nil && c.target.pendingPrefill(s.now) == 0
+	return c.wait == 0 && c.fetchFrom == nil && s.backlog(c.target, background) == 0 && c.target.pending(s.now) == 0
 }
 
 func (s *stepContext) logPlaced(r *request, a *attempt, c candidate, list []candidate) {
--- a/internal/core/direct/request/suspect_test.go
+++ b/internal/core/direct/request/suspect_test.go
@@ -33,7 +33,7 @@
 	h.now += 50 * time.Millisecond
 	h.step(msg.DirectAttemptStarted{Attempt: b.Attempt})
 	h.is.Equal(suspicionDelay(h, dec), time.Duration(0))
-	h.is.Equal(dec.pendingPrefill(h.now), time.Duration(0)) // the work of the lost attempt does not count
+	h.is.Equal(dec.pendingPrefill(h.now, foreground), time.Duration(0)) // the work of the lost attempt does not count
 }
 
 // A lateness that other daemons report makes a target suspect, unless it began
--- a/internal/core/direct/request/target.go
+++ b/internal/core/direct/request/target.go
@@ -30,9 +30,9 @@
 type target struct {
 	msg.Instance
 	open map[msg.AttemptID]*attempt
-	// backlogUntil is when the prefill work that this daemon sent is expected
-	// to be finished.
-	backlogUntil msg.Time
+	// backlogUntil holds, by class, when the prefill work that this daemon sent is
+	// expected to be finished if the target has no work of the other class.
+	backlogUntil [classes]msg.Time
 	// startedSentAt holds send times by priority: when the newest started attempt
 	// of the priority was sent. The newest is the one that was sent last.
 	startedSentAt [maxPriority + 1]msg.Time
@@ -89,12 +89,12 @@
 }
 
 // pendingPrefill returns the whole expected duration of the prefills that this
-// daemon sent and that have not produced a token yet, without deducting the time
-// since they were sent. It excludes attempts that were overtaken.
-func (t *target) pendingPrefill(now msg.Time) time.Duration {
+// daemon sent in a class and that have not produced a token yet, without deducting the
+// time since they were sent. It excludes attempts that were overtaken.
+func (t *target) pendingPrefill(now msg.Time, c class) time.Duration {
 	var sum time.Duration
 	for _, a := range t.open {
-		if !a.started && !t.overtaken(now, a) {
+		if a.class == c && !a.started && !t.overtaken(now, a) {
 			sum += a.prefill
 		}
 	}
@@ -123,10 +123,10 @@
 	return n, tokens
 }
 
-// backlog returns the time until the prefill work that this daemon sent is
+// backlog returns the time until the prefill work that this daemon sent in a class is
 // expected to be finished. Unlike pendingPrefill, it falls as time passes.
-func (t *target) backlog(now msg.Time) time.Duration {
-	return max(t.backlogUntil-now, 0)
+func (t *target) backlog(now msg.Time, c class) time.Duration {
+	return max(t.backlogUntil[c]-now, 0)
 }
 
 // addAttempt records that an attempt is sent to the target.
@@ -136,7 +136,7 @@
 		t.limit.bucket.Take(now)
 	}
 	t.open[a.id] = a
-	t.backlogUntil = max(t.backlogUntil, now) + a.prefill
+	t.backlogUntil[a.class] = max(t.backlogUntil[a.class], now) + a.prefill
 }
 
 // recordFirstToken records that an attempt's first token, or its response, has
@@ -148,7 +148,7 @@
 	}
 	a.started = true
 	t.clearSuspicion(a)
-	t.backlogUntil = now + t.pendingPrefill(now)
+	t.backlogUntil[a.class] = now + t.pendingPrefill(now, a.class)
 	t.backoff = 0
 	t.refusedDecodes = 0
 }
@@ -158,7 +158,7 @@
 	delete(t.open, a.id)
 	if !a.started {
 		a.started = true
-		t.backlogUntil = now + t.pendingPrefill(now)
+		t.backlogUntil[a.class] = now + t.pendingPrefill(now, a.class)
 	}
 }
 
--- a/internal/core/msg/direct_peer.go
+++ b/internal/core/msg/direct_peer.go
@@ -64,6 +64,8 @@
 	Target TargetID `cbor:"1,keyasint"`
 	// PrefillMS is the expected duration of the prefill in milliseconds.
 	PrefillMS float32 `cbor:"2,keyasint"`
+	// Background reports whether the prefill gives way to others.
+	Background bool `cbor:"3,keyasint,omitempty"`
 }
 
 // RunCounts reports, by usage window, how many of the sender's requests were
@@ -93,9 +95,11 @@
 type TargetDigest struct {
 	Target TargetID `cbor:"1,keyasint"`
 	// BacklogMS is the expected duration of the open prefill work in
-	// milliseconds.
-	BacklogMS float32 `cbor:"2,keyasint"`
-	Open      int     `cbor:"3,keyasint"`
+	// milliseconds, without that which gives way to other work. The latter is
+	// BackgroundMS.
+	BacklogMS    float32 `cbor:"2,keyasint"`
+	BackgroundMS float32 `cbor:"7,keyasint,omitempty"`
+	Open         int     `cbor:"3,keyasint"`
 	// Running counts the attempts that are decoding, and Tokens the tokens of KV
 	// cache that they occupy.
 	Running int `cbor:"4,keyasint"`
