experiment: loads, limit of the fleet, outcome by length; metrics of late first tokens

verbenaspur_direct_first_tokens_total{step,late} counts first tokens by cause of lateness (expected when placed, or not), which the bounded log can't tell at the peaks; the log line of a placement names the class.

--- a/internal/core/direct/request/class.go
+++ b/internal/core/direct/request/class.go
@@ -20,6 +20,9 @@
 	classes
 )
 
+// String returns the class's name in logs.
+func (c class) String() string { return [...]string{"foreground", "background"}[c] }
+
 // priority returns the priority at engines of an attempt of the class.
 func (c class) priority(r *request) int {
 	if c == background {
@@ -34,6 +37,17 @@
 	return s.now-r.arrivedAt+expected > r.route.Objective
 }
 
+// latenessCause returns why a request whose first token arrives now is late.
+func (s *stepContext) latenessCause(r *request) msg.LatenessCause {
+	switch {
+	case !s.isLate(r, 0):
+		return msg.LatenessNone
+	case r.placedLate:
+		return msg.LatenessExpected
+	}
+	return msg.LatenessUnexpected
+}
+
 // moveToBackground makes a candidate one that waits for the background work of its target
 // as well.
 func (s *stepContext) moveToBackground(c *candidate) {
--- a/internal/core/direct/request/class_test.go
+++ b/internal/core/direct/request/class_test.go
@@ -64,3 +64,36 @@
 		h.is.Equal(h.started().Spec.Target, want)
 	}
 }
+
+// The cause of lateness tells what was known from what was not.
+func TestCauseOfLateness(t *testing.T) {
+	h := newBusyHarness(t)
+	h.arrive("/chat/x", prompt(1, 300, 50))
+	h.advance(time.Second)
+	h.firstToken(msg.LatenessExpected)
+	h.arrive("/chat/x", prompt(1, 300, 50))
+	h.firstToken(msg.LatenessNone)
+	h.arrive("/chat/x", prompt(1, 300, 50))
+	h.advance(900 * time.Millisecond)
+	h.firstToken(msg.LatenessUnexpected)
+}
+
+// firstToken delivers the first token of the only attempt that has none, and checks the
+// cause of its lateness.
+func (h *harness) firstToken(want msg.LatenessCause) {
+	h.t.Helper()
+	for id, a := range h.m.attempts {
+		if a.started {
+			continue
+		}
+		for _, eff := range h.m.Step(h.now, msg.DirectAttemptStarted{Attempt: id}) {
+			if r, ok := eff.(msg.Raise); ok {
+				if ev, ok := r.Event.(msg.FirstTokenReceived); ok {
+					h.is.Equal(ev.Cause, want)
+					return
+				}
+			}
+		}
+	}
+	h.t.Fatal("no first token")
+}
--- a/internal/core/direct/request/request.go
+++ b/internal/core/direct/request/request.go
@@ -64,6 +64,8 @@
 	decodeDelay time.Duration
 	// waiting reports whether the request is in the queue of its service.
 	waiting bool
+	// placedLate reports whether an attempt was sent as background work.
+	placedLate bool
 	// shareBy is the instant up to which the request may wait for a share of a target's
 	// limit. It is zero until it has to.
 	shareBy msg.Time
--- a/internal/core/direct/request/start.go
+++ b/internal/core/direct/request/start.go
@@ -28,6 +28,7 @@
 	}
 	r.attempt = a
 	r.attemptsSent++
+	r.placedLate = r.placedLate || c.class == background
 	s.leaveQueue(r, true)
 	s.chargeRun(r, c.step)
 	r.countArrival(c.step, 1)
@@ -72,7 +73,7 @@
 		from = string(c.fetchFrom.Target)
 	}
 	s.logRequest(r, "placed",
-		attr("attempt", a.id), attr("target", c.target.Target), attr("step", c.step),
+		attr("attempt", a.id), attr("target", c.target.Target), attr("step", c.step), attr("class", c.class),
 		attr("route", r.route.Name), attr("account", r.accountID()), attr("version", s.table.version), attr("tokens", r.arrival.PromptTokens),
 		attr("cost_ms", formatMS(c.cost)), attr("expected_ms", formatMS(c.expected)), attr("wait_ms", formatMS(c.wait)), attr("work_ms", formatMS(c.prefill)),
 		attr("speed", fmt.Sprintf("%.2f", s.speedFactor(c.target, 0, 0))), attr("pace_age_ms", s.formatPaceAge(c.target)),
@@ -124,7 +125,7 @@
 		a.req.mayHaveRun = true
 		s.recordOrigin(a.req, a)
 		s.countRun(a.req)
-		s.raise(msg.FirstTokenReceived{Route: a.req.route.Name, Waited: s.now - a.req.arrivedAt})
+		s.raise(msg.FirstTokenReceived{Route: a.req.route.Name, Step: a.step, Waited: s.now - a.req.arrivedAt, Cause: s.latenessCause(a.req)})
 		s.logRequest(a.req, "first token received",
 			attr("attempt", a.id), attr("target", a.target.Target), attr("took_ms", formatMS(s.now-a.sentAt)),
 			attr("expected_ms", formatMS(a.expected)), attr("pace", fmt.Sprintf("%.2f", a.pace)),
--- a/internal/core/msg/direct_request.go
+++ b/internal/core/msg/direct_request.go
@@ -230,10 +230,30 @@
 // arrived.
 type FirstTokenReceived struct {
 	Route RouteID
+	// Step is that of the attempt.
+	Step DirectStep
 	// Waited is the time since the request's arrival.
 	Waited time.Duration
+	Cause  LatenessCause
 }
 
+// LatenessCause states why a first token did not meet its route's objective.
+type LatenessCause uint8
+
+// Causes of lateness.
+const (
+	// LatenessNone means that the first token met the objective.
+	LatenessNone LatenessCause = iota
+	// LatenessExpected means that the request could only be late when it was placed: it had
+	// waited, or all engines were too busy.
+	LatenessExpected
+	// LatenessUnexpected means that an engine took longer than was expected.
+	LatenessUnexpected
+)
+
+// String returns the cause's name in metrics.
+func (c LatenessCause) String() string { return [...]string{"none", "expected", "unexpected"}[c] }
+
 // PrefillTimed is raised when the first token or the handle of an attempt that
 // prefills has arrived.
 type PrefillTimed struct {
--- a/internal/ctl/experiment_test.go
+++ b/internal/ctl/experiment_test.go
@@ -1,6 +1,7 @@
 package ctl
 
 import (
+	"bytes"
 	"encoding/json"
 	"os"
 	"path/filepath"
@@ -40,3 +41,21 @@
 	code, _, _ = run(t, "experiment")
 	is.Equal(code, exitUsage)
 }
+
+func TestExperimentLoads(t *testing.T) {
+	is := is.New(t)
+	spec, err := os.ReadFile(shortFleet)
+	is.NoErr(err)
+	path := filepath.Join(t.TempDir(), "short.yaml")
+	is.NoErr(os.WriteFile(path, bytes.Replace(spec, []byte("duration: 40s"), []byte("duration: 4s"), 1), 0o600))
+	plot := filepath.Join(t.TempDir(), "loads.svg")
+	code, out, errOut := run(t, "experiment", "--loads", "0.5,2", "--seeds", "1", "--plot", plot, path)
+	is.Equal(code, 0)
+	is.Equal(errOut, "")
+	is.True(strings.HasPrefix(out, "LOAD"))
+	is.Equal(strings.Count(out, "\n"), 3)
+	_, err = os.Stat(plot)
+	is.NoErr(err)
+	code, _, _ = run(t, "experiment", "--loads", "0", path)
+	is.Equal(code, exitUsage)
+}
--- a/internal/experiment/requests.go
+++ b/internal/experiment/requests.go
@@ -17,8 +17,10 @@
 
 // request is a client request including its retry.
 type request struct {
-	sim          *simulation
-	kind         int
+	sim  *simulation
+	kind int
+	// arrivesAt is when the request arrives, from the end of the warm-up on.
+	arrivesAt    time.Duration
 	arrivedAt    time.Duration
 	entry        *entry
 	segments     []msg.PromptSegment
@@ -65,6 +67,8 @@
 				break
 			}
 			req := sim.drawRequest(i, sizes)
+			req.arrivesAt = t
+			sim.drawn = append(sim.drawn, req)
 			sim.at(warmUpTime+t, req.arrive)
 		}
 	}
@@ -189,7 +193,12 @@
 func (req *request) retryOrRefuse(status int, after time.Duration) {
 	k := &req.sim.spec.Kinds[req.kind]
 	if status != 503 || req.attempts > 1 || req.sim.now+after-req.arrivedAt >= k.Timeout {
-		req.countUnanswered(func(k *KindResult) { k.Refused++ })
+		req.countUnanswered(func(k *KindResult) {
+			k.Refused++
+			if req.attempts > 1 {
+				k.RefusedAgain++
+			}
+		})
 		return
 	}
 	req.sim.after(after, req.send)
--- a/internal/experiment/result.go
+++ b/internal/experiment/result.go
@@ -45,19 +45,25 @@
 	RepeatedTokens  int `json:"readAgain"`
 	CachedTokens    int `json:"cached"`
 	// SegmentCrashes counts the engines that a prompt of FaultCrashSegment crashed.
-	SegmentCrashes int          `json:"segmentCrashes"`
-	Kinds          []KindResult `json:"kinds"`
+	SegmentCrashes int `json:"segmentCrashes"`
+	// Limit is an upper bound of the number of requests in time, for any placement.
+	Limit int `json:"limit"`
+	// Lengths holds the outcome by length of the prompt; see lengthBounds.
+	Lengths []LengthResult `json:"lengths"`
+	Kinds   []KindResult   `json:"kinds"`
 }
 
 // KindResult is the outcome for the requests of one kind.
 type KindResult struct {
-	Name     string  `json:"name"`
-	Requests int     `json:"asked"`
-	InTime   int     `json:"inTime"`
-	Late     int     `json:"late"`
-	Refused  int     `json:"refused"`
-	Failed   int     `json:"failed"`
-	Worth    float64 `json:"worth"`
+	Name     string `json:"name"`
+	Requests int    `json:"asked"`
+	InTime   int    `json:"inTime"`
+	Late     int    `json:"late"`
+	Refused  int    `json:"refused"`
+	// RefusedAgain is the part of Refused that had come back after a refusal.
+	RefusedAgain int     `json:"refusedAgain"`
+	Failed       int     `json:"failed"`
+	Worth        float64 `json:"worth"`
 	// P50 and P99 are the median and the 99th percentile of the time to the first
 	// token, in milliseconds.
 	P50 int64 `json:"p50Ms"`
@@ -67,6 +73,26 @@
 	firstTokenTimes *hdrhistogram.Histogram
 }
 
+// lengthBounds divides prompts by their length, as a multiple of the mean of their kind.
+var lengthBounds = []float64{0.5, 1, 2}
+
+// LengthResult is the outcome for the prompts of a range of lengths.
+type LengthResult struct {
+	Requests int `json:"asked"`
+	InTime   int `json:"inTime"`
+}
+
+// lengthOf returns the outcome to which a request belongs by its length.
+func (r *Result) lengthOf(req *request) *LengthResult {
+	k := &r.spec.Kinds[req.kind]
+	mean := k.SharedTokens + k.OwnTokens
+	if k.Common > 0 {
+		mean += k.CommonTokens
+	}
+	i, _ := slices.BinarySearch(lengthBounds, float64(req.promptTokens)/mean)
+	return &r.Lengths[i]
+}
+
 // score is the achieved and the achievable worth of requests.
 type score struct{ earned, possible float64 }
 
@@ -79,7 +105,10 @@
 }
 
 func newResult(s *Spec) *Result {
-	r := &Result{spec: s, lastUse: make(map[uint64]time.Duration), windows: make([]score, s.Duration/windowLength+1)}
+	r := &Result{
+		spec: s, lastUse: make(map[uint64]time.Duration), windows: make([]score, s.Duration/windowLength+1),
+		Lengths: make([]LengthResult, len(lengthBounds)+1),
+	}
 	for _, k := range s.Kinds {
 		r.Kinds = append(r.Kinds, KindResult{Name: k.Name, firstTokenTimes: hdrhistogram.New(1, maxFirstTokenMS, 3)})
 	}
@@ -113,6 +142,7 @@
 // it arrived.
 func (r *Result) addScore(req *request, v float64) {
 	k := &r.Kinds[req.kind]
+	r.lengthOf(req).Requests++
 	possible := r.spec.Kinds[req.kind].Worth
 	k.Requests++
 	k.score.earned += v
@@ -129,6 +159,7 @@
 	_ = k.firstTokenTimes.RecordValue(min(first.Milliseconds(), maxFirstTokenMS))
 	if first <= spec.Objective {
 		k.InTime++
+		r.lengthOf(req).InTime++
 		r.addScore(req, spec.Worth)
 		return
 	}
--- a/internal/experiment/simulation.go
+++ b/internal/experiment/simulation.go
@@ -70,7 +70,9 @@
 	// crashingSegment.
 	crashingShare float64
 	entries       []*entry
-	result        *Result
+	// drawn holds all requests.
+	drawn  []*request
+	result *Result
 }
 
 // Run simulates an experiment.
@@ -85,6 +87,7 @@
 	sim.scheduleFaults()
 	sim.run(warmUpTime + spec.Duration + drainTime)
 	sim.result.finish()
+	sim.result.Limit = sim.limit(sim.drawn)
 	return sim.result
 }
 
--- a/internal/metrics/direct.go
+++ b/internal/metrics/direct.go
@@ -17,6 +17,7 @@
 	ended          *prometheus.CounterVec
 	requestSeconds *prometheus.HistogramVec
 	firstToken     prometheus.Histogram
+	firstTokens    *prometheus.CounterVec
 	prefillError   *prometheus.HistogramVec
 	reads          *prometheus.CounterVec
 	configVersion  prometheus.Gauge
@@ -51,6 +52,7 @@
 		ended:          f.counterVec("direct_closed_total", "Requests that are over, by end and, where they were not served, by reason.", "end", "code"),
 		requestSeconds: f.histogramVec("direct_request_seconds", "Time from arrival to the end of a request, by end.", waitBuckets, "end"),
 		firstToken:     f.histogram("direct_first_token_seconds", "Time from arrival to the first token.", firstTokenBuckets),
+		firstTokens:    f.counterVec("direct_first_tokens_total", "First tokens, by the step at whose target they came and the cause for which they missed the objective.", "step", "late"),
 		prefillError:   f.histogramVec("direct_prefill_time_ratio", "Time to the first token or handle of a prefill, divided by the expected time, by step.", ratioBuckets, "step"),
 		reads:          f.counterVec("direct_reads_total", "Reads of the configuration and the list of targets, by status.", "read", "status"),
 		configVersion:  f.gauge("direct_config_version", "Version of the configuration in force here."),
@@ -84,6 +86,7 @@
 		d.requestSeconds.WithLabelValues(ev.End.String()).Observe(ev.Waited.Seconds())
 	case msg.FirstTokenReceived:
 		d.firstToken.Observe(ev.Waited.Seconds())
+		d.firstTokens.WithLabelValues(ev.Step.String(), ev.Cause.String()).Inc()
 	case msg.PrefillTimed:
 		if ev.Expected > 0 {
 			d.prefillError.WithLabelValues(ev.Step.String()).Observe(ev.Took.Seconds() / ev.Expected.Seconds())
