direct/request: only new requests wait for a share; routes without objective have no late requests

Read in review: place() reports a held request as placed, so that an attempt presumed lost would have been cancelled for a request that only waits; and a route without an objective would have been background work for good. Tests for both and for the wait.

--- a/internal/core/direct/request/class_test.go
+++ b/internal/core/direct/request/class_test.go
@@ -26,6 +26,20 @@
 	h.is.Equal(h.started().Spec.Priority, 2) // that of the route
 }
 
+// Without an objective no prompt is late, and none gives way for good.
+func TestPromptsWithoutObjectiveAreForeground(t *testing.T) {
+	h := newReadyHarness(t)
+	table := testTable()
+	table.Routes[0].Objective = 0
+	h.configure(table)
+	h.arrive("/chat/x", prompt(1, 300, 50))
+	h.advance(3 * time.Second)
+	h.is.Equal(len(h.m.attempts), 1)
+	for _, a := range h.m.attempts {
+		h.is.Equal(a.class, foreground)
+	}
+}
+
 // A prompt that can only be late waits for the background work that others have sent.
 func TestLatePromptsWaitForEachOther(t *testing.T) {
 	h := newBusyHarness(t)
--- a/internal/core/direct/request/limitwait.go
+++ b/internal/core/direct/request/limitwait.go
@@ -23,8 +23,11 @@
 // expected to permit it within its objective, after those that wait already. It answers
 // a load near the limits: a share is a request in some seconds, and the callers that
 // come between two of them would be refused while the next one goes unused. It reports
-// whether the request waits.
+// whether the request waits. One that has been sent before does not.
 func (s *stepContext) waitForShare(r *request, limited []*target) bool {
+	if r.attemptsSent > 0 {
+		return false
+	}
 	if r.shareBy == 0 {
 		wait, ok := s.shareWait(limited, s.waitingForShare(r.service))
 		if !ok || wait > r.route.Objective {
