--- a/internal/core/direct/request/class.go
+++ b/internal/core/direct/request/class.go
@@ -48,6 +48,13 @@
 	return msg.LatenessUnexpected
 }
 
+// canOnlyBeLate reports whether the first token of a prompt misses its objective at a
+// candidate, although the prompt is judged as a typical one if it is longer: the length of
+// a prompt alone does not make it background work.
+func (s *stepContext) canOnlyBeLate(r *request, c candidate) bool {
+	return s.isLate(r, c.expected-s.excessPrefill(r, c))
+}
+
 // moveToBackground makes a candidate one that waits for the background work of its target
 // as well.
 func (s *stepContext) moveToBackground(c *candidate) {
--- a/internal/core/direct/request/class_test.go
+++ b/internal/core/direct/request/class_test.go
@@ -40,6 +40,21 @@
 	}
 }
 
+// A prompt that is late for its length alone is not background work: under a steady load of
+// others it would hardly ever start.
+func TestLongPromptIsNotBackgroundForItsLength(t *testing.T) {
+	h := newReadyHarness(t)
+	h.setInstances(testInstances()[2])
+	for range 20 {
+		h.arrive("/chat/x", prompt(1, 300, 50))
+		h.end(h.started().Attempt, msg.DirectDone)
+	}
+	h.arrive("/chat/x", prompt(1, 300, 60_000))
+	a := h.m.attempts[h.started().Attempt]
+	h.is.True(a.expected > 800*time.Millisecond)
+	h.is.Equal(a.class, foreground)
+}
+
 // A prompt that can only be late waits for the background work that others have sent.
 func TestLatePromptsWaitForEachOther(t *testing.T) {
 	h := newBusyHarness(t)
--- a/internal/core/direct/request/place.go
+++ b/internal/core/direct/request/place.go
@@ -249,7 +249,7 @@
 		harm := time.Duration(s.policy.DecodeInterference * float64(s.openStreams(t)) * float64(c.prefill))
 		c.cost = c.expected + s.riskCost(r, t) + c.prefill + harm
 	}
-	if s.isLate(r, c.expected) {
+	if s.canOnlyBeLate(r, c) {
 		s.moveToBackground(&c)
 	}
 	return c, true
--- a/internal/core/direct/request/queue.go
+++ b/internal/core/direct/request/queue.go
@@ -43,8 +43,17 @@
 // is judged as that one, so that long prompts are not put off more often.
 func (s *stepContext) meetsObjective(r *request, best candidate) bool {
 	s.observeTypicalPrefill(r, best)
-	longer := max(best.prefill-s.typicalPrefill[r.route.Name], 0)
-	return best.expected-longer <= time.Duration(s.policy.MaxDelayRatio*float64(r.route.Objective))
+	return best.expected-s.excessPrefill(r, best) <= time.Duration(s.policy.MaxDelayRatio*float64(r.route.Objective))
+}
+
+// excessPrefill returns the time by which a prompt's prefill is longer than that of its
+// route's typical prompt.
+func (s *stepContext) excessPrefill(r *request, c candidate) time.Duration {
+	typical, ok := s.typicalPrefill[r.route.Name]
+	if !ok {
+		return 0
+	}
+	return max(c.prefill-typical, 0)
 }
 
 // observeTypicalPrefill updates the average prefill time of the route's prompts.
