--- a/internal/core/direct/request/place.go
+++ b/internal/core/direct/request/place.go
@@ -241,6 +241,7 @@
 		c.step = msg.StepPrefill
 		c.expected += sendTime + transferTime(s.engineSpec(t), r.arrival.PromptTokens, true) + r.decodeDelay
 	}
+	// The speed of the engine is left out; see price.go.
 	slowdown := s.slowed(t, start, usual) - usual
 	c.cost = penalize(c.expected, t) - slowdown + s.copyCost(estimator, held-cached)
 	if t.Role == msg.RoleDecode {
--- a/internal/core/direct/request/price.go
+++ b/internal/core/direct/request/price.go
@@ -7,11 +7,12 @@
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
 )
 
-// The cost of a candidate adds to the time that the request itself needs what its
-// placement costs others. Prefills are ranked by their usual duration, whatever the speed
-// of the engine, which counts by the time that its work keeps others waiting: if all
-// daemons preferred fast engines for each prompt, they would leave the prefixes that
-// other engines have cached.
+// The cost of a candidate is the time until the request's first token, plus what the
+// placement costs others. Among prefill engines a prefill counts with its usual duration,
+// not with that at the engine's speed: if all daemons preferred fast engines for each
+// prompt, they would leave the prefixes that other engines have cached. The speed counts
+// in the wait for earlier work. Engines that decode are charged for the delay of their
+// streams instead.
 
 // copyCost returns the cost of another copy of a cached prefix at an engine. The copy takes
 // the place of others' prefixes, which are prefilled again.
