--- a/internal/core/poison/segment.go
+++ b/internal/core/poison/segment.go
@@ -17,10 +17,12 @@
 // crashes count against it: prompts with it are refused.
 //
 // Sound segments stand in the same prompts, or were at the same targets by chance, so
-// that they may gather crashes as well. Three rules keep them in use:
+// that they may gather crashes as well. Four rules keep them in use:
 //
 //   - Crashes are independent only if the later attempt was sent after the earlier crash,
 //     so that targets that go down together count once.
+//   - A segment with a lately completed answer is blocked after more of them, and a
+//     completion also clears earlier crashes that become known later.
 //   - A blocked segment does not count against a prompt if another blocked segment,
 //     which the prompt lacks, had a part in each of its crashes and so explains them.
 //   - After a delay that grows with the number of crashes, a blocked segment gets a trial:
