direct/request: the work of all daemons at an engine is done once

Cause: each daemon deducted the time that had passed from the work of every other one, and from its own, as if the engine worked for each of them alone. With six daemons at a busy engine the expected wait fell six times too fast. Change: peerWork keeps the work of the others by shares that shrink together; own work falls with first tokens, overdue attempts count by the lateness of the target.

--- a/internal/core/direct/request/end.go
+++ b/internal/core/direct/request/end.go
@@ -53,7 +53,7 @@
 		s.observePrefill(a)
 		s.observeCongestion(a)
 		s.observeStream(a)
-		t.recordFirstToken(s.now, a)
+		t.recordFirstToken(a)
 		t.updateFailureRate(s.now, true)
 		if a.segments == nil && a.prefill == 0 {
 			s.observeLatency(a, s.now-a.sentAt)
@@ -75,7 +75,7 @@
 		t.updateFailureRate(s.now, false)
 		s.addInterrupted(t, a)
 	}
-	t.removeAttempt(s.now, a)
+	t.removeAttempt(a)
 }
 
 // afterAttempt decides how a request continues after the end of its attempt.
--- a/internal/core/direct/request/harness_test.go
+++ b/internal/core/direct/request/harness_test.go
@@ -184,3 +184,9 @@
 	}
 	h.step(ev)
 }
+
+// peerBacklog returns the work of a class that the other daemons have at a target.
+func (h *harness) peerBacklog(id msg.TargetID, c class) time.Duration {
+	s := &stepContext{Manager: h.m, now: h.now}
+	return s.workOfPeers(h.m.targets[id]).total(c)
+}
--- a/internal/core/direct/request/instances.go
+++ b/internal/core/direct/request/instances.go
@@ -20,7 +20,7 @@
 			if t != nil {
 				s.recordCrash(t)
 			}
-			t = newTarget(in)
+			t = newTarget(s.now, in)
 			s.targets[in.Target] = t
 		}
 		if t.StartedMS != in.StartedMS && t.StartedMS != 0 {
@@ -71,6 +71,7 @@
 	t.backoffUntil = 0
 	t.backoff = 0
 	t.changingUntil = 0
+	t.peers = newPeerWork(s.now)
 }
 
 // setReachable records whether a target accepts connections.
--- a/internal/core/direct/request/loadexchange.go
+++ b/internal/core/direct/request/loadexchange.go
@@ -89,39 +89,6 @@
 	}
 }
 
-// dropNonMembers removes the digests of daemons that are no longer members.
-func (x *loadExchange) dropNonMembers(entries []msg.Host) {
-	for id := range x.peers {
-		if !slices.ContainsFunc(entries, func(h msg.Host) bool { return h.Host == id }) {
-			delete(x.peers, id)
-		}
-	}
-}
-
-// backlog estimates the remaining prefill work of the other daemons at a
-// target in a class.
-func (x *loadExchange) backlog(now msg.Time, id msg.TargetID, c class) time.Duration {
-	var sum time.Duration
-	for _, p := range x.peers {
-		age := now - p.receivedAt
-		if age > digestMaxAge {
-			continue
-		}
-		t := p.targets[id]
-		reported := time.Duration(*backlogOf(&t, c)) * time.Millisecond
-		sum += max(reported-age, 0)
-	}
-	return sum
-}
-
-// backlogOf returns the field of a digest with the work of a class.
-func backlogOf(t *msg.TargetDigest, c class) *float32 {
-	if c == background {
-		return &t.BackgroundMS
-	}
-	return &t.BacklogMS
-}
-
 // openWork returns the sum of the other daemons' open work at a target. A digest
 // that is older than digestMaxAge is left out: its daemon no longer says what is open.
 func (x *loadExchange) openWork(now msg.Time, id msg.TargetID) msg.TargetDigest {
@@ -143,7 +110,7 @@
 	case msg.LoadDigest:
 		s.onDigest(ev.From, m)
 	case msg.PrefillSent:
-		s.exchange.addPrefill(s.now, ev.From, m)
+		s.onPrefillSent(ev.From, m)
 	case msg.StreamOrigins:
 		s.resumeHeld()
 	case msg.QuotaAsk, msg.QuotaReply, msg.QuotaReturn:
@@ -151,26 +118,17 @@
 	}
 }
 
-// addPrefill updates the last digest of the daemon from, which has since sent a
-// prefill to a target.
-func (x *loadExchange) addPrefill(now msg.Time, from msg.HostID, m msg.PrefillSent) {
-	p := x.peers[from]
+// onPrefillSent adds to what a daemon has reported a prefill that it has sent since.
+func (s *stepContext) onPrefillSent(from msg.HostID, m msg.PrefillSent) {
+	p := s.exchange.peers[from]
 	if p == nil {
 		return
 	}
 	t := p.targets[m.Target]
 	t.Target = m.Target
 	t.Open++
-	// The backlog counts from the time at which the digest was received, which is
-	// age ago. Earlier work that was due by now is taken to be finished; the new
-	// prefill then begins now.
-	age := roundMS(now - p.receivedAt)
-	backlog := backlogOf(&t, foreground)
-	if m.Background {
-		backlog = backlogOf(&t, background)
-	}
-	*backlog = max(*backlog, age) + m.PrefillMS
 	p.targets[m.Target] = t
+	s.addPeerWork(from, m)
 }
 
 // announcePrefill announces a prefill to the other daemons at once if it is
@@ -196,7 +154,12 @@
 	for _, t := range d.Targets {
 		p.targets[t.Target] = t
 	}
+	var before map[msg.TargetID]msg.TargetDigest
+	if last := s.exchange.peers[from]; last != nil {
+		before = last.targets
+	}
 	s.exchange.peers[from] = p
+	s.recordPeerWork(from, before, p.targets)
 	for _, c := range d.Changing {
 		s.suspendForRoleChange(c.Target, c.Role, time.Duration(c.MS)*time.Millisecond)
 	}
--- a/internal/core/direct/request/manager.go
+++ b/internal/core/direct/request/manager.go
@@ -216,7 +216,7 @@
 		if ev.Complete {
 			s.limitMembers.Settle()
 		}
-		s.exchange.dropNonMembers(ev.Entries)
+		s.forgetFormerMembers(ev.Entries)
 	case msg.CacheRead:
 		s.onCacheRead(ev)
 	case msg.TargetProbed:
@@ -242,6 +242,7 @@
 	s.dropAbandonedAttempts()
 	s.limitMembers.Advance(s.now)
 	s.advanceQuotas()
+	s.forgetSilentPeers()
 	s.speeds.Advance(s.now)
 	s.advanceProbes()
 	s.resumeHeld()
@@ -261,7 +262,7 @@
 	for id, a := range s.attempts {
 		if a.req == nil && s.now >= a.dropAt {
 			delete(s.attempts, id)
-			a.target.removeAttempt(s.now, a)
+			a.target.removeAttempt(a)
 		}
 	}
 }
--- a/internal/core/direct/request/place.go
+++ b/internal/core/direct/request/place.go
@@ -303,7 +303,7 @@
 // backlog estimates the time that a target needs for the work of a class that all daemons
 // have sent.
 func (s *stepContext) backlog(t *target, c class) time.Duration {
-	return t.backlog(s.now, c) + s.exchange.backlog(s.now, t.Target, c)
+	return t.backlog(s.now, c) + s.workOfPeers(t).total(c)
 }
 
 // engineSpec returns the configuration of the engines of a target's service. It
--- a/internal/core/direct/request/start.go
+++ b/internal/core/direct/request/start.go
@@ -118,7 +118,7 @@
 	s.observePrefill(a)
 	s.observeCongestion(a)
 	a.startedAt = s.now
-	a.target.recordFirstToken(s.now, a)
+	a.target.recordFirstToken(a)
 	s.recordCached(a)
 	if a.req != nil {
 		a.req.streaming = true
--- a/internal/core/direct/request/target.go
+++ b/internal/core/direct/request/target.go
@@ -30,9 +30,6 @@
 type target struct {
 	msg.Instance
 	open map[msg.AttemptID]*attempt
-	// backlogUntil holds, by class, when the prefill work that this daemon sent is
-	// expected to be finished if the target has no work of the other class.
-	backlogUntil [classes]msg.Time
 	// startedSentAt holds send times by priority: when the newest started attempt
 	// of the priority was sent. The newest is the one that was sent last.
 	startedSentAt [maxPriority + 1]msg.Time
@@ -77,10 +74,12 @@
 	unreachable bool
 	notices     targetNotices
 	limit       requestLimit
+	// peers is the prefill work that the other daemons have at the target.
+	peers *peerWork
 }
 
-func newTarget(in msg.Instance) *target {
-	return &target{Instance: in, open: make(map[msg.AttemptID]*attempt), probeInterval: minProbeInterval, congestion: 1}
+func newTarget(now msg.Time, in msg.Instance) *target {
+	return &target{Instance: in, open: make(map[msg.AttemptID]*attempt), probeInterval: minProbeInterval, congestion: 1, peers: newPeerWork(now)}
 }
 
 // usable reports whether the target takes new attempts.
@@ -123,10 +122,18 @@
 	return n, tokens
 }
 
-// backlog returns the time until the prefill work that this daemon sent in a class is
-// expected to be finished. Unlike pendingPrefill, it falls as time passes.
+// backlog returns the expected duration of the prefills that this daemon sent in a class
+// and that have not produced a token yet. It falls with their first tokens and not with
+// time, because the target may be at work for other daemons. Overdue attempts are left
+// out: they count by the lateness of the target.
 func (t *target) backlog(now msg.Time, c class) time.Duration {
-	return max(t.backlogUntil[c]-now, 0)
+	var sum time.Duration
+	for _, a := range t.open {
+		if a.class == c && !a.started && a.overdue(now) == 0 {
+			sum += a.prefill
+		}
+	}
+	return sum
 }
 
 // addAttempt records that an attempt is sent to the target.
@@ -136,30 +143,25 @@
 		t.limit.bucket.Take(now)
 	}
 	t.open[a.id] = a
-	t.backlogUntil[a.class] = max(t.backlogUntil[a.class], now) + a.prefill
 }
 
 // recordFirstToken records that an attempt's first token, or its response, has
-// arrived. It removes the attempt's prefill from the backlog, clears a suspicion
-// of the target, and resets its backoff and its count of refused decode steps.
-func (t *target) recordFirstToken(now msg.Time, a *attempt) {
+// arrived. It clears a suspicion of the target, and resets its backoff and its count of
+// refused decode steps.
+func (t *target) recordFirstToken(a *attempt) {
 	if a.started {
 		return
 	}
 	a.started = true
 	t.clearSuspicion(a)
-	t.backlogUntil[a.class] = now + t.pendingPrefill(now, a.class)
 	t.backoff = 0
 	t.refusedDecodes = 0
 }
 
 // removeAttempt removes an attempt that has ended.
-func (t *target) removeAttempt(now msg.Time, a *attempt) {
+func (t *target) removeAttempt(a *attempt) {
 	delete(t.open, a.id)
-	if !a.started {
-		a.started = true
-		t.backlogUntil[a.class] = now + t.pendingPrefill(now, a.class)
-	}
+	a.started = true
 }
 
 // updateFailureRate updates the failure rate from the result of an attempt.
