direct/refused: a caller that comes back is not a new one

Cause: an objective counts from the first time a caller asks, but the daemon at which he comes back took him for a new caller, placed him as one that can be in time, and let him take the place of one that could. Of 5,116 late answers at 4 times the desk's load, 3,125 were of callers who had come back. Change: daemons remember the prompts that they refuse, by fingerprint, and tell the others in their digests. Placement counts from the first time. The experiment's callers state the time that they have left, as clients do.

--- a/internal/core/direct/request/arrive.go
+++ b/internal/core/direct/request/arrive.go
@@ -47,7 +47,7 @@
 func finalRefusal(code string) *refusal { return &refusal{status: statusUnavailable, code: code} }
 
 func (s *stepContext) onRequestArrived(ev msg.DirectRequestArrived) {
-	r := &request{arrival: ev, arrivedAt: s.now, lastEvent: ev.LastEvent, segments: sharedSegments(ev.Segments)}
+	r := &request{arrival: ev, arrivedAt: s.now, askedAt: s.now, lastEvent: ev.LastEvent, segments: sharedSegments(ev.Segments)}
 	if ref := s.admit(r); ref != nil {
 		s.refuse(r, *ref)
 		return
@@ -83,6 +83,9 @@
 		return ref
 	}
 	r.fingerprint = requestFingerprint(r)
+	if at, ok := s.refusals.AskedAt(s.now, r.fingerprint); ok {
+		r.askedAt = at
+	}
 	limit := r.route.Timeout
 	if limit == 0 {
 		limit = defaultTimeout
--- a/internal/core/direct/request/class.go
+++ b/internal/core/direct/request/class.go
@@ -34,7 +34,7 @@
 // isLate reports whether a first token that is expected after the given time misses the
 // route's objective. A route without one has no late requests.
 func (s *stepContext) isLate(r *request, expected time.Duration) bool {
-	return r.route.Objective > 0 && s.now-r.arrivedAt+expected > r.route.Objective
+	return r.route.Objective > 0 && s.now-r.askedAt+expected > r.route.Objective
 }
 
 // latenessCause returns why a request whose first token arrives now is late.
--- a/internal/core/direct/request/end.go
+++ b/internal/core/direct/request/end.go
@@ -199,6 +199,7 @@
 		s.emit(msg.AbortRequest{Req: r.arrival.Req, Code: ref.code, Outcome: outcome})
 	} else {
 		s.emit(msg.RefuseRequest{Req: r.arrival.Req, Status: ref.status, Code: ref.code, Outcome: outcome, RetryAfter: ref.retryAfter})
+		s.rememberRefused(r, ref)
 	}
 	route := msg.RouteID("")
 	if r.route != nil {
@@ -211,6 +212,13 @@
 	s.close(r, end, ref.code)
 }
 
+// rememberRefused remembers a refused prompt whose caller was told to come back.
+func (s *stepContext) rememberRefused(r *request, ref refusal) {
+	if ref.retryAfter > 0 && r.fingerprint != 0 && r.hasPrompt() {
+		s.refusals.Add(s.now, r.fingerprint, r.askedAt, r.deadline)
+	}
+}
+
 // close removes a request and frees its resources. If an attempt is still open,
 // it is cancelled.
 func (s *stepContext) close(r *request, end msg.DirectRequestResult, code string) {
--- a/internal/core/direct/request/loadexchange.go
+++ b/internal/core/direct/request/loadexchange.go
@@ -166,6 +166,7 @@
 	s.onLimits(d.Limits)
 	s.onLeaving(d.Leaving)
 	s.speeds.Merge(s.now, d.Speeds)
+	s.refusals.Merge(s.now, d.Refused)
 	for _, c := range d.Cached {
 		s.recordSegment(c.Target, msg.PromptSegment{ID: c.Segment, Tokens: c.Tokens})
 	}
@@ -182,14 +183,15 @@
 		return
 	}
 	digest := s.digest()
-	if len(s.exchange.unsentSegments) == 0 && s.now-s.exchange.digestSentAt < maxDigestInterval && slices.Equal(digest, s.exchange.lastDigest) {
+	refusals := s.refusals.Unsent(s.now, s.maxDigestSegments())
+	if len(s.exchange.unsentSegments) == 0 && len(refusals) == 0 && s.now-s.exchange.digestSentAt < maxDigestInterval && slices.Equal(digest, s.exchange.lastDigest) {
 		return
 	}
 	batch := s.exchange.unsentSegments[:min(len(s.exchange.unsentSegments), s.maxDigestSegments())]
 	s.exchange.unsentSegments = slices.Clone(s.exchange.unsentSegments[len(batch):])
 	s.exchange.digestSentAt = s.now
 	s.exchange.lastDigest = digest
-	s.broadcast(msg.LoadDigest{WallMS: s.wall.UnixMilli(), Targets: digest, Cached: batch, Changing: s.changingTargets(), Limits: s.namedLimits(), Leaving: s.leavingTargets(), Speeds: s.speeds.Unsent(s.now, maxSpeedsPerDigest)})
+	s.broadcast(msg.LoadDigest{WallMS: s.wall.UnixMilli(), Targets: digest, Cached: batch, Changing: s.changingTargets(), Limits: s.namedLimits(), Leaving: s.leavingTargets(), Speeds: s.speeds.Unsent(s.now, maxSpeedsPerDigest), Refused: refusals})
 }
 
 // maxDigestSegments returns the largest number of cached segments in one
--- a/internal/core/direct/request/manager.go
+++ b/internal/core/direct/request/manager.go
@@ -28,6 +28,7 @@
 	"github.com/verbenaspur/verbenaspur/internal/core/direct/admission"
 	"github.com/verbenaspur/verbenaspur/internal/core/direct/prefilltime"
 	"github.com/verbenaspur/verbenaspur/internal/core/direct/quota"
+	"github.com/verbenaspur/verbenaspur/internal/core/direct/refused"
 	"github.com/verbenaspur/verbenaspur/internal/core/direct/sharedrate"
 	"github.com/verbenaspur/verbenaspur/internal/core/direct/streamorigin"
 	"github.com/verbenaspur/verbenaspur/internal/core/direct/targetspeed"
@@ -101,6 +102,9 @@
 	// stream that they resume.
 	held []*request
 
+	// refusals remembers the refused requests whose callers may come back.
+	refusals *refused.Memory
+
 	requests map[msg.RequestID]*request
 	attempts map[msg.AttemptID]*attempt
 	exchange loadExchange
@@ -132,6 +136,7 @@
 		probing:         make(map[uint64]int),
 		origins:         streamorigin.New(),
 		versions:        make(map[msg.ServiceID]*serviceVersions),
+		refusals:        refused.New(),
 		requests:        make(map[msg.RequestID]*request),
 		attempts:        make(map[msg.AttemptID]*attempt),
 		exchange:        newLoadExchange(),
@@ -242,6 +247,7 @@
 	s.dropAbandonedAttempts()
 	s.limitMembers.Advance(s.now)
 	s.advanceQuotas()
+	s.refusals.Advance(s.now)
 	s.forgetSilentPeers()
 	s.speeds.Advance(s.now)
 	s.advanceProbes()
--- a/internal/core/direct/request/request.go
+++ b/internal/core/direct/request/request.go
@@ -17,7 +17,10 @@
 	account   *msg.DirectAccount // nil on public routes
 	service   msg.ServiceID
 	arrivedAt msg.Time
-	deadline  msg.Time
+	// askedAt is when the caller first asked: before arrivedAt if the request was refused
+	// then.
+	askedAt  msg.Time
+	deadline msg.Time
 	// segments are the prompt segments that other prompts may share: all but
 	// the last one, which belongs to the request or its session.
 	segments []msg.PromptSegment
--- a/internal/core/direct/request/start.go
+++ b/internal/core/direct/request/start.go
@@ -78,7 +78,7 @@
 		attr("cost_ms", formatMS(c.cost)), attr("expected_ms", formatMS(c.expected)), attr("wait_ms", formatMS(c.wait)), attr("work_ms", formatMS(c.prefill)),
 		attr("speed", fmt.Sprintf("%.2f", s.speedFactor(c.target, 0, 0))), attr("pace_age_ms", s.formatPaceAge(c.target)),
 		attr("fetch_from", from), attr("candidates", len(list)), attr("losers", formatLosers(list)),
-		attr("target_version", c.target.Version), attr("resumes", r.arrival.Resumes), attr("last_event", r.lastEvent),
+		attr("target_version", c.target.Version), attr("asked_ms_ago", formatMS(s.now-r.askedAt)), attr("resumes", r.arrival.Resumes), attr("last_event", r.lastEvent),
 	)
 }
 
--- a/internal/core/msg/direct_peer.go
+++ b/internal/core/msg/direct_peer.go
@@ -21,6 +21,16 @@
 	// Speeds lists what the sender has observed of the speeds of targets and not told
 	// yet. To a daemon that has just started it lists all that the sender knows.
 	Speeds []TargetSpeed `cbor:"7,keyasint,omitempty"`
+	// Refused lists requests that the sender has refused and not told yet.
+	Refused []RefusedRequest `cbor:"8,keyasint,omitempty"`
+}
+
+// RefusedRequest is a request that has been refused. Its caller first asked AskedMS
+// milliseconds ago and may come back within LeftMS milliseconds.
+type RefusedRequest struct {
+	Fingerprint uint64 `cbor:"1,keyasint"`
+	AskedMS     int64  `cbor:"2,keyasint"`
+	LeftMS      int64  `cbor:"3,keyasint"`
 }
 
 // TargetSpeed is what a daemon has observed of the speed of a target.
--- a/internal/experiment/requests.go
+++ b/internal/experiment/requests.go
@@ -148,7 +148,7 @@
 	req.entry.openRequests[id] = req
 	req.entry.step(msg.DirectRequestArrived{
 		Req: id, CallerID: string(id), Host: "h", Method: "POST", Path: "/" + k.Name + "/x", BodyHash: req.segments[len(req.segments)-1].ID,
-		Timeout: k.Timeout, PromptTokens: req.promptTokens, MaxTokens: req.outputTokens, Segments: req.segments,
+		Timeout: k.Timeout - (req.sim.now - req.arrivedAt), PromptTokens: req.promptTokens, MaxTokens: req.outputTokens, Segments: req.segments,
 	})
 }
 
