direct/request: a prompt starts at once if it is expected within 0.7 of its objective

Cause: prompts were started up to the last instant of their objective, so that any error of the estimate made them late, and late work takes engine time.

--- a/internal/core/direct/request/policy.go
+++ b/internal/core/direct/request/policy.go
@@ -7,7 +7,8 @@
 type Policy struct {
 	// MaxDelayRatio limits the expected time to the first token, counted from
 	// the arrival, as a multiple of the route's objective. A prompt that would
-	// exceed it has to wait.
+	// exceed it has to wait. What is left of the objective makes up for errors of the
+	// estimate.
 	MaxDelayRatio float64 `yaml:"too_late" validate:"min=0"`
 	// WaitingStartRatio limits the expected wait at an engine, as a multiple of the
 	// route's objective, at which a waiting prompt starts there. The rest of the
@@ -27,7 +28,7 @@
 }
 
 const (
-	defaultMaxDelayRatio      = 1.0
+	defaultMaxDelayRatio      = 0.7
 	defaultWaitingStartRatio  = 0.1
 	defaultDecodeInterference = 0.4
 	defaultCopyCost           = 0.4
