streamorigin: the origin of a stream is known after all entries have gone down, or the stream is refused

Cause: an entry that had just started took the only listed version for that of a stream of unknown origin, though another may have served a moment before; and an entry whose list was up to 5 s old did not ask the keepers. Change: keepers are always asked. After them, a record at the platform's store of the versions at which streams may have begun (no stream begins at another), believed once it has existed for the lifetime of streams; and, while there are several versions, an archive of the open streams of each entry. Store away, slow or rewound: refused, not guessed. TestResumedStreamGoesOnWhereOneVersionServes asserted the fault, a fresh daemon that guesses; it now asks for a complete record. versionMemory (30 s) became the lifetime of streams of the route, and the test of it follows. The oracle of the fuzz test and the harness got a store.

--- a/internal/core/direct/request/end.go
+++ b/internal/core/direct/request/end.go
@@ -225,6 +225,7 @@
 	s.raise(msg.DirectRequestEnded{Req: r.arrival.Req, End: end, Code: code, Waited: s.now - r.arrivedAt})
 	s.leaveQueue(r, false)
 	s.settleQuota(r)
+	s.endOrigin(r, end == msg.EndAnswered)
 	if a := r.attempt; a != nil {
 		a.req = nil
 		r.attempt = nil
--- a/internal/core/direct/request/fuzz_test.go
+++ b/internal/core/direct/request/fuzz_test.go
@@ -9,6 +9,7 @@
 
 	"pgregory.net/rapid"
 
+	"github.com/verbenaspur/verbenaspur/internal/core/coretest"
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
 )
 
@@ -31,6 +32,7 @@
 	// retries and arrivals hold the times of the retries and of the requests, on
 	// which the retry budget depends.
 	retries, arrivals map[msg.ServiceID][]msg.Time
+	objects           *coretest.Objects
 }
 
 // trackedRequest is the oracle's state of a request.
@@ -63,7 +65,7 @@
 
 func newOracle(t *rapid.T) *oracle {
 	o := &oracle{
-		t: t, m: New(testLimits), table: fuzzTable(), instances: testInstances(),
+		t: t, objects: coretest.NewObjects(), m: New(testLimits), table: fuzzTable(), instances: testInstances(),
 		requests: make(map[msg.RequestID]*trackedRequest), attempts: make(map[msg.AttemptID]*trackedAttempt),
 		retries: make(map[msg.ServiceID][]msg.Time), arrivals: make(map[msg.ServiceID][]msg.Time),
 	}
@@ -95,6 +97,10 @@
 				queue = append(queue, r.Event)
 				continue
 			}
+			if done, ok := o.objects.Do(eff); ok {
+				queue = append(queue, done)
+				continue
+			}
 			o.check(eff)
 		}
 	}
--- a/internal/core/direct/request/harness_test.go
+++ b/internal/core/direct/request/harness_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/verbenaspur/verbenaspur/internal/core/coretest"
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
 )
 
@@ -20,6 +21,8 @@
 	// effects holds the effects of the last step.
 	effects []msg.Effect
 	reqs    int
+	// objects is the platform's store, which answers at once, or nil while it is away.
+	objects *coretest.Objects
 }
 
 var testLimits = msg.DirectLimits{
@@ -28,7 +31,7 @@
 }
 
 func newHarness(t *testing.T) *harness {
-	h := &harness{t: t, is: is.New(t), m: New(testLimits)}
+	h := &harness{t: t, is: is.New(t), m: New(testLimits), objects: coretest.NewObjects()}
 	h.step(msg.Started{Self: msg.Self{Host: "entry-1", Domain: "d1"}, Incarnation: "life", Seed: 1, Wall: time.Unix(1000, 0)})
 	return h
 }
@@ -40,9 +43,17 @@
 	h := newHarness(t)
 	h.configure(testTable())
 	h.setInstances(testInstances()...)
+	h.recordVersions()
 	return h
 }
 
+// recordVersions puts a record into the store by which all streams began at targets
+// without a version, and lets the daemon read it.
+func (h *harness) recordVersions() {
+	h.objects.Do(msg.PutObject{Kind: msg.KindStreamVersions, Name: "services", Value: []byte(`{"body": {"llm": {"versions": [""], "complete": true}}}`)})
+	h.step(msg.Tick{Wall: time.Unix(1000, 0)})
+}
+
 func testTable() *msg.RouteTable {
 	share := func(s msg.ServiceID) []msg.ServiceShare { return []msg.ServiceShare{{Service: s, Weight: 1}} }
 	return &msg.RouteTable{
@@ -83,6 +94,10 @@
 			if r, ok := eff.(msg.Raise); ok {
 				queue = append(queue, r.Event)
 			}
+			if done, ok := h.callStore(eff); ok {
+				queue = append(queue, done)
+				continue
+			}
 			if p, ok := eff.(msg.SendPeer); ok && isCrashDigest(p) {
 				continue
 			}
@@ -91,6 +106,14 @@
 	}
 }
 
+// callStore executes a call of the store.
+func (h *harness) callStore(eff msg.Effect) (msg.Event, bool) {
+	if h.objects == nil {
+		return coretest.Failed(eff, msg.CallUnavailable)
+	}
+	return h.objects.Do(eff)
+}
+
 func isCrashDigest(p msg.SendPeer) bool {
 	_, ok := p.Message.(msg.CrashDigest)
 	return ok
--- a/internal/core/direct/request/instances.go
+++ b/internal/core/direct/request/instances.go
@@ -10,8 +10,7 @@
 
 // onInstancesChanged applies a new list of targets.
 func (s *stepContext) onInstancesChanged(ev msg.InstancesChanged) {
-	s.recordVersions()
-	defer s.recordVersions()
+	defer s.listVersions()
 	listed := make(map[msg.TargetID]bool, len(ev.Instances))
 	for _, in := range ev.Instances {
 		listed[in.Target] = true
--- a/internal/core/direct/request/limitwait.go
+++ b/internal/core/direct/request/limitwait.go
@@ -12,7 +12,7 @@
 func (s *stepContext) limitedTargets(r *request) []*target {
 	var list []*target
 	for _, t := range s.services[r.service] {
-		if t.usable(s.now) && !slices.Contains(r.exclude, t.Target) && r.fitsOrigin(t) && !s.permits(t) {
+		if t.usable(s.now) && !slices.Contains(r.exclude, t.Target) && s.fitsOrigin(r, t) && !s.permits(t) {
 			list = append(list, t)
 		}
 	}
--- a/internal/core/direct/request/loadexchange.go
+++ b/internal/core/direct/request/loadexchange.go
@@ -111,7 +111,7 @@
 		s.onDigest(ev.From, m)
 	case msg.PrefillSent:
 		s.onPrefillSent(ev.From, m)
-	case msg.StreamOrigins:
+	case msg.StreamOrigins, msg.StreamVersionsRecorded:
 		s.resumeHeld()
 	case msg.QuotaAsk, msg.QuotaReply, msg.QuotaReturn:
 		s.onQuotaMessage(ev.From, m)
--- a/internal/core/direct/request/manager.go
+++ b/internal/core/direct/request/manager.go
@@ -94,10 +94,11 @@
 	// to be such crashes, both by the request's fingerprint.
 	poison  *poison.Tracker
 	probing map[uint64]int
-	// origins holds the software versions at which streams began, and versions those
-	// that the targets of each service have had lately.
-	origins  *streamorigin.Registry
-	versions map[msg.ServiceID]*serviceVersions
+	// origins holds the software versions at which streams began, history those at which
+	// streams may have begun, and archive what outlives this process.
+	origins *streamorigin.Registry
+	history *streamorigin.History
+	archive *streamorigin.Archive
 	// held lists the requests that wait for probes in flight or for the origin of the
 	// stream that they resume.
 	held []*request
@@ -135,7 +136,8 @@
 		poison:          poison.NewTracker(),
 		probing:         make(map[uint64]int),
 		origins:         streamorigin.New(),
-		versions:        make(map[msg.ServiceID]*serviceVersions),
+		history:         streamorigin.NewHistory(),
+		archive:         streamorigin.NewArchive(),
 		refusals:        refused.New(),
 		requests:        make(map[msg.RequestID]*request),
 		attempts:        make(map[msg.AttemptID]*attempt),
@@ -150,7 +152,7 @@
 func (m *Manager) Step(now msg.Time, ev msg.Event) []msg.Effect {
 	s := &stepContext{Manager: m, now: now}
 	s.effects = append(s.effects, m.poison.Step(now, ev)...)
-	s.effects = append(s.effects, m.origins.Step(now, ev)...)
+	s.stepOrigins(ev)
 	s.handle(ev)
 	return s.effects
 }
@@ -201,6 +203,7 @@
 	case msg.RoutesChanged:
 		s.table = newRouteTable(ev.Table)
 		s.forgetRemoved()
+		s.configureOrigins(ev.Table)
 		s.configureQuotas()
 		s.emit(msg.SetCallerLimits{Limits: ev.Table.Limits})
 		s.updateReady()
@@ -236,6 +239,8 @@
 		s.logCrashRecord(ev)
 	case msg.SegmentBlocked:
 		s.logSegmentBlocked(ev)
+	case msg.GetDone, msg.ListDone, msg.PutDone:
+		s.resumeHeld()
 	}
 }
 
--- a/internal/core/direct/request/origin.go
+++ b/internal/core/direct/request/origin.go
@@ -1,7 +1,7 @@
 package request
 
 import (
-	"maps"
+	"cmp"
 	"slices"
 	"time"
 
@@ -12,51 +12,60 @@
 )
 
 // A stream that a caller resumes may go on only at a target of the software version
-// that began it. While a service has had one version only, every stream began there.
-// Otherwise the entry daemons ask each other for the origin of a stream (see package
-// streamorigin), and a stream of unknown origin is refused: a wrong guess would mix what
-// two versions write.
-
-// versionMemory is how long a version counts after the last target of a service had it.
-// It exceeds the duration of a stream.
-const versionMemory = 30 * time.Second
-
-// listMaxAge is the largest age of the list of targets at which it shows all versions.
-// A daemon that is cut off from the store sees no new ones.
-const listMaxAge = 5 * time.Second
-
-// serviceVersions holds when targets of a service last had each version.
-type serviceVersions struct {
-	lastListed map[string]msg.Time
-	// since is when the first list with the service was read. Versions from before it
-	// are not known.
-	since msg.Time
+// that began it. The entry daemons ask each other for the origin of a stream (see package
+// streamorigin). If none of them knows it, it is known only if the platform's store says
+// that all streams of the service began at one version, or at which one this stream began.
+// A stream of unknown origin is refused: a wrong guess would mix what two versions write.
+
+const (
+	// originSlack is the time by which the lifetime of streams exceeds two timeouts of
+	// their route: daemons learn of changes at different times.
+	originSlack = 8 * time.Second
+	// recordTimeout is how long a request waits until the versions of its targets are
+	// recorded.
+	recordTimeout = time.Second
+)
+
+// configureOrigins sets how long the origin of the streams of each service counts. A
+// caller that comes back once may take up a stream until two timeouts after its begin.
+func (s *stepContext) configureOrigins(t *msg.RouteTable) {
+	lifetimes := make(map[msg.ServiceID]time.Duration)
+	for i := range t.Routes {
+		r := &t.Routes[i]
+		if !r.Resumable {
+			continue
+		}
+		for _, sh := range r.Shares {
+			lifetimes[sh.Service] = max(lifetimes[sh.Service], streamLifetime(r))
+		}
+	}
+	s.history.Configure(lifetimes)
+}
+
+func streamLifetime(r *msg.DirectRoute) time.Duration {
+	return 2*cmp.Or(r.Timeout, defaultTimeout) + originSlack
 }
 
-// recordVersions records the versions that the targets of all services have now.
-func (s *stepContext) recordVersions() {
+// listVersions records the versions that the targets of all services have now.
+func (s *stepContext) listVersions() {
+	versions := make(map[msg.ServiceID][]string, len(s.services))
 	for id, list := range s.services {
-		v := s.versions[id]
-		if v == nil {
-			v = &serviceVersions{lastListed: make(map[string]msg.Time), since: s.now}
-			s.versions[id] = v
-		}
 		for _, t := range list {
-			v.lastListed[t.Version] = s.now
+			if !slices.Contains(versions[id], t.Version) {
+				versions[id] = append(versions[id], t.Version)
+			}
 		}
 	}
+	s.history.SetListed(s.now, versions)
 }
 
-// recent returns the versions that targets of the service have had within
-// versionMemory.
-func (v *serviceVersions) recent(now msg.Time) []string {
-	maps.DeleteFunc(v.lastListed, func(_ string, at msg.Time) bool { return now-at >= versionMemory })
-	return slices.Sorted(maps.Keys(v.lastListed))
+// stepOrigins delivers an event to what is kept of the origins of streams.
+func (s *stepContext) stepOrigins(ev msg.Event) {
+	s.effects = append(s.effects, s.origins.Step(s.now, ev)...)
+	s.effects = append(s.effects, s.history.Step(s.now, ev)...)
+	s.effects = append(s.effects, s.archive.Step(s.now, ev, func(id msg.ServiceID) bool { return s.history.Several(s.now, id) })...)
 }
 
-// settled reports whether the versions of before the first list no longer count.
-func (v *serviceVersions) settled(now msg.Time) bool { return now-v.since >= versionMemory }
-
 // resumesStream reports whether the caller has received a part of the request's stream
 // from an earlier request.
 func (r *request) resumesStream() bool { return r.route.Resumable && r.arrival.LastEvent > 0 }
@@ -69,8 +78,23 @@
 	return xxhash.Sum64String(r.arrival.CallerID)
 }
 
-// fitsOrigin reports whether a target may continue the request's stream.
-func (r *request) fitsOrigin(t *target) bool { return r.origin == nil || t.Version == *r.origin }
+// fitsOrigin reports whether a target may begin or continue the request's stream.
+func (s *stepContext) fitsOrigin(r *request, t *target) bool {
+	if r.origin != nil {
+		return t.Version == *r.origin
+	}
+	return !r.route.Resumable || s.history.MayBegin(s.now, r.service, t.Version)
+}
+
+// awaitsRecord reports whether a new stream has to wait until the versions of its targets
+// are recorded.
+func (s *stepContext) awaitsRecord(r *request) bool {
+	if !r.route.Resumable || r.origin != nil || s.now-r.arrivedAt >= recordTimeout {
+		return false
+	}
+	list := s.services[r.service]
+	return len(list) > 0 && !slices.ContainsFunc(list, func(t *target) bool { return s.fitsOrigin(r, t) })
+}
 
 // recordOrigin records the version that begins a request's stream, for the case that the
 // stream has to go on elsewhere.
@@ -82,6 +106,15 @@
 		r.origin = &a.version
 	}
 	s.effects = append(s.effects, s.origins.Record(s.now, r.stream(), *r.origin)...)
+	s.archive.Begin(s.now, r.stream(), r.service, *r.origin)
+}
+
+// endOrigin records that an answer has ended. Its caller may take up a stream that is not
+// complete.
+func (s *stepContext) endOrigin(r *request, complete bool) {
+	if r.route != nil && r.route.Resumable {
+		s.archive.End(r.stream(), complete, s.now+streamLifetime(r.route))
+	}
 }
 
 // resolveOrigin determines the version at which a resumed stream began. It reports
@@ -97,49 +130,40 @@
 		return nil, true
 	case streamorigin.Known:
 		r.origin = &version
+		s.logRequest(r, "origin of the stream found", attr("resumes", r.arrival.Resumes), attr("version", version))
 		return nil, false
 	}
-	recent := s.recentVersions(r.service)
-	if len(recent) != 1 {
-		return finalRefusal("unknown-version"), false
-	}
-	r.origin = &recent[0]
-	return nil, false
+	return finalRefusal("unknown-version"), false
 }
 
-// findOrigin looks for the version at which a resumed stream began.
+// findOrigin looks for the version at which a resumed stream began: at the daemons that
+// keep it, and then at the platform's store.
 func (s *stepContext) findOrigin(r *request) (string, streamorigin.State) {
-	if r.arrival.Resumes == "" || s.alwaysOneVersion(r.service) {
-		return "", streamorigin.Unknown
+	sources := []func() (string, streamorigin.State, []msg.Effect){
+		func() (string, streamorigin.State, []msg.Effect) { return s.origins.Find(s.now, r.stream()) },
+		func() (string, streamorigin.State, []msg.Effect) {
+			return s.history.Only(s.now, r.arrivedAt, r.service)
+		},
+		func() (string, streamorigin.State, []msg.Effect) {
+			return s.archive.Find(s.now, r.arrivedAt, r.stream())
+		},
+	}
+	for _, find := range sources {
+		version, state, effects := find()
+		s.effects = append(s.effects, effects...)
+		if state != streamorigin.Unknown {
+			return version, state
+		}
 	}
-	version, state, effects := s.origins.Find(s.now, r.stream())
-	s.effects = append(s.effects, effects...)
-	return version, state
+	return "", streamorigin.Unknown
 }
 
-// originPending reports whether a held request still waits for the origin of its stream.
+// originPending reports whether a held request still waits for the origin of its stream,
+// or for the record of versions.
 func (s *stepContext) originPending(r *request) bool {
 	if r.origin != nil || !r.resumesStream() {
-		return false
+		return s.awaitsRecord(r)
 	}
 	_, state := s.findOrigin(r)
 	return state == streamorigin.Pending
 }
-
-func (s *stepContext) recentVersions(id msg.ServiceID) []string {
-	v := s.versions[id]
-	if v == nil {
-		return nil
-	}
-	for _, t := range s.services[id] {
-		v.lastListed[t.Version] = s.now
-	}
-	return v.recent(s.now)
-}
-
-// alwaysOneVersion reports whether all streams of a service that callers may still
-// resume began at the same version.
-func (s *stepContext) alwaysOneVersion(id msg.ServiceID) bool {
-	fresh := s.now-s.listedAt < listMaxAge
-	return fresh && len(s.recentVersions(id)) == 1 && s.versions[id].settled(s.now)
-}
--- a/internal/core/direct/request/origin_test.go
+++ b/internal/core/direct/request/origin_test.go
@@ -4,16 +4,64 @@
 	"testing"
 	"time"
 
+	"github.com/verbenaspur/verbenaspur/internal/core/coretest"
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
 )
 
-// resume delivers a request that resumes a stream after its second event.
-func (h *harness) resume(stream string) {
+// testLifetime is the time for which the streams of the test route can be resumed.
+const testLifetime = 2*3*time.Second + originSlack
+
+// resume delivers a request that resumes a stream after its second event. It returns the
+// version of the target at which the stream goes on, or the code of the refusal.
+func (h *harness) resume(stream string) string {
 	h.t.Helper()
 	h.arrive("/resume/x", prompt(7, 1000, 100), func(ev *msg.DirectRequestArrived) {
 		ev.LastEvent = 2
 		ev.Resumes = stream
 	})
+	for range 30 {
+		if r, ok := find[msg.RefuseRequest](h); ok {
+			h.is.Equal(r.Outcome, msg.OutcomeNotRun)
+			h.is.Equal(r.RetryAfter, time.Duration(0))
+			return r.Code
+		}
+		if a, ok := find[msg.StartDirectAttempt](h); ok {
+			return h.m.targets[a.Spec.Target].Version
+		}
+		h.advance(100 * time.Millisecond)
+	}
+	h.t.Fatal("the request still waits")
+	return ""
+}
+
+// begin begins a stream on the resumable route and returns the caller's ID of its request
+// and the version of its target. The stream stays open.
+func (h *harness) begin() (stream, version string) {
+	h.t.Helper()
+	id := h.arrive("/resume/x", prompt(7, 1000, 100))
+	for range 10 {
+		if a, ok := find[msg.StartDirectAttempt](h); ok {
+			if a.Spec.Step == msg.StepPrefill {
+				h.end(a.Attempt, msg.DirectPrefilled, func(ev *msg.DirectAttemptEnded) { ev.Handle = "handle" })
+				continue
+			}
+			h.step(msg.DirectAttemptStarted{Attempt: a.Attempt})
+			return "c" + string(id), h.m.targets[a.Spec.Target].Version
+		}
+		h.advance(100 * time.Millisecond)
+	}
+	h.t.Fatalf("no stream began: %s", h.formatEffects())
+	return "", ""
+}
+
+// restart replaces the daemon by a new process, after all daemons have gone down. The
+// platform's store remains.
+func (h *harness) restart(first, second string) *harness {
+	next := newHarness(h.t)
+	next.objects, next.reqs = h.objects, h.reqs+1000
+	next.configure(testTable())
+	next.setVersions(first, second)
+	return next
 }
 
 // setVersions lists the test targets, of which the decode engines have these versions.
@@ -24,57 +72,148 @@
 	h.setInstances(list...)
 }
 
+// newVersionHarness returns a harness whose targets have had these versions for long.
+func newVersionHarness(t *testing.T, first, second string) *harness {
+	h := newHarness(t)
+	h.configure(testTable())
+	h.setVersions(first, second)
+	h.advance(2 * testLifetime)
+	return h
+}
+
 func TestResumedStreamOfUnknownOriginIsRefused(t *testing.T) {
-	h := newReadyHarness(t)
-	h.setVersions("v1", "v2")
-	h.resume("c99")
-	r := h.refused()
-	h.is.Equal(r.Code, "unknown-version")
-	h.is.Equal(r.Outcome, msg.OutcomeNotRun)
-	h.is.Equal(r.RetryAfter, time.Duration(0))
+	h := newVersionHarness(t, "v1", "v2")
+	h.is.Equal(h.resume("c99"), "unknown-version")
 }
 
-func TestResumedStreamGoesOnWhereOneVersionServes(t *testing.T) {
+// A daemon that has just started can't know which versions served before.
+func TestDaemonThatHasJustStartedDoesNotGuess(t *testing.T) {
 	h := newHarness(t)
 	h.configure(testTable())
-	h.setVersions("v1", "v1")
-	h.resume("c99")
-	h.started()
+	h.setVersions("v2", "v2")
+	h.is.Equal(h.resume("c99"), "unknown-version")
+}
+
+func TestResumedStreamGoesOnWhereOneVersionServes(t *testing.T) {
+	h := newVersionHarness(t, "v1", "v1")
+	h.is.Equal(h.resume("c99"), "v1")
+	h = h.restart("v1", "v1")
+	h.is.Equal(h.resume("c99"), "v1")
 }
 
 func TestStreamWhoseVersionIsGoneIsRefused(t *testing.T) {
-	h := newReadyHarness(t)
-	h.setVersions("v1", "v2")
+	h := newVersionHarness(t, "v1", "v2")
 	h.step(msg.PeerReceived{From: "entry-2", Message: msg.StreamOrigins{Known: []msg.StreamOrigin{{Stream: (&request{
 		arrival: msg.DirectRequestArrived{CallerID: "c99"}, route: &msg.DirectRoute{},
 	}).stream(), Version: "v0"}}}})
-	h.resume("c99")
-	h.is.Equal(h.refused().Code, "version-gone")
+	h.is.Equal(h.resume("c99"), "version-gone")
 }
 
 // The list may show a change of version only after the last stream of the old one.
 func TestVersionThatHasJustGoneStillCounts(t *testing.T) {
-	h := newReadyHarness(t)
-	h.setVersions("v1", "v1")
-	h.advance(time.Second)
+	h := newVersionHarness(t, "v1", "v1")
 	h.setVersions("v2", "v2")
-	h.resume("c99")
-	h.is.Equal(h.refused().Code, "unknown-version")
-	h.advance(versionMemory)
-	h.resume("c99")
-	h.started()
+	h.is.Equal(h.resume("c99"), "unknown-version")
+	h.advance(2 * testLifetime)
+	h.is.Equal(h.resume("c99"), "v2")
 }
 
-// A daemon that is cut off from the store does not see that a second version serves.
-func TestOriginIsAskedForWhileListIsOld(t *testing.T) {
-	h := newReadyHarness(t)
-	h.step(msg.MembersChanged{Entries: []msg.Host{{Host: "entry-1"}, {Host: "entry-2"}}})
-	h.setVersions("v1", "v1")
-	for _, age := range []time.Duration{time.Second, listMaxAge} {
-		h.advance(versionMemory)
-		h.setVersions("v1", "v1")
-		h.advance(age)
-		h.resume("c99")
-		h.is.Equal(h.logged("waits for the origin of its stream"), age == listMaxAge)
+// All daemons go down at each moment of a release, and come back with the list of targets
+// as it is then.
+func TestStreamsAfterRestartOfAllDaemons(t *testing.T) {
+	for name, c := range map[string]struct {
+		// before and after are the versions of the two engines before and after the restart.
+		before, after [2]string
+		// archived reports whether the stream is old enough to be archived.
+		archived bool
+	}{
+		"before the release":       {[2]string{"v1", "v1"}, [2]string{"v1", "v2"}, false},
+		"in the release":           {[2]string{"v1", "v2"}, [2]string{"v1", "v2"}, true},
+		"stream has just begun":    {[2]string{"v1", "v2"}, [2]string{"v1", "v2"}, false},
+		"as the old targets leave": {[2]string{"v1", "v2"}, [2]string{"v2", "v2"}, false},
+		"and rolled back":          {[2]string{"v1", "v2"}, [2]string{"v1", "v1"}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newVersionHarness(t, "v1", "v1")
+			if c.before[1] == "v2" {
+				h.setVersions("v1", "v2")
+				h.advance(time.Second)
+			}
+			stream, version := h.begin()
+			if c.archived {
+				h.advance(time.Second)
+			}
+			h = h.restart(c.after[0], c.after[1])
+			want := "unknown-version"
+			if c.archived {
+				want = version
+				if version != c.after[0] && version != c.after[1] {
+					want = "version-gone"
+				}
+			}
+			h.is.Equal(h.resume(stream), want)
+		})
 	}
 }
+
+// While a version is not in the record, no stream begins there.
+func TestStreamsBeginAtRecordedVersionsOnly(t *testing.T) {
+	h := newVersionHarness(t, "v1", "v1")
+	objects := h.objects
+	h.objects = nil // The store is away.
+	h.setVersions("v2", "v2")
+	h.arrive("/resume/x", prompt(7, 1000, 100))
+	h.advance(300 * time.Millisecond)
+	h.is.Equal(len(h.m.attempts), 0)
+	h.objects = objects
+	h.advance(700 * time.Millisecond)
+	h.is.Equal(len(h.m.attempts), 1)
+}
+
+// A store that has lost writes, and the record with them, does not vouch for one version.
+func TestStoreThatLostTheRecordIsNotBelieved(t *testing.T) {
+	h := newVersionHarness(t, "v1", "v1")
+	h.objects = coretest.NewObjects()
+	h = h.restart("v1", "v1")
+	h.step(msg.StoreEraChanged{Era: 2})
+	h.is.Equal(h.resume("c99"), "unknown-version")
+	h.advance(testLifetime + 3*time.Second)
+	h.is.Equal(h.resume("c99"), "v1")
+}
+
+// A stream that is taken up while the store is away is refused rather than guessed.
+func TestOriginIsNotGuessedWhileStoreIsAway(t *testing.T) {
+	h := newVersionHarness(t, "v1", "v1").restart("v1", "v1")
+	h.advance(time.Second)
+	h.objects = nil
+	h.is.Equal(h.resume("c99"), "unknown-version")
+}
+
+// A daemon that has just started does not take a version for gone that it has never seen.
+func TestVersionsOfBeforeRestartStayInRecord(t *testing.T) {
+	h := newVersionHarness(t, "v1", "v1")
+	h.setVersions("v1", "v2")
+	h.advance(time.Second)
+	h = h.restart("v2", "v2")
+	h.advance(5 * time.Second)
+	h.is.Equal(h.resume("c99"), "unknown-version")
+	h.advance(2 * testLifetime)
+	h.is.Equal(h.resume("c99"), "v2")
+}
+
+// A version whose targets come back long after they had gone is recorded again before
+// streams begin there.
+func TestVersionThatComesBackIsRecordedAgain(t *testing.T) {
+	h := newVersionHarness(t, "v1", "v1")
+	h.setVersions("v2", "v2")
+	h.advance(2 * testLifetime)
+	objects := h.objects
+	h.objects = nil
+	h.setVersions("v1", "v1")
+	h.arrive("/resume/x", prompt(7, 1000, 100))
+	h.advance(300 * time.Millisecond)
+	h.is.Equal(len(h.m.attempts), 0)
+	h.objects = objects
+	h.advance(700 * time.Millisecond)
+	h.is.Equal(len(h.m.attempts), 1)
+}
--- a/internal/core/direct/request/place.go
+++ b/internal/core/direct/request/place.go
@@ -60,6 +60,10 @@
 	if ref, pending := s.resolveOrigin(r); pending || ref != nil {
 		return ref
 	}
+	if s.awaitsRecord(r) {
+		s.hold(r, "waits for the record of versions")
+		return nil
+	}
 	list := s.candidates(r)
 	if len(list) == 0 {
 		return s.noTarget(r)
@@ -79,7 +83,7 @@
 // noTarget returns the refusal of a request for which there is no candidate. Where only
 // limits are in the way, another daemon may have a share left.
 func (s *stepContext) noTarget(r *request) *refusal {
-	if r.origin != nil && !slices.ContainsFunc(s.services[r.service], r.fitsOrigin) {
+	if r.origin != nil && !slices.ContainsFunc(s.services[r.service], func(t *target) bool { return s.fitsOrigin(r, t) }) {
 		return finalRefusal("version-gone")
 	}
 	limited := s.limitedTargets(r)
@@ -101,7 +105,7 @@
 		r.decodeDelay = s.decodeDelay(r)
 	}
 	for _, t := range all {
-		if !t.usable(s.now) || !s.permits(t) || slices.Contains(r.exclude, t.Target) || !r.fitsOrigin(t) || len(t.open) >= maxConns {
+		if !t.usable(s.now) || !s.permits(t) || slices.Contains(r.exclude, t.Target) || !s.fitsOrigin(r, t) || len(t.open) >= maxConns {
 			continue
 		}
 		c, ok := s.score(r, t)
--- a/internal/core/direct/streamorigin/registry.go
+++ b/internal/core/direct/streamorigin/registry.go
@@ -1,5 +1,7 @@
 // Package streamorigin remembers which software version of its targets began each
-// stream that callers may resume.
+// stream that callers may resume: what the entry daemons tell each other ([Registry]),
+// which versions may have begun streams at all ([History]) and what outlives all entry
+// daemons ([Archive]).
 //
 // A caller resumes a stream at any entry daemon, and the one at which the stream began
 // may be gone. Each daemon therefore tells the origin of a stream, as soon as it has
@@ -66,7 +68,9 @@
 // query is the search for the origin of a stream.
 type query struct {
 	startedAt, askedAt msg.Time
-	// waiting holds the keepers that have not answered.
+	// asked reports whether the keepers have been asked, and waiting holds those that have
+	// not answered.
+	asked   bool
 	waiting map[msg.HostID]bool
 }
 
@@ -116,6 +120,10 @@
 	if q == nil {
 		q = &query{startedAt: now, waiting: make(map[msg.HostID]bool)}
 		r.queries[stream] = q
+	}
+	// A daemon that has just started does not know the others yet.
+	if !q.asked && len(r.entries) > 1 {
+		q.asked = true
 		for _, h := range r.keepers(stream) {
 			q.waiting[h] = true
 		}
@@ -129,7 +137,7 @@
 
 // ended reports whether the keepers have answered or have had the time for it.
 func (q *query) ended(now msg.Time) bool {
-	return len(q.waiting) == 0 || now-q.startedAt >= queryTimeout
+	return q.asked && len(q.waiting) == 0 || now-q.startedAt >= queryTimeout
 }
 
 // keepers returns the keepers of a stream besides this daemon.
@@ -157,7 +165,7 @@
 	maps.DeleteFunc(r.queries, func(_ uint64, q *query) bool { return now-q.startedAt >= 2*queryTimeout })
 	var effects []msg.Effect
 	for _, stream := range slices.Sorted(maps.Keys(r.queries)) {
-		if q := r.queries[stream]; !q.ended(now) && now-q.askedAt >= queryInterval {
+		if q := r.queries[stream]; q.asked && !q.ended(now) && now-q.askedAt >= queryInterval {
 			effects = append(effects, r.ask(now, stream, q)...)
 		}
 	}
--- a/internal/core/direct_fleet_entry_test.go
+++ b/internal/core/direct_fleet_entry_test.go
@@ -53,7 +53,19 @@
 	})
 }
 
+// stop ends the process on the host.
+func (e *fleetEntry) stop() {
+	e.life++
+	e.breakStreams()
+	e.reducer = nil
+	e.arrived = make(map[msg.RequestID]*fleetRequest)
+	e.targets = make(map[msg.AttemptID]*fleetTarget)
+}
+
 func (e *fleetEntry) step(ev msg.Event) {
+	if e.reducer == nil {
+		return
+	}
 	for _, eff := range e.reducer.Step(e.fleet.now-e.started, ev) {
 		e.execute(eff)
 	}
--- a/internal/core/direct_fleet_test.go
+++ b/internal/core/direct_fleet_test.go
@@ -169,6 +169,14 @@
 	f.now = end
 }
 
+// killAll ends all entry daemons at once. They start again after some time.
+func (f *directFleet) killAll(downtime time.Duration) {
+	for _, e := range f.entries {
+		e.stop()
+		f.after(downtime, e.start)
+	}
+}
+
 // rewind makes the store continue from its snapshot. Each daemon notices with its next
 // call.
 func (f *directFleet) rewind() {
--- a/internal/core/direct_version_test.go
+++ b/internal/core/direct_version_test.go
@@ -63,6 +63,11 @@
 	s.open = r
 	s.resumed = s.resumed || s.event > 0
 	e := f.entries[f.rand.IntN(len(f.entries))]
+	if e.reducer == nil { // The client finds no daemon and tries again.
+		s.tries--
+		f.after(200*time.Millisecond, s.send)
+		return
+	}
 	e.arrived[r.Req] = r
 	e.step(r.DirectRequestArrived)
 }
@@ -139,21 +144,33 @@
 	j.report(msg.DirectAttemptEnded{Attempt: j.start.Attempt, Result: msg.DirectInterrupted, LastEvent: j.event, Streaming: streaming})
 }
 
-// replaceTargets replaces every nth engine by one of another version: the new one starts
-// first, the old one drains and leaves.
+// replacement is a change of engines to another version: the new engine starts first, the
+// old one then drains and leaves.
+type replacement struct {
+	version string
+	// gap is the time between two engines, and drain that from the start of the new engine
+	// until the old one leaves.
+	gap, drain time.Duration
+}
+
+// replaceTargets replaces every nth engine by one of another version.
 func (f *directFleet) replaceTargets(version string, n int) {
+	f.replace(replacement{version, 200 * time.Millisecond, 6 * time.Second}, n)
+}
+
+func (f *directFleet) replace(r replacement, n int) {
 	for i, old := range slices.Clone(f.targets) {
 		if old.instance.Service != "llm" || old.instance.Draining || i%n != 0 {
 			continue
 		}
-		f.after(time.Duration(i)*200*time.Millisecond, func() {
+		f.after(time.Duration(i)*r.gap, func() {
 			f.seq++
 			in := old.instance
 			in.Target, in.Addr = msg.TargetID(fmt.Sprint("n", f.seq)), fmt.Sprintf("10.1.0.%d:1", f.seq)
-			in.Version, in.Role = version, msg.RoleDecode
+			in.Version, in.Role = r.version, msg.RoleDecode
 			f.addTarget(in)
 			old.instance.Draining = true
-			f.after(6*time.Second, func() { old.gone = true })
+			f.after(r.drain, func() { old.gone = true })
 		})
 	}
 }
@@ -235,3 +252,104 @@
 	}
 	checkVersions(t, f, *streams)
 }
+
+// restartOfAll is a way in which all entry daemons go down during releases.
+type restartOfAll struct {
+	name    string
+	entries int
+	// releases are the releases, which begin releaseGap apart, and each of which the kills
+	// follow after the given times.
+	releases []replacement
+	kills    []time.Duration
+	// downtime is how long the daemons are gone, and storeAway how long the store is away
+	// from each kill on. If rewinds is set, it then continues from an older copy.
+	downtime, storeAway time.Duration
+	rewinds             bool
+}
+
+const (
+	// releaseGap is the time from one release to the next, and historyTime the time after
+	// which the record of a new fleet is complete.
+	releaseGap  = 14 * time.Second
+	historyTime = 22 * time.Second
+	// restartSeeds is the number of fleets that go through the same restarts.
+	restartSeeds = 4
+)
+
+// run plays the restarts with several seeds and returns the sum of the counts.
+func (c restartOfAll) run(t *testing.T) versionCounts {
+	var total versionCounts
+	for seed := range uint64(restartSeeds) {
+		f := newSeededFleet(t, c.entries, 18, seed+1)
+		f.run(historyTime)
+		streams := f.openStreams(40, time.Duration(len(c.releases)+1)*releaseGap)
+		for _, r := range c.releases {
+			began := f.now
+			f.replace(r, 1)
+			for _, at := range c.kills {
+				f.run(began + at + time.Duration(seed)*130*time.Millisecond - f.now)
+				f.snapshot = f.objects.Snapshot()
+				f.killAll(c.downtime)
+				f.storeDownUntil = f.now + c.storeAway
+				if c.rewinds {
+					f.rewind()
+				}
+			}
+			f.run(began + releaseGap - f.now)
+		}
+		f.run(releaseGap)
+		total.add(*streams)
+	}
+	return total
+}
+
+// All entry daemons go down at once, at many moments of a release, and come back. The
+// streams that broke off are taken up at daemons that know nothing of them.
+func TestStreamGoesOnAtItsVersionAfterRestartOfAll(t *testing.T) {
+	t.Parallel()
+	slow := func(v string) replacement { return replacement{v, 200 * time.Millisecond, 6 * time.Second} }
+	quick := func(v string) replacement { return replacement{v, 20 * time.Millisecond, 300 * time.Millisecond} }
+	s := time.Second
+	for _, c := range []restartOfAll{
+		{name: "release", entries: 4, releases: []replacement{slow("v2")}, kills: []time.Duration{3 * s, 6 * s, 10 * s}, downtime: s},
+		{name: "many daemons", entries: 26, releases: []replacement{slow("v2")}, kills: []time.Duration{3 * s, 6 * s}, downtime: s / 2},
+		{name: "rolled back", entries: 4, releases: []replacement{slow("v2"), slow("v1")}, kills: []time.Duration{4 * s, 11 * s}, downtime: s},
+		{name: "old targets have just left", entries: 4, releases: []replacement{quick("v2"), quick("v3"), quick("v2")}, kills: []time.Duration{s}, downtime: s},
+		{name: "quick and rolled back", entries: 4, releases: []replacement{quick("v2"), quick("v1")}, kills: []time.Duration{s, 3 * s}, downtime: s / 2},
+		{name: "store away", entries: 4, releases: []replacement{quick("v2"), slow("v3")}, kills: []time.Duration{s}, downtime: s, storeAway: 1800 * time.Millisecond},
+		{name: "store rewound", entries: 4, releases: []replacement{quick("v2"), slow("v3")}, kills: []time.Duration{s}, downtime: s, storeAway: s, rewinds: true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			total := c.run(t)
+			t.Logf("%+v", total)
+			if total.mixed > 0 {
+				t.Errorf("%d streams hold events of two software versions", total.mixed)
+			}
+			if total.resumed < 150 {
+				t.Fatalf("only %d streams were taken up", total.resumed)
+			}
+			sound := c.storeAway == 0 && c.releases[0].drain > time.Second // The old version still serves.
+			if sound && total.continued*2 < total.resumed {
+				t.Errorf("%d of %d streams that are taken up go on", total.continued, total.resumed)
+			}
+		})
+	}
+}
+
+// versionCounts counts streams.
+type versionCounts struct{ began, resumed, continued, mixed int }
+
+func (c *versionCounts) add(streams []*fleetStream) {
+	count := func(n *int, ok bool) {
+		if ok {
+			*n++
+		}
+	}
+	for _, s := range streams {
+		count(&c.began, s.event > 0)
+		count(&c.resumed, s.resumed)
+		count(&c.continued, s.continued)
+		count(&c.mixed, len(s.versions) > 1)
+	}
+}
--- a/internal/core/msg/store.go
+++ b/internal/core/msg/store.go
@@ -29,6 +29,11 @@
 	// KindWindow the frozen windows, whose counts no longer change.
 	KindRuns   Kind = "runs"
 	KindWindow Kind = "window"
+	// KindStreamVersions holds the record of the software versions at which streams may
+	// have begun, and KindStreamOrigins, for each entry daemon, the versions at which the
+	// streams began that callers may take up there.
+	KindStreamVersions Kind = "stream-versions"
+	KindStreamOrigins  Kind = "stream-origins"
 )
 
 // StoreEra counts how often the platform's store has lost writes that it had
--- a/internal/core/msg/stream_origin.go
+++ b/internal/core/msg/stream_origin.go
@@ -23,3 +23,22 @@
 
 func (StreamOrigins) peerMessage()     {}
 func (StreamOriginQuery) peerMessage() {}
+
+// StreamVersionsRecorded states the record of the versions at which streams of each service
+// may have begun, as the sender has written it to the platform in an era. Version is that
+// of its object.
+type StreamVersionsRecorded struct {
+	Era      StoreEra          `cbor:"1,keyasint"`
+	Version  Version           `cbor:"2,keyasint"`
+	Services []ServiceVersions `cbor:"3,keyasint,omitempty"`
+}
+
+// ServiceVersions is the part of a service of [StreamVersionsRecorded]. Complete reports
+// whether streams that can still be resumed may have begun at no other version.
+type ServiceVersions struct {
+	Service  ServiceID `cbor:"1,keyasint"`
+	Versions []string  `cbor:"2,keyasint"`
+	Complete bool      `cbor:"3,keyasint,omitempty"`
+}
+
+func (StreamVersionsRecorded) peerMessage() {}
--- a/internal/core/msg/types.go
+++ b/internal/core/msg/types.go
@@ -18,6 +18,7 @@
 		reflect.TypeFor[StreamOrigins](), reflect.TypeFor[StreamOriginQuery](),
 		reflect.TypeFor[QuotaAsk](), reflect.TypeFor[QuotaReply](), reflect.TypeFor[QuotaReturn](),
 		reflect.TypeFor[LeaseWritten](), reflect.TypeFor[EntryLeaving](),
+		reflect.TypeFor[StreamVersionsRecorded](),
 	}
 }
 
--- a/internal/core/msg/types_test.go
+++ b/internal/core/msg/types_test.go
@@ -15,7 +15,7 @@
 		"ExchangePoll", "ExchangeReply", "CrashNotice", "LoadDigest", "RunCounts", "PrefillSent",
 		"CatalogQuery", "CatalogReply", "CrashDigest", "WindowsFrozen", "StreamOrigins", "StreamOriginQuery",
 		"QuotaAsk", "QuotaReply", "QuotaReturn",
-		"LeaseWritten", "EntryLeaving",
+		"LeaseWritten", "EntryLeaving", "StreamVersionsRecorded",
 	}
 	var got []string
 	for _, typ := range PeerTypes() {
--- a/internal/core/store/store.go
+++ b/internal/core/store/store.go
@@ -40,6 +40,8 @@
 	ComponentPeerDiscovery
 	ComponentRuns
 	ComponentWindows
+	ComponentStreamVersions
+	ComponentStreamOrigins
 )
 
 const (
