platformpoll: the list of targets is confirmed by readers, as the configuration is

Change: the answers of readers carry a digest of the list, its era and the age of the read. A daemon reads the list only when it has changed or nobody confirms it; around outages and losses of writes it reads as before.

--- a/internal/core/direct/platformpoll/instances.go
+++ b/internal/core/direct/platformpoll/instances.go
@@ -35,7 +35,7 @@
 	if !ok {
 		return effs
 	}
-	c.targetPoll.next = max(ev.Sent+c.cfg.InstancesInterval, now)
+	c.targetPoll.next = max(ev.Sent+c.pollInterval(c.cfg.InstancesInterval), now)
 	era := cmp.Or(ev.Era, c.era)
 	if era < c.era || era == c.era && ev.Revision < c.revision {
 		return append(effs, msg.LogLine{Component: componentName, Level: msg.LogError, Text: "list of targets from platform is older than the last one"})
@@ -49,6 +49,7 @@
 	}
 	c.revision = ev.Revision
 	c.lastListSent = ev.Sent
+	c.digest = digestOf(ev.Instances)
 	effs = append(effs, c.logInvalidEntries(ev)...)
 	effs = append(effs, c.merge(now, ev.Instances)...)
 	c.readAtGraceEnd()
--- a/internal/core/direct/platformpoll/platformpoll.go
+++ b/internal/core/direct/platformpoll/platformpoll.go
@@ -2,9 +2,8 @@
 // polls the platform for the operator's configuration and for the list of
 // targets.
 //
-// Both are polled, and never read from a replica that may lag. The configuration is
-// polled by a few daemons, which the others ask whether it has changed. They are not
-// watched, because a watch can be silent while changes are made, whereas the
+// Both are polled, and never read from a replica that may lag. They are polled by a few
+// daemons, which the others ask whether they have changed. They are not watched, because a watch can be silent while changes are made, whereas the
 // content of a response is never older than the time at which the read was sent.
 package platformpoll
 
@@ -83,9 +82,11 @@
 
 	targetPoll poll
 	// era and revision are those of the last list.
-	era           msg.StoreEra
-	revision      msg.Revision
-	lastListSent  msg.Time
+	era          msg.StoreEra
+	revision     msg.Revision
+	lastListSent msg.Time
+	// digest identifies the content of the last list; 0 if there is none.
+	digest        uint64
 	instancesByID map[msg.TargetID]msg.Instance
 	targetIDs     []msg.TargetID
 	// expired holds the targets that were missing from the list after an outage,
@@ -187,7 +188,7 @@
 	if !ok {
 		return effs
 	}
-	c.routePoll.next = max(ev.Sent+c.routesInterval(), now)
+	c.routePoll.next = max(ev.Sent+c.pollInterval(c.cfg.RoutesInterval), now)
 	if c.targetPoll.failing {
 		// The platform is back. A read that was sent before may hang in a connection.
 		c.targetPoll.call, c.targetPoll.next = 0, now
--- a/internal/core/direct/platformpoll/readers.go
+++ b/internal/core/direct/platformpoll/readers.go
@@ -1,17 +1,20 @@
 package platformpoll
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
 	"github.com/verbenaspur/verbenaspur/internal/core/rendezvous"
 )
 
-// A few daemons, the readers, poll the configuration. The others ask two of them which
-// version they know. They read the configuration themselves only when it has changed, or
-// when no reader replies in time. The number of these reads therefore does not grow with
-// the number of daemons. Each daemon polls the list of targets itself.
+// A few daemons, the readers, poll the configuration and the list of targets. The others
+// ask two of them which ones they know. They read them themselves only when they have
+// changed, or when no reader replies in time. The number of reads without a change
+// therefore does not grow with the number of daemons.
 //
 // A reply states how long ago the read was sent on which the reader's knowledge rests.
 // The asker counts that age back from the moment at which its own question left, not
@@ -131,6 +134,7 @@
 	}
 	return []msg.Effect{msg.SendPeer{To: to, Message: msg.CatalogReply{
 		Seq: q.Seq, ConfigVersion: c.table.Version, ConfigAge: now - c.confirmedAt,
+		TargetsDigest: c.digest, TargetsAge: now - c.lastListSent, TargetsEra: c.era,
 	}}}
 }
 
@@ -141,6 +145,7 @@
 	if !ok || c.table == nil {
 		return nil
 	}
+	c.onTargetsReply(now, m, askedAt-m.TargetsAge)
 	c.newestVersion = max(c.newestVersion, m.ConfigVersion)
 	if m.ConfigVersion > c.table.Version {
 		c.routePoll.next = min(c.routePoll.next, now)
@@ -171,10 +176,42 @@
 // postpone delays the next read.
 func (p *poll) postpone(until msg.Time) { p.next = max(p.next, until) }
 
-// routesInterval returns the time between two reads of the configuration.
-func (c *Component) routesInterval() time.Duration {
+// pollInterval returns the time between two reads of this daemon, of which the interval is
+// the least that is configured.
+func (c *Component) pollInterval(interval time.Duration) time.Duration {
 	if c.readers.isReader {
-		return time.Duration(readerIntervalRatio * float64(c.cfg.RoutesInterval))
+		return time.Duration(readerIntervalRatio * float64(interval))
+	}
+	return interval
+}
+
+// onTargetsReply applies what a reader knows of the list of targets, as of an instant. A
+// list that is the same as this daemon's confirms it. One that differs is read.
+//
+// While targets are kept that are missing from the list, or are left out though the list
+// shows them, the list counts by the time at which it is read, and nothing is taken on
+// another daemon's word.
+func (c *Component) onTargetsReply(now msg.Time, m msg.CatalogReply, at msg.Time) {
+	if m.TargetsDigest == 0 || c.digest == 0 || at <= c.lastListSent {
+		return
+	}
+	if now < c.graceUntil || now < c.settledAt || c.lastListSent < c.settledAt || len(c.expired) > 0 {
+		return
+	}
+	if m.TargetsEra != c.era || m.TargetsDigest != c.digest {
+		c.targetPoll.next = min(c.targetPoll.next, now)
+		return
+	}
+	c.lastListSent = at
+	c.targetPoll.postpone(at + ownReadDelay(c.cfg.InstancesInterval))
+}
+
+// digestOf returns a hash of a list of targets, which is not 0. Lists that are the same but
+// for their order have the same hash.
+func digestOf(list []msg.Instance) uint64 {
+	var sum uint64
+	for _, in := range list {
+		sum += xxhash.Sum64String(fmt.Sprintf("%+v", in))
 	}
-	return c.cfg.RoutesInterval
+	return max(sum, 1)
 }
--- a/internal/core/direct/platformpoll/readers_test.go
+++ b/internal/core/direct/platformpoll/readers_test.go
@@ -38,8 +38,9 @@
 	table       *msg.RouteTable
 	list        []msg.Instance
 	revision    msg.Revision
-	// reads counts the reads of the configuration.
+	// reads counts the reads of the configuration, and listReads those of the targets.
 	reads     int
+	listReads int
 	version   map[msg.HostID]uint64
 	targets   map[msg.HostID]int
 	confirmed map[msg.HostID]msg.Time
@@ -83,6 +84,7 @@
 			}
 			f.post(host, 4*time.Millisecond, read)
 		case msg.ReadInstances:
+			f.listReads++
 			read := msg.InstancesRead{Call: eff.Call, Status: msg.CallOK, Sent: f.now, Revision: f.revision, Instances: f.list}
 			if f.cut[host] {
 				read = msg.InstancesRead{Call: eff.Call, Status: msg.CallUnavailable, Sent: f.now}
@@ -153,11 +155,13 @@
 // force everywhere in time.
 func TestReadsDoNotGrowWithFleet(t *testing.T) {
 	readsPerSecond := make(map[int]float64)
+	listsPerSecond := make(map[int]float64)
 	for _, n := range []int{30, 103, 390} {
 		f := newFleet(t, n)
-		f.reads = 0
+		f.reads, f.listReads = 0, 0
 		f.advance(10 * time.Second)
 		readsPerSecond[n] = float64(f.reads) / 10
+		listsPerSecond[n] = float64(f.listReads) / 10
 		f.table = &msg.RouteTable{Version: 6}
 		f.list = twoTargets[:1]
 		f.revision++
@@ -167,6 +171,8 @@
 	is := is.New(t)
 	is.True(readsPerSecond[390] <= 1.5*readsPerSecond[30])
 	is.True(readsPerSecond[390] < 2*maxReaders) // Three readers, at 0.6 of the interval.
+	is.True(listsPerSecond[390] <= 1.5*listsPerSecond[30])
+	is.True(listsPerSecond[390] < 2*maxReaders)
 }
 
 func TestReadersAreInDifferentDomains(t *testing.T) {
@@ -281,3 +287,40 @@
 	}
 	f.is.True(f.inForce())
 }
+
+// A target whose registration has expired in an outage has time to register again at each
+// daemon, whoever reads the list first afterwards.
+func TestFollowersKeepTargetsAfterOutage(t *testing.T) {
+	f := newFleet(t, 30)
+	for _, h := range f.hosts {
+		f.cut[h.Host] = true
+	}
+	f.advance(4 * time.Second)
+	clear(f.cut)
+	f.list = twoTargets[:1]
+	f.revision++
+	f.advance(1200 * time.Millisecond)
+	for _, h := range f.hosts {
+		f.is.Equal(f.targets[h.Host], 2)
+	}
+	f.advance(3 * time.Second)
+	f.is.True(f.inForce())
+}
+
+// A reader that can't reach the platform knows an old list, which neither confirms a list
+// nor takes its place.
+func TestOldListOfReaderDoesNotCount(t *testing.T) {
+	f := newFleet(t, 30)
+	f.cut[f.readers()[0].Host] = true
+	f.list = twoTargets[:1]
+	f.revision++
+	f.advance(testBound)
+	for _, h := range f.hosts {
+		if !f.cut[h.Host] {
+			f.is.Equal(f.targets[h.Host], 1)
+		}
+	}
+	f.listReads = 0
+	f.advance(10 * time.Second)
+	f.is.True(f.listReads < 100) // The old list of one reader makes nobody read all the time.
+}
--- a/internal/core/direct/request/manager.go
+++ b/internal/core/direct/request/manager.go
@@ -53,10 +53,8 @@
 	stopping bool
 	// ready reports whether the load balancer may send requests to this daemon.
 	ready bool
-	// targetsListed reports whether the list of targets has been read, and listedAt is
-	// when that was last.
+	// targetsListed reports whether the list of targets has been read.
 	targetsListed bool
-	listedAt      msg.Time
 
 	table *routeTable
 	// confirmedAt is the last instant at which the configuration was confirmed
@@ -214,7 +212,6 @@
 	case msg.InstancesChanged:
 		s.onInstancesChanged(ev)
 		s.targetsListed = true
-		s.listedAt = s.now
 		s.updateReady()
 	case msg.MembersChanged:
 		s.informNewEntries(ev.Entries)
--- a/internal/core/msg/direct_peer.go
+++ b/internal/core/msg/direct_peer.go
@@ -127,20 +127,25 @@
 	Tokens  int      `cbor:"3,keyasint"`
 }
 
-// CatalogQuery asks an entry daemon which configuration it knows. The reply is
+// CatalogQuery asks an entry daemon which configuration and targets it knows. The reply is
 // [CatalogReply].
 type CatalogQuery struct {
 	// Seq is the number of the question.
 	Seq uint64 `cbor:"1,keyasint"`
 }
 
-// CatalogReply states which configuration a daemon knows, and how long before the reply
-// the read left that shows it to be the newest.
+// CatalogReply states which configuration and which list of targets a daemon knows, and how
+// long before the reply the reads left that show them to be the newest.
 type CatalogReply struct {
 	// Seq is the number of the question.
 	Seq           uint64        `cbor:"1,keyasint"`
 	ConfigVersion uint64        `cbor:"2,keyasint"`
 	ConfigAge     time.Duration `cbor:"3,keyasint"`
+	// TargetsDigest is a hash of the list of targets, or zero if the daemon has none, and
+	// TargetsAge is the age of the read that shows it. TargetsEra is the store's era then.
+	TargetsDigest uint64        `cbor:"4,keyasint,omitempty"`
+	TargetsAge    time.Duration `cbor:"5,keyasint,omitempty"`
+	TargetsEra    StoreEra      `cbor:"6,keyasint,omitempty"`
 }
 
 // EntryLeaving reports that the sender's process is stopping. Its record at the platform
