platformpoll: a daemon learns from another what the platform does not tell it

Cause: a host that the store turns away after a restart had no configuration, no targets and no members for as long: it refused everything (no-config), and so did others the accounts whose quota it held (quota-unknown). Change: such a daemon asks the first one from which it hears, and takes the configuration, the list of targets, the members and the record of stream versions as of the instant of its question less the age of the other's reads. A host that is turned away later learns of changes in the same way. The address of a daemon that no list names is the source of its message. The daemon's test environment has a record of stream versions, as a deployment that has run before.

--- a/internal/core/direct/peerdiscovery/peerdiscovery.go
+++ b/internal/core/direct/peerdiscovery/peerdiscovery.go
@@ -135,6 +135,8 @@
 			p.byMessage = true
 			p.onMessage(ev.Message)
 		}
+	case msg.EntriesTold:
+		c.onEntriesTold(now, ev)
 	case msg.StoreEraChanged:
 		c.onEraChanged(now, ev)
 	case msg.StopRequested:
@@ -264,6 +266,19 @@
 	p.host = msg.Host{Host: id, Addr: rec.Addr, Domain: rec.Domain, Region: rec.Region, Kind: msg.HostEntry}
 }
 
+// onEntriesTold adds the daemons that another one knows. They have to be heard from to stay.
+func (c *Component) onEntriesTold(now msg.Time, ev msg.EntriesTold) {
+	for _, h := range ev.Entries {
+		if h.Host != c.self.Host && c.peers[h.Host] == nil {
+			c.peers[h.Host] = &peer{host: h, lastSeen: now, byMessage: true}
+		}
+	}
+	if ev.Complete && !c.complete {
+		c.complete = true
+		c.published = false
+	}
+}
+
 // onEraChanged has the daemon's own record written again, and compares the others by
 // their heartbeats: the store gives out versions again.
 func (c *Component) onEraChanged(now msg.Time, ev msg.StoreEraChanged) {
--- a/internal/core/direct/platformpoll/instances.go
+++ b/internal/core/direct/platformpoll/instances.go
@@ -43,19 +43,30 @@
 	if c.era != 0 && era > c.era {
 		effs = append(effs, c.startEra(now, era))
 	}
-	c.era = era
 	if wasFailing && c.lastListSent != 0 && ev.Sent-c.lastListSent > c.cfg.OutageThreshold {
 		c.graceUntil = now + c.cfg.ReregisterTimeout
 	}
-	c.revision = ev.Revision
-	c.lastListSent = ev.Sent
-	c.digest = digestOf(ev.Instances)
 	effs = append(effs, c.logInvalidEntries(ev)...)
-	effs = append(effs, c.merge(now, ev.Instances)...)
+	return append(effs, c.applyList(now, &targetState{List: ev.Instances, Era: era, Revision: ev.Revision, Digest: digestOf(ev.Instances)}, ev.Sent)...)
+}
+
+// applyList applies a list of targets as it was at an instant.
+func (c *Component) applyList(now msg.Time, t *targetState, at msg.Time) []msg.Effect {
+	c.era, c.revision, c.digest = t.Era, t.Revision, t.Digest
+	c.lastListSent = at
+	c.outdated = false
+	effs := c.merge(now, t.List)
 	c.readAtGraceEnd()
 	return append(effs, msg.Raise{Event: msg.InstancesChanged{Instances: c.instances()}})
 }
 
+// keepsOwnList reports whether targets are kept that are missing from the list, or left out
+// though the list shows them. The list then counts by the time at which this daemon reads
+// it, and nothing is taken on another daemon's word.
+func (c *Component) keepsOwnList(now msg.Time) bool {
+	return now < c.graceUntil || now < c.settledAt || c.lastListSent < c.settledAt || len(c.expired) > 0
+}
+
 // readAtGraceEnd makes the next read follow as soon as the time ends for which missing
 // targets are kept. They may have left long before.
 func (c *Component) readAtGraceEnd() {
--- a/internal/core/direct/platformpoll/platformpoll.go
+++ b/internal/core/direct/platformpoll/platformpoll.go
@@ -86,7 +86,9 @@
 	revision     msg.Revision
 	lastListSent msg.Time
 	// digest identifies the content of the last list; 0 if there is none.
-	digest        uint64
+	digest uint64
+	// outdated reports whether a reader knows a later list.
+	outdated      bool
 	instancesByID map[msg.TargetID]msg.Instance
 	targetIDs     []msg.TargetID
 	// expired holds the targets that were missing from the list after an outage,
@@ -101,6 +103,7 @@
 	// invalidEntries is the number of invalid entries in the last list.
 	invalidEntries int
 	readers        readers
+	transfer       transfer
 }
 
 // New returns a component that has read nothing yet.
@@ -121,6 +124,7 @@
 		return append(c.readers.ask(now, c.cfg.RoutesInterval), c.startDueReads(now)...)
 	case msg.MembersChanged:
 		c.readers.onMembersChanged(ev)
+		c.transfer.members = ev
 	case msg.PeerReceived:
 		return c.onPeerMessage(now, ev)
 	case msg.RoutesRead:
--- a/internal/core/direct/platformpoll/readers.go
+++ b/internal/core/direct/platformpoll/readers.go
@@ -119,13 +119,18 @@
 
 // onPeerMessage answers questions and applies replies.
 func (c *Component) onPeerMessage(now msg.Time, ev msg.PeerReceived) []msg.Effect {
+	var effs []msg.Effect
 	switch m := ev.Message.(type) {
 	case msg.CatalogQuery:
-		return c.answer(now, ev.From, m)
+		effs = c.answer(now, ev.From, m)
 	case msg.CatalogReply:
-		return c.onReply(now, m)
+		effs = c.onReply(now, m)
+	case msg.StateQuery:
+		return c.answerState(now, ev.From, m)
+	case msg.StateReply:
+		return c.onStateReply(now, ev.From, m)
 	}
-	return nil
+	return append(effs, c.askForState(now, ev.From)...)
 }
 
 func (c *Component) answer(now msg.Time, to msg.HostID, q msg.CatalogQuery) []msg.Effect {
@@ -187,19 +192,18 @@
 
 // onTargetsReply applies what a reader knows of the list of targets, as of an instant. A
 // list that is the same as this daemon's confirms it. One that differs is read.
-//
-// While targets are kept that are missing from the list, or are left out though the list
-// shows them, the list counts by the time at which it is read, and nothing is taken on
-// another daemon's word.
 func (c *Component) onTargetsReply(now msg.Time, m msg.CatalogReply, at msg.Time) {
 	if m.TargetsDigest == 0 || c.digest == 0 || at <= c.lastListSent {
 		return
 	}
-	if now < c.graceUntil || now < c.settledAt || c.lastListSent < c.settledAt || len(c.expired) > 0 {
+	if c.keepsOwnList(now) {
 		return
 	}
 	if m.TargetsEra != c.era || m.TargetsDigest != c.digest {
-		c.targetPoll.next = min(c.targetPoll.next, now)
+		c.outdated = true
+		if !c.targetPoll.failing {
+			c.targetPoll.next = min(c.targetPoll.next, now)
+		}
 		return
 	}
 	c.lastListSent = at
--- a/internal/core/msg/direct_peer.go
+++ b/internal/core/msg/direct_peer.go
@@ -148,6 +148,31 @@
 	TargetsEra    StoreEra      `cbor:"6,keyasint,omitempty"`
 }
 
+// StateQuery asks an entry daemon for the configuration, the list of targets and the live
+// daemons that it knows. The reply is [StateReply].
+type StateQuery struct {
+	// Seq is the number of the question.
+	Seq uint64 `cbor:"1,keyasint"`
+}
+
+// StateReply is a part of what a daemon knows, as JSON. ConfigAge and TargetsAge are the
+// times from the reads that show the configuration and the targets to the reply.
+type StateReply struct {
+	Seq        uint64        `cbor:"1,keyasint"`
+	Part       int           `cbor:"2,keyasint"`
+	Parts      int           `cbor:"3,keyasint"`
+	Data       []byte        `cbor:"4,keyasint"`
+	ConfigAge  time.Duration `cbor:"5,keyasint"`
+	TargetsAge time.Duration `cbor:"6,keyasint"`
+}
+
+// EntriesTold states the live entry daemons that another daemon knows. Complete reports
+// whether these are all.
+type EntriesTold struct {
+	Entries  []Host
+	Complete bool
+}
+
 // EntryLeaving reports that the sender's process is stopping. Its record at the platform
 // says so too, but can't be written while the store is away.
 type EntryLeaving struct {
@@ -156,8 +181,12 @@
 
 func (LoadDigest) peerMessage()    {}
 func (EntryLeaving) peerMessage()  {}
+func (StateQuery) peerMessage()    {}
+func (StateReply) peerMessage()    {}
 func (CatalogQuery) peerMessage()  {}
 func (CatalogReply) peerMessage()  {}
 func (PrefillSent) peerMessage()   {}
 func (RunCounts) peerMessage()     {}
 func (WindowsFrozen) peerMessage() {}
+
+func (EntriesTold) event() {}
--- a/internal/core/msg/types.go
+++ b/internal/core/msg/types.go
@@ -19,6 +19,7 @@
 		reflect.TypeFor[QuotaAsk](), reflect.TypeFor[QuotaReply](), reflect.TypeFor[QuotaReturn](),
 		reflect.TypeFor[LeaseWritten](), reflect.TypeFor[EntryLeaving](),
 		reflect.TypeFor[StreamVersionsRecorded](),
+		reflect.TypeFor[StateQuery](), reflect.TypeFor[StateReply](),
 	}
 }
 
@@ -57,6 +58,7 @@
 		reflect.TypeFor[QuotaAsked](), reflect.TypeFor[QuotaUsed](),
 		reflect.TypeFor[SpeedsUpdated](),
 		reflect.TypeFor[StoreReachable](),
+		reflect.TypeFor[EntriesTold](),
 	}
 }
 
--- a/internal/core/msg/types_test.go
+++ b/internal/core/msg/types_test.go
@@ -16,6 +16,7 @@
 		"CatalogQuery", "CatalogReply", "CrashDigest", "WindowsFrozen", "StreamOrigins", "StreamOriginQuery",
 		"QuotaAsk", "QuotaReply", "QuotaReturn",
 		"LeaseWritten", "EntryLeaving", "StreamVersionsRecorded",
+		"StateQuery", "StateReply",
 	}
 	var got []string
 	for _, typ := range PeerTypes() {
--- a/internal/daemon/datagrams.go
+++ b/internal/daemon/datagrams.go
@@ -75,7 +75,7 @@
 func (d *datagramTransport) receive(f func(msg.HostID, msg.PeerMessage)) {
 	buf := make([]byte, maxDatagram)
 	for {
-		n, _, err := d.conn.ReadFromUDP(buf)
+		n, source, err := d.conn.ReadFromUDP(buf)
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
@@ -87,10 +87,21 @@
 			d.log.Warn("peers: dropped a message that could not be decoded", "reason", err.Error())
 			continue
 		}
+		d.learnAddr(from, source)
 		f(from, m)
 	}
 }
 
+// learnAddr takes the source of a message for the address of a daemon of which no other is
+// known. A daemon that can't read the list of the others answers those from which it hears.
+func (d *datagramTransport) learnAddr(from msg.HostID, source *net.UDPAddr) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.addrs[from] == nil {
+		d.addrs[from] = source
+	}
+}
+
 func decodeDatagram(b []byte) (msg.HostID, msg.PeerMessage, error) {
 	var dg datagram
 	if err := wire.Unmarshal(b, &dg); err != nil {
--- a/internal/daemon/direct_env_test.go
+++ b/internal/daemon/direct_env_test.go
@@ -108,6 +108,8 @@
 	for _, r := range env.appTargets {
 		env.store.Put("servers", r.ID, r.Registration("app", "d1", "ready"))
 	}
+	// The deployment has run before, so that the versions of its targets are recorded.
+	env.store.Put("verbenaspur-stream-versions", "services@2", map[string]any{"body": map[string]any{"llm": map[string]any{"versions": []string{"v1"}, "complete": true}}})
 	env.store.Put("servers", "odd", map[string]any{"service": "llm", "addr": 7})
 	sockets := openTestSockets(t)
 	_, port, _ := net.SplitHostPort(sockets.peers.LocalAddr().String())
