usage: a daemon that tells its counts to others writes them once a window

Change: the three daemons to which all tell their counts go on so; the others write once a window, after its end. A killed daemon's counts of the present window are with these three; killed together, they are lost as before.

--- a/internal/core/direct/usage/era.go
+++ b/internal/core/direct/usage/era.go
@@ -24,7 +24,7 @@
 	if !ev.LostWrites() {
 		return
 	}
-	m.dirty = true
+	m.dirty, m.writtenThrough = true, 0
 	m.flushAt = now + store.RewriteDelay(m.cfg.Self)
 	m.frozenLoaded = false
 	m.lossAt = m.wall
--- a/internal/core/direct/usage/meter.go
+++ b/internal/core/direct/usage/meter.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
+	"github.com/verbenaspur/verbenaspur/internal/core/rendezvous"
 	"github.com/verbenaspur/verbenaspur/internal/core/store"
 )
 
@@ -25,9 +26,12 @@
 	// keptWindows is the number of past windows that a daemon's object holds.
 	// It holds the current window as well.
 	keptWindows = 5
-	// flushInterval is the time between two writes of a daemon's object. It
-	// bounds the counts that are missing there if the daemon is killed.
-	flushInterval = 2500 * time.Millisecond
+	// flushInterval is the time between two writes of the object of a daemon to which the
+	// others tell their counts. It bounds the counts that are missing there if the
+	// daemon is killed. The others write once a window, within windowWriteSpread of its
+	// end, so that hundreds of them don't write at once.
+	flushInterval     = 2500 * time.Millisecond
+	windowWriteSpread = 1500 * time.Millisecond
 	// settleDelay is the time after a window's end at which a daemon's counts of
 	// the window are complete, because the responses that began in it have been
 	// recorded by then.
@@ -110,7 +114,9 @@
 	// complete, and writtenThrough its value at the last write.
 	completeThrough int64
 	writtenThrough  int64
-	stopping        bool
+	// completeAt is when completeThrough last changed.
+	completeAt msg.Time
+	stopping   bool
 
 	// peerRecords holds the counts that other daemons sent.
 	peerRecords map[msg.HostID]daemonRecord
@@ -201,8 +207,10 @@
 
 func (m *Meter) onTick(now msg.Time) []msg.Effect {
 	through := m.windowOf(m.wall.Add(-settleDelay)) - 1
-	m.unsentRuns = m.unsentRuns || through != m.completeThrough
-	m.completeThrough = through
+	if through != m.completeThrough {
+		m.unsentRuns = true
+		m.completeThrough, m.completeAt = through, now
+	}
 	if m.recordCallPending || (now < m.flushAt && !m.stopping) {
 		return nil
 	}
@@ -210,7 +218,7 @@
 		m.recordCallPending = true
 		return []msg.Effect{m.store.Get(tagRecordRead, msg.KindRuns, string(m.cfg.Self))}
 	}
-	if !m.dirty && m.writtenThrough == m.completeThrough {
+	if !m.writeDue(now) {
 		return nil
 	}
 	m.recordCallPending = true
@@ -220,6 +228,16 @@
 	return []msg.Effect{m.store.Put(now, tagRecordWrite, msg.KindRuns, string(m.cfg.Self), m.snapshot(), m.recordVersion, now+flushInterval)}
 }
 
+// writeDue reports whether this daemon's object has to be written. What a daemon has counted
+// in the present window is known to those to which it tells its counts.
+func (m *Meter) writeDue(now msg.Time) bool {
+	if m.stopping || m.isRecipient() || len(m.entries) == 0 {
+		return m.dirty || m.writtenThrough != m.completeThrough
+	}
+	spread := time.Duration(rendezvous.Score(string(LeaseName), m.cfg.Self) % uint64(windowWriteSpread))
+	return m.writtenThrough != m.completeThrough && now >= m.completeAt+spread
+}
+
 // snapshot returns the sum of the counts of this process and of earlier ones on
 // this host. It deletes windows that are no longer kept.
 func (m *Meter) snapshot() daemonRecord {
@@ -257,13 +275,13 @@
 		m.recordVersion = r.Object.Version
 		m.flushBackoff = 0
 	case r.Status == msg.CallUnavailable || r.Status == msg.CallRejected:
-		m.dirty = true
+		m.dirty, m.writtenThrough = true, 0
 		m.flushBackoff = min(max(2*m.flushBackoff, retryInterval), maxRetryInterval)
 		m.flushAt = now + m.flushBackoff
 	default:
 		// Another process wrote the object, or the outcome of the write is
 		// unknown. The object is read again for its version.
-		m.dirty = true
+		m.dirty, m.writtenThrough = true, 0
 		m.recordCallPending = true
 		return []msg.Effect{m.store.Get(tagRecordRead, msg.KindRuns, string(m.cfg.Self))}
 	}
--- a/internal/core/direct/usage/meter_test.go
+++ b/internal/core/direct/usage/meter_test.go
@@ -1,6 +1,7 @@
 package usage
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -230,3 +231,46 @@
 	c.is.True(ok)
 	c.is.Equal(n, int64(4))
 }
+
+// A daemon that tells its counts to others writes them once a window. A daemon that is
+// killed loses what it has counted since the window's end only if those others are killed
+// too.
+func TestCountsAreWrittenOncePerWindow(t *testing.T) {
+	var hosts []msg.HostID
+	for i := range 28 {
+		hosts = append(hosts, msg.HostID(fmt.Sprint("entry-", i)))
+	}
+	c := newCluster(t, hosts...)
+	c.advance(2 * testWindow)
+	before := c.objects.Writes
+	for range 40 {
+		for _, h := range hosts {
+			c.countRuns(h, 1)
+		}
+		c.advance(500 * time.Millisecond)
+	}
+	// Four windows: the recipients write twice as often as the others, and once more.
+	perWindow := float64(c.objects.Writes-before) / 4
+	c.is.True(perWindow <= 25+3*3)
+	c.is.True(perWindow >= 25)
+	var killed msg.HostID
+	for _, h := range hosts {
+		if !c.daemons[h].meter.isRecipient() {
+			killed = h
+		}
+	}
+	at := c.now
+	c.countRuns(killed, 7)
+	c.advance(1200 * time.Millisecond)
+	c.start(killed)
+	for _, h := range hosts {
+		if c.daemons[h].meter.isRecipient() {
+			c.grantLease(h, 1)
+			break
+		}
+	}
+	c.advance(4 * testWindow)
+	n, ok := c.reported(at)
+	c.is.True(ok)
+	c.is.True(n >= 7)
+}
