platformpoll: what readers read ends an outage; the log of readiness says what it waited for

After one failed read of its own, a follower took the time between two reads of a reader for an outage and kept targets that had left. Change: the time without a read counts from the last instant at which any daemon is known to have read the list. A read that hangs counts as failed. The line at readiness states when configuration and targets were there.

--- a/internal/core/direct/platformpoll/instances.go
+++ b/internal/core/direct/platformpoll/instances.go
@@ -30,9 +30,9 @@
 		return nil
 	}
 	ok := ev.Status == msg.CallOK
-	wasFailing := c.targetPoll.failing
 	effs := c.targetPoll.done(now, ok, "targets", ev.Reason)
 	if !ok {
+		c.unreached = true
 		return effs
 	}
 	c.targetPoll.next = max(ev.Sent+c.pollInterval(c.cfg.InstancesInterval), now)
@@ -43,13 +43,26 @@
 	if c.era != 0 && era > c.era {
 		effs = append(effs, c.startEra(now, era))
 	}
-	if wasFailing && c.lastListSent != 0 && ev.Sent-c.lastListSent > c.cfg.OutageThreshold {
-		c.graceUntil = now + c.cfg.ReregisterTimeout
-	}
+	c.noteReachable(now, ev.Sent)
 	effs = append(effs, c.logInvalidEntries(ev)...)
 	return append(effs, c.applyList(now, &targetState{List: ev.Instances, Era: era, Revision: ev.Revision, Digest: digestOf(ev.Instances)}, ev.Sent)...)
 }
 
+// noteReachable records that the platform was read at an instant, by this daemon or by
+// another. Targets that are missing after an outage may not have left. An outage is a time
+// over OutageThreshold between two such instants in which a read of this daemon has failed
+// or is still open.
+func (c *Component) noteReachable(now, at msg.Time) {
+	if at <= c.reachableAt {
+		return
+	}
+	failed := c.unreached || c.targetPoll.call != 0
+	if failed && c.reachableAt != 0 && at-c.reachableAt > c.cfg.OutageThreshold {
+		c.graceUntil = now + c.cfg.ReregisterTimeout
+	}
+	c.reachableAt, c.unreached = at, false
+}
+
 // applyList applies a list of targets as it was at an instant.
 func (c *Component) applyList(now msg.Time, t *targetState, at msg.Time) []msg.Effect {
 	c.era, c.revision, c.digest = t.Era, t.Revision, t.Digest
--- a/internal/core/direct/platformpoll/platformpoll.go
+++ b/internal/core/direct/platformpoll/platformpoll.go
@@ -85,6 +85,10 @@
 	era          msg.StoreEra
 	revision     msg.Revision
 	lastListSent msg.Time
+	// reachableAt is the last instant at which the platform is known to have been read, and
+	// unreached reports whether a read of this daemon has failed since.
+	reachableAt msg.Time
+	unreached   bool
 	// digest identifies the content of the last list; 0 if there is none.
 	digest uint64
 	// outdated reports whether a reader knows a later list.
--- a/internal/core/direct/platformpoll/readers.go
+++ b/internal/core/direct/platformpoll/readers.go
@@ -196,6 +196,9 @@
 	if m.TargetsDigest == 0 || c.digest == 0 || at <= c.lastListSent {
 		return
 	}
+	if m.TargetsEra == c.era {
+		c.noteReachable(now, at)
+	}
 	if c.keepsOwnList(now) {
 		return
 	}
--- a/internal/core/direct/platformpoll/readers_test.go
+++ b/internal/core/direct/platformpoll/readers_test.go
@@ -340,3 +340,21 @@
 	f.advance(10 * time.Second)
 	f.is.True(f.listReads < 100) // The old list of one reader makes nobody read all the time.
 }
+
+// A follower whose own read has failed, while readers go on reading, does not take that for
+// an outage: a target that then leaves is removed in time.
+func TestFailedReadOfFollowerIsNoOutage(t *testing.T) {
+	f := newFleet(t, 30)
+	host := f.follower()
+	c := f.components[host]
+	f.cut[host] = true
+	c.targetPoll.next = 0
+	f.advance(300 * time.Millisecond)
+	f.is.True(c.targetPoll.failing)
+	delete(f.cut, host)
+	f.advance(3 * time.Second)
+	f.list = twoTargets[:1]
+	f.revision++
+	f.advance(testBound)
+	f.is.True(f.inForce())
+}
--- a/internal/core/direct/platformpoll/transfer.go
+++ b/internal/core/direct/platformpoll/transfer.go
@@ -140,7 +140,8 @@
 		Component: componentName, Text: "configuration received from another daemon",
 		Attrs: []msg.Attr{
 			{Key: "version", Value: strconv.FormatUint(table.Version, 10)},
-			{Key: "host", Value: string(from)}, {Key: "age_ms", Value: millis(now - at)},
+			{Key: "host", Value: string(from)},
+			{Key: "age_ms", Value: millis(now - at)},
 		},
 	}}
 	return append(effs, c.confirm(at)...)
@@ -151,5 +152,6 @@
 	if at <= c.lastListSent || c.keepsOwnList(now) || c.era != 0 && t.Era != c.era || c.era == t.Era && t.Revision < c.revision {
 		return nil
 	}
+	c.noteReachable(now, at)
 	return c.applyList(now, t, at)
 }
--- a/internal/core/direct/request/manager.go
+++ b/internal/core/direct/request/manager.go
@@ -55,6 +55,9 @@
 	ready bool
 	// targetsListed reports whether the list of targets has been read.
 	targetsListed bool
+	// configAfter and targetsAfter are when this process first had a configuration and a
+	// list of targets.
+	configAfter, targetsAfter msg.Time
 
 	table *routeTable
 	// confirmedAt is the last instant at which the configuration was confirmed
@@ -199,6 +202,9 @@
 		s.limits = ev.Limits
 		s.configureQuotas()
 	case msg.RoutesChanged:
+		if s.table == nil {
+			s.configAfter = s.now
+		}
 		s.table = newRouteTable(ev.Table)
 		s.forgetRemoved()
 		s.configureOrigins(ev.Table)
@@ -211,7 +217,10 @@
 		s.updateReady()
 	case msg.InstancesChanged:
 		s.onInstancesChanged(ev)
-		s.targetsListed = true
+		if !s.targetsListed {
+			s.targetsListed = true
+			s.targetsAfter = s.now
+		}
 		s.updateReady()
 	case msg.MembersChanged:
 		s.informNewEntries(ev.Entries)
@@ -298,7 +307,10 @@
 	}
 	s.ready = ready
 	s.emit(msg.SetReady{Ready: ready})
-	s.log("readiness changed", attr("ready", ready), attr("config_age_ms", formatMS(s.now-s.confirmedAt)))
+	s.log(
+		"readiness changed", attr("ready", ready), attr("config_age_ms", formatMS(s.now-s.confirmedAt)),
+		attr("age_ms", formatMS(s.now)), attr("config_after_ms", formatMS(s.configAfter)), attr("targets_after_ms", formatMS(s.targetsAfter)),
+	)
 }
 
 // configFresh reports whether the configuration was confirmed within the given
