--- a/internal/core/direct/platformpoll/platformpoll.go
+++ b/internal/core/direct/platformpoll/platformpoll.go
@@ -124,7 +124,10 @@
 // Step implements reducer.Component.
 func (c *Component) Step(now msg.Time, ev msg.Event) []msg.Effect {
 	switch ev := ev.(type) {
-	case msg.Started, msg.Tick:
+	case msg.Started:
+		c.transfer.seq = ev.Seed
+		return c.startDueReads(now)
+	case msg.Tick:
 		return append(c.readers.ask(now, c.cfg.RoutesInterval), c.startDueReads(now)...)
 	case msg.MembersChanged:
 		c.readers.onMembersChanged(ev)
--- a/internal/core/direct/platformpoll/transfer.go
+++ b/internal/core/direct/platformpoll/transfer.go
@@ -44,6 +44,8 @@
 
 // transfer is the state of this daemon's question.
 type transfer struct {
+	// seq is the number of the last question. The first one is drawn at random, so that
+	// nobody who has not seen a question can answer it.
 	seq     uint64
 	askedAt msg.Time
 	nextAt  msg.Time
