--- a/internal/core/direct/request/peerwork.go
+++ b/internal/core/direct/request/peerwork.go
@@ -1,6 +1,7 @@
 package request
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -29,6 +30,9 @@
 // minWorkShare is the fraction of the work below which the rest counts as done.
 const minWorkShare = 1e-3
 
+// minScale is the scale below which the units are chosen anew, so that it does not underflow.
+const minScale = 1e-6
+
 func newPeerWork(now msg.Time) *peerWork {
 	w := &peerWork{at: now}
 	for c := range w.shares {
@@ -81,7 +85,7 @@
 	}
 	done := min(ms, all)
 	if rest := 1 - done/all; rest >= minWorkShare {
-		w.scale *= rest
+		w.shrink(rest)
 	} else {
 		clear(w.byPeer)
 		w.scale, w.units = 1, 0
@@ -89,6 +93,19 @@
 	return ms - done
 }
 
+// shrink multiplies the work by a factor.
+func (w *workShares) shrink(factor float64) {
+	w.scale *= factor
+	if w.scale >= minScale {
+		return
+	}
+	for id := range w.byPeer {
+		w.byPeer[id] *= w.scale
+	}
+	w.units *= w.scale
+	w.scale = 1
+}
+
 func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
 
 // workOfPeers returns the work that the other daemons have at a target now.
@@ -136,8 +153,8 @@
 // forgetSilentPeers drops what daemons have reported that have sent no digest for
 // digestMaxAge. They no longer say what they have open.
 func (s *stepContext) forgetSilentPeers() {
-	for id, p := range s.exchange.peers {
-		if s.now-p.receivedAt > digestMaxAge {
+	for _, id := range slices.Sorted(maps.Keys(s.exchange.peers)) {
+		if s.now-s.exchange.peers[id].receivedAt > digestMaxAge {
 			s.forgetPeer(id)
 		}
 	}
@@ -145,7 +162,7 @@
 
 // forgetFormerMembers drops what daemons have reported that are no longer members.
 func (s *stepContext) forgetFormerMembers(entries []msg.Host) {
-	for id := range s.exchange.peers {
+	for _, id := range slices.Sorted(maps.Keys(s.exchange.peers)) {
 		if !slices.ContainsFunc(entries, func(h msg.Host) bool { return h.Host == id }) {
 			s.forgetPeer(id)
 		}
--- a/internal/core/direct/request/peerwork_test.go
+++ b/internal/core/direct/request/peerwork_test.go
@@ -53,3 +53,16 @@
 	h.advance(digestMaxAge + 200*time.Millisecond)
 	h.is.Equal(h.peerBacklog("dec-1", foreground), time.Duration(0))
 }
+
+// However long the work of a daemon takes its small share, the shares stay finite.
+func TestSharesDoNotUnderflow(t *testing.T) {
+	w := newPeerWork(0)
+	w.shares[foreground].set("peer-1", 1)
+	for i := range 100_000 {
+		w.advance(msg.Time(i)*time.Millisecond, func(class) time.Duration { return time.Second })
+	}
+	w.shares[foreground].add("peer-2", 500)
+	if got := w.total(foreground).Round(time.Millisecond); got != 500*time.Millisecond {
+		t.Errorf("total is %s", got)
+	}
+}
--- a/internal/core/direct/request/queue.go
+++ b/internal/core/direct/request/queue.go
@@ -39,8 +39,9 @@
 }
 
 // meetsObjective reports whether the first token of a prompt is expected within
-// Policy.MaxDelayRatio objectives after its caller first asked. A prompt that is longer than its route's typical one
-// is judged as that one, so that long prompts are not put off more often.
+// Policy.MaxDelayRatio objectives after its caller first asked. A prompt that is longer
+// than its route's typical one is judged as that one, so that long prompts are not put off
+// more often.
 func (s *stepContext) meetsObjective(r *request, best candidate) bool {
 	s.observeTypicalPrefill(r, best)
 	return s.now-r.askedAt+best.expected-s.excessPrefill(r, best) <= time.Duration(s.policy.MaxDelayRatio*float64(r.route.Objective))
