--- a/internal/core/direct/streamorigin/archive.go
+++ b/internal/core/direct/streamorigin/archive.go
@@ -39,25 +39,31 @@
 // it. The objects of all daemons are read when the origin of a stream is not known
 // otherwise. The origin of a stream never changes, so that old content is never wrong.
 type Archive struct {
-	self    msg.HostID
+	self msg.HostID
+	// entries is the number of live entry daemons.
 	entries int
 	client  *store.Client
-	// own holds the streams that began at this daemon or, before it started, on its host.
+	// own holds the streams that began at this daemon or, before it started, on its host,
+	// and loaded the versions of the streams in the objects of all daemons.
 	own    map[uint64]*archived
 	loaded map[uint64]string
 
-	// ownRead reports whether version is that of this daemon's object.
+	// ownRead reports whether version is that of this daemon's object, calling whether a
+	// call for the object is in flight, and saving holds the streams that it writes.
 	ownRead bool
 	version msg.Version
 	calling bool
-	// saving holds the streams of the write in flight.
-	saving     []uint64
+	saving  []uint64
+	// No call for the object is made before nextCallAt. The backoff is the delay after the
+	// last failure.
 	nextCallAt msg.Time
 	backoff    time.Duration
 
-	listing              bool
+	// listing reports whether the objects of all daemons are being read since listSentAt.
+	// The last successful read was sent at listedAt, if hasListed is set, and the next one
+	// is not sent before nextListAt.
+	listing, hasListed   bool
 	listSentAt, listedAt msg.Time
-	hasListed            bool
 	nextListAt           msg.Time
 }
 
--- a/internal/core/direct/streamorigin/history.go
+++ b/internal/core/direct/streamorigin/history.go
@@ -58,8 +58,10 @@
 	// lifetimes holds, for each service with resumable streams, the longest time from the
 	// begin of a stream to its last resumption.
 	lifetimes map[msg.ServiceID]time.Duration
-	listed    map[msg.ServiceID]map[string]msg.Time
+	// listedNow holds the versions that the targets of each service have now, and listed
+	// when they last had each version.
 	listedNow map[msg.ServiceID][]string
+	listed    map[msg.ServiceID]map[string]msg.Time
 
 	// record is the newest record of this era that the daemon knows, or nil, and version
 	// the version of its object. earlier holds the record of the era before up to
@@ -77,18 +79,22 @@
 	// targets are gone, so that it has to be read again when they come back.
 	confirmed map[serviceVersion]bool
 
+	// reading and writing report whether a call is in flight, and next is the record that
+	// is being written.
 	reading, writing bool
+	next             record
 	// readName is the name that the read in flight asks for, sentAt when it was sent, and
 	// readSentAt when the last successful read was.
 	readName           string
 	readSentAt, sentAt msg.Time
-	hasRead            bool
-	next               record // being written
+	// hasRead reports whether the record has been read in this era, and readPending whether
+	// it has to be read once more.
+	hasRead, readPending bool
 	// dueSince is since when the record has to be changed; 0 if it has not.
-	dueSince    msg.Time
-	nextCallAt  msg.Time
-	backoff     time.Duration
-	readPending bool
+	dueSince msg.Time
+	// No call is made before nextCallAt. The backoff is the delay after the last failure.
+	nextCallAt msg.Time
+	backoff    time.Duration
 }
 
 // NewHistory returns a history that knows no record.
