httpdrain: show what becomes of requests that arrive during a stop

The hypotheses (net/http drops what it reads after Shutdown; a connection is taken for idle while a request lies in its buffers; the listener's close resets accepted connections) could not be told apart.

A wrapper of the callers' listener and connections now knows which connections carry a request. It counts requests by the phase of the stop in which their head was read, and connections that the daemon itself ended after it had read something and written nothing. The figures stand in the line 'daemon: stopped' and in metrics. Responses whose head is written after the announcement say that the connection closes, also those of requests that arrived before it. How a stop proceeds is unchanged.

--- a/internal/daemon/direct_driver.go
+++ b/internal/daemon/direct_driver.go
@@ -38,8 +38,6 @@
 	// onStopCompleted is called when the reducer has finished a graceful shutdown.
 	onStopCompleted func()
 
-	// closing makes each response ask the caller to close its connection.
-	closing atomic.Bool
 	// ready is the result of readiness checks.
 	ready atomic.Bool
 	// maxBody is the largest request body in bytes; zero until it is configured.
@@ -186,9 +184,6 @@
 
 // ServeHTTP serves one request of a caller.
 func (d *directDriver) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if d.closing.Load() {
-		w.Header().Set("Connection", "close")
-	}
 	limit := d.maxBody.Load()
 	if limit == 0 {
 		limit = defaultMaxBody
--- a/internal/daemon/direct_run.go
+++ b/internal/daemon/direct_run.go
@@ -18,6 +18,7 @@
 	"github.com/verbenaspur/verbenaspur/internal/core/direct/platformpoll"
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
 	"github.com/verbenaspur/verbenaspur/internal/httpclient"
+	"github.com/verbenaspur/verbenaspur/internal/httpdrain"
 	"github.com/verbenaspur/verbenaspur/internal/metrics"
 	"github.com/verbenaspur/verbenaspur/internal/relay"
 	"github.com/verbenaspur/verbenaspur/platform"
@@ -96,8 +97,8 @@
 	loop         *Loop
 	peers        *datagramTransport
 	registry     *prometheus.Registry
-	servers      []*http.Server
-	callerServer *http.Server
+	servers      []server
+	callerServer *httpdrain.Server
 	budget       *relay.Budget
 	serveErrors  chan error
 	// workCtx ends when the daemon's own goroutines must end.
@@ -214,10 +215,11 @@
 	ops.Handle("/metrics", promhttp.HandlerFor(d.registry, promhttp.HandlerOpts{}))
 	ready := mux.NewRouter()
 	ready.HandleFunc(platform.ReadyPath, d.driver.serveReady)
-	d.callerServer = &http.Server{
+	d.callerServer = httpdrain.New(&http.Server{
 		Handler: d.driver, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: slog.NewLogLogger(d.log.Handler(), slog.LevelDebug),
-	}
+	})
+	d.registry.MustRegister(metrics.NewDrain(d.callerServer.Stats))
 	d.serveOn(d.budget.Listener(d.sockets.callers), d.callerServer)
 	d.serveOn(d.sockets.ready, &http.Server{Handler: ready, ReadHeaderTimeout: headerTimeout})
 	if d.sockets.metrics != nil {
@@ -225,8 +227,14 @@
 	}
 }
 
+// server is an HTTP server.
+type server interface {
+	Serve(l net.Listener) error
+	Close() error
+}
+
 // serveOn starts an HTTP server on a listener. If the server fails, the daemon ends.
-func (d *directProcess) serveOn(l net.Listener, s *http.Server) {
+func (d *directProcess) serveOn(l net.Listener, s server) {
 	d.servers = append(d.servers, s)
 	go func() {
 		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
@@ -266,7 +274,7 @@
 // ended. From the first moment, a request that is read on a connection which the server
 // takes for idle is not handled. SetKeepAlivesEnabled(false) would close idle
 // connections too, but handle such requests.
-func closeCallers(ctx context.Context, s *http.Server) error { return s.Shutdown(ctx) }
+func closeCallers(ctx context.Context, s *httpdrain.Server) error { return s.Shutdown(ctx) }
 
 // shutdown performs a graceful shutdown. It closes the listener when the load
 // balancer has seen that the daemon is not ready, and then waits for open requests to
@@ -278,7 +286,7 @@
 	defer cancel()
 	d.loop.Post(msg.StopRequested{})
 	time.Sleep(keepAliveOffDelay)
-	d.driver.closing.Store(true)
+	d.callerServer.AnnounceClose()
 	time.Sleep(listenerCloseDelay - keepAliveOffDelay)
 	if err := closeCallers(drainCtx, d.callerServer); err != nil {
 		d.log.Warn("daemon: stopped waiting for open requests near the end of the grace period", "reason", err.Error())
@@ -290,7 +298,7 @@
 	case <-d.shutdownDone:
 	case <-drainCtx.Done():
 	}
-	d.log.Info("daemon: stopped", "took_ms", time.Since(start).Milliseconds())
+	d.log.Info("daemon: stopped", "took_ms", time.Since(start).Milliseconds(), "callers", d.callerServer.Stats())
 }
 
 func (d *directProcess) close() {
--- a/internal/daemon/direct_shutdown_test.go
+++ b/internal/daemon/direct_shutdown_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/verbenaspur/verbenaspur/internal/httpdrain"
 )
 
 // A request that a stopping daemon accepts must have time to end. No request is
@@ -51,11 +53,11 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
 	var handled, answered atomic.Int64
-	srv := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	srv := httpdrain.New(&http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/last" {
 			handled.Add(1)
 		}
-	})}
+	})})
 	go func() { _ = srv.Serve(slowListener{l}) }()
 	var ready, done sync.WaitGroup
 	start := make(chan struct{})
--- /dev/null
+++ b/internal/httpdrain/announce.go
@@ -0,0 +1,53 @@
+package httpdrain
+
+import "net/http"
+
+// announcing returns a handler whose responses ask the caller to close its connection
+// once that has been announced, also if it is announced while the request runs.
+func (s *Server) announcing(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		a := &announcer{ResponseWriter: w, server: s}
+		h.ServeHTTP(a, r)
+		a.prepare()
+	})
+}
+
+// announcer sets the header of a response just before the head is written.
+type announcer struct {
+	http.ResponseWriter
+	server   *Server
+	prepared bool
+}
+
+func (a *announcer) prepare() {
+	if !a.prepared && a.server.announced.Load() {
+		a.Header().Set("Connection", "close")
+	}
+	a.prepared = true
+}
+
+// WriteHeader implements [http.ResponseWriter].
+func (a *announcer) WriteHeader(status int) {
+	if status >= http.StatusOK {
+		a.prepare()
+	}
+	a.ResponseWriter.WriteHeader(status)
+}
+
+// Write implements [http.ResponseWriter].
+func (a *announcer) Write(p []byte) (int, error) {
+	a.prepare()
+	return a.ResponseWriter.Write(p)
+}
+
+// Flush implements [http.Flusher].
+func (a *announcer) Flush() { _ = a.FlushError() }
+
+// FlushError sends what has been written.
+func (a *announcer) FlushError() error {
+	a.prepare()
+	return http.NewResponseController(a.ResponseWriter).Flush()
+}
+
+// Unwrap returns the underlying writer, for [http.ResponseController].
+func (a *announcer) Unwrap() http.ResponseWriter { return a.ResponseWriter }
--- /dev/null
+++ b/internal/httpdrain/conn.go
@@ -0,0 +1,102 @@
+package httpdrain
+
+import (
+	"crypto/tls"
+	"io"
+	"net"
+	"os"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+)
+
+// listener adds the connections that it accepts to a server.
+type listener struct {
+	net.Listener
+	server *Server
+}
+
+// Accept implements [net.Listener].
+func (l *listener) Accept() (net.Conn, error) {
+	nc, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := &conn{Conn: nc, server: l.server}
+	l.server.add(c)
+	return c, nil
+}
+
+// unwrap returns the connection that was accepted, without TLS.
+func unwrap(nc net.Conn) *conn {
+	if t, ok := nc.(*tls.Conn); ok {
+		nc = t.NetConn()
+	}
+	return nc.(*conn)
+}
+
+// conn is a connection that knows whether it carries a request.
+type conn struct {
+	net.Conn
+	server *Server
+
+	mu sync.Mutex
+	// serving reports whether the head of a request has been read whose response has not
+	// ended.
+	serving bool
+	// unanswered reports whether bytes have been read since bytes were last written: a
+	// request or a part of it.
+	unanswered bool
+	// left reports whether the caller has closed the connection or it has failed.
+	left bool
+}
+
+func (c *conn) update(change func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	change()
+}
+
+func (c *conn) busy() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.serving || c.unanswered
+}
+
+func (c *conn) setServing(serving bool) { c.update(func() { c.serving = serving }) }
+
+// Read implements [net.Conn].
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.update(func() { c.unanswered = true })
+	}
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		c.update(func() { c.left = true })
+	}
+	return n, err
+}
+
+// Write implements [net.Conn]. A caller sends its next request after the last bytes of
+// a response, so that what is read from here on belongs to it.
+func (c *conn) Write(p []byte) (int, error) {
+	c.update(func() { c.unanswered = false })
+	return c.Conn.Write(p)
+}
+
+// CloseWrite closes the sending side.
+func (c *conn) CloseWrite() error {
+	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return w.CloseWrite()
+	}
+	return io.ErrClosedPipe
+}
+
+// Close implements [net.Conn].
+func (c *conn) Close() error {
+	c.mu.Lock()
+	unanswered := c.unanswered && !c.left
+	c.mu.Unlock()
+	c.server.remove(c, unanswered)
+	return c.Conn.Close()
+}
--- /dev/null
+++ b/internal/httpdrain/stats.go
@@ -0,0 +1,58 @@
+package httpdrain
+
+import "log/slog"
+
+// Phase is a step of a drain.
+type Phase int
+
+// Phases of a drain, in their order.
+const (
+	PhaseServing Phase = iota
+	PhaseAnnounced
+	PhaseListenersClosed
+)
+
+// String returns the name of the phase in logs and metrics.
+func (p Phase) String() string {
+	return [...]string{"serving", "announced", "listeners-closed"}[p]
+}
+
+// Stats is a snapshot of a server's figures. The counts are those since its start.
+type Stats struct {
+	// Requests counts the requests whose head was read, by the phase in which it was.
+	Requests map[Phase]int64
+	// Open is the number of open connections, and Busy those of them that carry a
+	// request.
+	Open, Busy int
+	// Unanswered counts the connections that this server ended after it had read a
+	// request, or a part of it, and written nothing.
+	Unanswered int64
+}
+
+// Stats returns the present figures.
+func (s *Server) Stats() Stats {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	stats := s.stats
+	stats.Requests = make(map[Phase]int64, len(s.stats.Requests))
+	for p, n := range s.stats.Requests {
+		stats.Requests[p] = n
+	}
+	stats.Open = len(s.conns)
+	for c := range s.conns {
+		if c.busy() {
+			stats.Busy++
+		}
+	}
+	return stats
+}
+
+// LogValue implements [slog.LogValuer].
+func (s Stats) LogValue() slog.Value {
+	return slog.GroupValue(
+		slog.Int("open", s.Open), slog.Int("busy", s.Busy),
+		slog.Int64("requests_announced", s.Requests[PhaseAnnounced]),
+		slog.Int64("requests_unlistened", s.Requests[PhaseListenersClosed]),
+		slog.Int64("unanswered", s.Unanswered),
+	)
+}
