httpdrain: a stopping entry answers each request that it reads

Cause: from http.Server.Shutdown on, net/http drops a request whose head it has just read, on new connections and on kept ones whose bytes have begun to arrive.

Change: the callers' server is not shut down while it has connections. It closes the listener, reads the open connections for another second, and then stops reading on those that carry no request: by a read deadline in the past, so that a read either returns bytes, which are served, or fails without having taken any. What arrives later stays unread, which tells the caller that it may be sent again.

The test of the race moves to the package and now also counts what was read and not handled (Stats.Unanswered).

--- a/internal/daemon/direct_run.go
+++ b/internal/daemon/direct_run.go
@@ -38,17 +38,6 @@
 	callerIdleTimeout = 2 * time.Minute
 	headerTimeout     = 10 * time.Second
 	maxHeaderBytes    = 64 << 10
-	// listenerCloseDelay is the time from the request to stop until the listener
-	// closes. By then the load balancer has seen two failed readiness checks.
-	listenerCloseDelay = 2800 * time.Millisecond
-	// keepAliveOffDelay is the time from the request to stop until responses ask
-	// callers to close their connections. A caller that then opens a new connection
-	// reaches another entry daemon. Idle connections stay open until the listener
-	// closes: to close them earlier would cut requests that have just been read.
-	keepAliveOffDelay = 1800 * time.Millisecond
-	// drainRatio is the fraction of the grace period in which open requests may end.
-	// The rest is left for the end of the process.
-	drainRatio = 0.88
 	// A revoked key must be refused within a time limit. keyAgeRatio is the fraction
 	// of that limit for which keys are accepted after a confirmation of the
 	// configuration.
@@ -264,43 +253,6 @@
 	}
 }
 
-// requestDrainTimeout returns the time from the request to stop after which the
-// daemon no longer waits for open requests.
-func requestDrainTimeout(grace time.Duration) time.Duration {
-	return time.Duration(drainRatio * float64(grace))
-}
-
-// closeCallers closes the listener and idle connections, and waits until the others have
-// ended. From the first moment, a request that is read on a connection which the server
-// takes for idle is not handled. SetKeepAlivesEnabled(false) would close idle
-// connections too, but handle such requests.
-func closeCallers(ctx context.Context, s *httpdrain.Server) error { return s.Shutdown(ctx) }
-
-// shutdown performs a graceful shutdown. It closes the listener when the load
-// balancer has seen that the daemon is not ready, and then waits for open requests to
-// end and for the reducer to hand over what the daemon holds.
-func (d *directProcess) shutdown() {
-	d.log.Info("daemon: stopping")
-	start := time.Now()
-	drainCtx, cancel := context.WithTimeout(context.Background(), requestDrainTimeout(d.settings.Bounds.GracePeriod))
-	defer cancel()
-	d.loop.Post(msg.StopRequested{})
-	time.Sleep(keepAliveOffDelay)
-	d.callerServer.AnnounceClose()
-	time.Sleep(listenerCloseDelay - keepAliveOffDelay)
-	if err := closeCallers(drainCtx, d.callerServer); err != nil {
-		d.log.Warn("daemon: stopped waiting for open requests near the end of the grace period", "reason", err.Error())
-	}
-	if err := d.budget.Wait(drainCtx); err != nil {
-		d.log.Warn("daemon: stopped waiting for callers that read slowly", "callers", d.budget.Stats().Behind)
-	}
-	select {
-	case <-d.shutdownDone:
-	case <-drainCtx.Done():
-	}
-	d.log.Info("daemon: stopped", "took_ms", time.Since(start).Milliseconds(), "callers", d.callerServer.Stats())
-}
-
 func (d *directProcess) close() {
 	d.stopWork()
 	for _, s := range d.servers {
--- /dev/null
+++ b/internal/daemon/direct_shutdown.go
@@ -0,0 +1,61 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/verbenaspur/verbenaspur/internal/core/msg"
+)
+
+const (
+	// keepAliveOffDelay is the time from the request to stop until responses ask
+	// callers to close their connections. A caller that then opens a new connection
+	// reaches another entry daemon.
+	keepAliveOffDelay = 1800 * time.Millisecond
+	// listenerCloseDelay is the time from the request to stop until the listener
+	// closes. By then the load balancer has seen two failed readiness checks.
+	listenerCloseDelay = 2800 * time.Millisecond
+	// drainRatio is the fraction of the grace period in which open requests may end, and
+	// deliverRatio that in which callers may take their responses. The rest is left for
+	// the end of the process.
+	drainRatio   = 0.88
+	deliverRatio = 0.95
+)
+
+// requestDrainTimeout returns the time from the request to stop after which the
+// daemon no longer waits for open requests.
+func requestDrainTimeout(grace time.Duration) time.Duration {
+	return time.Duration(drainRatio * float64(grace))
+}
+
+// deliveryTimeout returns the time from the request to stop after which the daemon no
+// longer waits for callers to take their responses.
+func deliveryTimeout(grace time.Duration) time.Duration {
+	return time.Duration(deliverRatio * float64(grace))
+}
+
+// shutdown performs a graceful shutdown. It closes the listener when the load
+// balancer has seen that the daemon is not ready, and then waits for open requests to
+// end and for the reducer to hand over what the daemon holds.
+func (d *directProcess) shutdown() {
+	d.log.Info("daemon: stopping")
+	start := time.Now()
+	grace := d.settings.Bounds.GracePeriod
+	ctx, cancel := context.WithTimeout(context.Background(), deliveryTimeout(grace))
+	defer cancel()
+	d.loop.Post(msg.StopRequested{})
+	time.Sleep(keepAliveOffDelay)
+	d.callerServer.AnnounceClose()
+	time.Sleep(listenerCloseDelay - keepAliveOffDelay)
+	if err := d.callerServer.Shutdown(ctx); err != nil {
+		d.log.Warn("daemon: stopped waiting for open requests near the end of the grace period", "reason", err.Error())
+	}
+	if err := d.budget.Wait(ctx); err != nil {
+		d.log.Warn("daemon: stopped waiting for callers that read slowly", "callers", d.budget.Stats().Behind)
+	}
+	select {
+	case <-d.shutdownDone:
+	case <-ctx.Done():
+	}
+	d.log.Info("daemon: stopped", "took_ms", time.Since(start).Milliseconds(), "callers", d.callerServer.Stats())
+}
--- a/internal/httpdrain/conn.go
+++ b/internal/httpdrain/conn.go
@@ -6,10 +6,14 @@
 	"net"
 	"os"
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 )
 
+// expired is a deadline that has passed.
+var expired = time.Unix(1, 0)
+
 // listener adds the connections that it accepts to a server.
 type listener struct {
 	net.Listener
@@ -35,7 +39,9 @@
 	return nc.(*conn)
 }
 
-// conn is a connection that knows whether it carries a request.
+// conn is a connection that knows whether it carries a request. While its server drains,
+// an idle connection is not read: its read deadline is in the past, so that a read either
+// returns bytes, which then are served, or fails without having taken any.
 type conn struct {
 	net.Conn
 	server *Server
@@ -47,20 +53,45 @@
 	// unanswered reports whether bytes have been read since bytes were last written: a
 	// request or a part of it.
 	unanswered bool
+	// draining reports whether the connection closes when it is idle.
+	draining bool
 	// left reports whether the caller has closed the connection or it has failed.
 	left bool
+	// deadline is the read deadline that the HTTP server has set.
+	deadline time.Time
 }
 
+func (c *conn) idle() bool { return !c.serving && !c.unanswered }
+
+// update changes the state of the connection and adjusts the read deadline to it.
 func (c *conn) update(change func()) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	before := c.draining && c.idle()
 	change()
+	if after := c.draining && c.idle(); after != before {
+		c.applyDeadline()
+	}
+}
+
+func (c *conn) applyDeadline() {
+	deadline := c.deadline
+	if c.draining && c.idle() {
+		deadline = expired
+	}
+	_ = c.Conn.SetReadDeadline(deadline)
+}
+
+// drain makes the connection close as soon as it is idle, and reports whether it is.
+func (c *conn) drain() bool {
+	c.update(func() { c.draining = true })
+	return !c.busy()
 }
 
 func (c *conn) busy() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.serving || c.unanswered
+	return !c.idle()
 }
 
 func (c *conn) setServing(serving bool) { c.update(func() { c.serving = serving }) }
@@ -84,6 +115,21 @@
 	return c.Conn.Write(p)
 }
 
+// SetReadDeadline implements [net.Conn].
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.deadline = t
+	c.applyDeadline()
+	return nil
+}
+
+// SetDeadline implements [net.Conn].
+func (c *conn) SetDeadline(t time.Time) error {
+	_ = c.SetReadDeadline(t)
+	return c.SetWriteDeadline(t)
+}
+
 // CloseWrite closes the sending side.
 func (c *conn) CloseWrite() error {
 	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
--- a/internal/httpdrain/httpdrain_test.go
+++ b/internal/httpdrain/httpdrain_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 )
 
@@ -105,3 +107,108 @@
 	is.True(complete)
 	is.True(closes)
 }
+
+// linkDelay is how long a request is on its way, as behind a slow link.
+const linkDelay = 300 * time.Millisecond
+
+func TestRequestOnItsWayDuringStopIsAnswered(t *testing.T) {
+	is := is.New(t)
+	s, addr := startServer(t, func(http.ResponseWriter, *http.Request) {})
+	kept, silent := dial(t, addr), dial(t, addr)
+	kept.send(getRequest)
+	complete, _ := kept.receive()
+	is.True(complete)
+	eventually(t, func() bool { return s.Stats().Open == 2 })
+	stopped := make(chan error, 1)
+	go func() { stopped <- s.Shutdown(t.Context()) }()
+	time.Sleep(linkDelay)
+	for _, c := range []*caller{kept, silent} {
+		c.send(getRequest)
+		complete, closes := c.receive()
+		is.True(complete)
+		is.True(closes)
+	}
+	is.NoErr(<-stopped)
+	is.Equal(s.Stats().Unanswered, int64(0))
+}
+
+func TestRequestInPartsDuringStopIsAnswered(t *testing.T) {
+	is := is.New(t)
+	s, addr := startServer(t, func(http.ResponseWriter, *http.Request) {})
+	c := dial(t, addr)
+	c.send(getRequest[:4])
+	eventually(t, func() bool { return s.Stats().Busy == 1 })
+	s.AnnounceClose()
+	s.CloseListeners()
+	s.CloseIdle()
+	c.send(getRequest[4:])
+	complete, closes := c.receive()
+	is.True(complete)
+	is.True(closes)
+	is.NoErr(s.Wait(t.Context()))
+}
+
+func TestNothingIsReadOnIdleConnectionAfterStop(t *testing.T) {
+	is := is.New(t)
+	s, addr := startServer(t, func(http.ResponseWriter, *http.Request) {})
+	c := dial(t, addr)
+	c.send(getRequest)
+	complete, _ := c.receive()
+	is.True(complete)
+	s.CloseListeners()
+	s.CloseIdle()
+	is.NoErr(s.Wait(t.Context()))
+	_, _ = io.WriteString(c.conn, getRequest)
+	complete, _ = c.receive()
+	is.True(!complete)
+	is.Equal(s.Stats().Requests[PhaseIdleClosed], int64(0))
+	is.Equal(s.Stats().IdleClosed, int64(1))
+}
+
+func TestResponseWithoutAnnouncementEndsConnectionAfterStop(t *testing.T) {
+	is := is.New(t)
+	release := make(chan struct{})
+	s, addr := startServer(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusOK)
+		_ = http.NewResponseController(w).Flush()
+		<-release
+	})
+	c := dial(t, addr)
+	c.send(getRequest)
+	_, err := c.r.Peek(1)
+	is.NoErr(err)
+	s.AnnounceClose()
+	s.CloseListeners()
+	s.CloseIdle()
+	close(release)
+	complete, _ := c.receive()
+	is.True(complete)
+	is.NoErr(s.Wait(t.Context()))
+}
+
+func TestStopWaitsForOpenRequests(t *testing.T) {
+	is := is.New(t)
+	release := make(chan struct{})
+	s, addr := startServer(t, func(http.ResponseWriter, *http.Request) { <-release })
+	c := dial(t, addr)
+	c.send(getRequest)
+	eventually(t, func() bool { return s.Stats().Busy == 1 })
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	is.True(errors.Is(s.Shutdown(ctx), context.DeadlineExceeded))
+	close(release)
+	complete, _ := c.receive()
+	is.True(complete)
+	is.NoErr(s.Wait(t.Context()))
+}
+
+func TestNothingIsServedAfterStop(t *testing.T) {
+	is := is.New(t)
+	s := New(&http.Server{})
+	is.NoErr(s.Shutdown(t.Context()))
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	is.True(errors.Is(s.Serve(l), http.ErrServerClosed))
+	_, err = net.Dial("tcp", l.Addr().String())
+	is.True(err != nil)
+}
--- a/internal/httpdrain/server.go
+++ b/internal/httpdrain/server.go
@@ -1,5 +1,12 @@
-// Package httpdrain stops HTTP servers and shows what becomes of the requests that arrive
-// meanwhile.
+// Package httpdrain stops HTTP servers without losing requests: each request that the
+// process has read gets its response.
+//
+// [http.Server.Shutdown] does not do that. Once it has begun, the server drops a request
+// whose head it has just read, be it the first one on a new connection or the next one on
+// a kept connection. Callers behind a slow link have such requests on their way for as
+// long as the link's queue is. A [Server] instead closes its listeners, goes on reading
+// for a while, and then stops reading on connections that carry no request. A request
+// that arrives later stays unread, so that its caller may send it again.
 package httpdrain
 
 import (
@@ -9,17 +16,30 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
-// Server is an HTTP server that can be drained: by AnnounceClose and then Shutdown.
+// InFlightTime is how long connections are read after the listeners have been closed.
+// Requests that were on their way then arrive within it unless the link is overloaded.
+const InFlightTime = time.Second
+
+// Server is an HTTP server that can be drained. Its steps are AnnounceClose,
+// CloseListeners, CloseIdle and Wait, in this order; Shutdown takes all of them.
 type Server struct {
 	http *http.Server
 	// announced makes each response ask the caller to close its connection.
 	announced atomic.Bool
+	// serving counts the running calls of Serve.
+	serving sync.WaitGroup
 
-	mu    sync.Mutex
-	conns map[*conn]struct{}
-	phase Phase
+	mu        sync.Mutex
+	listeners []net.Listener
+	conns     map[*conn]struct{}
+	phase     Phase
+	// empty is closed when no connection is left. It is nil unless somebody waits.
+	empty chan struct{}
 	stats Stats
 }
 
@@ -33,8 +53,41 @@
 	return s
 }
 
-// Serve is like [http.Server.Serve].
-func (s *Server) Serve(l net.Listener) error { return s.http.Serve(&listener{l, s}) }
+// Serve serves connections of a listener, which it closes at the end. After
+// CloseListeners or Close it returns [http.ErrServerClosed].
+func (s *Server) Serve(l net.Listener) error { return s.serve(l, s.http.Serve) }
+
+// ServeTLS is like Serve, with TLS by a certificate and key from files.
+func (s *Server) ServeTLS(l net.Listener, certFile, keyFile string) error {
+	return s.serve(l, func(l net.Listener) error { return s.http.ServeTLS(l, certFile, keyFile) })
+}
+
+func (s *Server) serve(l net.Listener, serve func(net.Listener) error) error {
+	if !s.addListener(l) {
+		_ = l.Close()
+		return http.ErrServerClosed
+	}
+	defer s.serving.Done()
+	err := serve(&listener{l, s})
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.phase >= PhaseListenersClosed && errors.Is(err, net.ErrClosed) {
+		return http.ErrServerClosed
+	}
+	return err
+}
+
+// addListener returns false if listeners have been closed.
+func (s *Server) addListener(l net.Listener) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.phase >= PhaseListenersClosed {
+		return false
+	}
+	s.listeners = append(s.listeners, l)
+	s.serving.Add(1)
+	return true
+}
 
 // AnnounceClose makes each response from now on ask the caller to close its connection.
 func (s *Server) AnnounceClose() {
@@ -42,13 +95,71 @@
 	s.enter(PhaseAnnounced)
 }
 
-// Shutdown closes the listeners and idle connections, and waits until the others have
-// ended.
-func (s *Server) Shutdown(ctx context.Context) error {
+// CloseListeners closes the listeners. Connections that they have accepted are served.
+func (s *Server) CloseListeners() {
 	s.enter(PhaseListenersClosed)
+	s.mu.Lock()
+	for _, l := range s.listeners {
+		_ = l.Close()
+	}
+	s.mu.Unlock()
+	s.serving.Wait()
+}
+
+// CloseIdle closes each connection as soon as it carries no request. Nothing more is read
+// from such a connection, so that no request is read and then dropped.
+func (s *Server) CloseIdle() {
+	s.enter(PhaseIdleClosed)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		if c.drain() {
+			s.stats.IdleClosed++
+		}
+	}
+}
+
+// Wait waits until all connections have ended.
+func (s *Server) Wait(ctx context.Context) error {
+	s.mu.Lock()
+	if len(s.conns) == 0 {
+		s.mu.Unlock()
+		return nil
+	}
+	if s.empty == nil {
+		s.empty = make(chan struct{})
+	}
+	empty := s.empty
+	s.mu.Unlock()
+	select {
+	case <-empty:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Shutdown drains the server and waits until all connections have ended.
+func (s *Server) Shutdown(ctx context.Context) error {
+	s.AnnounceClose()
+	s.CloseListeners()
+	s.awaitInFlight(ctx)
+	s.CloseIdle()
+	if err := s.Wait(ctx); err != nil {
+		return err
+	}
+	// Connections of HTTP/2, which announces the last request that it serves, are left.
 	return s.http.Shutdown(ctx)
 }
 
+// awaitInFlight waits until requests that are on their way have arrived, or no connection
+// is left.
+func (s *Server) awaitInFlight(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, InFlightTime)
+	defer cancel()
+	_ = s.Wait(ctx)
+}
+
 // Close closes the listeners and all connections at once.
 func (s *Server) Close() error {
 	s.enter(PhaseListenersClosed)
@@ -67,6 +178,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.conns[c] = struct{}{}
+	if s.phase >= PhaseIdleClosed {
+		c.drain()
+	}
 }
 
 // remove removes a connection. Unanswered states that it has ended after a part of a
@@ -81,6 +195,10 @@
 	if unanswered {
 		s.stats.Unanswered++
 	}
+	if len(s.conns) == 0 && s.empty != nil {
+		close(s.empty)
+		s.empty = nil
+	}
 }
 
 // stateChanged follows which connections carry a request.
--- a/internal/httpdrain/stats.go
+++ b/internal/httpdrain/stats.go
@@ -1,6 +1,9 @@
 package httpdrain
 
-import "log/slog"
+import (
+	"log/slog"
+	"maps"
+)
 
 // Phase is a step of a drain.
 type Phase int
@@ -10,11 +13,12 @@
 	PhaseServing Phase = iota
 	PhaseAnnounced
 	PhaseListenersClosed
+	PhaseIdleClosed
 )
 
-// String returns the name of the phase in logs and metrics.
+// String returns the name of the phase in metrics.
 func (p Phase) String() string {
-	return [...]string{"serving", "announced", "listeners-closed"}[p]
+	return [...]string{"serving", "announced", "listeners-closed", "idle-closed"}[p]
 }
 
 // Stats is a snapshot of a server's figures. The counts are those since its start.
@@ -24,6 +28,8 @@
 	// Open is the number of open connections, and Busy those of them that carry a
 	// request.
 	Open, Busy int
+	// IdleClosed counts the connections that carried no request at CloseIdle.
+	IdleClosed int64
 	// Unanswered counts the connections that this server ended after it had read a
 	// request, or a part of it, and written nothing.
 	Unanswered int64
@@ -34,10 +40,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	stats := s.stats
-	stats.Requests = make(map[Phase]int64, len(s.stats.Requests))
-	for p, n := range s.stats.Requests {
-		stats.Requests[p] = n
-	}
+	stats.Requests = maps.Clone(s.stats.Requests)
 	stats.Open = len(s.conns)
 	for c := range s.conns {
 		if c.busy() {
@@ -53,6 +56,7 @@
 		slog.Int("open", s.Open), slog.Int("busy", s.Busy),
 		slog.Int64("requests_announced", s.Requests[PhaseAnnounced]),
 		slog.Int64("requests_unlistened", s.Requests[PhaseListenersClosed]),
-		slog.Int64("unanswered", s.Unanswered),
+		slog.Int64("requests_last", s.Requests[PhaseIdleClosed]),
+		slog.Int64("idle_closed", s.IdleClosed), slog.Int64("unanswered", s.Unanswered),
 	)
 }
