direct/request: a stopping entry refuses what can't end within its drain

Cause: an entry that is told to stop is to go on reading requests on open connections and to answer each of them.

Change: msg.StopRequested has AcceptFor and DrainFor. With DrainFor, a request that arrives later than AcceptFor after the stop is accepted only if its deadline lies within the drain; otherwise it is refused before a quota is reserved or anything is sent (503, not run, `stopping`, Retry-After 50 ms). Rejections of routes and keys come first, as before. At the first tick at or after the end of the drain all open requests end, ordered by ID: 503 `stopping` if not run, the held failure or 502 if they may have run, an abort if the response has begun. Nothing is placed after that instant, also not by a retry between it and the tick. Without the times nothing changes (the pool, old traces). The driver does not set the times yet.

--- a/internal/core/direct/request/arrive.go
+++ b/internal/core/direct/request/arrive.go
@@ -94,6 +94,9 @@
 		limit = min(limit, t)
 	}
 	r.deadline = s.now + limit
+	if ref := s.checkDrain(r); ref != nil {
+		return ref
+	}
 	r.service = s.table.pickService(r.route, s.rand.Float64())
 	return nil
 }
--- a/internal/core/direct/request/end.go
+++ b/internal/core/direct/request/end.go
@@ -247,12 +247,17 @@
 	s.close(r, msg.EndCallerDisconnected, "")
 }
 
-// expire ends a request whose deadline has passed. An open attempt may have run
-// the request, unless it is a prefill, which is not a run.
-func (s *stepContext) expire(r *request) {
+// countOpenRun records that an open attempt may have run the request, unless it is a
+// prefill, which is not a run.
+func (r *request) countOpenRun() {
 	if r.attempt != nil && r.attempt.step != msg.StepPrefill {
 		r.mayHaveRun = true
 	}
+}
+
+// expire ends a request whose deadline has passed.
+func (s *stepContext) expire(r *request) {
+	r.countOpenRun()
 	ref := refusal{statusTimeout, "timeout", 0}
 	if !r.mayHaveRun {
 		ref = refusal{statusUnavailable, "timeout", retryAfterShort}
--- a/internal/core/direct/request/fuzz_test.go
+++ b/internal/core/direct/request/fuzz_test.go
@@ -33,6 +33,10 @@
 	// which the retry budget depends.
 	retries, arrivals map[msg.ServiceID][]msg.Time
 	objects           *coretest.Objects
+
+	// stopped is set by the request to stop, acceptUntil and drainEnd are its times.
+	stopped               bool
+	acceptUntil, drainEnd msg.Time
 }
 
 // trackedRequest is the oracle's state of a request.
@@ -52,6 +56,10 @@
 	version string
 }
 
+func (r *trackedRequest) deadline() msg.Time {
+	return r.arrivedAt + min(r.arrival.Timeout, r.route.Timeout)
+}
+
 // trackedAttempt is the oracle's state of an attempt.
 type trackedAttempt struct {
 	req  *trackedRequest
@@ -167,6 +175,9 @@
 	if promise := eff.Status == 503 || eff.Status == 429; promise && mayRun {
 		o.fatalf("request %s may have run and was refused with %d (%s)", eff.Req, eff.Status, eff.Code)
 	}
+	if eff.Code == codeStopping {
+		o.checkRefusedStopping(r)
+	}
 	final := slices.Contains([]string{"poison", "unknown-version", "version-gone"}, eff.Code)
 	if eff.Status == 503 && (eff.RetryAfter <= 0) != final {
 		o.fatalf("request %s was refused with a Retry-After of %s (%s)", eff.Req, eff.RetryAfter, eff.Code)
@@ -187,7 +198,8 @@
 	}
 	o.checkTarget(r, eff)
 	o.checkKey(r, eff)
-	if limit := r.arrivedAt + min(r.arrival.Timeout, r.route.Timeout); eff.Spec.Deadline > limit {
+	o.checkStartsWithinDrain(r)
+	if limit := r.deadline(); eff.Spec.Deadline > limit {
 		o.fatalf("attempt of %s ends at %s, the request at %s", eff.Req, eff.Spec.Deadline, limit)
 	}
 	if eff.Spec.Step != msg.StepPrefill {
@@ -389,9 +401,12 @@
 	o.now += time.Duration(rapid.IntRange(1, 700).Draw(t, "ms")) * time.Millisecond
 	o.step(msg.Tick{Wall: time.Unix(1000, 0).Add(o.now)})
 	for id, r := range o.requests {
-		if !r.ended && o.now >= r.arrivedAt+min(r.arrival.Timeout, r.route.Timeout) {
+		if !r.ended && o.now >= r.deadline() {
 			o.fatalf("request %s is open after its deadline", id)
 		}
+		if !r.ended && o.drainEnd > 0 && o.now >= o.drainEnd {
+			o.fatalf("request %s is open after the end of the drain", id)
+		}
 	}
 }
 
@@ -440,6 +455,28 @@
 	o.step(msg.InstancesChanged{Instances: o.instances})
 }
 
+func (o *oracle) actions() map[string]func(*rapid.T) {
+	return map[string]func(*rapid.T){
+		"arrive": o.arrive, "arriveToo": o.arrive, "begin": o.startAttempt, "finish": o.endAttempt, "finishToo": o.endAttempt,
+		"leave": o.disconnectCaller, "pass": o.advance, "stall": o.advanceFar, "confirm": o.confirmConfig, "withdraw": o.changeKeys, "relist": o.changeInstances,
+	}
+}
+
+// runToEnd draws actions, and then ends what is open and checks that nothing is left.
+func (o *oracle) runToEnd(t *rapid.T, actions map[string]func(*rapid.T)) {
+	t.Repeat(actions)
+	o.now += 10 * time.Second
+	o.step(msg.Tick{})
+	for _, id := range o.order {
+		if !o.attempts[id].done {
+			o.step(msg.DirectAttemptEnded{Attempt: id, Result: msg.DirectCancelled})
+		}
+	}
+	if !o.m.Idle() || len(o.m.attempts) > 0 {
+		t.Fatalf("%d requests and %d attempts are left", len(o.m.requests), len(o.m.attempts))
+	}
+}
+
 // The fixed seed makes runs reproducible. The command line can set another one.
 func init() { _ = flag.Set("rapid.seed", "1") }
 
@@ -448,19 +485,6 @@
 func TestRequestsUnderAnyFault(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		o := newOracle(t)
-		t.Repeat(map[string]func(*rapid.T){
-			"arrive": o.arrive, "arriveToo": o.arrive, "begin": o.startAttempt, "finish": o.endAttempt, "finishToo": o.endAttempt,
-			"leave": o.disconnectCaller, "pass": o.advance, "stall": o.advanceFar, "confirm": o.confirmConfig, "withdraw": o.changeKeys, "relist": o.changeInstances,
-		})
-		o.now += 10 * time.Second
-		o.step(msg.Tick{})
-		for _, id := range o.order {
-			if !o.attempts[id].done {
-				o.step(msg.DirectAttemptEnded{Attempt: id, Result: msg.DirectCancelled})
-			}
-		}
-		if !o.m.Idle() || len(o.m.attempts) > 0 {
-			t.Fatalf("%d requests and %d attempts are left", len(o.m.requests), len(o.m.attempts))
-		}
+		o.runToEnd(t, o.actions())
 	})
 }
--- a/internal/core/direct/request/manager.go
+++ b/internal/core/direct/request/manager.go
@@ -50,7 +50,8 @@
 	// a target besides attempts.
 	seq      uint64
 	lastCall msg.CallID
-	stopping bool
+	// drain is set by the request to stop.
+	drain drain
 	// ready reports whether the load balancer may send requests to this daemon.
 	ready bool
 	// targetsListed reports whether the list of targets has been read.
@@ -196,8 +197,7 @@
 		s.rand = rand.New(rand.NewPCG(ev.Seed, 0))
 		s.startQuotas(ev.Seed)
 	case msg.StopRequested:
-		s.stopping = true
-		s.updateReady()
+		s.onStopRequested(ev)
 	case msg.LimitsChanged:
 		s.limits = ev.Limits
 		s.configureQuotas()
@@ -255,6 +255,7 @@
 	for _, r := range s.expiredRequests() {
 		s.expire(r)
 	}
+	s.endDrain()
 	s.dropAbandonedAttempts()
 	s.limitMembers.Advance(s.now)
 	s.advanceQuotas()
@@ -293,15 +294,18 @@
 			list = append(list, r)
 		}
 	}
-	slices.SortFunc(list, func(a, b *request) int { return cmp.Compare(a.arrival.Req, b.arrival.Req) })
+	slices.SortFunc(list, compareRequests)
 	return list
 }
 
+// compareRequests orders requests by ID.
+func compareRequests(a, b *request) int { return cmp.Compare(a.arrival.Req, b.arrival.Req) }
+
 // updateReady updates whether the load balancer may send requests to this
 // daemon. It may if the daemon has read the list of targets, has a configuration
 // that was confirmed recently, and is not stopping.
 func (s *stepContext) updateReady() {
-	ready := s.table != nil && s.targetsListed && !s.stopping && s.configFresh(s.limits.AcceptMaxAge)
+	ready := s.table != nil && s.targetsListed && !s.drain.requested && s.configFresh(s.limits.AcceptMaxAge)
 	if ready == s.ready {
 		return
 	}
--- a/internal/core/direct/request/place.go
+++ b/internal/core/direct/request/place.go
@@ -47,6 +47,9 @@
 // a refusal if the key is no longer valid, if the request crashes targets, if there is no
 // suitable target, if the wait would be too long, or if the retry budget is used up.
 func (s *stepContext) place(r *request) *refusal {
+	if s.drain.over(s.now) {
+		return stoppingRefusal()
+	}
 	if ref := s.checkKey(r); ref != nil {
 		return ref
 	}
--- a/internal/core/msg/event.go
+++ b/internal/core/msg/event.go
@@ -53,8 +53,16 @@
 // TickInterval is the interval between two ticks.
 const TickInterval = 20 * time.Millisecond
 
-// StopRequested begins a graceful shutdown.
-type StopRequested struct{}
+// StopRequested begins a graceful shutdown. Its times count from this event. Without
+// them, requests are accepted as before and end by their own deadlines.
+type StopRequested struct {
+	// AcceptFor is how long requests are accepted whatever their deadlines. Later ones
+	// are accepted only if they must end within DrainFor. It has no meaning without
+	// DrainFor.
+	AcceptFor time.Duration `cbor:",omitempty"`
+	// DrainFor is the time within which all requests must end. Zero sets no end.
+	DrainFor time.Duration `cbor:",omitempty"`
+}
 
 // StopCompleted reports to the driver that all work of a graceful shutdown is
 // done.
