relay: linger after a response to a request that was not read to its end

Cause: net/http half-closes such a connection, waits 500 ms and closes it. With unread input, or input that arrives later, the close is a reset: it discards what the kernel has not yet sent of the response, and the caller's sending fails before it has read the response. On a slow link both happen to refusals of bodies.

Change: Close after CloseWrite, which net/http calls in this case only, reads and discards what still arrives until the caller closes, for 5 s, 16 MiB and 256 connections at most (8 KiB of memory each). Budget.Wait waits for these connections too. Idle connections are closed as before without reading: a request on its way there must not be consumed, since its caller may send it again elsewhere.

--- a/internal/relay/budget.go
+++ b/internal/relay/budget.go
@@ -24,6 +24,10 @@
 	// bodyShare is the fraction 1/bodyShare of the budget that bodies of requests may
 	// hold. The rest is left for responses, which free memory as they are sent.
 	bodyShare = 2
+	// defaultLingerTimeout is how long a closed connection is read on at most, and
+	// maxLingering is the number of such connections.
+	defaultLingerTimeout = 5 * time.Second
+	maxLingering         = 256
 )
 
 // Reason states why a caller was given up.
@@ -45,6 +49,9 @@
 	// TightTimeout the same while the budget is nearly used up. They must be set before
 	// the first use.
 	StallTimeout, TightTimeout time.Duration
+	// LingerTimeout is how long a closed connection is read on whose caller is still
+	// sending. It must be set before the first use.
+	LingerTimeout time.Duration
 
 	limit int64
 	log   *slog.Logger
@@ -54,7 +61,10 @@
 	responses, bodies int64
 	// behind is the number of callers that have not yet taken all that was written.
 	behind int
-	// idle is closed when no caller is behind. It is nil unless somebody waits.
+	// lingering is the number of closed connections that are read on.
+	lingering int
+	// idle is closed when no caller is behind and no connection lingers. It is nil unless
+	// somebody waits.
 	idle  chan struct{}
 	stats Stats
 }
@@ -65,6 +75,9 @@
 	ResponseBytes, BodyBytes, PeakBytes int64
 	// Behind is the number of callers that have not yet taken all that was written.
 	Behind int
+	// Lingering is the number of closed connections that are read until their callers
+	// have received the response.
+	Lingering int
 	// HeldBack counts the times at which a writer had to wait for a caller, Refused the
 	// bodies that were refused, and GivenUp the callers that were given up.
 	HeldBack, Refused int64
@@ -75,7 +88,8 @@
 func NewBudget(bytes int64, log *slog.Logger) *Budget {
 	return &Budget{
 		StallTimeout: defaultStallTimeout, TightTimeout: defaultTightTimeout,
-		limit: bytes, log: log, stats: Stats{GivenUp: make(map[Reason]int64)},
+		LingerTimeout: defaultLingerTimeout,
+		limit:         bytes, log: log, stats: Stats{GivenUp: make(map[Reason]int64)},
 	}
 }
 
@@ -84,7 +98,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.stats
-	s.ResponseBytes, s.BodyBytes, s.Behind = b.responses, b.bodies, b.behind
+	s.ResponseBytes, s.BodyBytes, s.Behind, s.Lingering = b.responses, b.bodies, b.behind, b.lingering
 	s.GivenUp = make(map[Reason]int64, len(b.stats.GivenUp))
 	for reason, n := range b.stats.GivenUp {
 		s.GivenUp[reason] = n
@@ -119,10 +133,10 @@
 	b.bodies -= n
 }
 
-// Wait returns when no caller is behind, or when ctx ends.
+// Wait returns when no caller is behind and no connection lingers, or when ctx ends.
 func (b *Budget) Wait(ctx context.Context) error {
 	b.mu.Lock()
-	if b.behind == 0 {
+	if b.behind+b.lingering == 0 {
 		b.mu.Unlock()
 		return nil
 	}
@@ -175,7 +189,30 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.behind--
-	if b.behind == 0 && b.idle != nil {
+	b.wakeIfIdle()
+}
+
+// enterLinger counts a connection that lingers. It returns false if there are too many.
+func (b *Budget) enterLinger() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.lingering == maxLingering {
+		return false
+	}
+	b.lingering++
+	return true
+}
+
+func (b *Budget) leaveLinger() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.lingering--
+	b.wakeIfIdle()
+}
+
+// wakeIfIdle ends the calls of Wait if there is nothing to wait for. The caller holds mu.
+func (b *Budget) wakeIfIdle() {
+	if b.behind+b.lingering == 0 && b.idle != nil {
 		close(b.idle)
 		b.idle = nil
 	}
--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -16,7 +16,8 @@
 
 // conn is the connection of a caller. Write returns as soon as all bytes are sent or
 // held. A write deadline limits only the time for which Write waits for room. Close and
-// CloseWrite take effect when all that is held has been sent.
+// CloseWrite take effect when all that is held has been sent. Close after CloseWrite reads
+// on for a while: see linger.
 type conn struct {
 	net.Conn
 	budget *Budget
@@ -191,15 +192,20 @@
 	return nil
 }
 
-// Close closes the connection when all that is held has been sent. Nothing more is read.
+// Close closes the connection when all that is held has been sent. No reader gets more of
+// what arrives.
 func (c *conn) Close() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	first := !c.closed
 	c.closed = true
 	c.wake()
 	if c.sending {
 		return c.SetReadDeadline(time.Unix(1, 0))
 	}
+	if first && c.startLinger() {
+		return nil
+	}
 	return c.Conn.Close()
 }
 
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -12,9 +12,9 @@
 	// checksPerTimeout is how often it is checked within the time limit whether a caller
 	// still takes something.
 	checksPerTimeout = 4
-	// lingerTime is how long a connection stays open after its last bytes, so that a
-	// reset by unread input does not overtake them.
-	lingerTime = 500 * time.Millisecond
+	// closeDelay is how long a connection that does not linger stays open after its last
+	// bytes, so that a reset by unread input does not overtake them.
+	closeDelay = 500 * time.Millisecond
 )
 
 // startSending starts the goroutine that sends what is held, unless it is running.
@@ -148,7 +148,7 @@
 	if c.writeClosed || c.closed {
 		_ = c.closeWrite()
 	}
-	if c.closed {
-		time.AfterFunc(lingerTime, func() { _ = c.Conn.Close() })
+	if c.closed && !c.startLinger() {
+		time.AfterFunc(closeDelay, func() { _ = c.Conn.Close() })
 	}
 }
