daemon: close gracefully after every refusal of an unread body

Cause: net/http closes its sending side first only if more than 256 KiB of a refused body are left. With "Connection: close" in the request it closes at once, which resets the connection of a caller that is still sending, and the refusal may be lost. With less left on other connections it reads on without any time limit.

Change: a refusal (503 memory, 413) marks the body as beyond its limit, so that net/http always half-closes first and the connection lingers. The server itself reads the rest for a second at most.

--- a/internal/daemon/direct_body.go
+++ b/internal/daemon/direct_body.go
@@ -1,7 +1,9 @@
 package daemon
 
 import (
+	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -18,6 +20,9 @@
 	memoryRetryAfter = time.Second
 	// bodyTimeout limits the time in which the body of a request must arrive.
 	bodyTimeout = 10 * time.Second
+	// unreadBodyTimeout is how long the server waits for the rest of a body after the
+	// request was refused, before it closes the sending side of the connection.
+	unreadBodyTimeout = time.Second
 )
 
 // readCallerRequest reads a caller's request, whose body must arrive within bodyTimeout
@@ -47,10 +52,10 @@
 func rejectCallerRequest(w http.ResponseWriter, r *http.Request, err error) {
 	switch {
 	case errors.Is(err, relay.ErrNoRoom):
-		w.Header().Set("Connection", "close")
+		closeUnread(w)
 		platform.RefuseUnread(w, r, "memory", memoryRetryAfter)
 	case errors.Is(err, platform.ErrTooLarge):
-		w.Header().Set("Connection", "close")
+		closeUnread(w)
 		platform.WriteError(w, http.StatusRequestEntityTooLarge, "body-too-large", 0)
 	case errors.Is(err, platform.ErrMalformed):
 		platform.WriteError(w, http.StatusBadRequest, "malformed", 0)
@@ -60,3 +65,14 @@
 		panic(http.ErrAbortHandler)
 	}
 }
+
+// closeUnread makes the server close the connection after the response, and its sending
+// side first, although the body has not been read. The server has no call for this, but
+// does it after a body that exceeds the limit of a [http.MaxBytesReader]. Without it, the
+// server resets the connection of a caller that is still sending. A part of the body is
+// read by the server itself, for as long as the read deadline allows.
+func closeUnread(w http.ResponseWriter) {
+	_, _ = io.Copy(io.Discard, http.MaxBytesReader(w, io.NopCloser(strings.NewReader("x")), 0))
+	w.Header().Set("Connection", "close")
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(unreadBodyTimeout))
+}
