daemon: answer 408 when a body does not arrive in time

Cause: a request whose body had not arrived within bodyTimeout was cut off without a response, like one whose caller has left. A closed connection promises nothing, so the caller could not safely send an unsafe request again, although it had not run.

Change: a read that failed by its deadline gets 408 "body-timeout" with "Connection: close" and a lingering close. A caller that has disconnected gets nothing, as before.

Not changed: a head that does not arrive within ReadHeaderTimeout. No handler is called for it, so that it can't get 408. net/http ends the connection without a response, or with 400 if the last line was incomplete (seen in a trial with "GET /look").

Measured: TestOverdueBodyIsRefused (virtual time) before the change, in both cases: direct_body_test.go:105: err: unexpected EOF With 408 also for callers that left, TestIncompleteBodyIsNotAnswered fails at line 137. With the change both pass, three times with -race.

--- a/internal/daemon/direct_body.go
+++ b/internal/daemon/direct_body.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"os"
 	"strings"
 	"time"
 
@@ -59,9 +60,11 @@
 		platform.WriteError(w, http.StatusRequestEntityTooLarge, "body-too-large", 0)
 	case errors.Is(err, platform.ErrMalformed):
 		platform.WriteError(w, http.StatusBadRequest, "malformed", 0)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		closeUnread(w)
+		platform.RefuseOverdue(w, r, "body-timeout")
 	default:
-		// The caller disconnected before its request was complete, or the body did
-		// not arrive within bodyTimeout.
+		// The caller disconnected before its request was complete.
 		panic(http.ErrAbortHandler)
 	}
 }
--- a/internal/daemon/direct_body_test.go
+++ b/internal/daemon/direct_body_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -62,3 +63,84 @@
 		})
 	}
 }
+
+// pipeListener accepts one end of a connection in memory.
+type pipeListener struct {
+	conns  chan net.Conn
+	closed chan struct{}
+}
+
+func (l pipeListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l pipeListener) Close() error   { close(l.closed); return nil }
+func (l pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+// A request whose body does not arrive in time is told that it has not run.
+func TestOverdueBodyIsRefused(t *testing.T) {
+	for name, sent := range map[string]string{
+		"length": "Content-Length: 10\r\n\r\n12345",
+		"chunks": "Transfer-Encoding: chunked\r\n\r\n5\r\n12345\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				l := pipeListener{make(chan net.Conn, 1), make(chan struct{})}
+				srv := newBodyTestServer()
+				go func() { _ = srv.Serve(l) }()
+				defer func() { _ = srv.Close() }()
+				near, far := net.Pipe()
+				defer func() { _ = near.Close() }()
+				l.conns <- far
+				start := time.Now()
+				_, err := io.WriteString(near, requestHead+sent)
+				is.NoErr(err)
+				resp, err := http.ReadResponse(bufio.NewReader(near), nil)
+				is.NoErr(err)
+				is.Equal(time.Since(start), bodyTimeout)
+				defer func() { _ = resp.Body.Close() }()
+				is.Equal(resp.StatusCode, http.StatusRequestTimeout)
+				is.True(resp.Close)
+				is.Equal(resp.Header.Get("X-Request-Id"), "a")
+				body, err := io.ReadAll(resp.Body)
+				is.NoErr(err)
+				is.Equal(string(body), "{\"error\":\"body-timeout\"}\n")
+				_, err = near.Read(make([]byte, 1))
+				is.Equal(err, io.EOF)
+			})
+		})
+	}
+}
+
+// A caller that ends its side before the end of the body gets no response.
+func TestIncompleteBodyIsNotAnswered(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	srv := newBodyTestServer()
+	go func() { _ = srv.Serve(l) }()
+	defer func() { _ = srv.Close() }()
+	c, err := net.Dial("tcp", l.Addr().String())
+	is.NoErr(err)
+	defer func() { _ = c.Close() }()
+	_, err = io.WriteString(c, requestHead+"Content-Length: 10\r\n\r\n12345")
+	is.NoErr(err)
+	is.NoErr(c.(*net.TCPConn).CloseWrite())
+	got, err := io.ReadAll(c)
+	is.NoErr(err)
+	is.Equal(string(got), "")
+}
+
+const requestHead = "POST /lookup/1 HTTP/1.1\r\nHost: h\r\nX-Request-Id: a\r\n"
+
+// newBodyTestServer returns a server with a driver that reads bodies.
+func newBodyTestServer() *http.Server {
+	d := &directDriver{budget: relay.NewBudget(1<<20, slog.New(slog.DiscardHandler))}
+	return &http.Server{Handler: d, ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelInfo)}
+}
