daemon: a stopping side daemon waits for entries that must resume

Cause: drainStreams waited only for attempts that a stream reads at that moment. An entry daemon whose connection fails notices it after the idle timeout of 2 s and resumes on a new connection. If the attempt has ended meanwhile and the side daemon is stopping, it found no stream, closed the node and took the end and the kept frames with it: the entry reported the attempt as lost, although the whole response was there.

Change: an attempt is awaited until an entry has closed its stream after the end, or for resumeTimeout after its last stream failed; drainTimeout still bounds the whole wait. TestEvictedAttemptIsNotReportedAsNotRun waits for the same condition, which is stricter than the former one: the stream is gone and its end was received.

--- a/internal/daemon/attempt_side.go
+++ b/internal/daemon/attempt_side.go
@@ -50,6 +50,8 @@
 	end      *link.End
 	// readers is the number of streams that read the attempt.
 	readers int
+	// delivered reports whether the entry daemon has received the end or has given up.
+	delivered bool
 	// acked is the number of the first frame that has not been acknowledged.
 	acked uint64
 	// detachedAt is the time at which a stream last stopped reading the attempt, or at
@@ -151,6 +153,21 @@
 	a.detachedAt = time.Now()
 }
 
+// markDelivered records that the entry daemon needs nothing more of the attempt.
+func (a *attemptRun) markDelivered() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.delivered = true
+}
+
+// awaited reports whether a stream reads the attempt, or one that failed may still be
+// replaced.
+func (a *attemptRun) awaited(now time.Time) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.readers > 0 || !a.delivered && now.Sub(a.detachedAt) < resumeTimeout
+}
+
 // detachedFor returns how long the attempt has been without a stream that reads
 // it, and whether it has ended.
 func (a *attemptRun) detachedFor(now time.Time) (time.Duration, bool) {
@@ -280,15 +297,12 @@
 	return t.runs[id]
 }
 
-// anyAttached reports whether a stream reads any attempt.
-func (t *attemptTable) anyAttached() bool {
+// anyAwaited reports whether an entry daemon reads any attempt or may resume it.
+func (t *attemptTable) anyAwaited(now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, run := range t.runs {
-		run.mu.Lock()
-		attached := run.readers > 0
-		run.mu.Unlock()
-		if attached {
+		if run.awaited(now) {
 			return true
 		}
 	}
--- a/internal/daemon/link_test.go
+++ b/internal/daemon/link_test.go
@@ -73,7 +73,7 @@
 	harness := newLinkHarness(t, &scriptedTarget{tokens: 1, step: time.Millisecond, starts: map[msg.AttemptID]int{}})
 	harness.start(t.Context(), "a1").readChunks(1)
 	is.Equal(expectEvent[msg.AttemptEnded](t, harness.events).Result, msg.AttemptDone)
-	for harness.side.attempts.anyAttached() {
+	for harness.side.attempts.anyAwaited(time.Now()) {
 		time.Sleep(time.Millisecond)
 	}
 	harness.side.attempts.sweep(time.Now().Add(2 * attemptGrace))
@@ -103,6 +103,30 @@
 	is.Equal(harness.target.starts, map[msg.AttemptID]int{"a1": 1})
 }
 
+// A stopping side daemon waits for an entry daemon that lost its connection before it had
+// read the end of an attempt.
+func TestStopWaitsForResumption(t *testing.T) {
+	is := is.New(t)
+	harness := newLinkHarness(t, &scriptedTarget{tokens: 30, step: 20 * time.Millisecond, starts: map[msg.AttemptID]int{}})
+	expectEvent[msg.Started](t, harness.events)
+	x := harness.start(t.Context(), "a1")
+	text := x.readChunks(10)
+	is.Equal(harness.middlebox.forget(), 1)
+	run := harness.side.attempts.get("a1")
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		for ended := false; !ended; time.Sleep(time.Millisecond) {
+			_, ended = run.detachedFor(time.Now())
+		}
+		harness.side.drainStreams()
+		harness.side.node.Close()
+	}()
+	is.Equal(expectEvent[msg.AttemptEnded](t, harness.events).Result, msg.AttemptDone)
+	is.Equal(text+x.readChunks(20), wholeText(30))
+	<-stopped
+}
+
 // Cancelling an attempt on the entry daemon stops its run on the target.
 func TestCancelStopsTargetRun(t *testing.T) {
 	is := is.New(t)
--- a/internal/daemon/side.go
+++ b/internal/daemon/side.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"log/slog"
 	"sync"
 	"time"
@@ -149,10 +150,10 @@
 	s.loop.Post(read)
 }
 
-// drainStreams waits until the entry daemons have read the ends of all attempts,
-// but no longer than drainTimeout.
+// drainStreams waits until the entry daemons have read the ends of all attempts, also on
+// new streams after a failure, but no longer than drainTimeout.
 func (s *side) drainStreams() {
-	for end := time.Now().Add(drainTimeout); time.Now().Before(end) && s.attempts.anyAttached(); {
+	for end := time.Now().Add(drainTimeout); time.Now().Before(end) && s.attempts.anyAwaited(time.Now()); {
 		time.Sleep(drainPollInterval)
 	}
 }
@@ -222,18 +223,17 @@
 	done := make(chan struct{})
 	defer close(done)
 	s.wg.Go(func() { st.SendHeartbeats(done) })
-	readDone := make(chan struct{})
-	s.wg.Go(func() {
-		defer close(readDone)
-		s.readEntryFrames(st, run)
-	})
+	readErr := make(chan error, 1)
+	s.wg.Go(func() { readErr <- s.readEntryFrames(st, run) })
 	if err := run.writeFrames(st, next); err != nil {
 		st.Reset()
 		return
 	}
 	// The entry daemon closes its end of the stream when it has received the whole
 	// response.
-	<-readDone
+	if errors.Is(<-readErr, io.EOF) {
+		run.markDelivered()
+	}
 }
 
 // admit returns the attempt that the first frame of a stream opens or resumes, and
@@ -265,12 +265,13 @@
 }
 
 // readEntryFrames handles the acknowledgements and cancellations that the entry
-// daemon sends, until the stream ends.
-func (s *side) readEntryFrames(st *link.Stream, run *attemptRun) {
+// daemon sends, until the stream ends. The error is [io.EOF] if the entry daemon has closed
+// its end of the stream.
+func (s *side) readEntryFrames(st *link.Stream, run *attemptRun) error {
 	for {
 		f, err := st.Read()
 		if err != nil {
-			return
+			return err
 		}
 		if f.Ack != nil {
 			run.ack(f.Ack.Next)
