relay: keep idle connections for the configured limit

Cause: callers use connections again that have been idle for up to four fifths of the configured idle_timeout_ms, which nothing used: the daemon closed them after a fixed two minutes. With a limit above 150 s it could close a connection on which a request was on its way. http.Server.IdleTimeout is read by each connection without a lock, so that it can't follow the configuration, and a deadline that the handler sets is overwritten by the server after the response.

Change: a caller's connection extends the read deadline that is set while nothing has arrived since the last write, which is the server's idle limit, to the longest limit configured since the start. Deadlines of heads and bodies are set after something has arrived and stay as they are. (A request that was pipelined into the same read as the one before it is the exception: its deadlines may be extended too.)

--- a/internal/daemon/direct_body_test.go
+++ b/internal/daemon/direct_body_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/verbenaspur/verbenaspur/internal/core/msg"
 	"github.com/verbenaspur/verbenaspur/internal/relay"
 )
 
@@ -144,3 +145,39 @@
 	d := &directDriver{budget: relay.NewBudget(1<<20, slog.New(slog.DiscardHandler))}
 	return &http.Server{Handler: d, ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelInfo)}
 }
+
+// A connection may be idle for the longest limit that was configured, although the server's
+// own is shorter. Requests that have begun keep their own limits.
+func TestConfiguredIdleTimeoutIsKept(t *testing.T) {
+	const serverLimit, configured = 10 * time.Millisecond, time.Hour
+	is := is.New(t)
+	d := &directDriver{budget: relay.NewBudget(1<<20, slog.New(slog.DiscardHandler))}
+	for _, limit := range []time.Duration{configured, time.Millisecond, 0} {
+		d.execute(0, msg.SetCallerLimits{Limits: msg.CallerLimits{IdleTimeout: limit}})
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	srv := &http.Server{Handler: d, IdleTimeout: serverLimit, ReadHeaderTimeout: 30 * serverLimit}
+	go func() { _ = srv.Serve(d.budget.Listener(l)) }()
+	defer func() { _ = srv.Close() }()
+	c, err := net.Dial("tcp", l.Addr().String())
+	is.NoErr(err)
+	defer func() { _ = c.Close() }()
+	r := bufio.NewReader(c)
+	for range 3 {
+		_, err = io.WriteString(c, "GET /lookup/1 HTTP/1.1\r\nHost: h\r\n\r\n") // without an ID
+		is.NoErr(err)
+		resp, err := http.ReadResponse(r, nil)
+		is.NoErr(err) // the connection was kept
+		_, err = io.Copy(io.Discard, resp.Body)
+		is.NoErr(err)
+		is.NoErr(resp.Body.Close())
+		is.Equal(resp.StatusCode, http.StatusBadRequest)
+		time.Sleep(10 * serverLimit)
+	}
+	_, err = io.WriteString(c, "GET /look")
+	is.NoErr(err)
+	is.NoErr(c.SetReadDeadline(time.Now().Add(configured / 100)))
+	_, err = io.Copy(io.Discard, r)
+	is.NoErr(err) // the server ends the connection, as the head does not arrive in time
+}
--- a/internal/daemon/direct_driver.go
+++ b/internal/daemon/direct_driver.go
@@ -77,6 +77,7 @@
 		d.ready.Store(eff.Ready)
 	case msg.SetCallerLimits:
 		d.maxBody.Store(eff.Limits.BodyBytes)
+		d.budget.ExtendIdleTimeout(eff.Limits.IdleTimeout)
 	case msg.LogLine:
 		writeLog(d.log, eff)
 	case msg.StopCompleted:
