httpdrain: refusals of unread bodies close gracefully behind the wrapper

The wrapper of responses hides net/http's own writer, without which MaxBytesReader does not have the sending side closed first. httpdrain.MaxBytesReader passes the inner one.

--- a/internal/daemon/direct_body.go
+++ b/internal/daemon/direct_body.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/verbenaspur/verbenaspur/internal/httpdrain"
 	"github.com/verbenaspur/verbenaspur/internal/relay"
 	"github.com/verbenaspur/verbenaspur/platform"
 )
@@ -75,7 +76,7 @@
 // server resets the connection of a caller that is still sending. A part of the body is
 // read by the server itself, for as long as the read deadline allows.
 func closeUnread(w http.ResponseWriter) {
-	_, _ = io.Copy(io.Discard, http.MaxBytesReader(w, io.NopCloser(strings.NewReader("x")), 0))
+	_, _ = io.Copy(io.Discard, httpdrain.MaxBytesReader(w, io.NopCloser(strings.NewReader("x")), 0))
 	w.Header().Set("Connection", "close")
 	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(unreadBodyTimeout))
 }
--- a/internal/httpdrain/announce.go
+++ b/internal/httpdrain/announce.go
@@ -1,6 +1,9 @@
 package httpdrain
 
-import "net/http"
+import (
+	"io"
+	"net/http"
+)
 
 // announcing returns a handler whose responses ask the caller to close its connection
 // once that has been announced, also if it is announced while the request runs.
@@ -51,3 +54,12 @@
 
 // Unwrap returns the underlying writer, for [http.ResponseController].
 func (a *announcer) Unwrap() http.ResponseWriter { return a.ResponseWriter }
+
+// MaxBytesReader is [http.MaxBytesReader] for handlers of a [Server]. The function of
+// net/http has the connection closed only if it gets the HTTP server's own writer.
+func MaxBytesReader(w http.ResponseWriter, r io.ReadCloser, n int64) io.ReadCloser {
+	if a, ok := w.(*announcer); ok {
+		w = a.ResponseWriter
+	}
+	return http.MaxBytesReader(w, r, n)
+}
