daemon: a stop has an end for requests, before the end for their delivery

Cause: a request that arrived on a connection which stayed open was served however long it would take, and cut at the end of the process. The reducer knows what to do with the times of a stop (direct/request/stop.go); the daemon now gives them: whatever arrives within 2.8 s is accepted, later ones if they must end within 0.88 of the grace period, and all are ended then. 0.07 of the grace period is left to deliver what they got.

--- a/internal/daemon/direct_run.go
+++ b/internal/daemon/direct_run.go
@@ -33,8 +33,8 @@
 	callerMemoryRatio = 0.25
 	// defaultCallerMemory is held for callers at most if no memory limit is set.
 	defaultCallerMemory = 128 << 20
-	// callerIdleTimeout is how long a caller's connection may be idle. It is longer
-	// than any idle limit that is announced to callers.
+	// callerIdleTimeout is how long a caller's connection may be idle at least. The budget
+	// extends it to the configured limit.
 	callerIdleTimeout = 2 * time.Minute
 	headerTimeout     = 10 * time.Second
 	maxHeaderBytes    = 64 << 10
--- a/internal/daemon/direct_shutdown.go
+++ b/internal/daemon/direct_shutdown.go
@@ -22,8 +22,8 @@
 	deliverRatio = 0.95
 )
 
-// requestDrainTimeout returns the time from the request to stop after which the
-// daemon no longer waits for open requests.
+// requestDrainTimeout returns the time from the request to stop after which open
+// requests are ended.
 func requestDrainTimeout(grace time.Duration) time.Duration {
 	return time.Duration(drainRatio * float64(grace))
 }
@@ -43,7 +43,7 @@
 	grace := d.settings.Bounds.GracePeriod
 	ctx, cancel := context.WithTimeout(context.Background(), deliveryTimeout(grace))
 	defer cancel()
-	d.loop.Post(msg.StopRequested{})
+	d.loop.Post(msg.StopRequested{AcceptFor: listenerCloseDelay, DrainFor: requestDrainTimeout(grace)})
 	time.Sleep(keepAliveOffDelay)
 	d.callerServer.AnnounceClose()
 	time.Sleep(listenerCloseDelay - keepAliveOffDelay)
@@ -51,7 +51,8 @@
 		d.log.Warn("daemon: stopped waiting for open requests near the end of the grace period", "reason", err.Error())
 	}
 	if err := d.budget.Wait(ctx); err != nil {
-		d.log.Warn("daemon: stopped waiting for callers that read slowly", "callers", d.budget.Stats().Behind)
+		held := d.budget.Stats()
+		d.log.Warn("daemon: stopped waiting for callers that read slowly", "callers", held.Behind, "lingering", held.Lingering)
 	}
 	select {
 	case <-d.shutdownDone:
