daemon: entries of the pool and stand-ins stop without dropping requests

Both use httpdrain. The HTTP servers of a daemon stop side by side, within the same time limit. Their errors go to the log from the start, not only where a listener is opened by the daemon.

--- a/cmd/verbenaspur-standin/main.go
+++ b/cmd/verbenaspur-standin/main.go
@@ -5,21 +5,26 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"os/signal"
 	"syscall"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/urfave/cli/v3"
 
+	"github.com/verbenaspur/verbenaspur/internal/httpdrain"
 	"github.com/verbenaspur/verbenaspur/internal/standin/engine"
 	"github.com/verbenaspur/verbenaspur/internal/standin/platform"
 	"github.com/verbenaspur/verbenaspur/internal/standin/service"
 )
 
-const readHeaderTimeout = 5 * time.Second
+const (
+	readHeaderTimeout = 5 * time.Second
+	// shutdownTimeout is how long open requests may take once the process is asked to end.
+	shutdownTimeout = 2 * time.Second
+)
 
 func main() {
 	cmd := &cli.Command{
@@ -75,13 +80,22 @@
 }
 
 func serve(ctx context.Context, c *cli.Command, h http.Handler) error {
-	srv := &http.Server{Addr: c.String("listen"), Handler: h, ReadHeaderTimeout: readHeaderTimeout}
-	go func() {
-		<-ctx.Done()
-		_ = srv.Close()
-	}()
-	if err := srv.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
+	l, err := net.Listen("tcp", c.String("listen"))
+	if err != nil {
+		return err
+	}
+	srv := httpdrain.New(&http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout})
+	failed := make(chan error, 1)
+	go func() { failed <- srv.Serve(l) }()
+	select {
+	case err := <-failed:
 		return err
+	case <-ctx.Done():
+	}
+	drainCtx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+	defer cancel()
+	if srv.Shutdown(drainCtx) != nil {
+		return srv.Close()
 	}
 	return nil
 }
--- a/internal/daemon/callers.go
+++ b/internal/daemon/callers.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"io"
+	"log/slog"
 	"net/http"
 	"slices"
 	"strings"
@@ -14,6 +15,7 @@
 
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
 	"github.com/verbenaspur/verbenaspur/internal/core/pool/apikey"
+	"github.com/verbenaspur/verbenaspur/internal/httpdrain"
 	"github.com/verbenaspur/verbenaspur/internal/link"
 	"github.com/verbenaspur/verbenaspur/internal/manifest"
 	"github.com/verbenaspur/verbenaspur/internal/prefixhash"
@@ -49,14 +51,15 @@
 }
 
 // newServer returns the HTTP server for callers and operators.
-func newServer(h http.Handler) *http.Server {
-	return &http.Server{
+func newServer(h http.Handler, log *slog.Logger) *httpdrain.Server {
+	return httpdrain.New(&http.Server{
 		Handler:           h,
 		ReadHeaderTimeout: readHeaderTimeout,
 		ReadTimeout:       readTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeader,
-	}
+		ErrorLog:          slog.NewLogLogger(log.Handler(), slog.LevelDebug),
+	})
 }
 
 // badRequest returns a refusal of a request that did not run.
@@ -69,7 +72,7 @@
 func (c *callerAPI) readRequest(w http.ResponseWriter, req *http.Request) (msg.RequestID, []byte, bool) {
 	id := msg.RequestID(ulid.Make().String())
 	w.Header().Set("X-Request-Id", string(id))
-	body, err := io.ReadAll(http.MaxBytesReader(w, req.Body, maxBody))
+	body, err := io.ReadAll(httpdrain.MaxBytesReader(w, req.Body, maxBody))
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
--- a/internal/daemon/operators.go
+++ b/internal/daemon/operators.go
@@ -16,6 +16,7 @@
 	"github.com/verbenaspur/verbenaspur/internal/core/pool/fleet"
 	"github.com/verbenaspur/verbenaspur/internal/core/pool/request"
 	"github.com/verbenaspur/verbenaspur/internal/core/pool/usage"
+	"github.com/verbenaspur/verbenaspur/internal/httpdrain"
 	"github.com/verbenaspur/verbenaspur/internal/manifest"
 	"github.com/verbenaspur/verbenaspur/internal/settings"
 )
@@ -259,7 +260,7 @@
 // readBody decodes a JSON body, in which unknown fields and trailing data are
 // errors. It returns false if it has written an error response.
 func readBody(w http.ResponseWriter, req *http.Request, limit int64, v any) bool {
-	dec := json.NewDecoder(http.MaxBytesReader(w, req.Body, limit))
+	dec := json.NewDecoder(httpdrain.MaxBytesReader(w, req.Body, limit))
 	dec.DisallowUnknownFields()
 	err := dec.Decode(v)
 	if err == nil {
--- a/internal/daemon/run_entry.go
+++ b/internal/daemon/run_entry.go
@@ -42,7 +42,7 @@
 	p.healthRoutes(r, e.isReady)
 	(&operatorAPI{e: e, operators: p.settings.Operators}).routes(r)
 	(&callerAPI{e: e}).routes(r)
-	srv := newServer(r)
+	srv := newServer(r, p.log)
 	if err := p.serve(p.settings.Listen.HTTP, srv, p.settings.TLS.HTTPCert, p.settings.TLS.HTTPKey); err != nil {
 		return err
 	}
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"log/slog"
 	"net"
 	"net/http"
 	"sync"
@@ -11,17 +10,17 @@
 	"github.com/gorilla/mux"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"github.com/verbenaspur/verbenaspur/internal/httpdrain"
 	"github.com/verbenaspur/verbenaspur/internal/link"
 )
 
 // serve starts an HTTP server on an address. The server runs until it is shut
 // down.
-func (p *process) serve(addr string, srv *http.Server, tlsCert, tlsKey string) error {
+func (p *process) serve(addr string, srv *httpdrain.Server, tlsCert, tlsKey string) error {
 	ln, err := net.Listen("tcp", addr)
 	if err != nil {
 		return errors.Wrap(err, "listen")
 	}
-	srv.ErrorLog = slog.NewLogLogger(p.log.Handler(), slog.LevelDebug)
 	go func() {
 		if tlsCert != "" {
 			err = srv.ServeTLS(ln, tlsCert, tlsKey)
@@ -37,10 +36,10 @@
 
 // serveOps serves health checks and metrics on the address for operations, if the
 // settings name one.
-func (p *process) serveOps(ready func() bool) (*http.Server, error) {
+func (p *process) serveOps(ready func() bool) (*httpdrain.Server, error) {
 	r := mux.NewRouter()
 	p.healthRoutes(r, ready)
-	srv := newServer(r)
+	srv := newServer(r, p.log)
 	if p.settings.Listen.Ops == "" {
 		return srv, nil
 	}
@@ -63,7 +62,7 @@
 // stopAll ends what a daemon runs, in this order: the HTTP servers, the daemon's
 // own goroutines, the connections to other daemons and the loop. It then waits for
 // the driver's goroutines.
-func (p *process) stopAll(node *link.Node, stopLoop context.CancelFunc, driver *sync.WaitGroup, servers ...*http.Server) {
+func (p *process) stopAll(node *link.Node, stopLoop context.CancelFunc, driver *sync.WaitGroup, servers ...*httpdrain.Server) {
 	p.shutdownServers(servers...)
 	p.stopWork()
 	node.Close()
@@ -74,10 +73,16 @@
 
 // shutdownServers stops HTTP servers when their open requests have ended, or
 // after serverShutdownTimeout.
-func (p *process) shutdownServers(servers ...*http.Server) {
+func (p *process) shutdownServers(servers ...*httpdrain.Server) {
 	ctx, cancel := context.WithTimeout(context.Background(), serverShutdownTimeout)
 	defer cancel()
+	var stopped sync.WaitGroup
 	for _, s := range servers {
-		_ = s.Shutdown(ctx)
+		stopped.Go(func() {
+			if err := s.Shutdown(ctx); err != nil {
+				p.log.Warn("daemon: stopped waiting for open requests", "callers", s.Stats())
+			}
+		})
 	}
+	stopped.Wait()
 }
