--- a/Makefile
+++ b/Makefile
@@ -62,7 +62,7 @@
 	PROOF_COUNT=40 go test -timeout 1h -run TestMutantsAreCaught -v ./internal/proof
 
 # Runs real processes behind proxies that inject faults, with SOAK_SEEDS seeds starting at SOAK_SEED. Each
-# seed takes about 10 s.
+# seed takes about 40 s.
 SOAK_SEED ?= 1
 SOAK_SEEDS ?= 50
 .PHONY: soak
