--- a/internal/daemon/callers_test.go
+++ b/internal/daemon/callers_test.go
@@ -270,6 +270,31 @@
 	is.NoErr(<-d.entryErr)
 }
 
+func TestEntryStopAnswersRequestOnItsWay(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t)
+	addr := strings.TrimPrefix(d.entry, "http://")
+	silent, err := net.Dial("tcp", addr)
+	is.NoErr(err)
+	defer func() { _ = silent.Close() }()
+	d.call(http.MethodGet, "/v1/models", testKey, "") // By now the daemon has accepted both connections.
+	d.stopEntry()
+	d.eventually("the close of the listener", func() bool {
+		c, err := net.Dial("tcp", addr)
+		if err == nil {
+			_ = c.Close()
+		}
+		return err != nil
+	})
+	_, err = io.WriteString(silent, "POST /v1/chat/completions HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n{}")
+	is.NoErr(err)
+	resp, err := http.ReadResponse(bufio.NewReader(silent), nil)
+	is.NoErr(err)
+	defer func() { _ = resp.Body.Close() }()
+	is.True(resp.Close)
+	is.NoErr(<-d.entryErr)
+}
+
 // When a caller disconnects, its request is cancelled on the engine.
 func TestCallerDisconnectCancelsEngineRequest(t *testing.T) {
 	is := is.New(t)
--- a/internal/daemon/direct_shutdown_test.go
+++ b/internal/daemon/direct_shutdown_test.go
@@ -9,6 +9,9 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/verbenaspur/verbenaspur/internal/httpdrain"
+	"github.com/verbenaspur/verbenaspur/platform/platformtest"
 )
 
 // A request that a stopping daemon accepts must have time to end. No request is
@@ -68,3 +71,40 @@
 	env.is.True(len(b) > 4*30_000)
 	<-done
 }
+
+func TestDirectStopAnswersRequestOnItsWay(t *testing.T) {
+	env := newDirectEnv(t)
+	c, err := net.Dial("tcp", env.process.settings.CallersAddr)
+	env.is.NoErr(err)
+	defer func() { _ = c.Close() }()
+	done := make(chan struct{})
+	go func() { env.process.shutdown(); close(done) }()
+	time.Sleep(listenerCloseDelay + httpdrain.InFlightTime/2)
+	_, err = io.WriteString(c, "POST /order/1 HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: a\r\nX-Api-Key: key-1\r\nContent-Length: 0\r\n\r\n")
+	env.is.NoErr(err)
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	env.is.NoErr(err)
+	defer func() { _ = resp.Body.Close() }()
+	env.is.Equal(resp.StatusCode, http.StatusOK)
+	env.is.True(resp.Close)
+	<-done
+	env.is.Equal(env.process.callerServer.Stats().Unanswered, int64(0))
+}
+
+// A request without an end of its own gets an answer before the process ends.
+func TestDirectStopAnswersRequestThatDoesNotEnd(t *testing.T) {
+	env := newStoppedDirectEnv(t)
+	env.process.settings.Bounds.GracePeriod = 3500 * time.Millisecond
+	env.start()
+	for _, r := range env.appTargets {
+		r.InjectFaults(platformtest.FaultHang, platformtest.FaultHang)
+	}
+	answered := make(chan int, 1)
+	time.AfterFunc(2500*time.Millisecond, func() {
+		resp, _ := env.call("POST", "/order/1", "{}")
+		answered <- resp.StatusCode
+	})
+	env.process.shutdown()
+	env.is.Equal(<-answered, http.StatusBadGateway)
+	env.is.Equal(env.process.callerServer.Stats().Open, 0)
+}
--- a/internal/httpdrain/httpdrain_test.go
+++ b/internal/httpdrain/httpdrain_test.go
@@ -37,6 +37,10 @@
 	t.Helper()
 	c, err := net.Dial("tcp", addr)
 	is.New(t).NoErr(err)
+	return newCaller(t, c)
+}
+
+func newCaller(t *testing.T, c net.Conn) *caller {
 	t.Cleanup(func() { _ = c.Close() })
 	return &caller{t, c, bufio.NewReader(c)}
 }
