httpdrain: connections that have long been silent end as soon as the listener is closed

Cause: a stop read every open connection for a second, also those that had carried nothing for longer, so that a process without requests stayed down for that second.

Change: a connection ends when it has been silent for a second, whichever part of that lies before the listener's close. Since callers are asked to close kept connections a second earlier, what is left is mostly unused.

--- a/internal/httpdrain/conn.go
+++ b/internal/httpdrain/conn.go
@@ -26,7 +26,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{Conn: nc, server: l.server}
+	c := &conn{Conn: nc, server: l.server, idleSince: time.Now()}
 	l.server.add(c)
 	return c, nil
 }
@@ -53,6 +53,8 @@
 	// unanswered reports whether bytes have been read since bytes were last written: a
 	// request or a part of it.
 	unanswered bool
+	// idleSince is when the connection was accepted or the last response ended.
+	idleSince time.Time
 	// draining reports whether the connection closes when it is idle.
 	draining bool
 	// left reports whether the caller has closed the connection or it has failed.
@@ -82,10 +84,23 @@
 	_ = c.Conn.SetReadDeadline(deadline)
 }
 
-// drain makes the connection close as soon as it is idle, and reports whether it is.
-func (c *conn) drain() bool {
-	c.update(func() { c.draining = true })
-	return !c.busy()
+// drain makes the connection close as soon as it is idle, and reports whether it closes now
+// for that reason.
+func (c *conn) drain() (closes bool) {
+	c.update(func() {
+		closes = !c.draining && c.idle()
+		c.draining = true
+	})
+	return closes
+}
+
+// drainIfIdleSince is like drain, for a connection that has been idle since an instant.
+func (c *conn) drainIfIdleSince(at time.Time) (closes bool) {
+	c.update(func() {
+		closes = !c.draining && c.idle() && !c.idleSince.After(at)
+		c.draining = c.draining || closes
+	})
+	return closes
 }
 
 func (c *conn) busy() bool {
@@ -94,7 +109,13 @@
 	return !c.idle()
 }
 
-func (c *conn) setServing(serving bool) { c.update(func() { c.serving = serving }) }
+// setServing records that a request begins to be served, or that its response has ended.
+func (c *conn) setServing(serving bool) {
+	c.update(func() {
+		c.serving = serving
+		c.idleSince = time.Now()
+	})
+}
 
 // Read implements [net.Conn].
 func (c *conn) Read(p []byte) (int, error) {
--- a/internal/httpdrain/httpdrain_test.go
+++ b/internal/httpdrain/httpdrain_test.go
@@ -136,6 +136,25 @@
 	is.Equal(s.Stats().Unanswered, int64(0))
 }
 
+func TestConnectionsIdleForLongEndFirst(t *testing.T) {
+	is := is.New(t)
+	s, addr := startServer(t, func(http.ResponseWriter, *http.Request) {})
+	unused := dial(t, addr)
+	eventually(t, func() bool { return s.Stats().Open == 1 })
+	time.Sleep(InFlightTime)
+	fresh := dial(t, addr)
+	eventually(t, func() bool { return s.Stats().Open == 2 })
+	stopped := make(chan error, 1)
+	go func() { stopped <- s.Shutdown(t.Context()) }()
+	_, err := unused.r.ReadByte()
+	is.True(errors.Is(err, io.EOF))
+	fresh.send(getRequest)
+	complete, _ := fresh.receive()
+	is.True(complete)
+	is.NoErr(<-stopped)
+	is.Equal(s.Stats().IdleClosed, int64(1))
+}
+
 func TestRequestInPartsDuringStopIsAnswered(t *testing.T) {
 	is := is.New(t)
 	s, addr := startServer(t, func(http.ResponseWriter, *http.Request) {})
--- a/internal/httpdrain/server.go
+++ b/internal/httpdrain/server.go
@@ -21,10 +21,16 @@
 	"github.com/cockroachdb/errors"
 )
 
-// InFlightTime is how long connections are read after the listeners have been closed.
-// Requests that were on their way then arrive within it unless the link is overloaded.
+// InFlightTime is how long a connection stays silent before it is taken for unused once
+// the listeners have been closed. A request that its caller sent at the start of that
+// time, as on a connection that was just opened, arrives within it unless the link is
+// overloaded.
 const InFlightTime = time.Second
 
+// idleCheckInterval is the time between two looks for connections that have been silent for
+// InFlightTime.
+const idleCheckInterval = 50 * time.Millisecond
+
 // Server is an HTTP server that can be drained. Its steps are AnnounceClose,
 // CloseListeners, CloseIdle and Wait, in this order; Shutdown takes all of them.
 type Server struct {
@@ -152,12 +158,31 @@
 	return s.http.Shutdown(ctx)
 }
 
-// awaitInFlight waits until requests that are on their way have arrived, or no connection
-// is left.
+// awaitInFlight closes connections as they have been silent for InFlightTime, until that
+// time has passed or no connection is left.
 func (s *Server) awaitInFlight(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, InFlightTime)
 	defer cancel()
-	_ = s.Wait(ctx)
+	for ctx.Err() == nil {
+		s.closeIdleSince(time.Now().Add(-InFlightTime))
+		wait, cancelWait := context.WithTimeout(ctx, idleCheckInterval)
+		err := s.Wait(wait)
+		cancelWait()
+		if err == nil {
+			return
+		}
+	}
+}
+
+// closeIdleSince closes the connections that have carried no request since an instant.
+func (s *Server) closeIdleSince(at time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		if c.drainIfIdleSince(at) {
+			s.stats.IdleClosed++
+		}
+	}
 }
 
 // Close closes the listeners and all connections at once.
