daemon: a response that has been written whole is not cut by a later end of its request

Cause: between the last bytes of a response and the event that reports it, the reducer may end the request, at its time limit or at the end of a stop, when it ends all open ones at once. The exchange then aborted the connection, which takes the end of a stream that has no length from the caller, or sent the request to another target.

Change: an exchange that has written the whole response ends with any command. The test fails before by the abort (panic net/http: abort Handler).

--- a/internal/daemon/direct_driver.go
+++ b/internal/daemon/direct_driver.go
@@ -226,11 +226,16 @@
 	for {
 		select {
 		case cmd := <-x.commands:
-			if start, ok := cmd.eff.(msg.StartDirectAttempt); ok {
-				d.endAttempt(msg.DirectAttemptEnded{Attempt: start.Attempt, Result: msg.DirectCancelled})
-			}
+			d.dropCommand(cmd)
 		default:
 			return
 		}
 	}
 }
+
+// dropCommand ends the attempt that a command was to start, if any.
+func (d *directDriver) dropCommand(cmd directCommand) {
+	if start, ok := cmd.eff.(msg.StartDirectAttempt); ok {
+		d.endAttempt(msg.DirectAttemptEnded{Attempt: start.Attempt, Result: msg.DirectCancelled})
+	}
+}
--- a/internal/daemon/direct_driver_test.go
+++ b/internal/daemon/direct_driver_test.go
@@ -94,6 +94,18 @@
 	is.Equal(recorder.await(t, "a").Result, msg.DirectCancelled)
 }
 
+func TestWholeResponseIsNotCutByLaterEnd(t *testing.T) {
+	is := is.New(t)
+	driver, recorder := newTestDriver(t)
+	for _, eff := range []msg.Effect{msg.AbortRequest{}, msg.RefuseRequest{}, msg.StartDirectAttempt{Attempt: "late"}} {
+		x := driver.open(t.Context(), &platform.CallerRequest{}, httptest.NewRecorder())
+		x.responseStarted, x.responseEnded = true, true
+		is.True(x.executeCommand(directCommand{eff: eff, ctx: t.Context()})) // It does not abort the connection.
+		driver.close(x)
+	}
+	is.Equal(recorder.await(t, "late").Result, msg.DirectCancelled)
+}
+
 // A probe tells a target that responds from one whose process has ended, also over a
 // connection that was kept from the process.
 func TestProbeTellsRunningTargetFromEndedOne(t *testing.T) {
--- a/internal/daemon/direct_exchange.go
+++ b/internal/daemon/direct_exchange.go
@@ -37,8 +37,9 @@
 	ctx      context.Context
 	commands chan directCommand
 
-	// responseStarted reports that the head of the response has been written.
-	responseStarted bool
+	// responseStarted reports that the head of the response has been written, and
+	// responseEnded that all of it has.
+	responseStarted, responseEnded bool
 	// failure is the last error response of a target that may be forwarded to the
 	// caller.
 	failure *bufferedResponse
@@ -79,8 +80,14 @@
 	}
 }
 
-// executeCommand executes a command and reports whether the request has ended.
+// executeCommand executes a command and reports whether the request has ended. Once the
+// whole response has been written, it has, also if the command was given before the reducer
+// knew that.
 func (x *directExchange) executeCommand(cmd directCommand) bool {
+	if x.responseEnded {
+		x.driver.dropCommand(cmd)
+		return true
+	}
 	switch eff := cmd.eff.(type) {
 	case msg.StartDirectAttempt:
 		x.runAttempt(cmd.ctx, eff)
@@ -122,6 +129,7 @@
 	if ctx.Err() == nil {
 		end = x.sendAttempt(ctx, &eff)
 	}
+	x.responseEnded = end.Result == msg.DirectDone
 	if ctx.Err() != nil && end.Result != msg.DirectDone && end.Result != msg.DirectPrefilled {
 		end.Result = msg.DirectCancelled
 	}
