--- a/internal/soak/stop_test.go
+++ b/internal/soak/stop_test.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -37,12 +38,21 @@
 	d.check()
 }
 
+// hangUp announces changed settings a few times during a stop.
+func (e *entry) hangUp(r *rand.Rand) {
+	for range r.IntN(3) {
+		time.Sleep(time.Duration(r.IntN(1000)) * time.Millisecond)
+		_ = e.cmd.Process.Signal(syscall.SIGHUP)
+	}
+}
+
 func (d *deployment) stopRepeatedly(e *entry, r *rand.Rand) {
 	for i := range stopRounds {
 		if i > 0 {
 			time.Sleep(time.Duration(r.IntN(2000)) * time.Millisecond)
 		}
 		e.requestStop()
+		e.hangUp(r)
 		if err := e.cmd.Wait(); err != nil {
 			d.violation("entry at %s ended with %v after a request to stop", e.callerAddr, err)
 		}
