daemon: half of the entries accept connections for longer while callers come

Cause: with planned work that stops most entries of a failure domain at once, all closed their listeners after 2.8 s and were down together until they had been restarted; the load balancer sends callers to entries that are not ready if too few are ready.

Change: every second entry, in the order of failure domains and names, goes on accepting connections for as long as callers open them, up to 0.6 of the grace period. Which other entries are being stopped needn't be known: if the load balancer has others, no connections come and the listener closes after half a second without any.

--- a/internal/core/direct/request/stop.go
+++ b/internal/core/direct/request/stop.go
@@ -1,6 +1,7 @@
 package request
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 
@@ -40,9 +41,26 @@
 		s.drain.acceptUntil, s.drain.endAt = s.now+ev.AcceptFor, s.now+ev.DrainFor
 		s.log("drain begins", attr("accept_ms", formatMS(ev.AcceptFor)), attr("drain_ms", formatMS(ev.DrainFor)), attr("open", len(s.requests)))
 	}
+	if s.stopsInSecondHalf() {
+		s.emit(msg.AcceptLonger{})
+	}
 	s.updateReady()
 }
 
+// stopsInSecondHalf reports whether this daemon is in the half of the entries that goes on
+// accepting connections while callers open them, so that the first half is back before the
+// second ends if all are stopped at once. It holds every second entry in the order of
+// failure domains and names, which leaves some of each domain.
+func (s *stepContext) stopsInSecondHalf() bool {
+	before := 0
+	for _, e := range s.entries {
+		if cmp.Or(cmp.Compare(e.Domain, s.self.Domain), cmp.Compare(e.Host, s.self.Host)) < 0 {
+			before++
+		}
+	}
+	return before%2 == 1
+}
+
 // stoppingRefusal returns the refusal of a request that another daemon may serve.
 func stoppingRefusal() *refusal {
 	return &refusal{statusUnavailable, codeStopping, retryAfterOtherEntry}
--- a/internal/core/direct/request/stop_test.go
+++ b/internal/core/direct/request/stop_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
@@ -257,3 +258,21 @@
 		o.runToEnd(t, actions)
 	})
 }
+
+func TestHalfOfEachDomainAcceptsLongerDuringStop(t *testing.T) {
+	var entries []msg.Host
+	for _, e := range []string{"d1/a", "d1/b", "d1/c", "d2/d", "d2/e"} {
+		entries = append(entries, msg.Host{Domain: msg.FailureDomain(e[:2]), Host: msg.HostID(e[3:])})
+	}
+	longer := ""
+	for _, e := range entries {
+		h := newReadyHarness(t)
+		h.m.self.Host, h.m.self.Domain = e.Host, e.Domain
+		h.step(msg.MembersChanged{Entries: entries})
+		h.step(msg.StopRequested{AcceptFor: testAcceptFor, DrainFor: testDrainFor})
+		if _, ok := find[msg.AcceptLonger](h); ok {
+			longer += string(e.Host)
+		}
+	}
+	is.New(t).Equal(longer, "bd")
+}
--- a/internal/core/msg/direct_request.go
+++ b/internal/core/msg/direct_request.go
@@ -267,6 +267,10 @@
 // daemon.
 type SetReady struct{ Ready bool }
 
+// AcceptLonger makes a stopping daemon go on accepting connections for as long as callers
+// open them, within a part of the grace period.
+type AcceptLonger struct{}
+
 // SetCallerLimits sets the limits that the driver enforces on the requests of
 // callers.
 type SetCallerLimits struct{ Limits CallerLimits }
@@ -284,5 +288,6 @@
 func (ForwardFailure) effect()     {}
 func (FreeHandle) effect()         {}
 func (SetReady) effect()           {}
+func (AcceptLonger) effect()       {}
 func (SetCallerLimits) effect()    {}
 func (ReadCache) effect()          {}
--- a/internal/core/msg/types.go
+++ b/internal/core/msg/types.go
@@ -85,5 +85,6 @@
 		reflect.TypeFor[ReportWindow](), reflect.TypeFor[ChangeRole](),
 		reflect.TypeFor[ReadCache](), reflect.TypeFor[SetCallerLimits](),
 		reflect.TypeFor[ProbeTarget](),
+		reflect.TypeFor[AcceptLonger](),
 	}
 }
--- a/internal/daemon/direct_driver.go
+++ b/internal/daemon/direct_driver.go
@@ -38,6 +38,9 @@
 	// onStopCompleted is called when the reducer has finished a graceful shutdown.
 	onStopCompleted func()
 
+	// acceptLonger reports whether the listener stays open while callers open connections
+	// during a graceful shutdown.
+	acceptLonger atomic.Bool
 	// ready is the result of readiness checks.
 	ready atomic.Bool
 	// maxBody is the largest request body in bytes; zero until it is configured.
@@ -73,6 +76,8 @@
 		go d.probe(eff)
 	case msg.SetReady:
 		d.ready.Store(eff.Ready)
+	case msg.AcceptLonger:
+		d.acceptLonger.Store(true)
 	case msg.SetCallerLimits:
 		d.maxBody.Store(eff.Limits.BodyBytes)
 		d.budget.ExtendIdleTimeout(eff.Limits.IdleTimeout)
--- a/internal/daemon/direct_shutdown.go
+++ b/internal/daemon/direct_shutdown.go
@@ -15,6 +15,11 @@
 	// listenerCloseDelay is the time from the request to stop until the listener
 	// closes. By then the load balancer has seen two failed readiness checks.
 	listenerCloseDelay = 2800 * time.Millisecond
+	// quietTime is how long no caller opens a connection before a daemon that accepts them
+	// for longer closes the listener. acceptRatio is the fraction of the grace period after
+	// which it closes it in any case, so that what came last has time to end.
+	quietTime   = 500 * time.Millisecond
+	acceptRatio = 0.6
 	// drainRatio is the fraction of the grace period in which open requests may end, and
 	// deliverRatio that in which callers may take their responses. The rest is left for
 	// the end of the process.
@@ -47,6 +52,9 @@
 	time.Sleep(keepAliveOffDelay)
 	d.callerServer.AnnounceClose()
 	time.Sleep(listenerCloseDelay - keepAliveOffDelay)
+	if d.driver.acceptLonger.Load() {
+		d.awaitQuiet(start.Add(time.Duration(acceptRatio * float64(grace))))
+	}
 	if err := d.callerServer.Shutdown(ctx); err != nil {
 		d.log.Warn("daemon: stopped waiting for open requests near the end of the grace period", "reason", err.Error())
 	}
@@ -60,3 +68,19 @@
 	}
 	d.log.Info("daemon: stopped", "took_ms", time.Since(start).Milliseconds(), "callers", d.callerServer.Stats())
 }
+
+// awaitQuiet waits until callers have opened no connection for quietTime, or until the
+// given instant. Callers still come if the load balancer finds too few ready entries.
+func (d *directProcess) awaitQuiet(until time.Time) {
+	for {
+		quietAt := d.callerServer.LastAccepted().Add(quietTime)
+		if quietAt.After(until) {
+			quietAt = until
+		}
+		wait := time.Until(quietAt)
+		if wait <= 0 {
+			return
+		}
+		time.Sleep(wait)
+	}
+}
--- a/internal/daemon/direct_shutdown_test.go
+++ b/internal/daemon/direct_shutdown_test.go
@@ -109,3 +109,23 @@
 	env.is.Equal(<-answered, http.StatusBadGateway)
 	env.is.Equal(env.process.callerServer.Stats().Open, 0)
 }
+
+func TestListenerStaysOpenWhileCallersCome(t *testing.T) {
+	env := newDirectEnv(t)
+	env.process.driver.acceptLonger.Store(true)
+	done := make(chan struct{})
+	go func() { env.process.shutdown(); close(done) }()
+	open := func() bool {
+		c, err := net.Dial("tcp", env.process.settings.CallersAddr)
+		if err == nil {
+			_ = c.Close()
+		}
+		return err == nil
+	}
+	for begin := time.Now(); time.Since(begin) < listenerCloseDelay+quietTime; time.Sleep(quietTime / 5) {
+		env.is.True(open())
+	}
+	time.Sleep(2 * quietTime) // Nobody comes.
+	env.is.True(!open())
+	<-done
+}
--- a/internal/httpdrain/server.go
+++ b/internal/httpdrain/server.go
@@ -44,6 +44,8 @@
 	listeners []net.Listener
 	conns     map[*conn]struct{}
 	phase     Phase
+	// lastAccepted is when a connection was last accepted.
+	lastAccepted time.Time
 	// empty is closed when no connection is left. It is nil unless somebody waits.
 	empty chan struct{}
 	stats Stats
@@ -125,6 +127,13 @@
 	}
 }
 
+// LastAccepted returns when a connection was last accepted. It is zero if none was.
+func (s *Server) LastAccepted() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lastAccepted
+}
+
 // Wait waits until all connections have ended.
 func (s *Server) Wait(ctx context.Context) error {
 	s.mu.Lock()
@@ -203,6 +212,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.conns[c] = struct{}{}
+	s.lastAccepted = c.idleSince
 	if s.phase >= PhaseIdleClosed {
 		c.drain()
 	}
