httpdrain: what a review of the stop found

An independent review of the change found, each shown by a test that failed: - A connection that becomes HTTP/2 while idle ones are closed kept its expired read deadline, so that a request which had been read was cut (TestRequestReadWithHandshakeDuringStopIsAnswered). It is released now. - The idle limit was extended by the last write, of which 100 Continue is one: a body that never came held its connection for the whole limit after the 408 (TestOverdueBodyAfterContinueEndsConnection). The extension moves from relay to httpdrain, which knows when a connection is idle. - Requests whose handler aborts were not counted as unanswered over TLS (TestDroppedRequestOverTLSIsCounted); parts of heads were counted as requests (TestPartOfHeadIsNoRequest). - With a grace period under 3 s the stop overran it (TestStopEndsWithinShortGracePeriod); the times are bounded by parts of the period. By reading: a connection is counted as ended after it has been closed, not before; HTTP/2 is told of the stop also if connections of HTTP/1.1 do not end in time.

--- a/internal/daemon/direct_body_test.go
+++ b/internal/daemon/direct_body_test.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,6 +15,7 @@
 	"github.com/matryer/is"
 
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
+	"github.com/verbenaspur/verbenaspur/internal/httpdrain"
 	"github.com/verbenaspur/verbenaspur/internal/relay"
 )
 
@@ -152,12 +154,13 @@
 	const serverLimit, configured = 10 * time.Millisecond, time.Hour
 	is := is.New(t)
 	d := &directDriver{budget: relay.NewBudget(1<<20, slog.New(slog.DiscardHandler))}
+	srv := httpdrain.New(&http.Server{Handler: d, IdleTimeout: serverLimit, ReadHeaderTimeout: 30 * serverLimit})
+	d.callers = srv
 	for _, limit := range []time.Duration{configured, time.Millisecond, 0} {
 		d.execute(0, msg.SetCallerLimits{Limits: msg.CallerLimits{IdleTimeout: limit}})
 	}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
-	srv := &http.Server{Handler: d, IdleTimeout: serverLimit, ReadHeaderTimeout: 30 * serverLimit}
 	go func() { _ = srv.Serve(d.budget.Listener(l)) }()
 	defer func() { _ = srv.Close() }()
 	c, err := net.Dial("tcp", l.Addr().String())
@@ -181,3 +184,23 @@
 	_, err = io.Copy(io.Discard, r)
 	is.NoErr(err) // the server ends the connection, as the head does not arrive in time
 }
+
+func TestOverdueBodyAfterContinueEndsConnection(t *testing.T) {
+	is := is.New(t)
+	d := &directDriver{budget: relay.NewBudget(1<<20, slog.New(slog.DiscardHandler))}
+	d.callers = httpdrain.New(&http.Server{Handler: d})
+	d.callers.ExtendIdleTimeout(time.Minute)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	go func() { _ = d.callers.Serve(d.budget.Listener(l)) }()
+	defer func() { _ = d.callers.Close() }()
+	c, err := net.Dial("tcp", l.Addr().String())
+	is.NoErr(err)
+	defer func() { _ = c.Close() }()
+	_, err = io.WriteString(c, requestHead+"Expect: 100-continue\r\nContent-Length: 10\r\n\r\n")
+	is.NoErr(err)
+	is.NoErr(c.SetReadDeadline(time.Now().Add(bodyTimeout + 10*unreadBodyTimeout)))
+	b, err := io.ReadAll(c)
+	is.NoErr(err) // The server ends the connection.
+	is.True(strings.Contains(string(b), " 408 "))
+}
--- a/internal/daemon/direct_driver.go
+++ b/internal/daemon/direct_driver.go
@@ -11,6 +11,7 @@
 
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
 	"github.com/verbenaspur/verbenaspur/internal/httpclient"
+	"github.com/verbenaspur/verbenaspur/internal/httpdrain"
 	"github.com/verbenaspur/verbenaspur/internal/relay"
 	"github.com/verbenaspur/verbenaspur/platform"
 )
@@ -33,8 +34,10 @@
 	peers  *datagramTransport
 	log    *slog.Logger
 	ctx    context.Context
-	// budget bounds what is held for callers.
-	budget *relay.Budget
+	// callers is the server that calls this handler, and budget bounds what is held for its
+	// callers.
+	callers *httpdrain.Server
+	budget  *relay.Budget
 	// onStopCompleted is called when the reducer has finished a graceful shutdown.
 	onStopCompleted func()
 
@@ -80,7 +83,7 @@
 		d.acceptLonger.Store(true)
 	case msg.SetCallerLimits:
 		d.maxBody.Store(eff.Limits.BodyBytes)
-		d.budget.ExtendIdleTimeout(eff.Limits.IdleTimeout)
+		d.callers.ExtendIdleTimeout(eff.Limits.IdleTimeout)
 	case msg.LogLine:
 		writeLog(d.log, eff)
 	case msg.StopCompleted:
--- a/internal/daemon/direct_run.go
+++ b/internal/daemon/direct_run.go
@@ -33,8 +33,8 @@
 	callerMemoryRatio = 0.25
 	// defaultCallerMemory is held for callers at most if no memory limit is set.
 	defaultCallerMemory = 128 << 20
-	// callerIdleTimeout is how long a caller's connection may be idle at least. The budget
-	// extends it to the configured limit.
+	// callerIdleTimeout is how long a caller's connection may be idle at least. It is extended
+	// to the configured limit.
 	callerIdleTimeout = 2 * time.Minute
 	headerTimeout     = 10 * time.Second
 	maxHeaderBytes    = 64 << 10
@@ -87,7 +87,6 @@
 	peers        *datagramTransport
 	registry     *prometheus.Registry
 	servers      []server
-	callerServer *httpdrain.Server
 	budget       *relay.Budget
 	serveErrors  chan error
 	// workCtx ends when the daemon's own goroutines must end.
@@ -122,6 +121,11 @@
 		exchanges: make(map[msg.RequestID]*directExchange), attempts: make(map[msg.AttemptID]context.CancelFunc),
 		onStopCompleted: func() { close(d.shutdownDone) },
 	}
+	d.driver.callers = httpdrain.New(&http.Server{
+		Handler: d.driver, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug),
+	})
+	d.registry.MustRegister(metrics.NewDrain(d.driver.callers.Stats))
 	d.loop = newLoop(reducer, d.driver.execute, clock.Now, d.wallClock(clock))
 	d.driver.loop = d.loop
 	return d
@@ -204,12 +208,7 @@
 	ops.Handle("/metrics", promhttp.HandlerFor(d.registry, promhttp.HandlerOpts{}))
 	ready := mux.NewRouter()
 	ready.HandleFunc(platform.ReadyPath, d.driver.serveReady)
-	d.callerServer = httpdrain.New(&http.Server{
-		Handler: d.driver, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ErrorLog: slog.NewLogLogger(d.log.Handler(), slog.LevelDebug),
-	})
-	d.registry.MustRegister(metrics.NewDrain(d.callerServer.Stats))
-	d.serveOn(d.budget.Listener(d.sockets.callers), d.callerServer)
+	d.serveOn(d.budget.Listener(d.sockets.callers), d.driver.callers)
 	d.serveOn(d.sockets.ready, &http.Server{Handler: ready, ReadHeaderTimeout: headerTimeout})
 	if d.sockets.metrics != nil {
 		d.serveOn(d.sockets.metrics, &http.Server{Handler: ops, ReadHeaderTimeout: headerTimeout})
--- a/internal/daemon/direct_shutdown.go
+++ b/internal/daemon/direct_shutdown.go
@@ -13,7 +13,8 @@
 	// reaches another entry daemon.
 	keepAliveOffDelay = 1800 * time.Millisecond
 	// listenerCloseDelay is the time from the request to stop until the listener
-	// closes. By then the load balancer has seen two failed readiness checks.
+	// closes. By then the load balancer has seen two failed readiness checks. Both times
+	// are shorter if the grace period would otherwise end too soon after them.
 	listenerCloseDelay = 2800 * time.Millisecond
 	// quietTime is how long no caller opens a connection before a daemon that accepts them
 	// for longer closes the listener. acceptRatio is the fraction of the grace period after
@@ -48,14 +49,15 @@
 	grace := d.settings.Bounds.GracePeriod
 	ctx, cancel := context.WithTimeout(context.Background(), deliveryTimeout(grace))
 	defer cancel()
-	d.loop.Post(msg.StopRequested{AcceptFor: listenerCloseDelay, DrainFor: requestDrainTimeout(grace)})
-	time.Sleep(keepAliveOffDelay)
-	d.callerServer.AnnounceClose()
-	time.Sleep(listenerCloseDelay - keepAliveOffDelay)
+	closeDelay := min(listenerCloseDelay, grace/2)
+	d.loop.Post(msg.StopRequested{AcceptFor: closeDelay, DrainFor: requestDrainTimeout(grace)})
+	time.Sleep(min(keepAliveOffDelay, grace/3))
+	d.driver.callers.AnnounceClose()
+	time.Sleep(time.Until(start.Add(closeDelay)))
 	if d.driver.acceptLonger.Load() {
 		d.awaitQuiet(start.Add(time.Duration(acceptRatio * float64(grace))))
 	}
-	if err := d.callerServer.Shutdown(ctx); err != nil {
+	if err := d.driver.callers.Shutdown(ctx); err != nil {
 		d.log.Warn("daemon: stopped waiting for open requests near the end of the grace period", "reason", err.Error())
 	}
 	if err := d.budget.Wait(ctx); err != nil {
@@ -66,14 +68,14 @@
 	case <-d.shutdownDone:
 	case <-ctx.Done():
 	}
-	d.log.Info("daemon: stopped", "took_ms", time.Since(start).Milliseconds(), "callers", d.callerServer.Stats())
+	d.log.Info("daemon: stopped", "took_ms", time.Since(start).Milliseconds(), "callers", d.driver.callers.Stats())
 }
 
 // awaitQuiet waits until callers have opened no connection for quietTime, or until the
 // given instant. Callers still come if the load balancer finds too few ready entries.
 func (d *directProcess) awaitQuiet(until time.Time) {
 	for {
-		quietAt := d.callerServer.LastAccepted().Add(quietTime)
+		quietAt := d.driver.callers.LastAccepted().Add(quietTime)
 		if quietAt.After(until) {
 			quietAt = until
 		}
--- a/internal/daemon/direct_shutdown_test.go
+++ b/internal/daemon/direct_shutdown_test.go
@@ -89,7 +89,16 @@
 	env.is.Equal(resp.StatusCode, http.StatusOK)
 	env.is.True(resp.Close)
 	<-done
-	env.is.Equal(env.process.callerServer.Stats().Unanswered, int64(0))
+	env.is.Equal(env.process.driver.callers.Stats().Unanswered, int64(0))
+}
+
+func TestStopEndsWithinShortGracePeriod(t *testing.T) {
+	env := newStoppedDirectEnv(t)
+	env.process.settings.Bounds.GracePeriod = 2 * time.Second
+	env.start()
+	start := time.Now()
+	env.process.shutdown()
+	env.is.True(time.Since(start) < 2*time.Second)
 }
 
 // A request without an end of its own gets an answer before the process ends.
@@ -101,13 +110,13 @@
 		r.InjectFaults(platformtest.FaultHang, platformtest.FaultHang)
 	}
 	answered := make(chan int, 1)
-	time.AfterFunc(2500*time.Millisecond, func() {
+	time.AfterFunc(time.Second, func() {
 		resp, _ := env.call("POST", "/order/1", "{}")
 		answered <- resp.StatusCode
 	})
 	env.process.shutdown()
 	env.is.Equal(<-answered, http.StatusBadGateway)
-	env.is.Equal(env.process.callerServer.Stats().Open, 0)
+	env.is.Equal(env.process.driver.callers.Stats().Open, 0)
 }
 
 func TestListenerStaysOpenWhileCallersCome(t *testing.T) {
--- a/internal/httpdrain/announce.go
+++ b/internal/httpdrain/announce.go
@@ -5,11 +5,24 @@
 	"net/http"
 )
 
+// connKey is the key of a request's connection in its context.
+type connKey struct{}
+
 // announcing returns a handler whose responses ask the caller to close its connection
-// once that has been announced, also if it is announced while the request runs.
+// once that has been announced, also if it is announced while the request runs. It counts
+// requests, and those that the handler aborts without a response.
 func (s *Server) announcing(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.countRequest()
+		c := r.Context().Value(connKey{}).(*conn)
+		c.handOver()
 		a := &announcer{ResponseWriter: w, server: s}
+		defer func() {
+			if !a.prepared && r.Context().Err() == nil {
+				c.handOver()
+				s.countUnanswered()
+			}
+		}()
 		h.ServeHTTP(a, r)
 		a.prepare()
 	})
--- a/internal/httpdrain/conn.go
+++ b/internal/httpdrain/conn.go
@@ -2,7 +2,6 @@
 
 import (
 	"crypto/tls"
-	"io"
 	"net"
 	"os"
 	"sync"
@@ -53,8 +52,10 @@
 	// unanswered reports whether bytes have been read since bytes were last written: a
 	// request or a part of it.
 	unanswered bool
-	// idleSince is when the connection was accepted or the last response ended.
+	// idleSince is when the connection was accepted or the last response ended, and kept
+	// reports whether a response has.
 	idleSince time.Time
+	kept      bool
 	// draining reports whether the connection closes when it is idle.
 	draining bool
 	// left reports whether the caller has closed the connection or it has failed.
@@ -109,11 +110,18 @@
 	return !c.idle()
 }
 
+// handOver records that a handler answers for what has been read.
+func (c *conn) handOver() { c.update(func() { c.unanswered = false }) }
+
+// release lets the connection be read like any other again.
+func (c *conn) release() { c.update(func() { c.draining = false }) }
+
 // setServing records that a request begins to be served, or that its response has ended.
 func (c *conn) setServing(serving bool) {
 	c.update(func() {
 		c.serving = serving
 		c.idleSince = time.Now()
+		c.kept = c.kept || !serving
 	})
 }
 
@@ -136,10 +144,14 @@
 	return c.Conn.Write(p)
 }
 
-// SetReadDeadline implements [net.Conn].
+// SetReadDeadline implements [net.Conn]. A time limit that is set while a kept connection is
+// idle is the HTTP server's limit for that, and may be extended.
 func (c *conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.kept && c.idle() && time.Until(t) > 0 {
+		t = c.server.extendIdleDeadline(t)
+	}
 	c.deadline = t
 	c.applyDeadline()
 	return nil
@@ -156,7 +168,7 @@
 	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		return w.CloseWrite()
 	}
-	return io.ErrClosedPipe
+	return errors.New("httpdrain: connection can't close its sending side")
 }
 
 // Close implements [net.Conn].
@@ -164,6 +176,7 @@
 	c.mu.Lock()
 	unanswered := c.unanswered && !c.left
 	c.mu.Unlock()
+	err := c.Conn.Close()
 	c.server.remove(c, unanswered)
-	return c.Conn.Close()
+	return err
 }
--- a/internal/httpdrain/httpdrain_test.go
+++ b/internal/httpdrain/httpdrain_test.go
@@ -85,6 +85,18 @@
 	is.Equal(s.Stats().Unanswered, int64(1))
 }
 
+func TestPartOfHeadIsNoRequest(t *testing.T) {
+	is := is.New(t)
+	s, addr := startServer(t, func(http.ResponseWriter, *http.Request) {})
+	c := dial(t, addr)
+	c.send(getRequest[:8])
+	eventually(t, func() bool { return s.Stats().Busy == 1 })
+	_ = c.conn.Close()
+	eventually(t, func() bool { return s.Stats().Open == 0 })
+	is.Equal(s.Stats().Requests[PhaseServing], int64(0))
+	is.Equal(s.Stats().Unanswered, int64(0))
+}
+
 func TestCallerThatLeavesIsNotCountedAsDropped(t *testing.T) {
 	s, addr := startServer(t, func(_ http.ResponseWriter, r *http.Request) {
 		<-r.Context().Done()
@@ -178,6 +190,7 @@
 	c.send(getRequest)
 	complete, _ := c.receive()
 	is.True(complete)
+	eventually(t, func() bool { return s.Stats().Busy == 0 })
 	s.CloseListeners()
 	s.CloseIdle()
 	is.NoErr(s.Wait(t.Context()))
@@ -209,6 +222,30 @@
 	is.NoErr(s.Wait(t.Context()))
 }
 
+func TestBodyInPartsDuringStopIsAnswered(t *testing.T) {
+	is := is.New(t)
+	s, addr := startServer(t, func(_ http.ResponseWriter, r *http.Request) {
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			panic(http.ErrAbortHandler)
+		}
+	})
+	c := dial(t, addr)
+	c.send("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n")
+	eventually(t, func() bool { return s.Stats().Requests[PhaseServing] == 1 })
+	s.AnnounceClose()
+	s.CloseListeners()
+	s.CloseIdle()
+	for _, part := range []string{"1\r\na\r\n", "1\r\nb\r\n", "0\r\n", "\r\n"} {
+		time.Sleep(10 * time.Millisecond)
+		c.send(part)
+	}
+	complete, closes := c.receive()
+	is.True(complete)
+	is.True(closes)
+	is.NoErr(s.Wait(t.Context()))
+	is.Equal(s.Stats().Unanswered, int64(0))
+}
+
 func TestStopWaitsForOpenRequests(t *testing.T) {
 	is := is.New(t)
 	release := make(chan struct{})
--- a/internal/httpdrain/server.go
+++ b/internal/httpdrain/server.go
@@ -39,6 +39,8 @@
 	announced atomic.Bool
 	// serving counts the running calls of Serve.
 	serving sync.WaitGroup
+	// idleTimeout is the least time for which kept connections may be idle, in nanoseconds.
+	idleTimeout atomic.Int64
 
 	mu        sync.Mutex
 	listeners []net.Listener
@@ -52,12 +54,15 @@
 }
 
 // New returns a server that serves as srv is configured. It sets the handler and the
-// hook for states of connections of srv, which must not be used otherwise.
+// hooks for connections of srv, which must not be used otherwise.
 func New(srv *http.Server) *Server {
 	s := &Server{http: srv, conns: make(map[*conn]struct{})}
 	s.stats.Requests = make(map[Phase]int64)
 	srv.Handler = s.announcing(srv.Handler)
 	srv.ConnState = s.stateChanged
+	srv.ConnContext = func(ctx context.Context, nc net.Conn) context.Context {
+		return context.WithValue(ctx, connKey{}, unwrap(nc))
+	}
 	return s
 }
 
@@ -97,6 +102,22 @@
 	return true
 }
 
+// ExtendIdleTimeout lets kept connections be idle for at least d, also if the limit of the
+// HTTP server is shorter. A later call with a shorter time has no effect, since callers may
+// still rely on the longer one.
+func (s *Server) ExtendIdleTimeout(d time.Duration) {
+	for old := s.idleTimeout.Load(); int64(d) > old && !s.idleTimeout.CompareAndSwap(old, int64(d)); {
+		old = s.idleTimeout.Load()
+	}
+}
+
+func (s *Server) extendIdleDeadline(t time.Time) time.Time {
+	if extended := time.Now().Add(time.Duration(s.idleTimeout.Load())); t.Before(extended) {
+		return extended
+	}
+	return t
+}
+
 // AnnounceClose makes each response from now on ask the caller to close its connection.
 func (s *Server) AnnounceClose() {
 	s.announced.Store(true)
@@ -134,7 +155,7 @@
 	return s.lastAccepted
 }
 
-// Wait waits until all connections have ended.
+// Wait waits until all connections have ended, except for those of HTTP/2.
 func (s *Server) Wait(ctx context.Context) error {
 	s.mu.Lock()
 	if len(s.conns) == 0 {
@@ -160,11 +181,10 @@
 	s.CloseListeners()
 	s.awaitInFlight(ctx)
 	s.CloseIdle()
-	if err := s.Wait(ctx); err != nil {
-		return err
-	}
-	// Connections of HTTP/2, which announces the last request that it serves, are left.
-	return s.http.Shutdown(ctx)
+	err := s.Wait(ctx)
+	// This waits for the ends of the others' handlers, and ends connections of HTTP/2, which
+	// tells callers the last request that it serves.
+	return errors.CombineErrors(err, s.http.Shutdown(ctx))
 }
 
 // awaitInFlight closes connections as they have been silent for InFlightTime, until that
@@ -213,13 +233,10 @@
 	defer s.mu.Unlock()
 	s.conns[c] = struct{}{}
 	s.lastAccepted = c.idleSince
-	if s.phase >= PhaseIdleClosed {
-		c.drain()
-	}
 }
 
 // remove removes a connection. Unanswered states that it has ended after a part of a
-// request was read, although the caller had not left.
+// request was read that no handler got, although the caller had not left.
 func (s *Server) remove(c *conn, unanswered bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -238,17 +255,15 @@
 
 // stateChanged follows which connections carry a request.
 func (s *Server) stateChanged(nc net.Conn, state http.ConnState) {
-	if t, ok := nc.(*tls.Conn); ok {
-		if t.ConnectionState().NegotiatedProtocol == "h2" {
-			s.remove(unwrap(nc), false)
-			return
-		}
-	}
 	c := unwrap(nc)
+	if t, ok := nc.(*tls.Conn); ok && t.ConnectionState().NegotiatedProtocol == "h2" {
+		c.release()
+		s.remove(c, false)
+		return
+	}
 	switch state {
 	case http.StateActive:
 		c.setServing(true)
-		s.countRequest()
 	case http.StateIdle:
 		c.setServing(false)
 	}
@@ -259,3 +274,9 @@
 	defer s.mu.Unlock()
 	s.stats.Requests[s.phase]++
 }
+
+func (s *Server) countUnanswered() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stats.Unanswered++
+}
--- a/internal/relay/budget.go
+++ b/internal/relay/budget.go
@@ -4,7 +4,6 @@
 	"context"
 	"log/slog"
 	"sync"
-	"sync/atomic"
 	"time"
 )
 
@@ -56,8 +55,6 @@
 
 	limit int64
 	log   *slog.Logger
-	// idleTimeout is the least time for which connections may be idle, in nanoseconds.
-	idleTimeout atomic.Int64
 
 	mu sync.Mutex
 	// responses and bodies are the bytes held of responses and of requests.
@@ -109,15 +106,6 @@
 	return s
 }
 
-// ExtendIdleTimeout lets connections be idle for at least d, also if the server's own limit
-// is shorter. A later call with a shorter time has no effect, since callers may still rely on
-// the longer one.
-func (b *Budget) ExtendIdleTimeout(d time.Duration) {
-	for old := b.idleTimeout.Load(); int64(d) > old && !b.idleTimeout.CompareAndSwap(old, int64(d)); {
-		old = b.idleTimeout.Load()
-	}
-}
-
 // ReserveBody reserves room for n bytes of a request's body. It returns false if there
 // is none. The room is freed by ReleaseBody.
 func (b *Budget) ReserveBody(n int64) bool {
--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -4,7 +4,6 @@
 	"net"
 	"os"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -29,9 +28,6 @@
 	// writing keeps concurrent calls of Write apart.
 	writing sync.Mutex
 
-	// idle reports that nothing has arrived since something was written.
-	idle atomic.Bool
-
 	mu sync.Mutex
 	// direct is what writeOnce sends, and directErr its error.
 	direct    []byte
@@ -70,7 +66,6 @@
 	if c.closed || c.writeClosed {
 		return 0, net.ErrClosed
 	}
-	c.idle.Store(true)
 	rest := c.writeDirectly(p)
 	for waited := false; len(rest) > 0 && c.err == nil; waited = true {
 		rest = rest[c.queue.push(rest):]
@@ -156,9 +151,6 @@
 // Read implements [net.Conn]. A caller that has gone is not waited for.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if n > 0 {
-		c.idle.Store(false)
-	}
 	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 		c.mu.Lock()
 		c.left = true
@@ -176,17 +168,6 @@
 	return nil
 }
 
-// SetReadDeadline implements [net.Conn]. A deadline that is set while the connection is idle
-// is the server's limit for that, and is extended to the idle timeout of the budget.
-func (c *conn) SetReadDeadline(t time.Time) error {
-	if c.idle.Load() && time.Until(t) > 0 {
-		if extended := time.Now().Add(time.Duration(c.budget.idleTimeout.Load())); t.Before(extended) {
-			t = extended
-		}
-	}
-	return c.Conn.SetReadDeadline(t)
-}
-
 // SetDeadline implements [net.Conn].
 func (c *conn) SetDeadline(t time.Time) error {
 	_ = c.SetWriteDeadline(t)
@@ -220,7 +201,7 @@
 	c.closed = true
 	c.wake()
 	if c.sending {
-		return c.Conn.SetReadDeadline(time.Unix(1, 0))
+		return c.SetReadDeadline(time.Unix(1, 0))
 	}
 	if first && c.startLinger() {
 		return nil
--- a/internal/relay/linger.go
+++ b/internal/relay/linger.go
@@ -28,7 +28,7 @@
 // connection. A caller that has received the end of the response closes soon.
 func (c *conn) linger() {
 	defer c.budget.leaveLinger()
-	_ = c.Conn.SetReadDeadline(time.Now().Add(c.budget.LingerTimeout))
+	_ = c.SetReadDeadline(time.Now().Add(c.budget.LingerTimeout))
 	_, _ = io.CopyN(io.Discard, c.Conn, maxLingerBytes)
 	_ = c.Conn.Close()
 }
