virtualtime: one queue of events for the simulations

Change: virtualtime.Queue in their place. The sequence number stays with the simulation, as experiment also draws other identities from it. Its run removed the first event after its end and lost it; now the event stays, as in the others.

The new test fails when Seq is compared the other way, and when Next ignores its end.

--- a/internal/capacity/world.go
+++ b/internal/capacity/world.go
@@ -5,7 +5,6 @@
 package capacity
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"time"
@@ -13,6 +12,7 @@
 	"github.com/verbenaspur/verbenaspur/internal/core"
 	"github.com/verbenaspur/verbenaspur/internal/core/coretest"
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
+	"github.com/verbenaspur/verbenaspur/internal/virtualtime"
 	"github.com/verbenaspur/verbenaspur/internal/wire"
 )
 
@@ -91,7 +91,7 @@
 // Simulation is a deployment that runs in virtual time.
 type Simulation struct {
 	now      time.Duration
-	queue    eventQueue
+	queue    virtualtime.Queue
 	seq      uint64
 	rng      *rand.Rand
 	nodes    map[msg.HostID]*node
@@ -115,32 +115,6 @@
 	deadline time.Duration
 }
 
-// scheduled is a function that runs at a virtual time. Functions of the same time
-// run in the order of seq.
-type scheduled struct {
-	at  time.Duration
-	seq uint64
-	run func()
-}
-
-type eventQueue []scheduled
-
-func (q eventQueue) Len() int { return len(q) }
-func (q eventQueue) Less(i, j int) bool {
-	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq
-}
-func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-
-// Push implements [heap.Interface].
-func (q *eventQueue) Push(x any) { *q = append(*q, x.(scheduled)) }
-
-// Pop implements [heap.Interface].
-func (q *eventQueue) Pop() any {
-	last := (*q)[len(*q)-1]
-	*q = (*q)[:len(*q)-1]
-	return last
-}
-
 // NewSimulation returns a deployment of the given size whose daemons start when
 // virtual time advances.
 func NewSimulation(size Size, seed uint64) *Simulation {
@@ -216,16 +190,15 @@
 // at schedules run after d.
 func (sim *Simulation) at(d time.Duration, run func()) {
 	sim.seq++
-	heap.Push(&sim.queue, scheduled{sim.now + d, sim.seq, run})
+	sim.queue.Add(virtualtime.Event{At: sim.now + d, Seq: sim.seq, Run: run})
 }
 
 // Run advances virtual time by d.
 func (sim *Simulation) Run(d time.Duration) {
 	end := sim.now + d
-	for len(sim.queue) > 0 && sim.queue[0].at <= end {
-		next := heap.Pop(&sim.queue).(scheduled)
-		sim.now = next.at
-		next.run()
+	for ev, ok := sim.queue.Next(end); ok; ev, ok = sim.queue.Next(end) {
+		sim.now = ev.At
+		ev.Run()
 	}
 	sim.now = end
 }
--- a/internal/core/pool/scenario/config_test.go
+++ b/internal/core/pool/scenario/config_test.go
@@ -56,7 +56,7 @@
 
 // propose submits a manifest that is based on generation base to a node.
 func (n *node) propose(base msg.Generation, text string) msg.CallID {
-	call := msg.CallID(len(n.sim.queue) + 1000*int(n.sim.now))
+	call := msg.CallID(n.sim.queue.Len() + 1000*int(n.sim.now))
 	n.deliver(msg.ConfigProposed{Call: call, Author: "op", Manifest: []byte(text), Base: base})
 	return call
 }
--- a/internal/core/pool/scenario/world_test.go
+++ b/internal/core/pool/scenario/world_test.go
@@ -4,7 +4,6 @@
 package scenario
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -12,6 +11,7 @@
 
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
 	"github.com/verbenaspur/verbenaspur/internal/core/reducer"
+	"github.com/verbenaspur/verbenaspur/internal/virtualtime"
 	"github.com/verbenaspur/verbenaspur/internal/wire"
 )
 
@@ -31,7 +31,7 @@
 // and messages from one host to another are lost.
 type simulation struct {
 	now            time.Duration
-	queue          eventQueue
+	queue          virtualtime.Queue
 	seq            uint64
 	rand           *rand.Rand
 	nodes          map[msg.HostID]*node
@@ -84,26 +84,6 @@
 	return nil
 }
 
-type scheduled struct {
-	at  time.Duration
-	seq uint64
-	run func()
-}
-
-type eventQueue []scheduled
-
-func (q eventQueue) Len() int { return len(q) }
-func (q eventQueue) Less(i, j int) bool {
-	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq
-}
-func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *eventQueue) Push(x any)   { *q = append(*q, x.(scheduled)) }
-func (q *eventQueue) Pop() any {
-	last := (*q)[len(*q)-1]
-	*q = (*q)[:len(*q)-1]
-	return last
-}
-
 func newSimulation(seed uint64, hosts []msg.Host, components func(n *node) []reducer.Component) *simulation {
 	sim := &simulation{
 		rand:       rand.New(rand.NewPCG(seed, 1)),
@@ -136,15 +116,14 @@
 
 func (sim *simulation) at(d time.Duration, run func()) {
 	sim.seq++
-	heap.Push(&sim.queue, scheduled{sim.now + d, sim.seq, run})
+	sim.queue.Add(virtualtime.Event{At: sim.now + d, Seq: sim.seq, Run: run})
 }
 
 func (sim *simulation) run(d time.Duration) {
 	end := sim.now + d
-	for len(sim.queue) > 0 && sim.queue[0].at <= end {
-		next := heap.Pop(&sim.queue).(scheduled)
-		sim.now = next.at
-		next.run()
+	for ev, ok := sim.queue.Next(end); ok; ev, ok = sim.queue.Next(end) {
+		sim.now = ev.At
+		ev.Run()
 	}
 	sim.now = end
 }
--- a/internal/experiment/simulation.go
+++ b/internal/experiment/simulation.go
@@ -1,12 +1,12 @@
 package experiment
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"time"
 
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
+	"github.com/verbenaspur/verbenaspur/internal/virtualtime"
 )
 
 // Times of the simulated deployment.
@@ -26,44 +26,13 @@
 	drainTime = 6 * time.Second
 )
 
-// event is an action at a point in virtual time. Events at the same time run in
-// the order of seq.
-type event struct {
-	at     time.Duration
-	seq    int
-	action func()
-}
-
-// eventQueue is a heap of future events.
-type eventQueue []event
-
-func (q eventQueue) Len() int { return len(q) }
-func (q eventQueue) Less(i, j int) bool {
-	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq
-}
-func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-
-// Push implements [heap.Interface].
-func (q *eventQueue) Push(x any) {
-	ev, _ := x.(event)
-	*q = append(*q, ev)
-}
-
-// Pop implements [heap.Interface].
-func (q *eventQueue) Pop() any {
-	old := *q
-	ev := old[len(old)-1]
-	*q = old[:len(old)-1]
-	return ev
-}
-
 // simulation is a deployment in virtual time.
 type simulation struct {
 	spec    *Spec
 	now     time.Duration
 	rand    *rand.Rand
 	seq     int
-	events  eventQueue
+	events  virtualtime.Queue
 	engines []*engine
 	byAddr  map[string]*engine
 	// crashingShare is the fraction of the prompts of the first kind that now hold
@@ -100,7 +69,7 @@
 
 // at schedules an action at time t, or now if t has passed.
 func (sim *simulation) at(t time.Duration, do func()) {
-	heap.Push(&sim.events, event{max(t, sim.now), sim.nextSeq(), do})
+	sim.events.Add(virtualtime.Event{At: max(t, sim.now), Seq: uint64(sim.nextSeq()), Run: do})
 }
 
 func (sim *simulation) after(d time.Duration, do func()) { sim.at(sim.now+d, do) }
@@ -115,13 +84,9 @@
 
 // run runs the events up to the given time.
 func (sim *simulation) run(until time.Duration) {
-	for len(sim.events) > 0 {
-		ev, _ := heap.Pop(&sim.events).(event)
-		if ev.at > until {
-			return
-		}
-		sim.now = ev.at
-		ev.action()
+	for ev, ok := sim.events.Next(until); ok; ev, ok = sim.events.Next(until) {
+		sim.now = ev.At
+		ev.Run()
 	}
 }
 
