--- a/internal/httpdrain/httpdrain_test.go
+++ b/internal/httpdrain/httpdrain_test.go
@@ -63,6 +63,14 @@
 	return err == nil, resp.Close
 }
 
+// stopReading takes the steps of a drain up to the close of idle connections, without the
+// time for requests on their way.
+func stopReading(s *Server) {
+	s.AnnounceClose()
+	s.CloseListeners()
+	s.CloseIdle()
+}
+
 // eventually waits until f returns true, for at most 10 seconds.
 func eventually(t *testing.T, f func() bool) {
 	t.Helper()
@@ -173,9 +181,7 @@
 	c := dial(t, addr)
 	c.send(getRequest[:4])
 	eventually(t, func() bool { return s.Stats().Busy == 1 })
-	s.AnnounceClose()
-	s.CloseListeners()
-	s.CloseIdle()
+	stopReading(s)
 	c.send(getRequest[4:])
 	complete, closes := c.receive()
 	is.True(complete)
@@ -213,9 +219,7 @@
 	c.send(getRequest)
 	_, err := c.r.Peek(1)
 	is.NoErr(err)
-	s.AnnounceClose()
-	s.CloseListeners()
-	s.CloseIdle()
+	stopReading(s)
 	close(release)
 	complete, _ := c.receive()
 	is.True(complete)
@@ -232,9 +236,7 @@
 	c := dial(t, addr)
 	c.send("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n")
 	eventually(t, func() bool { return s.Stats().Requests[PhaseServing] == 1 })
-	s.AnnounceClose()
-	s.CloseListeners()
-	s.CloseIdle()
+	stopReading(s)
 	for _, part := range []string{"1\r\na\r\n", "1\r\nb\r\n", "0\r\n", "\r\n"} {
 		time.Sleep(10 * time.Millisecond)
 		c.send(part)
--- a/internal/httpdrain/tls_test.go
+++ b/internal/httpdrain/tls_test.go
@@ -163,9 +163,7 @@
 		})
 		body := getHTTP2(addr, config)
 		<-pausing.paused
-		s.AnnounceClose()
-		s.CloseListeners()
-		s.CloseIdle()
+		stopReading(s)
 		close(pausing.resume)
 		if got := <-body; handled.Load() {
 			is.Equal(got, "HTTP/2.0 answer")
