--- a/internal/core/direct/request/stop.go
+++ b/internal/core/direct/request/stop.go
@@ -39,7 +39,7 @@
 	s.drain.requested = true
 	if ev.DrainFor > 0 {
 		s.drain.acceptUntil, s.drain.endAt = s.now+ev.AcceptFor, s.now+ev.DrainFor
-		s.log("drain begins", attr("accept_ms", formatMS(ev.AcceptFor)), attr("drain_ms", formatMS(ev.DrainFor)), attr("open", len(s.requests)))
+		s.log("drain begins", attr("accept_for_ms", formatMS(ev.AcceptFor)), attr("drain_for_ms", formatMS(ev.DrainFor)), attr("open", len(s.requests)))
 	}
 	if s.stopsInSecondHalf() {
 		s.emit(msg.AcceptLonger{})
