--- a/internal/soak/checks_test.go
+++ b/internal/soak/checks_test.go
@@ -69,10 +69,15 @@
 		d.t.Error(s)
 	}
 	if len(d.violations) > 0 {
-		for _, e := range d.entries {
-			b, _ := os.ReadFile(e.log.Name())
-			d.t.Logf("%s:\n%s", e.settings, b)
-		}
+		d.printLogs()
+	}
+}
+
+// printLogs prints the logs of the entries.
+func (d *deployment) printLogs() {
+	for _, e := range d.entries {
+		b, _ := os.ReadFile(e.log.Name())
+		d.t.Logf("%s:\n%s", e.settings, b)
 	}
 }
 
--- a/internal/soak/deployment_test.go
+++ b/internal/soak/deployment_test.go
@@ -204,6 +204,7 @@
 func (d *deployment) awaitReady() {
 	d.t.Helper()
 	if !awaitReady(d.entries...) {
+		d.printLogs()
 		d.t.Fatal("not all entries are ready after 15 s")
 	}
 }
