link: a node that closes ends connections whose control stream has ended

Cause, by the stacks: a connection left the list of those that Close closes as soon as its control stream had ended, but stays open for its attempts, and its other end keeps it alive. Close then waits for the goroutine that accepts its streams for ever.

Change: a connection leaves the list when it is closed. The tests of links pass; there is no test of its own yet that fails before, and the hang was not seen again.

--- a/internal/link/conn.go
+++ b/internal/link/conn.go
@@ -184,7 +184,7 @@
 // readControl passes the frames of the control stream to the handler until the
 // stream fails.
 func (n *Node) readControl(c *conn) {
-	defer n.discard(c)
+	defer close(c.done) // ends the goroutines that write to the control stream
 	for {
 		f, err := c.control.Read()
 		if err != nil {
@@ -199,10 +199,8 @@
 	}
 }
 
-// discard releases a connection whose control stream has ended and stops the
-// goroutines that write to that stream.
-func (n *Node) discard(c *conn) {
-	close(c.done)
+// forget removes a connection that is closed.
+func (n *Node) forget(c *conn) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	delete(n.live, c)
@@ -216,7 +214,9 @@
 	}
 }
 
+// acceptStreams serves the attempts of a connection until that is closed.
 func (n *Node) acceptStreams(c *conn) {
+	defer n.forget(c)
 	for {
 		s, err := c.quicConn.AcceptStream(c.quicConn.Context())
 		if err != nil {
--- a/internal/link/node.go
+++ b/internal/link/node.go
@@ -89,8 +89,8 @@
 	mu    sync.Mutex
 	addrs map[msg.HostID]address
 	conns map[msg.HostID]*conn
-	// live holds the connections in use and the replaced ones whose control
-	// stream has not ended.
+	// live holds the connections that are not closed: those in use, and those whose
+	// control stream has ended while their attempts finish.
 	live map[*conn]struct{}
 	// dialLocks serialize the dials to each host.
 	dialLocks map[msg.HostID]*sync.Mutex
