--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -19,7 +19,7 @@
 
 // regressions are seeds that once failed, each with the cause as a comment.
 var regressions = []uint64{
-	121, // An entry does not become ready after an outage of the store: see KNOWN-RED.txt.
+	121, // SIGHUP ends an entry that has just been started: see KNOWN-RED.txt.
 }
 
 // TestSoak guards against violations of the promises when real processes meet
