--- a/internal/daemon/direct_shutdown_test.go
+++ b/internal/daemon/direct_shutdown_test.go
@@ -15,8 +15,8 @@
 )
 
 // A request that a stopping daemon accepts must have time to end. No request is
-// accepted later than three seconds after the request to stop, and none is given up
-// before the last sixth of the grace period.
+// accepted whatever its deadline later than three seconds after the request to stop, and
+// none is given up before the last sixth of the grace period.
 func TestShutdownLeavesTimeForAcceptedRequests(t *testing.T) {
 	is := is.New(t)
 	is.True(listenerCloseDelay < 3*time.Second)
