--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -25,11 +25,12 @@
 }
 
 var cases = map[string]func(*World) []string{
-	"endless-answer":  endlessAnswer,
-	"cut-long-answer": cutLongAnswer,
-	"slow-answer":     slowAnswer,
-	"mixed-versions":  mixedVersions,
-	"lost-board":      lostBoard,
+	"endless-answer":   endlessAnswer,
+	"cut-long-answer":  cutLongAnswer,
+	"slow-answer":      slowAnswer,
+	"restarted-answer": restartedAnswer,
+	"mixed-versions":   mixedVersions,
+	"lost-board":       lostBoard,
 }
 
 func main() {
