--- a/review/standin/main.go
+++ b/review/standin/main_test.go
@@ -1,16 +1,18 @@
-// Command standin runs one case of the review: stand-ins for the platform, the runners and
-// the clients, and the project's own daemons as separate processes. It exits with 1 if the
-// rule was broken, 0 if it held and 2 if the case could not run.
+// Package standin runs one case of the review: stand-ins for the platform, the runners and
+// the clients, and the project's own daemons as separate processes. It is test code, built by
+// "go test -c" (review/build.sh). The program exits with 1 if the rule was broken, 0 if it
+// held and 2 if the case could not run.
 //
-//	standin CASE RECORD
+//	review-standin CASE RECORD
 //
 // TROUBLE=0 in the environment leaves the disruption out.
-package main
+package standin
 
 import (
 	"fmt"
 	"os"
 	"path/filepath"
+	"testing"
 	"time"
 )
 
@@ -33,7 +35,8 @@
 	"lost-board":       lostBoard,
 }
 
-func main() {
+// TestMain takes the place of a main function.
+func TestMain(*testing.M) {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		cannotRun("usage: standin CASE RECORD")
 	}
--- a/review/standin/streams.go
+++ b/review/standin/streams_test.go
@@ -1,4 +1,4 @@
-package main
+package standin
 
 import (
 	"encoding/json"
