Attempts: the log says what of the response has reached the caller

"attempt ended" now has response (none, stream, body) and forwarded_bytes. The event carries the state as a type in place of the flag Streaming, which did not say whether the response can be continued.

No change of behaviour.

--- a/internal/core/direct/request/end.go
+++ b/internal/core/direct/request/end.go
@@ -31,10 +31,11 @@
 	}
 	r.attempt = nil
 	r.lastEvent = max(r.lastEvent, ev.LastEvent)
-	r.streaming = r.streaming || ev.Streaming
+	r.response = max(r.response, ev.Response)
 	s.logRequest(r, "attempt ended",
 		attr("attempt", a.id), attr("target", a.target.Target), attr("result", ev.Result),
 		attr("status", ev.Status), attr("took_ms", formatMS(s.now-a.sentAt)), attr("expected_ms", formatMS(a.expected)), attr("reason", ev.Reason),
+		attr("response", ev.Response), attr("forwarded_bytes", ev.ForwardedBytes),
 	)
 	s.afterAttempt(r, a, ev)
 }
@@ -173,7 +174,7 @@
 // response and no part of another response has reached the caller, that error
 // response is forwarded.
 func (s *stepContext) fail(r *request, code string) {
-	if r.failureHeld && !r.streaming {
+	if r.failureHeld && r.response == msg.ResponseNone {
 		s.emit(msg.ForwardFailure{Req: r.arrival.Req})
 		s.logRequest(r, "forwarded the error response of the target", attr("code", code), attr("route", r.route.Name))
 		s.close(r, msg.EndFailure, code)
@@ -194,7 +195,7 @@
 		outcome = msg.OutcomeUnknown
 	}
 	end := msg.EndRefused
-	if r.streaming {
+	if r.response != msg.ResponseNone {
 		end = msg.EndAborted
 		s.emit(msg.AbortRequest{Req: r.arrival.Req, Code: ref.code, Outcome: outcome})
 	} else {
--- a/internal/core/direct/request/fuzz_test.go
+++ b/internal/core/direct/request/fuzz_test.go
@@ -111,7 +111,9 @@
 		r.lastEvent += 3
 	}
 	ev.LastEvent = r.lastEvent
-	ev.Streaming = r.started
+	if r.started {
+		ev.Response = msg.ResponseStream
+	}
 }
 
 func (o *oracle) disconnectCaller(t *rapid.T) {
--- a/internal/core/direct/request/request.go
+++ b/internal/core/direct/request/request.go
@@ -51,10 +51,9 @@
 	handle string
 	source msg.Instance
 	// lastEvent is the number of the last event that the caller has received.
-	// streaming reports whether a part of the response has been sent to the
-	// caller.
+	// response states what of the response has been sent to the caller.
 	lastEvent int64
-	streaming bool
+	response  msg.ResponseState
 	// origin is the software version of the target that began the stream, once it is
 	// known. The stream goes on at targets of this version only.
 	origin *string
--- a/internal/core/direct/request/request_test.go
+++ b/internal/core/direct/request/request_test.go
@@ -105,18 +105,18 @@
 	h.arrive("/resume/x", prompt(1, 300, 100))
 	a := h.started()
 	h.step(msg.DirectAttemptStarted{Attempt: a.Attempt})
-	h.end(a.Attempt, msg.DirectInterrupted, func(ev *msg.DirectAttemptEnded) { ev.LastEvent, ev.Streaming = 17, true })
+	h.end(a.Attempt, msg.DirectInterrupted, func(ev *msg.DirectAttemptEnded) { ev.LastEvent, ev.Response = 17, msg.ResponseStream })
 	b := h.started()
 	h.is.Equal(b.Spec.LastEvent, int64(17))
 	h.is.True(b.Spec.Target != a.Spec.Target)
-	h.end(b.Attempt, msg.DirectInterrupted, func(ev *msg.DirectAttemptEnded) { ev.LastEvent, ev.Streaming = 20, true })
+	h.end(b.Attempt, msg.DirectInterrupted, func(ev *msg.DirectAttemptEnded) { ev.LastEvent, ev.Response = 20, msg.ResponseStream })
 	_, aborted := find[msg.AbortRequest](h)
 	h.is.True(aborted) // two targets have run it, which is the limit of the route
 
 	h.arrive("/chat/x", prompt(2, 300, 100))
 	a = h.started()
 	h.step(msg.DirectAttemptStarted{Attempt: a.Attempt})
-	h.end(a.Attempt, msg.DirectInterrupted, func(ev *msg.DirectAttemptEnded) { ev.Streaming = true })
+	h.end(a.Attempt, msg.DirectInterrupted, func(ev *msg.DirectAttemptEnded) { ev.Response = msg.ResponseStream })
 	_, aborted = find[msg.AbortRequest](h)
 	h.is.True(aborted)
 }
@@ -153,7 +153,7 @@
 	a := h.started()
 	h.step(msg.DirectAttemptStarted{Attempt: a.Attempt})
 	h.is.Equal(counted(), 1)
-	h.end(a.Attempt, msg.DirectInterrupted, func(ev *msg.DirectAttemptEnded) { ev.Streaming = true })
+	h.end(a.Attempt, msg.DirectInterrupted, func(ev *msg.DirectAttemptEnded) { ev.Response = msg.ResponseStream })
 	h.step(msg.DirectAttemptStarted{Attempt: h.started().Attempt})
 	h.is.Equal(counted(), 0)
 }
--- a/internal/core/direct/request/start.go
+++ b/internal/core/direct/request/start.go
@@ -121,7 +121,7 @@
 	a.target.recordFirstToken(a)
 	s.recordCached(a)
 	if a.req != nil {
-		a.req.streaming = true
+		a.req.response = max(a.req.response, msg.ResponseStream)
 		a.req.mayHaveRun = true
 		s.recordOrigin(a.req, a)
 		s.countRun(a.req)
--- a/internal/core/direct_version_test.go
+++ b/internal/core/direct_version_test.go
@@ -140,8 +140,11 @@
 
 // interrupt delivers the end of a job whose response is cut short.
 func (j *fleetJob) interrupt() {
-	streaming := j.event > j.start.Spec.LastEvent
-	j.report(msg.DirectAttemptEnded{Attempt: j.start.Attempt, Result: msg.DirectInterrupted, LastEvent: j.event, Streaming: streaming})
+	state := msg.ResponseNone
+	if j.event > j.start.Spec.LastEvent {
+		state = msg.ResponseStream
+	}
+	j.report(msg.DirectAttemptEnded{Attempt: j.start.Attempt, Result: msg.DirectInterrupted, LastEvent: j.event, Response: state})
 }
 
 // replacement is a change of engines to another version: the new engine starts first, the
--- a/internal/core/msg/direct_request.go
+++ b/internal/core/msg/direct_request.go
@@ -138,6 +138,25 @@
 	Pace float64
 }
 
+// ResponseState states what of the response to a request has been passed on to its
+// caller.
+type ResponseState uint8
+
+// States of a response.
+const (
+	// ResponseNone means that nothing has been passed on.
+	ResponseNone ResponseState = iota
+	// ResponseStream means that the head and possibly some events of a stream have been
+	// passed on. Another attempt may continue with the next event.
+	ResponseStream
+	// ResponseBody means that the head and possibly a part of a body have been passed on.
+	// Only the attempt that began it has the rest.
+	ResponseBody
+)
+
+// String returns the state's name in logs.
+func (s ResponseState) String() string { return [...]string{"none", "stream", "body"}[s] }
+
 // DirectAttemptEnded reports the end of an attempt of the direct path.
 type DirectAttemptEnded struct {
 	Attempt AttemptID
@@ -153,8 +172,10 @@
 	// LastEvent is the number of the last complete event that the caller has
 	// received.
 	LastEvent int64
-	// Streaming reports whether the caller has received a part of the response.
-	Streaming bool
+	// Response states what of the response the caller has received, from this attempt
+	// or an earlier one, and ForwardedBytes how many bytes of bodies.
+	Response       ResponseState
+	ForwardedBytes int64
 	// Unframed reports that the response had neither a length nor chunks, so that its
 	// end can't be told from that of the target's process.
 	Unframed bool
--- a/internal/daemon/direct_driver_test.go
+++ b/internal/daemon/direct_driver_test.go
@@ -99,7 +99,7 @@
 	driver, recorder := newTestDriver(t)
 	for _, eff := range []msg.Effect{msg.AbortRequest{}, msg.RefuseRequest{}, msg.StartDirectAttempt{Attempt: "late"}} {
 		x := driver.open(t.Context(), &platform.CallerRequest{}, httptest.NewRecorder())
-		x.responseStarted, x.responseEnded = true, true
+		x.response, x.responseEnded = msg.ResponseBody, true
 		is.True(x.executeCommand(directCommand{eff: eff, ctx: t.Context()})) // It does not abort the connection.
 		driver.close(x)
 	}
--- a/internal/daemon/direct_exchange.go
+++ b/internal/daemon/direct_exchange.go
@@ -37,9 +37,11 @@
 	ctx      context.Context
 	commands chan directCommand
 
-	// responseStarted reports that the head of the response has been written, and
-	// responseEnded that all of it has.
-	responseStarted, responseEnded bool
+	// response states what of the response has been written, forwarded counts the bytes of
+	// its body, and responseEnded reports that all of it has been written.
+	response      msg.ResponseState
+	forwarded     int64
+	responseEnded bool
 	// failure is the last error response of a target that may be forwarded to the
 	// caller.
 	failure *bufferedResponse
@@ -93,12 +95,12 @@
 		x.runAttempt(cmd.ctx, eff)
 		return false
 	case msg.RefuseRequest:
-		if x.responseStarted {
+		if x.response != msg.ResponseNone {
 			panic(http.ErrAbortHandler)
 		}
 		x.callerRequest.Refuse(x.w, eff.Status, eff.Code, eff.RetryAfter)
 	case msg.ForwardFailure:
-		if x.responseStarted || x.failure == nil {
+		if x.response != msg.ResponseNone || x.failure == nil {
 			panic(http.ErrAbortHandler)
 		}
 		x.writeResponse(x.failure)
@@ -116,12 +118,19 @@
 	_ = x.controller.SetWriteDeadline(time.Time{})
 	platform.CopyHeader(x.w.Header(), resp.header)
 	x.w.Header().Set("Content-Length", strconv.Itoa(len(resp.body)))
-	x.responseStarted = true
+	x.response = msg.ResponseBody
 	x.w.WriteHeader(resp.status)
-	_, _ = x.w.Write(resp.body)
+	_, _ = x.Write(resp.body)
 	_ = x.controller.Flush()
 }
 
+// Write writes a part of the response's body. It implements [io.Writer].
+func (x *directExchange) Write(p []byte) (int, error) {
+	n, err := x.w.Write(p)
+	x.forwarded += int64(n)
+	return n, err
+}
+
 // runAttempt runs an attempt and reports its end. A cancelled attempt counts as
 // cancelled unless it was completed before.
 func (x *directExchange) runAttempt(ctx context.Context, eff msg.StartDirectAttempt) {
@@ -135,7 +144,8 @@
 	}
 	end.Attempt = eff.Attempt
 	end.LastEvent = x.lastEvent
-	end.Streaming = x.responseStarted
+	end.Response = x.response
+	end.ForwardedBytes = x.forwarded
 	x.driver.endAttempt(end)
 }
 
@@ -234,12 +244,12 @@
 	if resp.ContentLength >= 0 {
 		x.w.Header().Set("Content-Length", strconv.FormatInt(resp.ContentLength, 10))
 	}
-	x.responseStarted = true
+	x.response = msg.ResponseBody
 	x.w.WriteHeader(resp.StatusCode)
-	_, err := x.w.Write(head)
+	_, err := x.Write(head)
 	x.releaseHeld()
 	if err == nil {
-		_, err = io.Copy(x.w, resp.Body)
+		_, err = io.Copy(x, resp.Body)
 	}
 	resp.Close(err == nil)
 	if err != nil {
--- a/internal/daemon/direct_stream.go
+++ b/internal/daemon/direct_stream.go
@@ -46,7 +46,7 @@
 	if empty && !resp.Framed {
 		return interruptedAttempt(errors.New("no event arrived"))
 	}
-	if empty && !x.responseStarted {
+	if empty && x.response == msg.ResponseNone {
 		x.startResponse(resp)
 	}
 	return msg.DirectAttemptEnded{Result: msg.DirectDone}
@@ -55,7 +55,7 @@
 // startResponse writes the head of a streamed response.
 func (x *directExchange) startResponse(resp *httpclient.Response) {
 	platform.CopyHeader(x.w.Header(), resp.Header)
-	x.responseStarted = true
+	x.response = msg.ResponseStream
 	x.w.WriteHeader(resp.StatusCode)
 }
 
@@ -69,7 +69,7 @@
 // flush sends the events that are still in the write buffer. It is called when the
 // target's stream fails, since no later event will flush them then.
 func (x *directExchange) flush() {
-	if x.responseStarted {
+	if x.response != msg.ResponseNone {
 		// If the caller has disconnected, the next write fails.
 		_ = x.controller.Flush()
 	}
@@ -81,10 +81,10 @@
 	if ev.HasID && ev.ID <= x.lastEvent && x.lastEvent > 0 {
 		return nil
 	}
-	if !x.responseStarted {
+	if x.response == msg.ResponseNone {
 		x.startResponse(resp)
 	}
-	if _, err := x.w.Write(ev.Raw); err != nil {
+	if _, err := x.Write(ev.Raw); err != nil {
 		return err
 	}
 	if flush {
--- a/internal/experiment/engine.go
+++ b/internal/experiment/engine.go
@@ -270,7 +270,7 @@
 		return false
 	}
 	e.sim.after(time.Duration(e.spec.FirstMS*float64(time.Millisecond)), func() {
-		e.report(j, msg.DirectAttemptEnded{Attempt: j.attempt, Result: msg.DirectDone, Status: 200, Streaming: true})
+		e.report(j, msg.DirectAttemptEnded{Attempt: j.attempt, Result: msg.DirectDone, Status: 200, Response: msg.ResponseStream})
 	})
 	return true
 }
@@ -301,6 +301,14 @@
 	e.startStep()
 }
 
+// responseState returns what the caller of a job has received.
+func responseState(started bool) msg.ResponseState {
+	if started {
+		return msg.ResponseStream
+	}
+	return msg.ResponseNone
+}
+
 // applyRoleChange applies a pending role change. The engine accepts jobs again
 // after EngineSpec.Change.
 func (e *engine) applyRoleChange() {
@@ -324,7 +332,7 @@
 	e.stepping = false
 	e.changingRole = false
 	for _, j := range append(e.running, e.waiting...) {
-		j.report(msg.DirectAttemptEnded{Attempt: j.attempt, Result: msg.DirectInterrupted, Streaming: j.started})
+		j.report(msg.DirectAttemptEnded{Attempt: j.attempt, Result: msg.DirectInterrupted, Response: responseState(j.started)})
 	}
 	e.running, e.waiting = nil, nil
 	e.cache = newLRU(e.spec.CacheTokens)
