A request is not taken back once its answer has begun

Cause: the driver reported when a stream begins, not when a body is passed on as it arrives. For the reducer the attempt had not answered and was overdue, so that it gave it up and started another, which wrote into the same response.

DirectBodyStarted reports the begin of a body; the reducer counts the run, clears the suspicion of the target, and takes back nothing of which a part has reached the caller.

Before: TestBegunResponseIsNotTakenBack/body and TestSlowLongAnswerIsNotTakenBack fail, the stateful fuzz after 41 cases.

--- a/internal/core/direct/request/fuzz_test.go
+++ b/internal/core/direct/request/fuzz_test.go
@@ -42,7 +42,11 @@
 
 func (o *oracle) startAttempt(t *rapid.T) {
 	id := o.openAttempt(t)
-	if id == "" || o.attempts[id].spec.Step == msg.StepPrefill || o.attempts[id].req.route.Retry != msg.RetryStream {
+	if id == "" || o.attempts[id].spec.Step == msg.StepPrefill {
+		return
+	}
+	if o.attempts[id].req.route.Retry != msg.RetryStream {
+		o.startBody(id)
 		return
 	}
 	if a := o.attempts[id]; !a.req.ended {
@@ -54,6 +58,14 @@
 	o.step(msg.DirectAttemptStarted{Attempt: id})
 }
 
+// startBody passes on the body of an attempt as it arrives.
+func (o *oracle) startBody(id msg.AttemptID) {
+	if a := o.attempts[id]; !a.req.ended && !a.abandoned {
+		a.req.response = msg.ResponseBody
+	}
+	o.step(msg.DirectBodyStarted{Attempt: id})
+}
+
 func (o *oracle) endAttempt(t *rapid.T) {
 	id := o.openAttempt(t)
 	if id == "" {
--- a/internal/core/direct/request/manager.go
+++ b/internal/core/direct/request/manager.go
@@ -178,6 +178,8 @@
 		s.onCallerDisconnected(ev)
 	case msg.DirectAttemptStarted:
 		s.onAttemptStarted(ev)
+	case msg.DirectBodyStarted:
+		s.onBodyStarted(ev)
 	case msg.DirectAttemptEnded:
 		s.onAttemptEnded(ev)
 	case msg.Tick:
--- a/internal/core/direct/request/oracle_test.go
+++ b/internal/core/direct/request/oracle_test.go
@@ -142,6 +142,9 @@
 		switch {
 		case a.spec.Step == msg.StepPrefill:
 		case a.req.route.Retry == msg.RetryIdempotent:
+			if a.req.started() && !a.req.ended {
+				o.fatalf("attempt %s is given up while its response is passed on", eff.Attempt)
+			}
 			a.req.runs++
 		default:
 			return
--- a/internal/core/direct/request/reconsider.go
+++ b/internal/core/direct/request/reconsider.go
@@ -31,12 +31,13 @@
 }
 
 // mayTakeBack reports whether an attempt that is overdue by more than the time that it
-// was expected to take may be started again elsewhere. Its request must be idempotent
-// and its route must allow one more run, since the run that is given up counts. Prefills
-// stay: a busy engine delays many at once, and each of them would be work for nothing.
+// was expected to take may be started again elsewhere. Its request must be idempotent, its
+// route must allow one more run, since the run that is given up counts, and nothing of its
+// response may have reached the caller. Prefills stay: a busy engine delays many at once,
+// and each of them would be work for nothing.
 func (s *stepContext) mayTakeBack(a *attempt) bool {
 	r := a.req
-	if r.hasPrompt() || r.route.Retry != msg.RetryIdempotent || r.runs+1 >= r.route.Attempts {
+	if r.response != msg.ResponseNone || r.hasPrompt() || r.route.Retry != msg.RetryIdempotent || r.runs+1 >= r.route.Attempts {
 		return false
 	}
 	if s.now < a.reconsiderAt || a.overdue(s.now) <= a.expected {
--- a/internal/core/direct/request/reconsider_test.go
+++ b/internal/core/direct/request/reconsider_test.go
@@ -34,3 +34,24 @@
 	_, ok = h.moved(600 * time.Millisecond)
 	h.is.True(!ok)
 }
+
+// The answers of two runs were joined: a request was taken back from a slow target while
+// the answer was being passed on.
+func TestBegunResponseIsNotTakenBack(t *testing.T) {
+	for name, begin := range map[string]func(msg.AttemptID) msg.Event{
+		"body":   func(id msg.AttemptID) msg.Event { return msg.DirectBodyStarted{Attempt: id} },
+		"stream": func(id msg.AttemptID) msg.Event { return msg.DirectAttemptStarted{Attempt: id} },
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newReadyHarness(t)
+			h.arrive("/lookup/x")
+			a := h.started()
+			h.step(begin(a.Attempt))
+			_, moved := h.moved(time.Second)
+			h.is.True(!moved)
+			h.end(a.Attempt, msg.DirectDone)
+			_, finished := find[msg.FinishRequest](h)
+			h.is.True(finished)
+		})
+	}
+}
--- a/internal/core/direct/request/start.go
+++ b/internal/core/direct/request/start.go
@@ -133,6 +133,25 @@
 	}
 }
 
+// onBodyStarted records that an attempt's body is passed on to the caller.
+func (s *stepContext) onBodyStarted(ev msg.DirectBodyStarted) {
+	a := s.attempts[ev.Attempt]
+	if a == nil {
+		return
+	}
+	s.recordLoad(a, ev.Load)
+	s.applyNotice(a, ev.Notice)
+	s.setReachable(a.target, true)
+	s.confirmCompleted(a.target, a)
+	a.target.recordFirstToken(a)
+	if r := a.req; r != nil {
+		r.response = msg.ResponseBody
+		r.mayHaveRun = true
+		s.countRun(r)
+		s.logRequest(r, "body is passed on as it arrives", attr("attempt", a.id), attr("target", a.target.Target), attr("took_ms", formatMS(s.now-a.sentAt)))
+	}
+}
+
 // countRun counts a request for usage once it has begun to run. Further runs of
 // the same request are not counted.
 func (s *stepContext) countRun(r *request) {
--- a/internal/core/msg/direct_request.go
+++ b/internal/core/msg/direct_request.go
@@ -90,8 +90,8 @@
 	Spec    DirectAttemptSpec
 }
 
-// DirectAttemptStarted reports that a target has certainly begun to run an
-// attempt.
+// DirectAttemptStarted reports that the first event of a stream has arrived, so that the
+// target has certainly begun to run the attempt.
 type DirectAttemptStarted struct {
 	Attempt AttemptID
 	// Notice is what the target stated in the head of its response, and Load the load
@@ -100,6 +100,14 @@
 	Load   *TargetLoad
 }
 
+// DirectBodyStarted reports that a body is passed on to the caller before all of it has
+// arrived. The fields are those of [DirectAttemptStarted].
+type DirectBodyStarted struct {
+	Attempt AttemptID
+	Notice  *TargetNotice
+	Load    *TargetLoad
+}
+
 // DirectResult is the result of an attempt of the direct path.
 type DirectResult uint8
 
@@ -298,6 +306,7 @@
 
 func (DirectRequestArrived) event() {}
 func (DirectAttemptStarted) event() {}
+func (DirectBodyStarted) event()    {}
 func (DirectAttemptEnded) event()   {}
 func (RunCounted) event()           {}
 func (CacheRead) event()            {}
--- a/internal/daemon/direct_begun_test.go
+++ b/internal/daemon/direct_begun_test.go
@@ -143,3 +143,21 @@
 		})
 	}
 }
+
+// The answers of two targets were joined in one complete response: a request was taken back
+// from a target that had turned slow while its long answer was passed on.
+func TestSlowLongAnswerIsNotTakenBack(t *testing.T) {
+	env := newStoppedDirectEnv(t)
+	part := strings.Repeat("a", 300<<10)
+	slow := func(w io.Writer, id string) bool {
+		_, _ = io.WriteString(w, head(id, fmt.Sprint("Content-Length: ", 2*len(part)))+part)
+		time.Sleep(time.Second) // much longer than an answer is expected to take
+		_, _ = io.WriteString(w, part)
+		return true
+	}
+	env.replaceTargets("app", "", []string{"app-1", "app-2"}, slow, whole("other answer"))
+	env.start()
+	got, complete := env.receive("GET", "/lookup/1")
+	env.is.True(complete)
+	env.is.True(got == part+part)
+}
--- a/internal/daemon/direct_exchange.go
+++ b/internal/daemon/direct_exchange.go
@@ -196,6 +196,7 @@
 	defer x.releaseHeld()
 	body, err := x.held.ReadAll(resp.Body, resp.ContentLength, maxBufferedResponse)
 	if errors.Is(err, relay.ErrNoRoom) && result.Kind == platform.ResponseSuccess {
+		x.driver.loop.Post(msg.DirectBodyStarted{Attempt: eff.Attempt, Notice: &result.Notice, Load: result.Load})
 		return x.forwardLongResponse(resp, body)
 	}
 	resp.Close(err == nil)
