response: one owner of what a caller has received

A resumed stream whose next target answers with a body, not a stream, had that body behind its events and ended as complete.

internal/response owns the response of one caller and writes only what continues it. The exchange sends no attempt that could not continue the response, and cuts one that can't go on. So the reducer's rule and the driver's each hold if the other fails.

--- a/internal/core/msg/request.go
+++ b/internal/core/msg/request.go
@@ -118,6 +118,9 @@
 type CancelAttempt struct {
 	Attempt AttemptID
 	Reason  string
+	// UnlessBegun leaves an attempt alone of whose response a part is being passed on to
+	// the caller. The direct path uses it.
+	UnlessBegun bool
 }
 
 // AttemptAccepted reports that the side daemon has accepted an attempt. From then
--- a/internal/daemon/direct_begun_test.go
+++ b/internal/daemon/direct_begun_test.go
@@ -7,12 +7,18 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+
+	"github.com/verbenaspur/verbenaspur/internal/core/msg"
 	"github.com/verbenaspur/verbenaspur/internal/relay"
+	"github.com/verbenaspur/verbenaspur/internal/response"
 )
 
 // rawAnswer writes what a target sends for a request over its connection. The connection
@@ -27,8 +33,13 @@
 	var count atomic.Int64
 	for _, name := range names {
 		addr := env.listenRaw(func(c net.Conn, req *http.Request) bool {
+			id := req.Header.Get("X-Request-Id")
+			if id == "" { // a probe or a call of the daemon itself
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
+				return true
+			}
 			n := min(int(count.Add(1)), len(answers))
-			return answers[n-1](c, req.Header.Get("X-Request-Id"))
+			return answers[n-1](c, id)
 		})
 		entry := map[string]any{"service": service, "addr": addr, "zone": "d1", "slots": 6, "state": "ready", "version": "v1", "seq": 1, "born": 1}
 		if role != "" {
@@ -104,6 +115,20 @@
 
 const chunked = "Transfer-Encoding: chunked"
 
+// stream returns an answer of whole events with the given text, which ends as complete or is
+// cut.
+func stream(complete bool, text string) rawAnswer {
+	return func(w io.Writer, id string) bool {
+		_, _ = io.WriteString(w, head(id, eventStream, chunked)+fmt.Sprintf("%x\r\n%s\r\n", len(text), text))
+		if complete {
+			_, _ = io.WriteString(w, "0\r\n\r\n")
+		}
+		return true
+	}
+}
+
+const eventStream = "Content-Type: text/event-stream"
+
 // endless sends the head of an answer without a length, and bytes until the caller closes.
 func endless(w io.Writer, id string) bool {
 	_, err := io.WriteString(w, head(id)+"begun")
@@ -161,3 +186,97 @@
 	env.is.True(complete)
 	env.is.True(got == part+part)
 }
+
+// A second answer stood behind events that its caller had received: that of a target that
+// answered a resumed stream with a body, and that of a safe request whose stream broke off.
+func TestBodyNeverFollowsEvents(t *testing.T) {
+	const events = "id: 1\ndata: a\n\n"
+	for name, c := range map[string]struct {
+		service, role, method, path string
+		header                      []string
+	}{
+		"resumed stream": {"llm", "decode", "POST", "/resume/1", shortPromptHeaders},
+		"safe request":   {"app", "", "GET", "/lookup/1", nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			env := newStoppedDirectEnv(t)
+			env.store.Remove("servers", "pre-1")
+			names := []string{"app-1", "app-2"}
+			if c.role != "" {
+				names = []string{"dec-1", "dec-2"}
+			}
+			env.replaceTargets(c.service, c.role, names, stream(false, events), whole("second answer"))
+			env.start()
+			got, complete := env.receive(c.method, c.path, c.header...)
+			env.is.Equal(got, events)
+			env.is.True(!complete)
+		})
+	}
+}
+
+// The exchange sends nothing that could not continue the response, whatever the reducer
+// commands, and cuts a response that something else was to follow.
+func TestExchangeKeepsToTheResponseThatHasBegun(t *testing.T) {
+	is := is.New(t)
+	driver, recorder := newTestDriver(t)
+	var sent atomic.Int64
+	part := head("r", chunked) + fmt.Sprintf("%x\r\n%s\r\n", 2*maxBufferedResponse, strings.Repeat("a", 2*maxBufferedResponse))
+	addr := startRawTarget(t, func(w io.Writer) error {
+		sent.Add(1)
+		_, err := io.WriteString(w, part)
+		return err
+	})
+	rec := httptest.NewRecorder()
+	x := driver.open(t.Context(), newCallerRequest(t, "r"), rec)
+	start := func(id msg.AttemptID) msg.DirectAttemptEnded {
+		eff := msg.StartDirectAttempt{Req: x.id, Attempt: id, Spec: msg.DirectAttemptSpec{Addr: addr, Deadline: time.Hour}}
+		is.True(!x.executeCommand(directCommand{eff: eff, ctx: t.Context(), permit: &response.Permit{}}))
+		return recorder.await(t, id)
+	}
+	first := start("a")
+	is.Equal(first.Result, msg.DirectInterrupted)
+	is.Equal(first.Response, msg.ResponseBody)
+	is.True(first.ForwardedBytes > 0)
+	is.Equal(start("b").Result, msg.DirectNotRun)
+	is.Equal(sent.Load(), int64(1))
+	for _, eff := range []msg.Effect{msg.RefuseRequest{Status: 503}, msg.ForwardFailure{}, msg.AbortRequest{}} {
+		is.True(aborts(func() { x.executeCommand(directCommand{eff: eff}) }))
+	}
+	is.Equal(strings.Trim(rec.Body.String(), "a"), "")
+}
+
+// aborts reports whether f aborts the response of its handler.
+func aborts(f func()) (aborted bool) {
+	defer func() {
+		err, _ := recover().(error)
+		aborted = errors.Is(err, http.ErrAbortHandler)
+	}()
+	f()
+	return false
+}
+
+// A request can be taken back only as long as nothing of its answer has been passed on.
+func TestTakeBackLeavesBegunResponse(t *testing.T) {
+	is := is.New(t)
+	driver, recorder := newTestDriver(t)
+	half := strings.Repeat("a", maxBufferedResponse)
+	begun, rest := make(chan struct{}), make(chan struct{})
+	addr := startRawTarget(t, func(w io.Writer) error {
+		_, _ = io.WriteString(w, head("r", fmt.Sprint("Content-Length: ", 3*len(half)))+half+half)
+		close(begun)
+		<-rest
+		_, err := io.WriteString(w, half)
+		return err
+	})
+	rec := httptest.NewRecorder()
+	x := driver.open(t.Context(), newCallerRequest(t, "r"), rec)
+	driver.execute(0, msg.StartDirectAttempt{Req: x.id, Attempt: "a", Spec: msg.DirectAttemptSpec{Addr: addr, Deadline: time.Hour}})
+	go x.executeCommand(<-x.commands)
+	<-begun
+	recorder.awaitBody(t, "a")
+	driver.execute(0, msg.CancelAttempt{Attempt: "a", UnlessBegun: true})
+	close(rest)
+	is.Equal(recorder.await(t, "a").Result, msg.DirectDone)
+	is.Equal(rec.Body.Len(), 3*len(half))
+}
--- a/internal/daemon/direct_driver.go
+++ b/internal/daemon/direct_driver.go
@@ -13,6 +13,7 @@
 	"github.com/verbenaspur/verbenaspur/internal/httpclient"
 	"github.com/verbenaspur/verbenaspur/internal/httpdrain"
 	"github.com/verbenaspur/verbenaspur/internal/relay"
+	"github.com/verbenaspur/verbenaspur/internal/response"
 	"github.com/verbenaspur/verbenaspur/platform"
 )
 
@@ -54,8 +55,13 @@
 
 	mu        sync.Mutex
 	exchanges map[msg.RequestID]*directExchange
-	// attempts holds the functions that cancel the attempts.
-	attempts map[msg.AttemptID]context.CancelFunc
+	attempts  map[msg.AttemptID]*runningAttempt
+}
+
+// runningAttempt is what ends an attempt.
+type runningAttempt struct {
+	cancel context.CancelFunc
+	permit response.Permit
 }
 
 // execute executes one effect of the reducer.
@@ -72,7 +78,7 @@
 	case msg.ForwardFailure:
 		d.deliver(eff.Req, eff)
 	case msg.CancelAttempt:
-		d.cancelAttempt(eff.Attempt)
+		d.cancelAttempt(eff)
 	case msg.FreeHandle:
 		go d.freeHandle(eff)
 	case msg.ProbeTarget:
@@ -136,18 +142,19 @@
 		return
 	}
 	ctx, cancel := context.WithCancel(x.ctx)
-	d.attempts[eff.Attempt] = cancel
-	x.commands <- directCommand{eff: eff, ctx: ctx}
+	a := &runningAttempt{cancel: cancel}
+	d.attempts[eff.Attempt] = a
+	x.commands <- directCommand{eff: eff, ctx: ctx, permit: &a.permit}
 }
 
 // endAttempt releases an attempt and reports its end.
 func (d *directDriver) endAttempt(end msg.DirectAttemptEnded) {
 	d.mu.Lock()
-	cancel := d.attempts[end.Attempt]
+	a := d.attempts[end.Attempt]
 	delete(d.attempts, end.Attempt)
 	d.mu.Unlock()
-	if cancel != nil {
-		cancel()
+	if a != nil {
+		a.cancel()
 	}
 	d.loop.Post(end)
 }
@@ -163,13 +170,14 @@
 }
 
 // cancelAttempt cancels an attempt if it is running.
-func (d *directDriver) cancelAttempt(id msg.AttemptID) {
+func (d *directDriver) cancelAttempt(eff msg.CancelAttempt) {
 	d.mu.Lock()
-	cancel := d.attempts[id]
+	a := d.attempts[eff.Attempt]
 	d.mu.Unlock()
-	if cancel != nil {
-		cancel()
+	if a == nil || eff.UnlessBegun && !a.permit.Withdraw() {
+		return
 	}
+	a.cancel()
 }
 
 // freeHandle requests an engine to free a prefilled prompt.
@@ -214,9 +222,9 @@
 	id := msg.RequestID(strconv.FormatUint(d.lastRequestID.Add(1), 10))
 	callerRequest.Arrived.Req = id
 	x := &directExchange{
-		driver: d, id: id, callerRequest: callerRequest, w: w, ctx: ctx,
-		controller: http.NewResponseController(w), commands: make(chan directCommand, commandBuffer),
-		held: d.budget.Account(),
+		driver: d, id: id, callerRequest: callerRequest, ctx: ctx,
+		response: response.NewWriter(w, platform.CopyHeader, callerRequest.Arrived.LastEvent),
+		commands: make(chan directCommand, commandBuffer), held: d.budget.Account(),
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/daemon/direct_driver_test.go
+++ b/internal/daemon/direct_driver_test.go
@@ -1,11 +1,12 @@
 package daemon
 
 import (
-	"context"
 	"log/slog"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -23,6 +24,7 @@
 type endRecorder struct {
 	mu     sync.Mutex
 	ends   []msg.DirectAttemptEnded
+	bodies []msg.DirectBodyStarted
 	probes chan msg.ProbeResult
 }
 
@@ -33,6 +35,11 @@
 		defer r.mu.Unlock()
 		r.ends = append(r.ends, e)
 	}
+	if e, ok := ev.(msg.DirectBodyStarted); ok {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.bodies = append(r.bodies, e)
+	}
 	if p, ok := ev.(msg.TargetProbed); ok {
 		r.probes <- p.Result
 	}
@@ -41,19 +48,43 @@
 
 // await waits for the end of an attempt.
 func (r *endRecorder) await(t *testing.T, id msg.AttemptID) msg.DirectAttemptEnded {
+	t.Helper()
+	return awaitEvent(t, r, &r.ends, func(e msg.DirectAttemptEnded) bool { return e.Attempt == id })
+}
+
+// awaitBody waits until the body of an attempt is passed on.
+func (r *endRecorder) awaitBody(t *testing.T, id msg.AttemptID) {
+	t.Helper()
+	awaitEvent(t, r, &r.bodies, func(e msg.DirectBodyStarted) bool { return e.Attempt == id })
+}
+
+// awaitEvent waits for an event that the recorder adds to a list.
+func awaitEvent[E msg.Event](t *testing.T, r *endRecorder, list *[]E, is func(E) bool) E {
 	t.Helper()
 	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
 		r.mu.Lock()
-		for _, e := range r.ends {
-			if e.Attempt == id {
-				r.mu.Unlock()
-				return e
-			}
+		i := slices.IndexFunc(*list, is)
+		if i >= 0 {
+			defer r.mu.Unlock()
+			return (*list)[i]
 		}
 		r.mu.Unlock()
 	}
-	t.Fatalf("the end of attempt %s was not reported within 5 seconds", id)
-	return msg.DirectAttemptEnded{}
+	var none E
+	t.Fatalf("no %T of the attempt was reported within 5 seconds", none)
+	return none
+}
+
+// newCallerRequest returns a request with an ID.
+func newCallerRequest(t *testing.T, id string) *platform.CallerRequest {
+	t.Helper()
+	r := httptest.NewRequest(http.MethodPost, "/a", strings.NewReader("{}"))
+	r.Header.Set("X-Request-Id", id)
+	callerRequest, err := platform.ReadCallerRequest(r, 100)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return callerRequest
 }
 
 func newTestDriver(t *testing.T) (*directDriver, *endRecorder) {
@@ -61,7 +92,7 @@
 	driver := &directDriver{
 		log: slog.New(slog.DiscardHandler), ctx: t.Context(), pool: httpclient.NewPool(),
 		budget:    relay.NewBudget(1<<20, slog.New(slog.DiscardHandler)),
-		exchanges: make(map[msg.RequestID]*directExchange), attempts: make(map[msg.AttemptID]context.CancelFunc),
+		exchanges: make(map[msg.RequestID]*directExchange), attempts: make(map[msg.AttemptID]*runningAttempt),
 	}
 	driver.loop = NewLoop(recorder, driver.execute)
 	go driver.loop.Run(t.Context(), msg.Started{})
@@ -99,7 +130,7 @@
 	driver, recorder := newTestDriver(t)
 	for _, eff := range []msg.Effect{msg.AbortRequest{}, msg.RefuseRequest{}, msg.StartDirectAttempt{Attempt: "late"}} {
 		x := driver.open(t.Context(), &platform.CallerRequest{}, httptest.NewRecorder())
-		x.response, x.responseEnded = msg.ResponseBody, true
+		is.NoErr(x.response.Whole(func(http.ResponseWriter) {}))
 		is.True(x.executeCommand(directCommand{eff: eff, ctx: t.Context()})) // It does not abort the connection.
 		driver.close(x)
 	}
--- a/internal/daemon/direct_exchange.go
+++ b/internal/daemon/direct_exchange.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -12,6 +11,7 @@
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
 	"github.com/verbenaspur/verbenaspur/internal/httpclient"
 	"github.com/verbenaspur/verbenaspur/internal/relay"
+	"github.com/verbenaspur/verbenaspur/internal/response"
 	"github.com/verbenaspur/verbenaspur/platform"
 )
 
@@ -31,44 +31,41 @@
 	driver        *directDriver
 	id            msg.RequestID
 	callerRequest *platform.CallerRequest
-	w             http.ResponseWriter
-	controller    *http.ResponseController
+	response      *response.Writer
 	// ctx ends when the caller disconnects.
 	ctx      context.Context
 	commands chan directCommand
 
-	// response states what of the response has been written, forwarded counts the bytes of
-	// its body, and responseEnded reports that all of it has been written.
-	response      msg.ResponseState
-	forwarded     int64
-	responseEnded bool
 	// failure is the last error response of a target that may be forwarded to the
 	// caller.
 	failure *bufferedResponse
 	// held counts the bodies of responses that are kept here.
 	held relay.Account
-	// lastEvent is the number of the last event that was written to the caller.
-	lastEvent int64
 }
 
 // directCommand is an effect that the exchange has to execute. If the effect starts
-// an attempt, ctx is the context of the attempt.
+// an attempt, ctx is the context of the attempt, and permit its permission to write to the
+// caller.
 type directCommand struct {
-	eff msg.Effect
-	ctx context.Context
+	eff    msg.Effect
+	ctx    context.Context
+	permit *response.Permit
 }
 
 // bufferedResponse is a complete response of a target.
 type bufferedResponse struct {
-	status int
-	header http.Header
-	body   []byte
+	head response.Head
+	body []byte
+}
+
+// headOf returns the head of a target's response.
+func headOf(resp *httpclient.Response) response.Head {
+	return response.Head{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength}
 }
 
 // serve executes commands until the request has ended.
 func (x *directExchange) serve() {
-	x.lastEvent = x.callerRequest.Arrived.LastEvent
-	defer func() { _ = x.controller.SetWriteDeadline(time.Time{}) }()
+	defer x.response.SetWriteDeadline(time.Time{})
 	for {
 		select {
 		case cmd := <-x.commands:
@@ -86,76 +83,68 @@
 // whole response has been written, it has, also if the command was given before the reducer
 // knew that.
 func (x *directExchange) executeCommand(cmd directCommand) bool {
-	if x.responseEnded {
+	if x.response.Ended() {
 		x.driver.dropCommand(cmd)
 		return true
 	}
 	switch eff := cmd.eff.(type) {
 	case msg.StartDirectAttempt:
-		x.runAttempt(cmd.ctx, eff)
+		x.runAttempt(cmd, eff)
 		return false
 	case msg.RefuseRequest:
-		if x.response != msg.ResponseNone {
-			panic(http.ErrAbortHandler)
-		}
-		x.callerRequest.Refuse(x.w, eff.Status, eff.Code, eff.RetryAfter)
+		abortOn(x.response.Whole(func(w http.ResponseWriter) { x.callerRequest.Refuse(w, eff.Status, eff.Code, eff.RetryAfter) }))
 	case msg.ForwardFailure:
-		if x.response != msg.ResponseNone || x.failure == nil {
+		if x.failure == nil {
 			panic(http.ErrAbortHandler)
 		}
-		x.writeResponse(x.failure)
+		abortOn(x.response.Attempt(&response.Permit{}).Whole(x.failure.head, x.failure.body))
 	case msg.AbortRequest:
-		// Closing the connection keeps the caller from mistaking the response for a
-		// complete one.
 		panic(http.ErrAbortHandler)
 	}
 	return true
 }
 
-// writeResponse writes a complete response to the caller, for as long as that takes
-// something. All of it is sent or held on return, so that an abort can't cut it.
-func (x *directExchange) writeResponse(resp *bufferedResponse) {
-	_ = x.controller.SetWriteDeadline(time.Time{})
-	platform.CopyHeader(x.w.Header(), resp.header)
-	x.w.Header().Set("Content-Length", strconv.Itoa(len(resp.body)))
-	x.response = msg.ResponseBody
-	x.w.WriteHeader(resp.status)
-	_, _ = x.Write(resp.body)
-	_ = x.controller.Flush()
-}
-
-// Write writes a part of the response's body. It implements [io.Writer].
-func (x *directExchange) Write(p []byte) (int, error) {
-	n, err := x.w.Write(p)
-	x.forwarded += int64(n)
-	return n, err
+// abortOn cuts the response if err is not nil: what was to be written can't follow what its
+// caller has. Closing the connection keeps the caller from mistaking it for a complete one.
+func abortOn(err error) {
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
 }
 
 // runAttempt runs an attempt and reports its end. A cancelled attempt counts as
 // cancelled unless it was completed before.
-func (x *directExchange) runAttempt(ctx context.Context, eff msg.StartDirectAttempt) {
+func (x *directExchange) runAttempt(cmd directCommand, eff msg.StartDirectAttempt) {
 	end := msg.DirectAttemptEnded{Result: msg.DirectCancelled}
-	if ctx.Err() == nil {
-		end = x.sendAttempt(ctx, &eff)
+	switch {
+	case cmd.ctx.Err() != nil:
+	case x.response.State() == msg.ResponseBody:
+		// It could not continue the response. The reducer may not know yet that it has begun.
+		end = msg.DirectAttemptEnded{Result: msg.DirectNotRun, Reason: response.ErrBegun.Error()}
+	default:
+		end = x.sendAttempt(cmd.ctx, &eff, x.response.Attempt(cmd.permit))
 	}
-	x.responseEnded = end.Result == msg.DirectDone
-	if ctx.Err() != nil && end.Result != msg.DirectDone && end.Result != msg.DirectPrefilled {
+	if cmd.ctx.Err() != nil && end.Result != msg.DirectDone && end.Result != msg.DirectPrefilled {
 		end.Result = msg.DirectCancelled
 	}
 	end.Attempt = eff.Attempt
-	end.LastEvent = x.lastEvent
-	end.Response = x.response
-	end.ForwardedBytes = x.forwarded
+	end.LastEvent = x.response.LastEvent()
+	end.Response = x.response.State()
+	end.ForwardedBytes = x.response.Bytes()
 	x.driver.endAttempt(end)
 }
 
 // interruptedAttempt returns the end of an attempt without a complete response.
 func interruptedAttempt(err error) msg.DirectAttemptEnded {
+	if errors.Is(err, response.ErrWithdrawn) {
+		return msg.DirectAttemptEnded{Result: msg.DirectCancelled, Reason: err.Error()}
+	}
 	return msg.DirectAttemptEnded{Result: msg.DirectInterrupted, Reason: err.Error()}
 }
 
-// sendAttempt sends a request to the target and receives the response.
-func (x *directExchange) sendAttempt(ctx context.Context, eff *msg.StartDirectAttempt) msg.DirectAttemptEnded {
+// sendAttempt sends a request to the target and receives the response, of which part is
+// what reaches the caller.
+func (x *directExchange) sendAttempt(ctx context.Context, eff *msg.StartDirectAttempt, part *response.Attempt) msg.DirectAttemptEnded {
 	driver := x.driver
 	remaining := eff.Spec.Deadline - driver.loop.Now()
 	if remaining <= 0 {
@@ -175,7 +164,7 @@
 		return interruptedAttempt(stallOr(ctx, err))
 	}
 	result := platform.ReadTargetResponse(resp, eff.Spec.Step)
-	end := x.receiveResponse(eff, resp, result, watch)
+	end := x.receiveResponse(&reception{eff.Attempt, resp, &result, part}, watch)
 	if end.Result == msg.DirectInterrupted && errors.Is(context.Cause(ctx), errStalled) {
 		end.Reason = errStalled.Error()
 	}
@@ -186,27 +175,36 @@
 	return end
 }
 
+// reception is the response of a target to an attempt while it is received.
+type reception struct {
+	attempt msg.AttemptID
+	*httpclient.Response
+	// head is what the head of the response says.
+	head *platform.TargetResponse
+	// part is what reaches the caller.
+	part *response.Attempt
+}
+
 // receiveResponse reads the body of a target's response and forwards it where the
 // kind of the response allows that.
-func (x *directExchange) receiveResponse(eff *msg.StartDirectAttempt, resp *httpclient.Response, result platform.TargetResponse, watch *stallWatch) msg.DirectAttemptEnded {
-	if result.Kind == platform.ResponseStream {
-		return x.forwardStream(eff, resp, &result, watch)
+func (x *directExchange) receiveResponse(r *reception, watch *stallWatch) msg.DirectAttemptEnded {
+	if r.head.Kind == platform.ResponseStream {
+		return x.forwardStream(r, watch)
 	}
 	watch.stop()
 	defer x.releaseHeld()
-	body, err := x.held.ReadAll(resp.Body, resp.ContentLength, maxBufferedResponse)
-	if errors.Is(err, relay.ErrNoRoom) && result.Kind == platform.ResponseSuccess {
-		x.driver.loop.Post(msg.DirectBodyStarted{Attempt: eff.Attempt, Notice: &result.Notice, Load: result.Load})
-		return x.forwardLongResponse(resp, body)
+	body, err := x.held.ReadAll(r.Body, r.ContentLength, maxBufferedResponse)
+	if errors.Is(err, relay.ErrNoRoom) && r.head.Kind == platform.ResponseSuccess {
+		return x.forwardLongResponse(r, body)
 	}
-	resp.Close(err == nil)
+	r.Close(err == nil)
 	switch {
-	case result.Kind == platform.ResponseNotRun:
-		return msg.DirectAttemptEnded{Result: msg.DirectNotRun, Reason: "refused by the target", Misdirected: result.Misdirected}
+	case r.head.Kind == platform.ResponseNotRun:
+		return msg.DirectAttemptEnded{Result: msg.DirectNotRun, Reason: "refused by the target", Misdirected: r.head.Misdirected}
 	case err != nil:
 		return interruptedAttempt(err)
 	}
-	return x.useResponse(resp, result.Kind, body)
+	return x.useResponse(r, body)
 }
 
 // releaseHeld frees what was read of a response, except for a failure that may still be
@@ -220,8 +218,8 @@
 }
 
 // useResponse forwards, keeps or decodes a complete response.
-func (x *directExchange) useResponse(resp *httpclient.Response, kind platform.ResponseKind, body []byte) msg.DirectAttemptEnded {
-	switch kind {
+func (x *directExchange) useResponse(r *reception, body []byte) msg.DirectAttemptEnded {
+	switch r.head.Kind {
 	case platform.ResponseHandle:
 		handle, err := platform.DecodeHandle(body)
 		if err != nil {
@@ -229,33 +227,34 @@
 		}
 		return msg.DirectAttemptEnded{Result: msg.DirectPrefilled, Handle: handle}
 	case platform.ResponseFailure:
-		x.failure = &bufferedResponse{resp.StatusCode, resp.Header, body}
+		x.failure = &bufferedResponse{headOf(r.Response), body}
 		return msg.DirectAttemptEnded{Result: msg.DirectFailed, Reason: "failure of the target"}
 	case platform.ResponseInvalid:
 		return msg.DirectAttemptEnded{Result: msg.DirectInterrupted, Reason: "answer must not be passed on"}
 	}
-	x.writeResponse(&bufferedResponse{resp.StatusCode, resp.Header, body})
+	if err := r.part.Whole(headOf(r.Response), body); err != nil {
+		return interruptedAttempt(err)
+	}
 	return msg.DirectAttemptEnded{Result: msg.DirectDone}
 }
 
-// forwardLongResponse forwards a response that is too long to be buffered. Head is
-// the part that has been read.
-func (x *directExchange) forwardLongResponse(resp *httpclient.Response, head []byte) msg.DirectAttemptEnded {
-	platform.CopyHeader(x.w.Header(), resp.Header)
-	if resp.ContentLength >= 0 {
-		x.w.Header().Set("Content-Length", strconv.FormatInt(resp.ContentLength, 10))
+// forwardLongResponse forwards a response that is too long to be buffered. The parameter
+// begin is the part that has been read.
+func (x *directExchange) forwardLongResponse(r *reception, begin []byte) msg.DirectAttemptEnded {
+	if err := r.part.BeginBody(headOf(r.Response)); err != nil {
+		r.Close(false)
+		return interruptedAttempt(err)
 	}
-	x.response = msg.ResponseBody
-	x.w.WriteHeader(resp.StatusCode)
-	_, err := x.Write(head)
+	x.driver.loop.Post(msg.DirectBodyStarted{Attempt: r.attempt, Notice: &r.head.Notice, Load: r.head.Load})
+	_, err := r.part.Write(begin)
 	x.releaseHeld()
 	if err == nil {
-		_, err = io.Copy(x, resp.Body)
+		_, err = io.Copy(r.part, r.Body)
 	}
-	resp.Close(err == nil)
+	r.Close(err == nil)
 	if err != nil {
 		return interruptedAttempt(err)
 	}
-	_ = x.controller.Flush()
+	r.part.EndBody()
 	return msg.DirectAttemptEnded{Result: msg.DirectDone}
 }
--- a/internal/daemon/direct_run.go
+++ b/internal/daemon/direct_run.go
@@ -118,7 +118,7 @@
 	reducer := core.NewDirect(reducerConfig(s, d.startedEvent, observer))
 	d.driver = &directDriver{
 		client: client, pool: pool, peers: d.peers, log: log, ctx: d.workCtx, budget: d.budget,
-		exchanges: make(map[msg.RequestID]*directExchange), attempts: make(map[msg.AttemptID]context.CancelFunc),
+		exchanges: make(map[msg.RequestID]*directExchange), attempts: make(map[msg.AttemptID]*runningAttempt),
 		onStopCompleted: func() { close(d.shutdownDone) },
 	}
 	d.driver.callers = httpdrain.New(&http.Server{
--- a/internal/daemon/direct_stall_test.go
+++ b/internal/daemon/direct_stall_test.go
@@ -7,14 +7,13 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
-	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
-	"github.com/verbenaspur/verbenaspur/platform"
+	"github.com/verbenaspur/verbenaspur/internal/response"
 )
 
 // startRawTarget starts a target that answers each request with what respond writes.
@@ -74,12 +73,8 @@
 			is := is.New(t)
 			driver, recorder := newTestDriver(t)
 			addr := startRawTarget(t, c.respond)
-			r := httptest.NewRequest(http.MethodPost, "/a", strings.NewReader("{}"))
-			r.Header.Set("X-Request-Id", "r")
-			callerRequest, err := platform.ReadCallerRequest(r, 100)
-			is.NoErr(err)
-			x := driver.open(t.Context(), callerRequest, httptest.NewRecorder())
-			x.runAttempt(context.WithoutCancel(t.Context()), msg.StartDirectAttempt{
+			x := driver.open(t.Context(), newCallerRequest(t, "r"), httptest.NewRecorder())
+			x.runAttempt(directCommand{ctx: context.WithoutCancel(t.Context()), permit: &response.Permit{}}, msg.StartDirectAttempt{
 				Req: x.id, Attempt: "a",
 				Spec: msg.DirectAttemptSpec{Addr: addr, Deadline: time.Hour, StallTimeout: limit},
 			})
--- a/internal/daemon/direct_test.go
+++ b/internal/daemon/direct_test.go
@@ -16,6 +16,8 @@
 
 	"github.com/matryer/is"
 
+	"github.com/verbenaspur/verbenaspur/internal/response"
+	"github.com/verbenaspur/verbenaspur/platform"
 	"github.com/verbenaspur/verbenaspur/platform/platformtest"
 )
 
@@ -286,7 +288,7 @@
 		time.Minute: time.Minute, 5 * time.Second: 5 * time.Second, -time.Second: minWriteTimeout,
 	} {
 		w := &deadlineRecorder{}
-		x := &directExchange{controller: http.NewResponseController(w)}
+		x := &directExchange{response: response.NewWriter(w, platform.CopyHeader, 0)}
 		before := time.Now()
 		x.limitWrites(remaining)
 		is.True(!w.deadline.Before(before.Add(want)))
