A response that begins as its request is taken back goes on

The window is the delay of the event loop, longest on a loaded host.

A take-back now cancels an attempt only if nothing of its response has been passed on (the driver decides, at one instant). If it is too late, the event that reports the begin returns the request to that attempt, and the later one is cancelled before it is sent; if the request has ended meanwhile, the attempt is cancelled.

--- a/internal/core/direct/request/end.go
+++ b/internal/core/direct/request/end.go
@@ -13,6 +13,9 @@
 	// minTimeLeft is the least time before the deadline at which another
 	// attempt is started.
 	minTimeLeft = 40 * time.Millisecond
+	// requestOver is the reason for which attempts of requests that have ended are
+	// cancelled.
+	requestOver = "the request is over"
 )
 
 func (s *stepContext) onAttemptEnded(ev msg.DirectAttemptEnded) {
@@ -21,6 +24,9 @@
 		return
 	}
 	delete(s.attempts, ev.Attempt)
+	if ev.Result == msg.DirectDone {
+		s.returnTo(a)
+	}
 	s.recordResult(a, ev)
 	r := a.req
 	if r == nil {
@@ -236,7 +242,7 @@
 	if a := r.attempt; a != nil {
 		a.req = nil
 		r.attempt = nil
-		s.emit(msg.CancelAttempt{Attempt: a.id, Reason: "the request is over"})
+		s.emit(msg.CancelAttempt{Attempt: a.id, Reason: requestOver})
 	}
 	if r.handle != "" {
 		s.emit(msg.FreeHandle{Addr: r.source.Addr, Handle: r.handle})
--- a/internal/core/direct/request/fuzz_test.go
+++ b/internal/core/direct/request/fuzz_test.go
@@ -60,12 +60,33 @@
 
 // startBody passes on the body of an attempt as it arrives.
 func (o *oracle) startBody(id msg.AttemptID) {
-	if a := o.attempts[id]; !a.req.ended && !a.abandoned {
+	a := o.attempts[id]
+	if a.cancelled || a.abandoned && !o.goOn(id) {
+		return
+	}
+	if !a.req.ended {
 		a.req.response = msg.ResponseBody
+		a.req.answering = max(a.req.answering, a.index)
 	}
 	o.step(msg.DirectBodyStarted{Attempt: id})
 }
 
+// goOn lets an abandoned attempt go on that has begun to answer before the driver was told
+// to give it up. It returns false if that is not possible.
+func (o *oracle) goOn(id msg.AttemptID) bool {
+	a := o.attempts[id]
+	r := a.req
+	if r.ended || a.cancelled || a.spec.Step == msg.StepPrefill || r.answering >= a.index {
+		return false
+	}
+	if other := o.attempts[r.open]; other != nil {
+		other.cancelled = true
+	}
+	a.abandoned = false
+	r.open = id
+	return true
+}
+
 func (o *oracle) endAttempt(t *rapid.T) {
 	id := o.openAttempt(t)
 	if id == "" {
@@ -86,6 +107,9 @@
 		if r.started() && (ev.Result == msg.DirectNotRun || ev.Result == msg.DirectUnreachable || ev.Result == msg.DirectFailed) {
 			ev.Result = msg.DirectInterrupted
 		}
+		if (a.cancelled || a.abandoned) && (ev.Result != msg.DirectDone || !o.goOn(id)) {
+			ev.Result = msg.DirectCancelled
+		}
 		if ev.Result == msg.DirectInterrupted && r.route.Retry != msg.RetryStream && !a.abandoned && rapid.Bool().Draw(t, "begun") {
 			r.response = msg.ResponseBody
 		}
@@ -93,13 +117,14 @@
 	if r.ended {
 		ev.Result = msg.DirectCancelled
 	}
+	r.answering = max(r.answering, a.index)
 	o.recordEnd(r, a, &ev)
 	o.step(ev)
 }
 
 // recordEnd updates the model of a request at the end of an attempt.
 func (o *oracle) recordEnd(r *trackedRequest, a *trackedAttempt, ev *msg.DirectAttemptEnded) {
-	if a.abandoned {
+	if a.abandoned || a.cancelled {
 		return
 	}
 	r.open = ""
--- a/internal/core/direct/request/oracle_test.go
+++ b/internal/core/direct/request/oracle_test.go
@@ -50,6 +50,9 @@
 	// response is what of the response the caller has received.
 	response  msg.ResponseState
 	lastEvent int64
+	// answering is the index of the last attempt that has begun to answer or has ended.
+	// Earlier ones have ended, because the driver runs one at a time.
+	answering int
 	// version is the software version that began the stream.
 	version string
 }
@@ -68,8 +71,11 @@
 	// version is the listed version of the target when the attempt was sent.
 	version string
 	done    bool
-	// abandoned is set if the attempt was replaced by one at another target.
-	abandoned bool
+	// abandoned is set if the attempt was replaced by one at another target, and cancelled
+	// if it was given up for an earlier one that goes on.
+	abandoned, cancelled bool
+	// index is the number of attempts that were started before, plus one.
+	index int
 }
 
 func newOracle(t *rapid.T) *oracle {
@@ -211,7 +217,7 @@
 	}
 	o.countArrival(r, eff)
 	r.open = eff.Attempt
-	o.attempts[eff.Attempt] = &trackedAttempt{req: r, spec: eff.Spec, version: o.versionOf(eff.Spec.Target)}
+	o.attempts[eff.Attempt] = &trackedAttempt{req: r, spec: eff.Spec, version: o.versionOf(eff.Spec.Target), index: len(o.attempts) + 1}
 	o.order = append(o.order, eff.Attempt)
 }
 
--- a/internal/core/direct/request/reconsider.go
+++ b/internal/core/direct/request/reconsider.go
@@ -82,15 +82,39 @@
 		r.exclude = r.exclude[:len(r.exclude)-1]
 		return
 	}
+	cancel := msg.CancelAttempt{Attempt: a.id, Reason: "another attempt takes its place"}
 	if a.step != msg.StepPrefill {
 		r.mayHaveRun = true
+		a.takenFrom = r
+		cancel.UnlessBegun = true
 	}
 	a.req = nil
 	a.target.updateFailureRate(s.now, false)
 	// The cancellation comes first, so that the driver ends the old attempt
 	// before it starts the new one.
-	s.effects = slices.Insert(s.effects, before, msg.Effect(msg.CancelAttempt{Attempt: a.id, Reason: "another attempt takes its place"}))
+	s.effects = slices.Insert(s.effects, before, msg.Effect(cancel))
 	s.logRequest(r, text,
 		attr("attempt", a.id), attr("target", a.target.Target), attr("took_ms", formatMS(s.now-a.sentAt)), attr("expected_ms", formatMS(a.expected)),
 	)
 }
+
+// returnTo gives a request that was taken back from an attempt to that attempt again. The
+// driver has begun to pass on its response before it was told to give it up, so that only
+// this attempt can answer the request.
+func (s *stepContext) returnTo(a *attempt) {
+	r := a.takenFrom
+	if r == nil {
+		return
+	}
+	a.takenFrom = nil
+	if s.requests[r.arrival.Req] != r {
+		s.emit(msg.CancelAttempt{Attempt: a.id, Reason: requestOver})
+		return
+	}
+	if other := r.attempt; other != nil {
+		other.req = nil
+		s.emit(msg.CancelAttempt{Attempt: other.id, Reason: "an earlier attempt has begun to answer"})
+	}
+	r.attempt, a.req = a, r
+	s.logRequest(r, "attempt goes on, its response has begun", attr("attempt", a.id), attr("target", a.target.Target))
+}
--- a/internal/core/direct/request/reconsider_test.go
+++ b/internal/core/direct/request/reconsider_test.go
@@ -55,3 +55,46 @@
 		})
 	}
 }
+
+// The begin of a response and the decision to take its request back may cross. The response
+// was cut then, although its target was sound.
+func TestResponseThatBeginsAsItIsTakenBackGoesOn(t *testing.T) {
+	for name, begin := range map[string]func(msg.AttemptID) msg.Event{
+		"body":  func(id msg.AttemptID) msg.Event { return msg.DirectBodyStarted{Attempt: id} },
+		"whole": func(id msg.AttemptID) msg.Event { return msg.DirectAttemptEnded{Attempt: id, Result: msg.DirectDone} },
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newReadyHarness(t)
+			h.arrive("/lookup/x")
+			first := h.started()
+			second, ok := h.moved(300 * time.Millisecond)
+			h.is.True(ok)
+			taken, _ := find[msg.CancelAttempt](h)
+			h.is.True(taken.Attempt == first.Attempt && taken.UnlessBegun)
+			h.step(begin(first.Attempt))
+			given, ok := find[msg.CancelAttempt](h)
+			h.is.True(ok && given.Attempt == second.Attempt)
+			if name == "body" {
+				h.end(first.Attempt, msg.DirectDone)
+			}
+			_, finished := find[msg.FinishRequest](h)
+			h.is.True(finished)
+			h.end(second.Attempt, msg.DirectCancelled)
+			h.is.Equal(len(h.m.attempts), 0)
+		})
+	}
+}
+
+// An attempt that has begun to answer goes on after its request was taken back, and would
+// outlive a request that ends meanwhile.
+func TestTakenBackAttemptEndsWithItsRequest(t *testing.T) {
+	h := newReadyHarness(t)
+	id := h.arrive("/lookup/x")
+	first := h.started()
+	_, ok := h.moved(300 * time.Millisecond)
+	h.is.True(ok)
+	h.step(msg.CallerDisconnected{Req: id})
+	h.step(msg.DirectBodyStarted{Attempt: first.Attempt})
+	cancel, ok := find[msg.CancelAttempt](h)
+	h.is.True(ok && cancel.Attempt == first.Attempt && !cancel.UnlessBegun)
+}
--- a/internal/core/direct/request/request.go
+++ b/internal/core/direct/request/request.go
@@ -78,11 +78,14 @@
 
 // attempt is one call to a target.
 type attempt struct {
-	id     msg.AttemptID
-	req    *request // nil once the request has ended or has another attempt
-	target *target
-	step   msg.DirectStep
-	class  class
+	id  msg.AttemptID
+	req *request // nil once the request has ended or has another attempt
+	// takenFrom is the request that was taken back from this attempt, unless its response
+	// has begun.
+	takenFrom *request
+	target    *target
+	step      msg.DirectStep
+	class     class
 	// priority is the priority of the attempt at an engine; 0 is the highest.
 	priority int
 	sentAt   msg.Time
--- a/internal/core/direct/request/start.go
+++ b/internal/core/direct/request/start.go
@@ -111,6 +111,7 @@
 	if a == nil {
 		return
 	}
+	s.returnTo(a)
 	s.recordLoad(a, ev.Load)
 	s.applyNotice(a, ev.Notice)
 	s.setReachable(a.target, true)
@@ -139,6 +140,7 @@
 	if a == nil {
 		return
 	}
+	s.returnTo(a)
 	s.recordLoad(a, ev.Load)
 	s.applyNotice(a, ev.Notice)
 	s.setReachable(a.target, true)
