Probes take no answer that was meant for a caller

A late second answer to a caller's request, on a kept connection, passed for the answer to the probe or the freeing of a handle that used the connection next: a target that had gone counted as running, and its crash was not recorded. Such a call also made the connection forget the ID of its last request, whose late copy could then pass for the answer to a request with the same ID.

Cause: only callers' requests compared the repeated ID. Calls without an ID now take no answer that has one; platform pages say that targets repeat the ID that they were sent.

Before: TestProbeIgnoresLateAnswerToCaller reads the late 200 (up) in place of its own 421 (down); TestLateCopyIsNotTakenForCallWithoutID fails.

--- a/internal/daemon/direct_driver_test.go
+++ b/internal/daemon/direct_driver_test.go
@@ -1,6 +1,8 @@
 package daemon
 
 import (
+	"bufio"
+	"io"
 	"log/slog"
 	"net"
 	"net/http"
@@ -16,6 +18,7 @@
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
 	"github.com/verbenaspur/verbenaspur/internal/httpclient"
 	"github.com/verbenaspur/verbenaspur/internal/relay"
+	"github.com/verbenaspur/verbenaspur/internal/response"
 	"github.com/verbenaspur/verbenaspur/platform"
 )
 
@@ -152,6 +155,40 @@
 	is.Equal(<-recorder.probes, msg.ProbeDown)
 }
 
+// A probe took a late second answer to a caller's request for its own: a target's load was
+// read from it, or a target that was another process by then counted as running.
+func TestProbeIgnoresLateAnswerToCaller(t *testing.T) {
+	is := is.New(t)
+	driver, recorder := newTestDriver(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = c.Close() }()
+		answer := head("r", "Content-Length: 2") + "ok"
+		r := bufio.NewReader(c)
+		for _, text := range []string{answer, answer + "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n"} {
+			req, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, req.Body)
+			_, _ = io.WriteString(c, text)
+		}
+	}()
+	addr := l.Addr().String()
+	x := driver.open(t.Context(), newCallerRequest(t, "r"), httptest.NewRecorder())
+	eff := msg.StartDirectAttempt{Req: x.id, Attempt: "a", Spec: msg.DirectAttemptSpec{Addr: addr, Deadline: time.Hour}}
+	x.executeCommand(directCommand{eff: eff, ctx: t.Context(), permit: &response.Permit{}})
+	is.Equal(recorder.await(t, "a").Result, msg.DirectDone)
+	driver.execute(0, msg.ProbeTarget{Call: 1, Target: "t", Addr: addr})
+	is.Equal(<-recorder.probes, msg.ProbeDown) // the probe's own answer
+}
+
 // A target that accepts connections and is silent may or may not be running.
 func TestProbeOfSilentTargetIsInconclusive(t *testing.T) {
 	is := is.New(t)
--- a/internal/httpclient/exchange.go
+++ b/internal/httpclient/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"net"
 	"net/http"
 	"strconv"
@@ -17,8 +18,9 @@
 	// Header holds the header fields in the order in which they are written.
 	Header []Field
 	Body   []byte
-	// EchoName is the response header in which the target must repeat EchoID.
-	// Responses are not checked if it is empty.
+	// EchoName is the response header in which the target must repeat EchoID. If EchoID is
+	// empty, it must not be set: a response with an ID is a late one to an earlier request
+	// on the connection. Responses are not checked if EchoName is empty.
 	EchoName, EchoID string
 	// Patient keeps the connection open however long the target's host is silent. It is
 	// of use if the exchange may last longer than [SilenceLimit].
@@ -41,8 +43,8 @@
 	// expires is when an idle connection becomes too old to be reused.
 	expires   time.Time
 	closeOnce sync.Once
-	// lastID is the EchoID of the last request. A late copy of its response would pass
-	// for that of another request with the same ID.
+	// lastID is the EchoID of the last request that had one. A late copy of its response
+	// would pass for that of another request with the same ID.
 	lastID string
 	// patient reports that keep-alive probes are off.
 	patient bool
@@ -69,7 +71,7 @@
 // the target may respond before it has read all of it.
 func (c *conn) send(req *Request) {
 	b := req.encode()
-	c.lastID = req.EchoID
+	c.lastID = cmp.Or(req.EchoID, c.lastID)
 	c.written = make(chan struct{})
 	c.writeErr = nil
 	if len(b) < asyncWriteSize {
--- a/internal/httpclient/httpclient_test.go
+++ b/internal/httpclient/httpclient_test.go
@@ -168,6 +168,35 @@
 	is.Equal(b, "next")
 }
 
+// A call without an ID took a late second copy of an earlier response on its connection for
+// its own. After it, the copy's ID is still not used on the connection.
+func TestLateCopyIsNotTakenForCallWithoutID(t *testing.T) {
+	is := is.New(t)
+	tg := startTarget(t, func(c net.Conn, n int64, req *http.Request) {
+		if n == 2 {
+			write(c, responseFor("1"))
+		}
+		if id := req.Header.Get("X-Id"); id != "" {
+			write(c, responseFor(id))
+			return
+		}
+		write(c, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nown")
+	})
+	p := NewPool()
+	_, err := roundTrip(t, p, tg.addr, "1")
+	is.NoErr(err)
+	resp, err := p.Do(t.Context(), tg.addr, &Request{Method: http.MethodGet, URI: "/health", Host: "h", EchoName: "X-Id"})
+	is.NoErr(err)
+	b, err := io.ReadAll(resp.Body)
+	is.NoErr(err)
+	is.Equal(string(b), "own")
+	resp.Close(true)
+	is.Equal(tg.conns.Load(), int64(1))
+	_, err = roundTrip(t, p, tg.addr, "1")
+	is.NoErr(err)
+	is.Equal(tg.conns.Load(), int64(2))
+}
+
 // Keep-alive probes, which end an exchange with a silent host, are off while a patient
 // request runs, and on again for the next one on the connection.
 func TestPatientRequestIsNotProbed(t *testing.T) {
