Poison: a crash counts once for the copies of a request, and a trial decides

Cause: each attempt that a crash broke off counted as a crash of its own, two refuse a request, and nothing could refute that, since no copy was let through. For prompt segments crashes were already told apart by process and by whether the later one was independent.

Two independent crashes refuse the request; with two others, one copy at a time is let through, by one entry in each half second, and decides.

Tests: interruptOrder sends later than it did, since two crashes at one instant are no longer independent; what then happens at 20 ms is asserted by TestRequestUnderCloseCrashesIsTried.

--- a/internal/core/direct/request/crash.go
+++ b/internal/core/direct/request/crash.go
@@ -31,6 +31,13 @@
 	at msg.Time
 }
 
+// targetCrash is the last crash of a target: of the process that started at the given time,
+// first recorded at an instant.
+type targetCrash struct {
+	process int64
+	at      msg.Time
+}
+
 // crashProbe is the state of the probes of one target.
 type crashProbe struct {
 	// call is the probe in flight, or zero. It was sent at sentAt.
@@ -183,10 +190,24 @@
 	}
 }
 
-// mayCrashTargets reports whether probes in flight may show that the request has
+// mayCrashTargets reports whether the request may have crashed too many targets, and what
+// will show that: probes in flight, or the trial of a request like it.
+func (s *stepContext) mayCrashTargets(r *request) (awaited string, may bool) {
+	probing := s.probing[r.fingerprint]
+	switch {
+	case probing > 0 && s.poison.CrashCount(r.fingerprint)+probing >= poison.CrashLimit:
+		return "waits for the probe of a target", true
+	case s.poison.Judge(s.now, r.fingerprint) == poison.VerdictWait:
+		return "waits for the trial of a request like it", true
+	}
+	return "", false
+}
+
+// awaitsCrashes reports whether a held request still waits for what shows whether it has
 // crashed too many targets.
-func (s *stepContext) mayCrashTargets(r *request) bool {
-	return s.poison.CrashCount(r.fingerprint)+s.probing[r.fingerprint] >= poison.CrashLimit
+func (s *stepContext) awaitsCrashes(r *request) bool {
+	_, may := s.mayCrashTargets(r)
+	return may && s.checkCrashes(r) == nil
 }
 
 // hold lets a request wait for the probes in flight, for the origin of its stream or for
@@ -207,7 +228,7 @@
 	for _, r := range held {
 		switch {
 		case s.requests[r.arrival.Req] != r: // The request has ended meanwhile.
-		case s.mayCrashTargets(r) && s.checkCrashes(r) == nil, s.originPending(r):
+		case s.awaitsCrashes(r), s.originPending(r):
 			s.held = append(s.held, r)
 		default:
 			s.tryNext(r)
--- a/internal/core/direct/request/crash_test.go
+++ b/internal/core/direct/request/crash_test.go
@@ -39,6 +39,7 @@
 // attempt, and the probe that follows.
 func (h *harness) interruptOrder() (msg.StartDirectAttempt, msg.ProbeTarget) {
 	h.t.Helper()
+	h.advance(500 * time.Millisecond) // so that its crash is independent of the one before
 	h.arrive("/order/x", func(ev *msg.DirectRequestArrived) { ev.BodyHash = 99 })
 	a := h.started()
 	h.end(a.Attempt, msg.DirectInterrupted)
--- a/internal/core/direct/request/crashrecord.go
+++ b/internal/core/direct/request/crashrecord.go
@@ -17,12 +17,15 @@
 // begun. The prompts of older attempts did not crash their target.
 const beginTime = 250 * time.Millisecond
 
+// trialTimeout is how long a request waits for the trial of a request like it.
+const trialTimeout = time.Second
+
 // recordCrashUnder records the crash of a target under some attempts: for each of their
 // requests, and for the segments of the prompts that it had not long begun to answer.
 func (s *stepContext) recordCrashUnder(t *target, list ...endedAttempt) {
 	var records []msg.CrashRecord
 	for _, a := range list {
-		records = append(records, msg.CrashRecord{Fingerprint: a.fingerprint, ID: msg.CrashID(a.id)})
+		records = append(records, s.crashRecord(t, a))
 		if a.runningFor() <= beginTime {
 			records = append(records, s.segmentCrashes(a)...)
 		}
@@ -34,9 +37,36 @@
 	s.effects = append(s.effects, s.poison.RecordCrashes(s.now, records)...)
 }
 
+// crashRecord returns the crash record of an attempt's request. The crash is identified by
+// the target's process, so that it counts once for the copies of a request that it broke
+// off. Where the process is not known, it is identified by the attempt.
+func (s *stepContext) crashRecord(t *target, a endedAttempt) msg.CrashRecord {
+	r := msg.CrashRecord{
+		Fingerprint: a.fingerprint, ID: msg.CrashID(a.id),
+		LeftMS: (poison.Retention - (s.now - a.at)).Milliseconds(), RanMS: (a.at - a.sentAt).Milliseconds(),
+	}
+	switch {
+	case a.process == 0:
+	case t.crashed.process == a.process && a.sentAt > t.crashed.at:
+		// The process had gone down before the attempt was sent, so that it reached one
+		// which was not listed yet.
+	default:
+		r.ID = processCrashID(a)
+		if t.crashed.process != a.process {
+			t.crashed = targetCrash{a.process, s.now}
+		}
+	}
+	return r
+}
+
+// processCrashID identifies the crash of the process that ran an attempt.
+func processCrashID(a endedAttempt) msg.CrashID {
+	return msg.CrashID(fmt.Sprintf("%s@%d", a.target.Target, a.process))
+}
+
 // segmentCrashes returns the crash records of an attempt's prompt segments.
 func (s *stepContext) segmentCrashes(a endedAttempt) []msg.CrashRecord {
-	id := msg.CrashID(fmt.Sprintf("%s@%d", a.target.Target, a.process))
+	id := processCrashID(a)
 	left := poison.Retention - (s.now - a.at)
 	var records []msg.CrashRecord
 	for _, seg := range a.segments {
@@ -70,10 +100,15 @@
 }
 
 // checkCrashes returns a refusal if the request, or prompts with one of its segments,
-// have crashed too many targets.
+// have crashed too many targets, or if it has waited for the trial of a request like it.
 func (s *stepContext) checkCrashes(r *request) *refusal {
-	if s.poison.CrashCount(r.fingerprint) >= poison.CrashLimit {
+	switch s.poison.Judge(s.now, r.fingerprint) {
+	case poison.VerdictRefuse:
 		return finalRefusal("poison")
+	case poison.VerdictWait:
+		if s.now-r.arrivedAt >= trialTimeout {
+			return &refusal{statusUnavailable, "suspect", retryAfterShort}
+		}
 	}
 	id, crashes, blocked := s.poison.BlockedSegment(r.segments)
 	if !blocked || crashes == r.trialCrashes {
--- a/internal/core/direct/request/place.go
+++ b/internal/core/direct/request/place.go
@@ -56,8 +56,8 @@
 	if ref := s.checkCrashes(r); ref != nil {
 		return ref
 	}
-	if s.mayCrashTargets(r) {
-		s.hold(r, "waits for the probe of a target")
+	if awaited, may := s.mayCrashTargets(r); may {
+		s.hold(r, awaited)
 		return nil
 	}
 	if ref, pending := s.resolveOrigin(r); pending || ref != nil {
--- a/internal/core/direct/request/reconsider.go
+++ b/internal/core/direct/request/reconsider.go
@@ -66,7 +66,7 @@
 // Otherwise it leaves the request as it was. The text is logged.
 func (s *stepContext) restartElsewhere(a *attempt, text string) {
 	r := a.req
-	if s.mayCrashTargets(r) {
+	if _, may := s.mayCrashTargets(r); may {
 		return
 	}
 	runs := r.runs
--- a/internal/core/direct/request/request_test.go
+++ b/internal/core/direct/request/request_test.go
@@ -180,17 +180,7 @@
 	body := func(ev *msg.DirectRequestArrived) { ev.BodyHash = 99 }
 	for range poison.CrashLimit {
 		h.arrive("/order/x", body)
-		a := h.started()
-		h.end(a.Attempt, msg.DirectInterrupted)
-		h.now += 200 * time.Millisecond
-		list := testInstances()
-		for i := range list {
-			if list[i].Target == a.Spec.Target {
-				list[i].StartedMS = int64(h.now) // the target has restarted
-			}
-		}
-		h.m.targets[a.Spec.Target].StartedMS = 1
-		h.setInstances(list...)
+		h.restartUnder(h.started(), 500*time.Millisecond)
 	}
 	h.arrive("/order/x", body)
 	h.is.Equal(h.refused().Code, "poison")
@@ -200,6 +190,53 @@
 	h.started()
 }
 
+// restartUnder interrupts an attempt, and the list shows some time later that its target has
+// restarted.
+func (h *harness) restartUnder(a msg.StartDirectAttempt, after time.Duration) {
+	h.end(a.Attempt, msg.DirectInterrupted)
+	h.now += after
+	list := testInstances()
+	for i := range list {
+		list[i].StartedMS = h.m.targets[list[i].Target].StartedMS
+		if list[i].Target == a.Spec.Target {
+			list[i].StartedMS = int64(h.now) // the target has restarted
+			h.m.targets[a.Spec.Target].StartedMS = 1
+		}
+	}
+	h.setInstances(list...)
+	h.step(msg.RoutesConfirmed{At: h.now})
+}
+
+// Targets that go down shortly after each other, under a request that is sent again at once,
+// may do so for another reason. One copy at a time is tried then, the others wait, and are
+// told to come back after a second. The trial decides.
+func TestRequestUnderCloseCrashesIsTried(t *testing.T) {
+	for _, sound := range []bool{true, false} {
+		h := newReadyHarness(t)
+		body := func(ev *msg.DirectRequestArrived) { ev.BodyHash = 99 }
+		for range poison.CrashLimit {
+			h.arrive("/order/x", body)
+			h.restartUnder(h.started(), 20*time.Millisecond)
+		}
+		h.arrive("/order/x", body)
+		h.is.True(h.logged("waits for the trial of a request like it"))
+		h.now += 600 * time.Millisecond
+		h.step(msg.Tick{Wall: time.Unix(1000, 0).Add(h.now)})
+		trial := h.started()
+		h.arrive("/order/x", body)
+		h.is.True(h.logged("waits for the trial of a request like it"))
+		if sound {
+			h.end(trial.Attempt, msg.DirectDone)
+			h.step(msg.Tick{Wall: time.Unix(1000, 0).Add(h.now)})
+			h.started()
+			continue
+		}
+		h.restartUnder(trial, 20*time.Millisecond)
+		h.arrive("/order/x", body)
+		h.is.Equal(h.refused().Code, "poison")
+	}
+}
+
 func TestOverloadIsRefusedAtOnceWithRetryAfter(t *testing.T) {
 	h := newReadyHarness(t)
 	var ref msg.RefuseRequest
--- a/internal/core/direct/request/start.go
+++ b/internal/core/direct/request/start.go
@@ -28,6 +28,7 @@
 	}
 	r.attempt = a
 	r.attemptsSent++
+	s.poison.BeginTrial(s.now, r.fingerprint)
 	r.placedLate = r.placedLate || c.class == background
 	s.leaveQueue(r, true)
 	s.chargeRun(r, c.step)
--- a/internal/core/direct/request/target.go
+++ b/internal/core/direct/request/target.go
@@ -65,6 +65,7 @@
 	// explanation yet, in order of time. probe is the state of the probes that look
 	// for one.
 	interrupted []endedAttempt
+	crashed     targetCrash
 	probe       crashProbe
 	paceProbe   paceProbe
 	// unconfirmed holds the attempts whose unframed responses ended, in order of time,
--- a/internal/core/direct_fleet_test.go
+++ b/internal/core/direct_fleet_test.go
@@ -61,6 +61,9 @@
 	crashes, crashingSends []time.Duration
 	refusals               map[string]int
 	answered               int
+	// sharedSegments is the number of segments of which each stream's prompt shares one;
+	// 0 counts as 1.
+	sharedSegments int
 	// unframed is the probability with which a response ends with its connection.
 	unframed float64
 	// accounts holds the accounts with quotas, and tableVersion the version of the
@@ -202,11 +205,11 @@
 }
 
 // send sends a request to a random entry: a prompt, or a request of a plain service.
-func (f *directFleet) send(body uint64, prompt bool) {
-	f.sendTo(f.entries[f.rand.IntN(len(f.entries))], body, prompt)
+func (f *directFleet) send(body uint64, prompt bool) *fleetRequest {
+	return f.sendTo(f.entries[f.rand.IntN(len(f.entries))], body, prompt)
 }
 
-func (f *directFleet) sendTo(e *fleetEntry, body uint64, prompt bool) {
+func (f *directFleet) sendTo(e *fleetEntry, body uint64, prompt bool) *fleetRequest {
 	f.seq++
 	ev := msg.DirectRequestArrived{
 		Req: msg.RequestID(fmt.Sprint(f.seq)), CallerID: fmt.Sprint(f.seq), Host: "h", Method: "POST", Path: "/lookup/x",
@@ -217,7 +220,7 @@
 		ev.PromptTokens, ev.MaxTokens = 3000, 100
 		ev.Segments = []msg.PromptSegment{{ID: body % 200, Tokens: 2000}, {ID: body, Tokens: 1000}}
 	}
-	e.deliver(ev)
+	return e.deliver(ev)
 }
 
 // deliver delivers a request to the entry.
--- a/internal/core/msg/poison.go
+++ b/internal/core/msg/poison.go
@@ -1,8 +1,8 @@
 package msg
 
-// CrashID identifies a crash in the records of one fingerprint: for a request it is the
-// ID of the attempt that was running, and for a prompt segment it names the process
-// that went down, which may have run several prompts with the segment.
+// CrashID identifies a crash in the records of one fingerprint. It names the process that
+// went down, which may have run several copies of the request, or several prompts with the
+// segment. Where the process is not known, it is the ID of the attempt that was running.
 type CrashID string
 
 // CrashRecord records that an attempt was running on a target when the target
@@ -14,8 +14,8 @@
 	// LeftMS is how much longer the record counts, in milliseconds. Zero stands for
 	// the whole retention.
 	LeftMS int64 `cbor:"3,keyasint,omitempty" json:"left_ms,omitempty"`
-	// RanMS is how long before the crash the attempt was sent, in milliseconds. It is
-	// used for segments only.
+	// RanMS is how long before the crash the attempt was sent, in milliseconds. Zero means
+	// that it is not known.
 	RanMS int64 `cbor:"4,keyasint,omitempty" json:"ran_ms,omitempty"`
 	// Segment reports whether Fingerprint is the ID of a prompt segment.
 	Segment bool `cbor:"5,keyasint,omitempty" json:"segment,omitempty"`
--- a/internal/core/poison/history.go
+++ b/internal/core/poison/history.go
@@ -2,8 +2,8 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
+	"time"
 
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
 )
@@ -42,17 +42,18 @@
 // segment the independent ones.
 func (h *crashHistory) count() int {
 	if h.segment {
-		return independent(h.uncleared())
+		return independent(h.uncleared(), 0)
 	}
 	return len(h.uncleared())
 }
 
-// independent returns the number of independent crashes in a list ordered by time.
-func independent(crashes []crash) int {
+// independent returns the number of independent crashes in a list ordered by time: those
+// under attempts that were sent later than gap after the one before.
+func independent(crashes []crash, gap time.Duration) int {
 	n := 0
-	last := msg.Time(math.MinInt64)
+	var last msg.Time
 	for _, c := range crashes {
-		if c.sentAt > last {
+		if n == 0 || c.sentAt > last+gap {
 			n++
 			last = c.at
 		}
--- a/internal/core/poison/segment.go
+++ b/internal/core/poison/segment.go
@@ -43,7 +43,7 @@
 	entriesPerTrial = 64
 )
 
-// trial is a prompt with a blocked segment that was let through.
+// trial is a request, or a prompt with a blocked segment, that was let through.
 type trial struct {
 	// crashes is the number of crashes that counted then, and turn the number of the
 	// delays that had passed since the last of them.
@@ -127,20 +127,30 @@
 	if h == nil {
 		return false
 	}
-	crashes := h.uncleared()
-	delay := trialDelay(independent(crashes))
-	turn := int64((now - crashes[len(crashes)-1].at) / delay)
-	next := trial{crashes: len(crashes), turn: turn}
-	if turn < 1 || h.trial == next {
-		return false
-	}
-	if rendezvous.Rank(fmt.Sprintf("%x/%d", id, turn), t.self, t.entries) > len(t.entries)/entriesPerTrial {
+	next := h.nextTrial(now, trialDelay(independent(h.uncleared(), 0)))
+	if !t.mayTry(h, next, 1+len(t.entries)/entriesPerTrial) {
 		return false
 	}
 	h.trial = next
 	return true
 }
 
+// nextTrial returns the trial that may begin now if turns last for a delay each.
+func (h *crashHistory) nextTrial(now msg.Time, delay time.Duration) trial {
+	crashes := h.uncleared()
+	return trial{crashes: len(crashes), turn: int64((now - crashes[len(crashes)-1].at) / delay)}
+}
+
+// mayTry reports whether this daemon is among those whose turn it is to begin a trial, and
+// has not done so.
+func (t *Tracker) mayTry(h *crashHistory, next trial, daemons int) bool {
+	if next.turn < 1 || h.trial == next {
+		return false
+	}
+	key := fmt.Sprintf("%x/%d", h.fingerprint, next.turn)
+	return rendezvous.Rank(key, t.self, t.entries) < daemons
+}
+
 // trialDelay returns the delay before a trial of a segment with some independent
 // crashes.
 func trialDelay(crashes int) time.Duration {
--- a/internal/core/poison/tracker.go
+++ b/internal/core/poison/tracker.go
@@ -9,10 +9,13 @@
 // Crashes are also recorded for the segments that prompts share (see segment.go), since
 // prompts that differ in everything else may crash targets by one of them.
 //
+// On the direct path, crashes are told apart by the processes that went down, and copies
+// of a request are let through one at a time where its crashes may have had another cause
+// (see request.go).
+//
 // The side daemon of a crashed target and the entry daemons send crash records
-// to all entry daemons, and store them at the platform. A crash record is
-// identified by its attempt, so that receiving one more than once has no
-// further effect.
+// to all entry daemons, and store them at the platform. A crash record has an ID, so that
+// receiving one more than once has no further effect.
 //
 // Messages and stored records may be lost. Entry daemons therefore compare what they
 // hold in pairs (see sync.go), so that each record reaches all of them as long as one
