--- /dev/null
+++ b/review/lab-2/case-fence/main.go
@@ -0,0 +1,106 @@
+// Command case-fence cuts the machine that holds the duty of usage off from the platform
+// while its report is on the way.
+package main
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"review.example/lab2/lab"
+)
+
+const (
+	cutFor = 8 * time.Second
+	// sentAgain is when what is held up passes after the link has healed. thaw is thaw_ms.
+	sentAgain = time.Second
+	thaw      = 300 * time.Millisecond
+)
+
+func main() {
+	l, trouble := lab.New(os.Args[1])
+	for i := range 3 {
+		l.StartRunner(&lab.Runner{Service: "app", Zone: fmt.Sprintf("z-%d", i+1)}, func(string, string) {})
+	}
+	routes := []map[string]any{lab.Route("order", "/order/", "unsafe", "app", 1, 2000, false)}
+	l.Store.Put("config", "main", lab.Config(11, routes, map[string][]string{"t-a": {"key-a"}}))
+	stores, clouds := map[string]*lab.Link{}, map[string]*lab.Link{}
+	l.StartFronts(3, 50*time.Millisecond, func(f *lab.Front) {
+		stores[f.Name], clouds[f.Name] = lab.NewLink(f.StoreAddr), lab.NewLink(f.CloudAddr)
+		f.StoreAddr, f.CloudAddr = stores[f.Name].Addr, clouds[f.Name].Addr
+	})
+	begin := time.Now()
+	go ask(l, begin)
+	holder := ""
+	for holder == "" && time.Since(begin) < 40*time.Second {
+		if r := l.Store.Reports(); len(r) >= 2 {
+			holder = r[len(r)-1].Holder
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	if holder == "" {
+		l.Notef("no usage is reported")
+		l.Exit(2)
+	}
+	l.Notef("%s holds the duty", holder)
+	var healed time.Time
+	if trouble {
+		<-clouds[holder].CutAt("POST /usage")
+		stores[holder].Cut()
+		l.Notef("%s is cut off from the platform, its report is on the way", holder)
+		time.Sleep(cutFor)
+		healed = time.Now()
+		l.Notef("the link has healed")
+		stores[holder].Heal(0)
+		clouds[holder].Heal(sentAgain)
+	}
+	time.Sleep(12 * time.Second)
+	broken := 0
+	highest := int64(0)
+	holders := map[int64]string{}
+	for _, r := range l.Store.Reports() {
+		text := ""
+		excused := !healed.IsZero() && r.Holder == holder && r.At.After(healed) && r.At.Before(healed.Add(thaw))
+		switch {
+		case excused:
+			text = "not counted, within thaw_ms"
+		case r.Fence < highest:
+			text = "BROKEN: a lower fencing token than one seen before"
+			broken++
+		case holders[r.Fence] != "" && holders[r.Fence] != r.Holder:
+			text = "BROKEN: two holders with one fencing token"
+			broken++
+		}
+		highest = max(highest, r.Fence)
+		holders[r.Fence] = r.Holder
+		l.Notef("report of window %d by %s with token %d arrived at %.3f s: counts %v %s", r.Window, r.Holder, r.Fence, r.At.Sub(l.Start).Seconds(), r.Counts, text)
+	}
+	l.Notef("%d reports, %d of them broke the rule", len(l.Store.Reports()), broken)
+	fmt.Printf("%d reports, %d of them broke the rule\n", len(l.Store.Reports()), broken)
+	if broken > 0 {
+		l.Exit(1)
+	}
+	l.Exit(0)
+}
+
+// ask sends a few requests to each entry daemon.
+func ask(l *lab.Lab, begin time.Time) {
+	client := &http.Client{Timeout: 3 * time.Second}
+	for i := 0; time.Since(begin) < 60*time.Second; i++ {
+		time.Sleep(time.Until(begin.Add(time.Duration(i) * 50 * time.Millisecond)))
+		go func() {
+			req, _ := http.NewRequest(http.MethodPost, "http://"+l.Fronts[i%3].Addr+"/order/x/", strings.NewReader("an order"))
+			req.Host = "h.example"
+			req.Header.Set("X-Request-Id", fmt.Sprintf("req-%05d", i))
+			req.Header.Set("X-Deadline-Ms", "2000")
+			req.Header.Set("X-Api-Key", "key-a")
+			if resp, err := client.Do(req); err == nil {
+				_, _ = io.Copy(io.Discard, resp.Body)
+				_ = resp.Body.Close()
+			}
+		}()
+	}
+}
