--- a/review/lab-2/case-crash/main.go
+++ b/review/lab-2/case-crash/main.go
@@ -81,7 +81,7 @@
 			for i, at := range []time.Duration{5, 12, 19} {
 				time.Sleep(time.Until(begin.Add(at * time.Second)))
 				runners[i%2].Crash()
-				time.Sleep(4500 * time.Millisecond)
+				time.Sleep(2 * time.Second)
 				runners[i%2].Restart()
 			}
 		}()
--- a/review/lab-2/lab/runners.go
+++ b/review/lab-2/lab/runners.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"os/exec"
 	"strings"
 	"sync"
@@ -81,6 +82,17 @@
 	r.lab.Notef("runner %s is killed", r.id)
 }
 
+// Lose sets the share of the streams of which the answer is lost, in thousandths.
+func (r *Runner) Lose(thousandths int) {
+	resp, err := http.Get(fmt.Sprintf("http://%s/control?lost=%d", r.Addr, thousandths))
+	if err != nil {
+		r.lab.Notef("runner at %s can't be told: %v", r.Addr, err)
+		r.lab.Exit(2)
+	}
+	_ = resp.Body.Close()
+	r.lab.Notef("the runner at %s loses the answers of %d streams in a thousand", r.Addr, thousandths)
+}
+
 // beat writes the entry of a runner that is up, and has the store drop the others.
 func (r *Runner) beat() {
 	r.mu.Lock()
--- a/review/lab-2/runner/main.go
+++ b/review/lab-2/runner/main.go
@@ -16,6 +16,7 @@
 	"os"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -27,9 +28,13 @@
 	events   = flag.Int("events", 60, "events of a stream")
 	gap      = flag.Duration("gap", 40*time.Millisecond, "time between events")
 	work     = flag.Duration("work", 20*time.Millisecond, "time of a plain request, and before the first event")
+	keeps    = flag.Bool("keeps", false, "work on when the connection of a request closes")
 	born     = time.Now().UnixMilli()
 	outMu    sync.Mutex
 	out      = bufio.NewWriter(os.Stdout)
+	// lost is the share of the streams of which the answer is lost, though they run, in
+	// thousandths. The test sets it.
+	lost atomic.Int64
 )
 
 func say(format string, args ...any) {
@@ -52,6 +57,11 @@
 
 func serve(w http.ResponseWriter, r *http.Request) {
 	_, _ = io.Copy(io.Discard, r.Body)
+	if r.URL.Path == "/control" {
+		n, _ := strconv.ParseInt(r.URL.Query().Get("lost"), 10, 64)
+		lost.Store(n)
+		return
+	}
 	if want := r.Header.Get("X-Target-Instance"); want != "" && want != *id {
 		w.Header().Set("X-Instance-Id", *id)
 		w.WriteHeader(http.StatusMisdirectedRequest)
@@ -100,6 +110,10 @@
 	raw := float64(h.Sum32()%1000)/1000 < *unframed
 	time.Sleep(*work)
 	say("stream %s first=%d last=%d unframed=%t", req, first, *events, raw)
+	if int64(h.Sum32()/1000%1000) < lost.Load() {
+		send(r, first, func(string) error { return nil }, req)
+		return
+	}
 	head := map[string]string{
 		"Content-Type": "text/event-stream", "X-Request-Id": req,
 		"X-Response-Signature": "s." + *id + "." + req, "X-Weight-Versions": "1",
@@ -136,10 +150,12 @@
 		if n > first {
 			time.Sleep(*gap)
 		}
-		if r.Context().Err() != nil {
+		if r.Context().Err() != nil && !*keeps {
+			say("drop %s", req)
 			return
 		}
-		if err := write(fmt.Sprintf("id: %d\ndata: piece %d of %s\n\n", n, n, req)); err != nil {
+		if err := write(fmt.Sprintf("id: %d\ndata: piece %d of %s\n\n", n, n, req)); err != nil && !*keeps {
+			say("drop %s", req)
 			return
 		}
 	}
