review/9: a withdrawn key runs at a daemon that starts during a drill

Cause: a process that starts while the store shows an older configuration takes it for the newest. The others know a newer one, but pass their state on only if it was confirmed within two poll intervals.

--- a/review/lab-2/case-drill/main.go
+++ b/review/lab-2/case-drill/main.go
@@ -1,4 +1,7 @@
 // Command case-drill lets the store come back from a copy that lacks a withdrawal of a key.
+//
+// The withdrawal is acknowledged just before the store goes away or, as the variant restart,
+// seconds before. All daemons know it then, and one of them is killed and started again.
 package main
 
 import (
@@ -51,19 +54,34 @@
 	done := make(chan struct{})
 	go func() { list = ask(l, begin); close(done) }()
 
+	restart := len(os.Args) > 2 && os.Args[2] == "restart"
 	time.Sleep(3 * time.Second)
 	l.Store.Copy()
-	time.Sleep(time.Second)
+	if restart {
+		time.Sleep(500 * time.Millisecond)
+	} else {
+		time.Sleep(time.Second)
+	}
 	if !l.Store.Put("config", "main", after) {
 		l.Exit(2)
 	}
 	acked := time.Now()
 	l.Notef("the store acknowledges version 12, without key-b")
-	if trouble {
+	if restart {
+		time.Sleep(3500 * time.Millisecond)
+	} else {
 		time.Sleep(250 * time.Millisecond)
+	}
+	if trouble {
 		l.Store.SetAway(true)
 		l.Notef("the store is away")
-		time.Sleep(away)
+		if restart {
+			time.Sleep(away - 2*time.Second)
+			kill(l, l.Fronts[1])
+			time.Sleep(1500 * time.Millisecond)
+		} else {
+			time.Sleep(away)
+		}
 		l.Store.Rewind()
 		l.Store.SetAway(false)
 		l.Notef("the store is back from a copy: %s", l.Store.Describe())
@@ -101,12 +119,21 @@
 	l.Exit(0)
 }
 
+// kill kills the process of an entry daemon, which is started again after a short delay.
+func kill(l *lab.Lab, f *lab.Front) {
+	_ = f.Cmd.Process.Kill()
+	l.Notef("%s is killed", f.Name)
+	time.Sleep(500 * time.Millisecond)
+	l.StartFront(f)
+	l.Notef("%s starts", f.Name)
+}
+
 // ask sends requests with both keys to all entry daemons.
 func ask(l *lab.Lab, begin time.Time) []*sent {
 	client := &http.Client{Timeout: 3 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 50}}
 	var wg sync.WaitGroup
 	var list []*sent
-	for i := 0; time.Since(begin) < 16*time.Second; i++ {
+	for i := 0; time.Since(begin) < 20*time.Second; i++ {
 		time.Sleep(time.Until(begin.Add(time.Duration(i) * 25 * time.Millisecond)))
 		s := &sent{id: fmt.Sprintf("req-%05d", i), front: l.Fronts[i%3].Addr, key: []string{"key-a", "key-b"}[i/3%2], at: time.Now()}
 		list = append(list, s)
