--- /dev/null
+++ b/review/lab-2/case-silent/main.go
@@ -0,0 +1,160 @@
+// Command case-silent lets the answers of one runner be lost. The runner is one of those that
+// do not drop a request when its connection closes.
+package main
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"review.example/lab2/lab"
+)
+
+const (
+	events = 150
+	gap    = 40 * time.Millisecond
+	// beside is how long a runner may still work on a request that goes on elsewhere.
+	beside = 400 * time.Millisecond
+	length = 18 * time.Second
+	// lostShare is how many in a thousand answers of the runner are lost, for lostFor.
+	lostShare = 300
+	lostFor   = 6 * time.Second
+)
+
+// span is the time in which a runner worked on a request.
+type span struct {
+	runner   string
+	from, to time.Time
+}
+
+type book struct {
+	mu   sync.Mutex
+	runs map[string][]*span
+}
+
+func (b *book) line(runner, text string) {
+	f := strings.Fields(text)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	switch f[0] {
+	case "stream":
+		b.runs[f[1]] = append(b.runs[f[1]], &span{runner: runner, from: time.Now()})
+	case "end", "drop":
+		for _, s := range b.runs[f[1]] {
+			if s.runner == runner && s.to.IsZero() {
+				s.to = time.Now()
+			}
+		}
+	}
+}
+
+func main() {
+	l, trouble := lab.New(os.Args[1])
+	b := &book{runs: map[string][]*span{}}
+	var first *lab.Runner
+	for i := range 8 {
+		args := []string{"--events", strconv.Itoa(events), "--gap", gap.String()}
+		if i == 0 {
+			args = append(args, "--keeps")
+		}
+		r := &lab.Runner{Service: "llm", Zone: fmt.Sprintf("z-%d", i%3+1), Engine: true, Args: args}
+		l.StartRunner(r, b.line)
+		if i == 0 {
+			first = r
+		}
+	}
+	route := lab.Route("query", "/query/", "streaming", "llm", 2, 15000, true)
+	route["slo_ms"], route["gap_target_ms"] = 100, 150
+	l.Store.Put("config", "main", lab.Config(7, []map[string]any{route}, map[string][]string{"t-a": {"key-a"}}))
+	l.StartFronts(2, 100*time.Millisecond, nil)
+	time.Sleep(3 * time.Second)
+	if trouble {
+		go func() {
+			time.Sleep(6 * time.Second)
+			first.Lose(lostShare)
+			time.Sleep(lostFor)
+			first.Lose(0)
+		}()
+	}
+	ends := ask(l)
+	time.Sleep(7 * time.Second)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	broken, whole := 0, 0
+	for _, e := range ends {
+		var text []string
+		if e.status == 200 && e.last == events {
+			whole++
+		}
+		runs := b.runs[e.id]
+		for i, s := range runs {
+			if s.to.IsZero() {
+				s.to = time.Now()
+			}
+			text = append(text, fmt.Sprintf("%s from %.3f to %.3f s", s.runner, s.from.Sub(l.Start).Seconds(), s.to.Sub(l.Start).Seconds()))
+			if i > 0 && runs[i-1].to.Sub(s.from) > beside {
+				text = append(text, "BROKEN: goes on while the runner before still works on it")
+				broken++
+			}
+		}
+		l.Notef("%s: status %d, last event %d; %s", e.id, e.status, e.last, strings.Join(text, "; "))
+	}
+	l.Notef("%d streams, %d whole, %d went on at another runner beside the one before", len(ends), whole, broken)
+	fmt.Printf("%d streams, %d whole, %d went on at another runner beside the one before\n", len(ends), whole, broken)
+	switch {
+	case broken > 0:
+		l.Exit(1)
+	case whole < len(ends)/2:
+		l.Exit(2)
+	}
+	l.Exit(0)
+}
+
+type end struct {
+	id           string
+	status, last int
+}
+
+func ask(l *lab.Lab) []*end {
+	client := &http.Client{Timeout: 16 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 200, DisableCompression: true}}
+	var wg sync.WaitGroup
+	var list []*end
+	begin := time.Now()
+	for i := 0; time.Since(begin) < length; i++ {
+		time.Sleep(time.Until(begin.Add(time.Duration(i) * 25 * time.Millisecond)))
+		e := &end{id: fmt.Sprintf("req-%05d", i)}
+		list = append(list, e)
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			req, _ := http.NewRequest(http.MethodPost, "http://"+l.Fronts[i%2].Addr+"/query/x/", strings.NewReader("a question"))
+			req.Host = "h.example"
+			for k, v := range map[string]string{
+				"X-Request-Id": e.id, "X-Model": "m", "X-Token-Usage": "300,300", "X-Deadline-Ms": "15000", "X-Api-Key": "key-a",
+				"X-Prefix-Hash": fmt.Sprintf("aa:100,%x:200", 1000+i),
+			} {
+				req.Header.Set(k, v)
+			}
+			resp, err := client.Do(req)
+			if err != nil {
+				return
+			}
+			defer resp.Body.Close()
+			e.status = resp.StatusCode
+			body, _ := io.ReadAll(resp.Body)
+			for _, line := range bytes.Split(body, []byte("\n")) {
+				if n, ok := bytes.CutPrefix(line, []byte("id: ")); ok {
+					e.last, _ = strconv.Atoi(string(n))
+				}
+			}
+		}()
+	}
+	wg.Wait()
+	return list
+}
