--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
-# Builds the stand-ins of review/6 to review/10 into target/review-2/. They need nothing but
-# the standard library, and are a module of their own, so that CI leaves them out.
+# Builds the stand-ins that the scripts of review/6 to review/10 start, into target/. They need
+# nothing but the standard library. They are test code, in a module of their own, so that CI
+# and the default test run leave them out.
 set -euo pipefail
 cd "$(dirname "$0")/lab-2"
-mkdir -p ../../target/review-2
-GOFLAGS=-buildvcs=false go build -o ../../target/review-2/ ./...
+GOFLAGS="-mod=mod -buildvcs=false" GOWORK=off go test -c -o ../../target/review-2-standin .
--- a/review/lab-2/case-crash/main.go
+++ b/review/lab-2/crash_test.go
@@ -1,5 +1,4 @@
-// Command case-crash kills runners while some of their streams are unframed.
-package main
+package lab2
 
 import (
 	"bytes"
@@ -11,34 +10,32 @@
 	"strings"
 	"sync"
 	"time"
-
-	"review.example/lab2/lab"
 )
 
 const (
-	perSecond = 60
-	lastEvent = 60
-	length    = 26 * time.Second
+	crashPerSecond = 60
+	crashLastEvent = 60
+	crashLength    = 26 * time.Second
 )
 
-// run is what a runner said of a stream that it began.
-type run struct {
+// crashRun is what a runner said of a stream that it began.
+type crashRun struct {
 	runner          string
 	unframed, ended bool
 }
 
-type book struct {
+type crashBook struct {
 	mu   sync.Mutex
-	runs map[string][]*run
+	runs map[string][]*crashRun
 }
 
-func (b *book) line(runner, text string) {
+func (b *crashBook) line(runner, text string) {
 	f := strings.Fields(text)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	switch f[0] {
 	case "stream":
-		b.runs[f[1]] = append(b.runs[f[1]], &run{runner: runner, unframed: f[4] == "unframed=true"})
+		b.runs[f[1]] = append(b.runs[f[1]], &crashRun{runner: runner, unframed: f[4] == "unframed=true"})
 	case "end":
 		for _, r := range b.runs[f[1]] {
 			if r.runner == runner {
@@ -48,8 +45,8 @@
 	}
 }
 
-// answer is what a client received.
-type answer struct {
+// crashAnswer is what a client received.
+type crashAnswer struct {
 	id, path, front string
 	sent            time.Time
 	status          int
@@ -58,21 +55,22 @@
 	err             string
 }
 
-func main() {
-	l, trouble := lab.New(os.Args[1])
-	b := &book{runs: map[string][]*run{}}
-	var runners []*lab.Runner
+// crashMain kills runners while some of their streams are unframed.
+func crashMain() {
+	l, trouble := New(os.Args[2])
+	b := &crashBook{runs: map[string][]*crashRun{}}
+	var runners []*Runner
 	for i := range 4 {
 		share := "0"
 		if i < 2 {
 			share = "0.05"
 		}
-		r := &lab.Runner{Service: "llm", Zone: fmt.Sprintf("z-%d", i%3+1), Engine: true, Args: []string{"--unframed", share, "--events", strconv.Itoa(lastEvent)}}
+		r := &Runner{Service: "llm", Zone: fmt.Sprintf("z-%d", i%3+1), Engine: true, Args: []string{"--unframed", share, "--events", strconv.Itoa(crashLastEvent)}}
 		l.StartRunner(r, b.line)
 		runners = append(runners, r)
 	}
-	routes := []map[string]any{lab.Route("brief", "/brief/", "streaming", "llm", 1, 5000, false), lab.Route("query", "/query/", "streaming", "llm", 2, 5000, true)}
-	l.Store.Put("config", "main", lab.Config(7, routes, map[string][]string{"t-a": {"key-a"}}))
+	routes := []map[string]any{Route("brief", "/brief/", "streaming", "llm", 1, 5000, false), Route("query", "/query/", "streaming", "llm", 2, 5000, true)}
+	l.Store.Put("config", "main", Config(7, routes, map[string][]string{"t-a": {"key-a"}}))
 	l.StartFronts(2, 100*time.Millisecond, nil)
 	time.Sleep(3 * time.Second)
 	begin := time.Now()
@@ -86,19 +84,19 @@
 			}
 		}()
 	}
-	answers := ask(l, begin)
+	answers := askCrash(l, begin)
 	time.Sleep(500 * time.Millisecond)
-	l.Exit(judge(l, b, answers))
+	l.Exit(judgeCrash(l, b, answers))
 }
 
-func ask(l *lab.Lab, begin time.Time) []*answer {
+func askCrash(l *Lab, begin time.Time) []*crashAnswer {
 	client := &http.Client{Timeout: 6 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 200, DisableCompression: true}}
 	var mu sync.Mutex
 	var wg sync.WaitGroup
-	var list []*answer
-	for i := 0; time.Since(begin) < length; i++ {
-		time.Sleep(time.Until(begin.Add(time.Duration(i) * time.Second / perSecond)))
-		a := &answer{id: fmt.Sprintf("req-%05d", i), path: []string{"/brief/x/", "/query/x/"}[i%2], front: l.Fronts[i/2%2].Addr}
+	var list []*crashAnswer
+	for i := 0; time.Since(begin) < crashLength; i++ {
+		time.Sleep(time.Until(begin.Add(time.Duration(i) * time.Second / crashPerSecond)))
+		a := &crashAnswer{id: fmt.Sprintf("req-%05d", i), path: []string{"/brief/x/", "/query/x/"}[i%2], front: l.Fronts[i/2%2].Addr}
 		mu.Lock()
 		list = append(list, a)
 		mu.Unlock()
@@ -109,7 +107,7 @@
 	return list
 }
 
-func (a *answer) send(client *http.Client, i int) {
+func (a *crashAnswer) send(client *http.Client, i int) {
 	a.sent = time.Now()
 	req, _ := http.NewRequest(http.MethodPost, "http://"+a.front+a.path, strings.NewReader("a question"))
 	req.Host = "h.example"
@@ -138,9 +136,9 @@
 	}
 }
 
-// judge writes the record and reports whether a stream ended as complete before its last
+// judgeCrash writes the record and reports whether a stream ended as complete before its last
 // piece.
-func judge(l *lab.Lab, b *book, list []*answer) int {
+func judgeCrash(l *Lab, b *crashBook, list []*crashAnswer) int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	whole, cut, other, broken := 0, 0, 0, 0
@@ -151,7 +149,7 @@
 		}
 		verdict := "other"
 		switch {
-		case a.status == 200 && a.complete && a.last == lastEvent:
+		case a.status == 200 && a.complete && a.last == crashLastEvent:
 			verdict = "whole"
 			whole++
 		case a.status == 200 && a.complete:
@@ -164,7 +162,7 @@
 			other++
 		}
 		l.Notef("%s sent at %.3f s to %s%s: status %d, last event %d of %d, %s; runs: %s %s",
-			a.id, a.sent.Sub(l.Start).Seconds(), a.front, a.path, a.status, a.last, lastEvent, verdict, strings.Join(runs, "; "), a.err)
+			a.id, a.sent.Sub(l.Start).Seconds(), a.front, a.path, a.status, a.last, crashLastEvent, verdict, strings.Join(runs, "; "), a.err)
 	}
 	l.Notef("%d streams: %d whole, %d cut, %d other ends, %d complete before their last piece", len(list), whole, cut, other, broken)
 	fmt.Printf("%d streams: %d whole, %d cut, %d other ends, %d complete before their last piece\n", len(list), whole, cut, other, broken)
--- a/review/lab-2/case-drill/main.go
+++ b/review/lab-2/drill_test.go
@@ -1,8 +1,4 @@
-// Command case-drill lets the store come back from a copy that lacks a withdrawal of a key.
-//
-// The withdrawal is acknowledged just before the store goes away or, as the variant restart,
-// seconds before. All daemons know it then, and one of them is killed and started again.
-package main
+package lab2
 
 import (
 	"fmt"
@@ -12,30 +8,32 @@
 	"strings"
 	"sync"
 	"time"
-
-	"review.example/lab2/lab"
 )
 
 const (
-	revoke = 5 * time.Second // revoke_ms
-	// away is how long the store is away, and again how long after its return the operator
+	drillRevoke = 5 * time.Second // revoke_ms
+	// drillAway is how long the store is away, and drillAgain how long after its return the operator
 	// has written the configuration again.
-	away  = 4500 * time.Millisecond
-	again = time.Second
+	drillAway  = 4500 * time.Millisecond
+	drillAgain = time.Second
 )
 
-type sent struct {
+type drillSent struct {
 	id, front, key string
 	at             time.Time
 	status         int
 }
 
-func main() {
-	l, trouble := lab.New(os.Args[1])
+// drillMain lets the store come back from a copy that lacks a withdrawal of a key.
+//
+// The withdrawal is acknowledged just before the store goes away or, as the variant restart,
+// seconds before. All daemons know it then, and one of them is killed and started again.
+func drillMain() {
+	l, trouble := New(os.Args[2])
 	var mu sync.Mutex
 	ran := map[string]string{}
 	for i := range 3 {
-		l.StartRunner(&lab.Runner{Service: "app", Zone: fmt.Sprintf("z-%d", i+1)}, func(runner, line string) {
+		l.StartRunner(&Runner{Service: "app", Zone: fmt.Sprintf("z-%d", i+1)}, func(runner, line string) {
 			mu.Lock()
 			defer mu.Unlock()
 			if f := strings.Fields(line); f[0] == "run" {
@@ -43,18 +41,18 @@
 			}
 		})
 	}
-	routes := []map[string]any{lab.Route("order", "/order/", "unsafe", "app", 1, 2000, false)}
-	before := lab.Config(11, routes, map[string][]string{"t-a": {"key-a"}, "t-b": {"key-b", "key-b2"}})
-	after := lab.Config(12, routes, map[string][]string{"t-a": {"key-a"}, "t-b": {"key-b2"}})
+	routes := []map[string]any{Route("order", "/order/", "unsafe", "app", 1, 2000, false)}
+	before := Config(11, routes, map[string][]string{"t-a": {"key-a"}, "t-b": {"key-b", "key-b2"}})
+	after := Config(12, routes, map[string][]string{"t-a": {"key-a"}, "t-b": {"key-b2"}})
 	l.Store.Put("config", "main", before)
 	l.StartFronts(3, 150*time.Millisecond, nil)
 	time.Sleep(4 * time.Second)
 	begin := time.Now()
-	var list []*sent
+	var list []*drillSent
 	done := make(chan struct{})
-	go func() { list = ask(l, begin); close(done) }()
+	go func() { list = askDrill(l, begin); close(done) }()
 
-	restart := len(os.Args) > 2 && os.Args[2] == "restart"
+	restart := len(os.Args) > 3 && os.Args[3] == "restart"
 	time.Sleep(3 * time.Second)
 	l.Store.Copy()
 	if restart {
@@ -76,16 +74,16 @@
 		l.Store.SetAway(true)
 		l.Notef("the store is away")
 		if restart {
-			time.Sleep(away - 2*time.Second)
-			kill(l, l.Fronts[1])
+			time.Sleep(drillAway - 2*time.Second)
+			killFront(l, l.Fronts[1])
 			time.Sleep(1500 * time.Millisecond)
 		} else {
-			time.Sleep(away)
+			time.Sleep(drillAway)
 		}
 		l.Store.Rewind()
 		l.Store.SetAway(false)
 		l.Notef("the store is back from a copy: %s", l.Store.Describe())
-		time.Sleep(again)
+		time.Sleep(drillAgain)
 		l.Store.Put("config", "main", after)
 		l.Notef("the operator has written version 12 again: %s", l.Store.Describe())
 	}
@@ -99,7 +97,7 @@
 		if ran[s.id] != "" && s.key == "key-a" {
 			served++
 		}
-		if ran[s.id] != "" && s.key == "key-b" && s.at.Sub(acked) > revoke {
+		if ran[s.id] != "" && s.key == "key-b" && s.at.Sub(acked) > drillRevoke {
 			broken++
 			text = "BROKEN: runs with a key that was withdrawn before"
 		}
@@ -108,8 +106,8 @@
 	for _, r := range l.Store.Reads() {
 		l.Notef("the configuration is read %.3f s after the acknowledgement by %s: version %v", r.At.Sub(acked).Seconds(), r.From, r.Version)
 	}
-	l.Notef("%d requests, %d with key-a ran, %d with key-b ran though sent more than %v after its withdrawal", len(list), served, broken, revoke)
-	fmt.Printf("%d requests, %d with key-a ran, %d with key-b ran though sent more than %v after its withdrawal\n", len(list), served, broken, revoke)
+	l.Notef("%d requests, %d with key-a ran, %d with key-b ran though sent more than %v after its withdrawal", len(list), served, broken, drillRevoke)
+	fmt.Printf("%d requests, %d with key-a ran, %d with key-b ran though sent more than %v after its withdrawal\n", len(list), served, broken, drillRevoke)
 	switch {
 	case broken > 0:
 		l.Exit(1)
@@ -119,8 +117,8 @@
 	l.Exit(0)
 }
 
-// kill kills the process of an entry daemon, which is started again after a short delay.
-func kill(l *lab.Lab, f *lab.Front) {
+// killFront kills the process of an entry daemon, which is started again after a short delay.
+func killFront(l *Lab, f *Front) {
 	_ = f.Cmd.Process.Kill()
 	l.Notef("%s is killed", f.Name)
 	time.Sleep(500 * time.Millisecond)
@@ -128,14 +126,14 @@
 	l.Notef("%s starts", f.Name)
 }
 
-// ask sends requests with both keys to all entry daemons.
-func ask(l *lab.Lab, begin time.Time) []*sent {
+// askDrill sends requests with both keys to all entry daemons.
+func askDrill(l *Lab, begin time.Time) []*drillSent {
 	client := &http.Client{Timeout: 3 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 50}}
 	var wg sync.WaitGroup
-	var list []*sent
+	var list []*drillSent
 	for i := 0; time.Since(begin) < 20*time.Second; i++ {
 		time.Sleep(time.Until(begin.Add(time.Duration(i) * 25 * time.Millisecond)))
-		s := &sent{id: fmt.Sprintf("req-%05d", i), front: l.Fronts[i%3].Addr, key: []string{"key-a", "key-b"}[i/3%2], at: time.Now()}
+		s := &drillSent{id: fmt.Sprintf("req-%05d", i), front: l.Fronts[i%3].Addr, key: []string{"key-a", "key-b"}[i/3%2], at: time.Now()}
 		list = append(list, s)
 		wg.Add(1)
 		go func() {
--- a/review/lab-2/case-fence/main.go
+++ b/review/lab-2/fence_test.go
@@ -1,6 +1,4 @@
-// Command case-fence cuts the machine that holds the duty of usage off from the platform
-// while its report is on the way.
-package main
+package lab2
 
 import (
 	"fmt"
@@ -9,31 +7,31 @@
 	"os"
 	"strings"
 	"time"
-
-	"review.example/lab2/lab"
 )
 
 const (
-	cutFor = 8 * time.Second
-	// sentAgain is when what is held up passes after the link has healed. thaw is thaw_ms.
-	sentAgain = time.Second
-	thaw      = 300 * time.Millisecond
+	fenceCutFor = 8 * time.Second
+	// fenceSentAgain is when what is held up passes after the link has healed. fenceThaw is thaw_ms.
+	fenceSentAgain = time.Second
+	fenceThaw      = 300 * time.Millisecond
 )
 
-func main() {
-	l, trouble := lab.New(os.Args[1])
+// fenceMain cuts the machine that holds the duty of usage off from the platform
+// while its report is on the way.
+func fenceMain() {
+	l, trouble := New(os.Args[2])
 	for i := range 3 {
-		l.StartRunner(&lab.Runner{Service: "app", Zone: fmt.Sprintf("z-%d", i+1)}, func(string, string) {})
+		l.StartRunner(&Runner{Service: "app", Zone: fmt.Sprintf("z-%d", i+1)}, func(string, string) {})
 	}
-	routes := []map[string]any{lab.Route("order", "/order/", "unsafe", "app", 1, 2000, false)}
-	l.Store.Put("config", "main", lab.Config(11, routes, map[string][]string{"t-a": {"key-a"}}))
-	stores, clouds := map[string]*lab.Link{}, map[string]*lab.Link{}
-	l.StartFronts(3, 50*time.Millisecond, func(f *lab.Front) {
-		stores[f.Name], clouds[f.Name] = lab.NewLink(f.StoreAddr), lab.NewLink(f.CloudAddr)
+	routes := []map[string]any{Route("order", "/order/", "unsafe", "app", 1, 2000, false)}
+	l.Store.Put("config", "main", Config(11, routes, map[string][]string{"t-a": {"key-a"}}))
+	stores, clouds := map[string]*Link{}, map[string]*Link{}
+	l.StartFronts(3, 50*time.Millisecond, func(f *Front) {
+		stores[f.Name], clouds[f.Name] = NewLink(f.StoreAddr), NewLink(f.CloudAddr)
 		f.StoreAddr, f.CloudAddr = stores[f.Name].Addr, clouds[f.Name].Addr
 	})
 	begin := time.Now()
-	go ask(l, begin)
+	go askFence(l, begin)
 	holder := ""
 	for holder == "" && time.Since(begin) < 40*time.Second {
 		if r := l.Store.Reports(); len(r) >= 2 {
@@ -51,11 +49,11 @@
 		<-clouds[holder].CutAt("POST /usage")
 		stores[holder].Cut()
 		l.Notef("%s is cut off from the platform, its report is on the way", holder)
-		time.Sleep(cutFor)
+		time.Sleep(fenceCutFor)
 		healed = time.Now()
 		l.Notef("the link has healed")
 		stores[holder].Heal(0)
-		clouds[holder].Heal(sentAgain)
+		clouds[holder].Heal(fenceSentAgain)
 	}
 	time.Sleep(12 * time.Second)
 	broken := 0
@@ -63,7 +61,7 @@
 	holders := map[int64]string{}
 	for _, r := range l.Store.Reports() {
 		text := ""
-		excused := !healed.IsZero() && r.Holder == holder && r.At.After(healed) && r.At.Before(healed.Add(thaw))
+		excused := !healed.IsZero() && r.Holder == holder && r.At.After(healed) && r.At.Before(healed.Add(fenceThaw))
 		switch {
 		case excused:
 			text = "not counted, within thaw_ms"
@@ -86,8 +84,8 @@
 	l.Exit(0)
 }
 
-// ask sends a few requests to each entry daemon.
-func ask(l *lab.Lab, begin time.Time) {
+// askFence sends a few requests to each entry daemon.
+func askFence(l *Lab, begin time.Time) {
 	client := &http.Client{Timeout: 3 * time.Second}
 	for i := 0; time.Since(begin) < 60*time.Second; i++ {
 		time.Sleep(time.Until(begin.Add(time.Duration(i) * 50 * time.Millisecond)))
--- a/review/lab-2/lab/lab.go
+++ b/review/lab-2/lab_test.go
@@ -1,4 +1,4 @@
-package lab
+package lab2
 
 import (
 	"bufio"
--- a/review/lab-2/lab/runners.go
+++ b/review/lab-2/runners_test.go
@@ -1,4 +1,4 @@
-package lab
+package lab2
 
 import (
 	"fmt"
@@ -58,7 +58,7 @@
 			return
 		}
 		r.lines(id, line)
-	}, "target/review-2/runner", args...)
+	}, "target/review-2-standin", append([]string{"runner"}, args...)...)
 	r.mu.Unlock()
 	select {
 	case born := <-listening:
--- a/review/lab-2/case-silent/main.go
+++ b/review/lab-2/silent_test.go
@@ -1,6 +1,4 @@
-// Command case-silent lets the answers of one runner be lost. The runner is one of those that
-// do not drop a request when its connection closes.
-package main
+package lab2
 
 import (
 	"bytes"
@@ -12,39 +10,37 @@
 	"strings"
 	"sync"
 	"time"
-
-	"review.example/lab2/lab"
 )
 
 const (
-	events = 150
-	gap    = 40 * time.Millisecond
-	// beside is how long a runner may still work on a request that goes on elsewhere.
-	beside = 400 * time.Millisecond
-	length = 18 * time.Second
-	// lostShare is how many in a thousand answers of the runner are lost, for lostFor.
-	lostShare = 300
-	lostFor   = 6 * time.Second
+	silentEvents = 150
+	silentGap    = 40 * time.Millisecond
+	// silentBeside is how long a runner may still work on a request that goes on elsewhere.
+	silentBeside = 400 * time.Millisecond
+	silentLength = 18 * time.Second
+	// silentLostShare is how many in a thousand answers of the runner are lost, for silentLostFor.
+	silentLostShare = 300
+	silentLostFor   = 6 * time.Second
 )
 
-// span is the time in which a runner worked on a request.
-type span struct {
+// silentSpan is the time in which a runner worked on a request.
+type silentSpan struct {
 	runner   string
 	from, to time.Time
 }
 
-type book struct {
+type silentBook struct {
 	mu   sync.Mutex
-	runs map[string][]*span
+	runs map[string][]*silentSpan
 }
 
-func (b *book) line(runner, text string) {
+func (b *silentBook) line(runner, text string) {
 	f := strings.Fields(text)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	switch f[0] {
 	case "stream":
-		b.runs[f[1]] = append(b.runs[f[1]], &span{runner: runner, from: time.Now()})
+		b.runs[f[1]] = append(b.runs[f[1]], &silentSpan{runner: runner, from: time.Now()})
 	case "end", "drop":
 		for _, s := range b.runs[f[1]] {
 			if s.runner == runner && s.to.IsZero() {
@@ -54,42 +50,44 @@
 	}
 }
 
-func main() {
-	l, trouble := lab.New(os.Args[1])
-	b := &book{runs: map[string][]*span{}}
-	var first *lab.Runner
+// silentMain lets the answers of one runner be lost. The runner is one of those that
+// do not drop a request when its connection closes.
+func silentMain() {
+	l, trouble := New(os.Args[2])
+	b := &silentBook{runs: map[string][]*silentSpan{}}
+	var first *Runner
 	for i := range 8 {
-		args := []string{"--events", strconv.Itoa(events), "--gap", gap.String()}
+		args := []string{"--events", strconv.Itoa(silentEvents), "--gap", silentGap.String()}
 		if i == 0 {
 			args = append(args, "--keeps")
 		}
-		r := &lab.Runner{Service: "llm", Zone: fmt.Sprintf("z-%d", i%3+1), Engine: true, Args: args}
+		r := &Runner{Service: "llm", Zone: fmt.Sprintf("z-%d", i%3+1), Engine: true, Args: args}
 		l.StartRunner(r, b.line)
 		if i == 0 {
 			first = r
 		}
 	}
-	route := lab.Route("query", "/query/", "streaming", "llm", 2, 15000, true)
+	route := Route("query", "/query/", "streaming", "llm", 2, 15000, true)
 	route["slo_ms"], route["gap_target_ms"] = 100, 150
-	l.Store.Put("config", "main", lab.Config(7, []map[string]any{route}, map[string][]string{"t-a": {"key-a"}}))
+	l.Store.Put("config", "main", Config(7, []map[string]any{route}, map[string][]string{"t-a": {"key-a"}}))
 	l.StartFronts(2, 100*time.Millisecond, nil)
 	time.Sleep(3 * time.Second)
 	if trouble {
 		go func() {
 			time.Sleep(6 * time.Second)
-			first.Lose(lostShare)
-			time.Sleep(lostFor)
+			first.Lose(silentLostShare)
+			time.Sleep(silentLostFor)
 			first.Lose(0)
 		}()
 	}
-	ends := ask(l)
+	ends := askSilent(l)
 	time.Sleep(7 * time.Second)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	broken, whole := 0, 0
 	for _, e := range ends {
 		var text []string
-		if e.status == 200 && e.last == events {
+		if e.status == 200 && e.last == silentEvents {
 			whole++
 		}
 		runs := b.runs[e.id]
@@ -98,7 +96,7 @@
 				s.to = time.Now()
 			}
 			text = append(text, fmt.Sprintf("%s from %.3f to %.3f s", s.runner, s.from.Sub(l.Start).Seconds(), s.to.Sub(l.Start).Seconds()))
-			if i > 0 && runs[i-1].to.Sub(s.from) > beside {
+			if i > 0 && runs[i-1].to.Sub(s.from) > silentBeside {
 				text = append(text, "BROKEN: goes on while the runner before still works on it")
 				broken++
 			}
@@ -116,19 +114,19 @@
 	l.Exit(0)
 }
 
-type end struct {
+type silentEnd struct {
 	id           string
 	status, last int
 }
 
-func ask(l *lab.Lab) []*end {
+func askSilent(l *Lab) []*silentEnd {
 	client := &http.Client{Timeout: 16 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 200, DisableCompression: true}}
 	var wg sync.WaitGroup
-	var list []*end
+	var list []*silentEnd
 	begin := time.Now()
-	for i := 0; time.Since(begin) < length; i++ {
+	for i := 0; time.Since(begin) < silentLength; i++ {
 		time.Sleep(time.Until(begin.Add(time.Duration(i) * 25 * time.Millisecond)))
-		e := &end{id: fmt.Sprintf("req-%05d", i)}
+		e := &silentEnd{id: fmt.Sprintf("req-%05d", i)}
 		list = append(list, e)
 		wg.Add(1)
 		go func() {
--- a/review/lab-2/lab/store.go
+++ b/review/lab-2/store_test.go
@@ -1,5 +1,5 @@
-// Package lab holds the stand-ins and the process control of the review's scripts.
-package lab
+// Package lab2 holds the stand-ins and the process control of the review's scripts.
+package lab2
 
 import (
 	"encoding/json"
