--- a/internal/httpclient/httpclient.go
+++ b/internal/httpclient/httpclient.go
@@ -21,6 +21,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/verbenaspur/verbenaspur/internal/tcpabort"
 )
 
 const (
@@ -66,12 +68,29 @@
 	// Opened is the number of connections opened so far.
 	Opened atomic.Int64
 
+	dialer net.Dialer
+
 	mu   sync.Mutex
 	idle map[string][]*conn
 }
 
 // NewPool returns an empty pool.
-func NewPool() *Pool { return &Pool{idle: make(map[string][]*conn)} }
+func NewPool() *Pool {
+	return &Pool{
+		dialer: net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAliveProbes},
+		idle:   make(map[string][]*conn),
+	}
+}
+
+// NewVoidingPool returns an empty pool for requests that must not arrive after they were
+// given up. What a target's host has not acknowledged when its connection ends is never
+// delivered, also if this process has been paused or killed. A connection ends at the
+// latest when something has been unacknowledged for unacked (see [tcpabort.Control]).
+func NewVoidingPool(unacked time.Duration) *Pool {
+	p := NewPool()
+	p.dialer.Control = tcpabort.Control(unacked)
+	return p
+}
 
 // Do sends a request and returns the head of its response. Cancelling the
 // context at any point of the exchange closes the connection. After an error
@@ -194,8 +213,7 @@
 var keepAliveProbes = net.KeepAliveConfig{Enable: true, Idle: keepAliveTime, Interval: keepAliveTime, Count: keepAliveCount}
 
 func (p *Pool) dial(ctx context.Context, addr string) (*conn, error) {
-	d := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAliveProbes}
-	nc, err := d.DialContext(ctx, "tcp", addr)
+	nc, err := p.dialer.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return nil, err
 	}
