Calls through net/http: what is held up when a call ends never arrives

The transport of internal/platform dials with the same options. Not changed: the clients by which a side daemon talks to the target on its own host, as no network lies between.

--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -17,7 +17,8 @@
 // its arrival at the platform, which consists of one system call, prolonged by
 // any pause of the process, and the transmission over the network. Only the
 // receiver can exclude that, by a condition on a version or by a check of the
-// epoch.
+// epoch. The transmission ends with the call: what the platform's host has not
+// acknowledged then is dropped (see [tcpabort.Control]).
 package platform
 
 import (
@@ -31,12 +32,16 @@
 
 	"github.com/verbenaspur/verbenaspur/internal/callmetrics"
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
+	"github.com/verbenaspur/verbenaspur/internal/tcpabort"
 )
 
 const (
-	defaultTimeout      = 2 * time.Second
-	dialTimeout         = time.Second
-	idleConnTimeout     = 30 * time.Second
+	defaultTimeout  = 2 * time.Second
+	dialTimeout     = time.Second
+	idleConnTimeout = 30 * time.Second
+	// unackedMargin is how much earlier than the timeout of a call the kernel gives it
+	// up, so that the call is over by then even if this process is paused.
+	unackedMargin       = 300 * time.Millisecond
 	maxIdleConnsPerHost = 16
 	// maxResponseBytes is the number of bytes up to which the body of a response is
 	// read. Lists of objects with their values are the largest responses.
@@ -74,7 +79,7 @@
 	}
 	return &Client{
 		cfg:   cfg,
-		http:  &http.Client{Transport: newTransport(), CheckRedirect: refuseRedirect},
+		http:  &http.Client{Transport: newTransport(max(cfg.Timeout-unackedMargin, cfg.Timeout/2)), CheckRedirect: refuseRedirect},
 		calls: callmetrics.New(),
 	}
 }
@@ -120,9 +125,10 @@
 }
 
 // newTransport returns a transport that uses HTTP/1.1 only. A connection then
-// carries one request at a time, on which the deadline gate relies.
-func newTransport() *http.Transport {
-	dialer := &net.Dialer{Timeout: dialTimeout}
+// carries one request at a time, on which the deadline gate relies. A connection
+// ends when something has been unacknowledged for unacked.
+func newTransport(unacked time.Duration) *http.Transport {
+	dialer := &net.Dialer{Timeout: dialTimeout, Control: tcpabort.Control(unacked)}
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	return &http.Transport{
