Requests to targets: what has not reached the target when it is given up never does

A request that a partition held up, and that was given up or taken back meanwhile, ran at its target when the partition had healed: an order could be booked seconds after its caller had been told that it failed.

A connection is reset when it is closed with bytes that the other host has not acknowledged (SIOCOUTQ), so that its kernel drops them. Otherwise the close stays ordinary: it is repeated until the target knows that its caller has left, which a reset is not.

TestRequestGivenUpNeverArrives fails before.

--- a/internal/httpclient/exchange.go
+++ b/internal/httpclient/exchange.go
@@ -7,9 +7,12 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/verbenaspur/verbenaspur/internal/tcpabort"
 )
 
 // Request is one HTTP request to a target.
@@ -71,7 +74,16 @@
 	Framed bool
 }
 
-func (c *conn) close() { c.closeOnce.Do(func() { _ = c.Close() }) }
+// close ends the connection. A request that has not reached the target's host yet, since a
+// partition holds it up, must not run when nobody waits for its response any more.
+func (c *conn) close() {
+	c.closeOnce.Do(func() {
+		if sc, ok := c.Conn.(syscall.Conn); ok {
+			_ = tcpabort.DropUnacknowledged(sc)
+		}
+		_ = c.Close()
+	})
+}
 
 // send writes the request. A long request is written in the background, since
 // the target may respond before it has read all of it.
--- a/internal/tcpabort/tcpabort.go
+++ b/internal/tcpabort/tcpabort.go
@@ -34,6 +34,27 @@
 	}
 }
 
+// DropUnacknowledged prepares a connection for its close. If the other host has not
+// acknowledged all that was sent, the close resets the connection and drops that, and the
+// result is true. Otherwise the close stays an ordinary one: unlike a reset, it is repeated
+// until the other host, which has received all, knows that the connection has ended.
+func DropUnacknowledged(c syscall.Conn) bool {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return false
+	}
+	dropped := false
+	err = control(raw, func(fd int) error {
+		unacked, err := unix.IoctlGetInt(fd, unix.SIOCOUTQ)
+		if err != nil || unacked == 0 {
+			return err
+		}
+		dropped = true
+		return resetOnClose(fd)
+	})
+	return err == nil && dropped
+}
+
 func resetOnClose(fd int) error {
 	err := unix.SetsockoptLinger(fd, unix.SOL_SOCKET, unix.SO_LINGER, &unix.Linger{Onoff: 1, Linger: 0})
 	return errors.Wrap(err, "tcpabort: reset on close")
