Configurations: what the store shows first in an era counts when others have been asked

Cause: a daemon confirmed whatever the store showed unless it had itself seen a newer version. Readers asked nobody, and a process that starts has nothing to compare with.

Change: the first read in an era but the earliest waits for the answers of up to 9 daemons, 200 ms at most. A newer configuration is taken from the daemon that knows it, and confirmed by reads that show that the store has lost it. Reads tell the era of the store.

--- /dev/null
+++ b/internal/core/direct/platformpoll/peercheck.go
@@ -0,0 +1,122 @@
+package platformpoll
+
+import (
+	"maps"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/verbenaspur/verbenaspur/internal/core/msg"
+	"github.com/verbenaspur/verbenaspur/internal/core/rendezvous"
+)
+
+// A store that has lost writes may show a configuration that is older than one that it has
+// acknowledged, with keys that have been withdrawn since. The first configuration that a
+// daemon reads in an era therefore counts only when others have said which ones they know.
+// If one of them knows a newer one, that one is taken from it, and stays in force until the
+// store shows it or a later one. A process that starts can't tell whether the store has lost
+// writes lately, so that it asks too. In the first era a store has lost nothing.
+
+const (
+	// checkedPeers is the number of daemons that are asked. What a daemon knows it has
+	// from the readers, so that not all have to be asked in a large fleet.
+	checkedPeers = 9
+	// checkTimeout is how long the check waits for daemons that do not reply, and
+	// checkInterval the time between two questions to each of them. Messages may be lost.
+	checkTimeout  = 200 * time.Millisecond
+	checkInterval = 80 * time.Millisecond
+)
+
+// peerCheck is the check of the first configuration that the store shows in an era.
+type peerCheck struct {
+	era      msg.StoreEra
+	begunAt  msg.Time
+	finished bool
+	// read is the last read. It counts when the check has finished.
+	read *msg.RoutesRead
+	// open holds the daemons that have yet to reply. It is nil until some daemons are
+	// known.
+	open    map[msg.HostID]bool
+	nextAsk msg.Time
+}
+
+// checkRead applies a read of the configuration once other daemons have been asked.
+func (c *Component) checkRead(now msg.Time, ev msg.RoutesRead) []msg.Effect {
+	if ev.Era > c.check.era {
+		c.check = peerCheck{era: ev.Era, begunAt: now}
+	}
+	if ev.Era <= msg.FirstStoreEra || c.check.finished {
+		return c.applyRead(now, ev)
+	}
+	c.check.read = &ev
+	return c.advanceCheck(now)
+}
+
+// advanceCheck asks the daemons that have yet to reply. It ends the check if there are none,
+// or when its time has passed.
+func (c *Component) advanceCheck(now msg.Time) []msg.Effect {
+	k := &c.check
+	if k.finished || k.read == nil {
+		return nil
+	}
+	if members := c.transfer.members.Entries; k.open == nil && len(members) > 0 {
+		k.open = make(map[msg.HostID]bool)
+		for _, h := range rendezvous.Spread("platform-readers", members, checkedPeers) {
+			k.open[h.Host] = true
+		}
+		delete(k.open, c.cfg.Self.Host)
+	}
+	if k.open != nil && len(k.open) == 0 || now-k.begunAt >= checkTimeout {
+		read := *k.read
+		k.finished, k.read = true, nil
+		return c.applyRead(now, read)
+	}
+	if now < k.nextAsk {
+		return nil
+	}
+	k.nextAsk = now + checkInterval
+	return c.readers.question(now, slices.Sorted(maps.Keys(k.open)))
+}
+
+// onCheckReply notes that a daemon has told which configuration it knows.
+func (c *Component) onCheckReply(now msg.Time, from msg.HostID, askedAt msg.Time) []msg.Effect {
+	if askedAt < c.check.begunAt {
+		return nil
+	}
+	delete(c.check.open, from)
+	return c.advanceCheck(now)
+}
+
+// onOlderRead processes a read of a configuration that is older than the newest known one.
+// If the store has lost that one, it stays the newest until the operator has written it
+// again: the store would show any later one.
+func (c *Component) onOlderRead(ev msg.RoutesRead) []msg.Effect {
+	lost := ev.Era > c.shownEra
+	var effs []msg.Effect
+	if !lost || c.lostVersion != c.newestVersion {
+		effs = append(effs, msg.LogLine{
+			Component: componentName, Level: msg.LogError, Text: "configuration from platform is older than the newest one",
+			Attrs: []msg.Attr{
+				{Key: "version", Value: strconv.FormatUint(ev.Table.Version, 10)},
+				{Key: "newest", Value: strconv.FormatUint(c.newestVersion, 10)},
+				{Key: "lost", Value: strconv.FormatBool(lost)},
+			},
+		})
+	}
+	if !lost {
+		return effs
+	}
+	c.lostVersion = c.newestVersion
+	if c.table != nil && c.table.Version == c.newestVersion {
+		effs = append(effs, c.confirm(ev.Sent)...)
+	}
+	return effs
+}
+
+// storeIsOlder reports whether the store has lost the newest known configuration.
+func (c *Component) storeIsOlder() bool {
+	if c.newestVersion == 0 {
+		return false
+	}
+	return c.lostVersion == c.newestVersion || c.check.read != nil && c.check.read.Table.Version < c.newestVersion
+}
--- a/internal/core/direct/platformpoll/platformpoll.go
+++ b/internal/core/direct/platformpoll/platformpoll.go
@@ -77,6 +77,11 @@
 	// newestVersion is the newest version of the configuration that this daemon or a
 	// reader has seen. An older store may show earlier ones.
 	newestVersion uint64
+	// shownEra is the era in which the store last showed that version or a newer one to
+	// this daemon. lostVersion is the newest version that the store was seen to lack.
+	shownEra    msg.StoreEra
+	lostVersion uint64
+	check       peerCheck
 	// confirmedAt is the latest instant at which table was known to be the newest.
 	confirmedAt msg.Time
 
@@ -128,7 +133,8 @@
 		c.transfer.seq = ev.Seed
 		return c.startDueReads(now)
 	case msg.Tick:
-		return append(c.readers.ask(now, c.cfg.RoutesInterval), c.startDueReads(now)...)
+		effs := append(c.readers.ask(now, c.cfg.RoutesInterval), c.advanceCheck(now)...)
+		return append(effs, c.startDueReads(now)...)
 	case msg.MembersChanged:
 		c.readers.onMembersChanged(ev)
 		c.transfer.members = ev
@@ -206,12 +212,16 @@
 		// The platform is back. A read that was sent before may hang in a connection.
 		c.targetPoll.call, c.targetPoll.next = 0, now
 	}
+	return append(effs, c.checkRead(now, ev)...)
+}
+
+// applyRead applies the configuration that the store has shown.
+func (c *Component) applyRead(now msg.Time, ev msg.RoutesRead) []msg.Effect {
 	if ev.Table.Version < c.newestVersion {
-		return append(effs, msg.LogLine{
-			Component: componentName, Level: msg.LogError, Text: "configuration from platform is older than the one in force",
-			Attrs: []msg.Attr{{Key: "version", Value: strconv.FormatUint(ev.Table.Version, 10)}},
-		})
+		return c.onOlderRead(ev)
 	}
+	c.shownEra, c.lostVersion = ev.Era, 0
+	var effs []msg.Effect
 	if c.table == nil || ev.Table.Version > c.table.Version {
 		c.table = ev.Table
 		c.newestVersion = ev.Table.Version
--- a/internal/core/direct/platformpoll/readers.go
+++ b/internal/core/direct/platformpoll/readers.go
@@ -103,6 +103,11 @@
 		return nil
 	}
 	r.nextAsk = now + time.Duration(askIntervalRatio*float64(interval))
+	return r.question(now, r.asked)
+}
+
+// question asks daemons which configuration and which targets they know.
+func (r *readers) question(now msg.Time, hosts []msg.HostID) []msg.Effect {
 	r.lastSeq++
 	r.sentAt[r.lastSeq] = now
 	for seq, at := range r.sentAt {
@@ -110,8 +115,8 @@
 			delete(r.sentAt, seq)
 		}
 	}
-	effs := make([]msg.Effect, 0, len(r.asked))
-	for _, h := range r.asked {
+	effs := make([]msg.Effect, 0, len(hosts))
+	for _, h := range hosts {
 		effs = append(effs, msg.SendPeer{To: h, Message: msg.CatalogQuery{Seq: r.lastSeq}})
 	}
 	return effs
@@ -124,7 +129,7 @@
 	case msg.CatalogQuery:
 		effs = c.answer(now, ev.From, m)
 	case msg.CatalogReply:
-		effs = c.onReply(now, m)
+		effs = c.onReply(now, ev.From, m)
 	case msg.StateQuery:
 		return c.answerState(now, ev.From, m)
 	case msg.StateReply:
@@ -133,9 +138,11 @@
 	return append(effs, c.askForState(now, ev.From)...)
 }
 
+// answer tells which configuration and which targets this daemon knows. A version of 0 says
+// that it knows none.
 func (c *Component) answer(now msg.Time, to msg.HostID, q msg.CatalogQuery) []msg.Effect {
 	if c.table == nil {
-		return nil
+		return []msg.Effect{msg.SendPeer{To: to, Message: msg.CatalogReply{Seq: q.Seq}}}
 	}
 	return []msg.Effect{msg.SendPeer{To: to, Message: msg.CatalogReply{
 		Seq: q.Seq, ConfigVersion: c.table.Version, ConfigAge: now - c.confirmedAt,
@@ -143,15 +150,23 @@
 	}}}
 }
 
-// onReply applies what a reader knows. If the reader knows a newer configuration, this
-// daemon reads it at once.
-func (c *Component) onReply(now msg.Time, m msg.CatalogReply) []msg.Effect {
+// onReply applies what another daemon knows. If it knows a newer configuration, this daemon
+// reads it at once.
+func (c *Component) onReply(now msg.Time, from msg.HostID, m msg.CatalogReply) []msg.Effect {
 	askedAt, ok := c.readers.sentAt[m.Seq]
-	if !ok || c.table == nil {
+	if !ok {
 		return nil
 	}
-	c.onTargetsReply(now, m, askedAt-m.TargetsAge)
 	c.newestVersion = max(c.newestVersion, m.ConfigVersion)
+	return append(c.onCheckReply(now, from, askedAt), c.onConfirmation(now, m, askedAt)...)
+}
+
+// onConfirmation applies a reply to a question that left at askedAt.
+func (c *Component) onConfirmation(now msg.Time, m msg.CatalogReply, askedAt msg.Time) []msg.Effect {
+	if c.table == nil {
+		return nil
+	}
+	c.onTargetsReply(now, m, askedAt-m.TargetsAge)
 	if m.ConfigVersion > c.table.Version {
 		c.routePoll.next = min(c.routePoll.next, now)
 	}
--- a/internal/core/direct/platformpoll/readers_test.go
+++ b/internal/core/direct/platformpoll/readers_test.go
@@ -36,11 +36,14 @@
 	delay       time.Duration
 	queue       []delivery
 	table       *msg.RouteTable
+	era         msg.StoreEra
 	list        []msg.Instance
 	revision    msg.Revision
 	// reads counts the reads of the configuration, and listReads those of the targets.
 	reads     int
 	listReads int
+	// readAt holds when each daemon last read the configuration.
+	readAt    map[msg.HostID]msg.Time
 	version   map[msg.HostID]uint64
 	targets   map[msg.HostID]int
 	confirmed map[msg.HostID]msg.Time
@@ -59,6 +62,7 @@
 		is: is.New(t), now: time.Minute, components: make(map[msg.HostID]*Component), silent: make(map[msg.HostID]bool), cut: make(map[msg.HostID]bool),
 		delay: 2 * time.Millisecond, table: &msg.RouteTable{Version: 5}, list: twoTargets, revision: 1,
 		version: make(map[msg.HostID]uint64), targets: make(map[msg.HostID]int), confirmed: make(map[msg.HostID]msg.Time), told: make(map[msg.HostID]msg.EntriesTold),
+		readAt: make(map[msg.HostID]msg.Time),
 	}
 	for i := range n {
 		h := msg.Host{Host: msg.HostID(fmt.Sprintf("entry-%03d", i)), Domain: msg.FailureDomain(fmt.Sprint("d", i%3))}
@@ -85,14 +89,15 @@
 		switch eff := eff.(type) {
 		case msg.ReadRoutes:
 			f.reads++
-			read := msg.RoutesRead{Call: eff.Call, Status: msg.CallOK, Sent: f.now, Table: f.table}
+			f.readAt[host] = f.now
+			read := msg.RoutesRead{Call: eff.Call, Status: msg.CallOK, Sent: f.now, Table: f.table, Era: f.era}
 			if f.cut[host] {
 				read = msg.RoutesRead{Call: eff.Call, Status: msg.CallUnavailable, Sent: f.now}
 			}
 			f.post(host, 4*time.Millisecond, read)
 		case msg.ReadInstances:
 			f.listReads++
-			read := msg.InstancesRead{Call: eff.Call, Status: msg.CallOK, Sent: f.now, Revision: f.revision, Instances: f.list}
+			read := msg.InstancesRead{Call: eff.Call, Status: msg.CallOK, Sent: f.now, Era: f.era, Revision: f.revision, Instances: f.list}
 			if f.cut[host] {
 				read = msg.InstancesRead{Call: eff.Call, Status: msg.CallUnavailable, Sent: f.now}
 			}
--- a/internal/core/direct/platformpoll/transfer.go
+++ b/internal/core/direct/platformpoll/transfer.go
@@ -21,7 +21,8 @@
 	maxPartBytes = 30 << 10
 	// maxParts limits the parts that are kept for a state.
 	maxParts = 100
-	// maxTransferAge is the largest age, in poll intervals, at which a state is passed on.
+	// maxTransferAge is the largest age, in poll intervals, at which lists of targets and
+	// of daemons are passed on.
 	maxTransferAge = 2
 )
 
@@ -58,7 +59,7 @@
 // lacksState reports whether this daemon lacks something that another one may tell.
 func (c *Component) lacksState() bool {
 	switch {
-	case c.table == nil, c.digest == 0:
+	case c.table == nil, c.digest == 0, c.storeIsOlder() && c.newestVersion > c.table.Version:
 		return true
 	case c.newestVersion > c.table.Version && c.routePoll.failing:
 		return true
@@ -74,16 +75,22 @@
 	c.transfer.seq++
 	c.transfer.askedAt, c.transfer.nextAt = now, now+stateAskInterval
 	c.transfer.parts = make(map[int][]byte)
-	return []msg.Effect{msg.SendPeer{To: from, Message: msg.StateQuery{Seq: c.transfer.seq}}}
+	return []msg.Effect{msg.SendPeer{To: from, Message: msg.StateQuery{Seq: c.transfer.seq, Lost: c.storeIsOlder()}}}
 }
 
-// answerState tells a daemon what this one knows, in parts. A list in which targets are kept
-// that may have left is not passed on.
+// answerState tells a daemon what this one knows, in parts. An old configuration is passed on
+// only if the store has lost it. A list in which targets are kept that may have left is not
+// passed on.
 func (c *Component) answerState(now msg.Time, to msg.HostID, q msg.StateQuery) []msg.Effect {
-	if c.table == nil || now-c.confirmedAt > maxTransferAge*c.cfg.RoutesInterval {
+	if c.table == nil {
+		return nil
+	}
+	st := state{Table: c.table}
+	if now-c.confirmedAt <= maxTransferAge*c.cfg.RoutesInterval {
+		st.Entries, st.Complete = c.transfer.members.Entries, c.transfer.members.Complete
+	} else if !q.Lost {
 		return nil
 	}
-	st := state{Table: c.table, Entries: c.transfer.members.Entries, Complete: c.transfer.members.Complete}
 	if c.digest != 0 && len(c.expired) == 0 && now >= c.settledAt && now-c.lastListSent <= maxTransferAge*c.cfg.InstancesInterval {
 		st.Targets = &targetState{List: c.instances(), Era: c.era, Revision: c.revision, Digest: c.digest}
 	}
@@ -121,7 +128,10 @@
 	if json.Unmarshal(b, &st) != nil {
 		return nil
 	}
-	effs := []msg.Effect{msg.Raise{Event: msg.EntriesTold{Entries: st.Entries, Complete: st.Complete}}}
+	var effs []msg.Effect
+	if len(st.Entries) > 0 {
+		effs = append(effs, msg.Raise{Event: msg.EntriesTold{Entries: st.Entries, Complete: st.Complete}})
+	}
 	effs = append(effs, c.applyTable(now, from, st.Table, t.askedAt-m.ConfigAge)...)
 	if st.Targets != nil {
 		effs = append(effs, c.applyTargets(now, st.Targets, t.askedAt-m.TargetsAge)...)
--- a/internal/core/msg/direct_config.go
+++ b/internal/core/msg/direct_config.go
@@ -180,6 +180,8 @@
 	Sent Time
 	// Table is set with CallOK.
 	Table *RouteTable
+	// Era is the era of the store. It is zero if the store tells none.
+	Era StoreEra
 	// Reason describes the failure.
 	Reason string
 }
--- a/internal/core/msg/direct_peer.go
+++ b/internal/core/msg/direct_peer.go
@@ -153,6 +153,8 @@
 type StateQuery struct {
 	// Seq is the number of the question.
 	Seq uint64 `cbor:"1,keyasint"`
+	// Lost asks for the configuration at any age, since the store has lost it.
+	Lost bool `cbor:"2,keyasint,omitempty"`
 }
 
 // StateReply is a part of what a daemon knows, as JSON. ConfigAge and TargetsAge are the
