Streams: none goes on beside a silent target that answers

Cause: the end of a stalled stream was taken for the end of the work; a target that does not drop a request on close works on.

The driver probes the target of a stalled stream. If it answers, the request gets a visible end; if not, it goes on elsewhere as before.

--- a/internal/core/direct/request/end.go
+++ b/internal/core/direct/request/end.go
@@ -113,7 +113,8 @@
 }
 
 // afterFailedAttempt decides how a request continues after an attempt without a
-// usable result.
+// usable result. A target that has gone silent but answers may work on when its connection
+// is closed, so that the request must not run beside that run.
 func (s *stepContext) afterFailedAttempt(r *request, a *attempt, ev msg.DirectAttemptEnded) {
 	switch ev.Result {
 	case msg.DirectUnreachable, msg.DirectNotSent:
@@ -141,7 +142,7 @@
 		s.countRun(r)
 		r.failureHeld = true
 	}
-	if s.mayRunAgain(r, ev.Result) && r.runs < r.route.Attempts {
+	if !ev.Answers && s.mayRunAgain(r, ev.Result) && r.runs < r.route.Attempts {
 		s.tryNext(r)
 		return
 	}
--- a/internal/core/direct/request/stall_test.go
+++ b/internal/core/direct/request/stall_test.go
@@ -25,6 +25,21 @@
 	is.Equal(stallTimeout(&route, msg.StepWhole), time.Duration(0))
 }
 
+// A stream went on at another target while a silent one, which does not stop when its
+// connection is closed, worked on it beside.
+func TestStreamDoesNotGoOnBesideTargetThatAnswers(t *testing.T) {
+	for _, state := range []msg.ResponseState{msg.ResponseNone, msg.ResponseStream} {
+		for _, answers := range []bool{true, false} {
+			h := newReadyHarness(t)
+			h.setInstances(testInstances()[:4]...)
+			h.arrive("/resume/x", prompt(1, 300, 100))
+			h.end(h.started().Attempt, msg.DirectInterrupted, func(ev *msg.DirectAttemptEnded) { ev.Response, ev.Answers = state, answers })
+			_, again := find[msg.StartDirectAttempt](h)
+			h.is.Equal(again, !answers)
+		}
+	}
+}
+
 // An attempt outlasts a silent host if its request can't run anywhere else.
 func TestOnlyLastRunIsPatient(t *testing.T) {
 	h := newReadyHarness(t)
--- a/internal/core/msg/direct_request.go
+++ b/internal/core/msg/direct_request.go
@@ -197,7 +197,10 @@
 	// Unframed reports that the response had neither a length nor chunks, so that its
 	// end can't be told from that of the target's process.
 	Unframed bool
-	Load     *TargetLoad
+	// Answers reports that the target answers, though the response has stalled. It may
+	// still be working on the request.
+	Answers bool
+	Load    *TargetLoad
 	// Notice is what the target stated in the head of its response; nil without one.
 	Notice *TargetNotice
 }
--- a/internal/daemon/direct_exchange.go
+++ b/internal/daemon/direct_exchange.go
@@ -168,9 +168,20 @@
 	x.limitWrites(remaining)
 	req := x.callerRequest.TargetRequest(&eff.Spec, remaining)
 	req.Patient = eff.Spec.Patient && remaining > httpclient.SilenceLimit
-	ctx, watch := watchStalls(ctx, eff.Spec.StallTimeout)
-	defer watch.stop()
 	req.Confirm = platform.ConfirmProcess(&eff.Spec)
+	watched, watch := watchStalls(ctx, eff.Spec.StallTimeout)
+	defer watch.stop()
+	end := x.exchange(watched, eff, req, part, watch)
+	if end.Result == msg.DirectInterrupted && errors.Is(context.Cause(watched), errStalled) {
+		end.Reason = errStalled.Error()
+		end.Answers = driver.answers(ctx, eff)
+	}
+	return end
+}
+
+// exchange sends a request and receives its response until the context ends.
+func (x *directExchange) exchange(ctx context.Context, eff *msg.StartDirectAttempt, req *httpclient.Request, part *response.Attempt, watch *stallWatch) msg.DirectAttemptEnded {
+	driver := x.driver
 	resp, err := driver.pool.Do(ctx, eff.Spec.Addr, req)
 	if end, unsent := unsentAttempt(err); unsent {
 		return end
@@ -180,13 +191,10 @@
 		return msg.DirectAttemptEnded{Result: msg.DirectUnreachable, Reason: err.Error()}
 	}
 	if err != nil {
-		return interruptedAttempt(stallOr(ctx, err))
+		return interruptedAttempt(err)
 	}
 	result := platform.ReadTargetResponse(resp, eff.Spec.Step)
 	end := x.receiveResponse(&reception{eff.Attempt, resp, &result, part, eff.Spec.Retry == msg.RetryStream}, watch)
-	if end.Result == msg.DirectInterrupted && errors.Is(context.Cause(ctx), errStalled) {
-		end.Reason = errStalled.Error()
-	}
 	end.Status = result.Status
 	end.Load = result.Load
 	end.Notice = &result.Notice
--- a/internal/daemon/direct_probe.go
+++ b/internal/daemon/direct_probe.go
@@ -32,6 +32,14 @@
 	d.loop.Post(msg.TargetProbed{Call: eff.Call, Target: eff.Target, Result: result, Load: load})
 }
 
+// answers reports whether the target of an attempt answers a probe.
+func (d *directDriver) answers(ctx context.Context, eff *msg.StartDirectAttempt) bool {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	result, _, err := d.probeOnce(ctx, msg.ProbeTarget{Target: eff.Spec.Target, Addr: eff.Spec.Addr})
+	return err == nil && result == msg.ProbeUp
+}
+
 func (d *directDriver) probeOnce(ctx context.Context, eff msg.ProbeTarget) (msg.ProbeResult, *msg.TargetLoad, error) {
 	resp, err := d.pool.Do(ctx, eff.Addr, platform.ProbeRequest(eff))
 	if err != nil {
--- a/internal/daemon/direct_stall.go
+++ b/internal/daemon/direct_stall.go
@@ -104,11 +104,3 @@
 	w.stopped = true
 	w.timer.Stop()
 }
-
-// stallOr returns errStalled if the watch has ended the context, and otherwise err.
-func stallOr(ctx context.Context, err error) error {
-	if errors.Is(context.Cause(ctx), errStalled) {
-		return errStalled
-	}
-	return err
-}
--- a/internal/daemon/direct_stall_test.go
+++ b/internal/daemon/direct_stall_test.go
@@ -83,10 +83,34 @@
 			if c.want == msg.DirectInterrupted {
 				is.Equal(end.Reason, errStalled.Error())
 			}
+			is.True(!end.Answers) // It answers no probe either.
 		})
 	}
 }
 
+// The reducer is told that a target whose stream has stalled answers, and may work on.
+func TestStalledTargetThatAnswersIsReported(t *testing.T) {
+	is := is.New(t)
+	driver, recorder := newTestDriver(t)
+	silent := make(chan struct{})
+	target := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/v1/report" {
+			return
+		}
+		<-silent
+	}))
+	defer target.Close()
+	defer close(silent)
+	x := driver.open(t.Context(), newCallerRequest(t, "r"), httptest.NewRecorder())
+	x.runAttempt(directCommand{ctx: context.WithoutCancel(t.Context()), permit: &response.Permit{}}, msg.StartDirectAttempt{
+		Req: x.id, Attempt: "a",
+		Spec: msg.DirectAttemptSpec{Addr: target.Listener.Addr().String(), Deadline: time.Hour, StallTimeout: 300 * time.Millisecond},
+	})
+	end := recorder.await(t, "a")
+	is.Equal(end.Result, msg.DirectInterrupted)
+	is.True(end.Answers)
+}
+
 // repeatAfter writes the head of a stream and its first text, and then repeats another.
 func repeatAfter(w io.Writer, first string, n int, text string) error {
 	if _, err := io.WriteString(w, streamHead+"\r\n"+first); err != nil {
