Responses without framing: whole only if their target has outlived them

Cause: a killed process leaves the same orderly end of its connection behind as a whole response without a length.

At such an end the target is asked which process answers. If none does, or another than the attempt was meant for, the response counts as cut short.

--- a/internal/daemon/direct_exchange.go
+++ b/internal/daemon/direct_exchange.go
@@ -174,7 +174,7 @@
 	end := x.exchange(watched, eff, req, part, watch)
 	if end.Result == msg.DirectInterrupted && errors.Is(context.Cause(watched), errStalled) {
 		end.Reason = errStalled.Error()
-		end.Answers = driver.answers(ctx, eff)
+		end.Answers = driver.answers(ctx, &eff.Spec)
 	}
 	return end
 }
@@ -194,7 +194,11 @@
 		return interruptedAttempt(err)
 	}
 	result := platform.ReadTargetResponse(resp, eff.Spec.Step)
-	end := x.receiveResponse(&reception{eff.Attempt, resp, &result, part, eff.Spec.Retry == msg.RetryStream}, watch)
+	r := &reception{
+		attempt: eff.Attempt, Response: resp, head: &result, part: part, numbered: eff.Spec.Retry == msg.RetryStream,
+		outlived: func() bool { return resp.Framed || driver.answers(ctx, &eff.Spec) },
+	}
+	end := x.receiveResponse(r, watch)
 	end.Status = result.Status
 	end.Load = result.Load
 	end.Notice = &result.Notice
@@ -213,8 +217,14 @@
 	// numbered reports that a stream consists of numbered events, because its route is one
 	// for streams. Streams on other routes may hold anything.
 	numbered bool
+	// outlived reports whether the target's process has outlived the end of its response.
+	// An unframed response ends with its connection, which also ends with the process.
+	outlived func() bool
 }
 
+// errProcessEnded means that the process of a target may have ended before its response.
+var errProcessEnded = errors.New("the target does not answer after an end without framing")
+
 // receiveResponse reads the body of a target's response and forwards it where the
 // kind of the response allows that.
 func (x *directExchange) receiveResponse(r *reception, watch *stallWatch) msg.DirectAttemptEnded {
@@ -262,6 +272,9 @@
 	case platform.ResponseInvalid:
 		return msg.DirectAttemptEnded{Result: msg.DirectInterrupted, Reason: "answer must not be passed on"}
 	}
+	if !r.outlived() {
+		return interruptedAttempt(errProcessEnded)
+	}
 	if err := r.part.Whole(headOf(r.Response), body); err != nil {
 		return interruptedAttempt(err)
 	}
@@ -282,6 +295,9 @@
 		_, err = io.Copy(r.part, r.Body)
 	}
 	r.Close(err == nil)
+	if err == nil && !r.outlived() {
+		err = errProcessEnded
+	}
 	if err != nil {
 		return interruptedAttempt(err)
 	}
--- a/internal/daemon/direct_stream.go
+++ b/internal/daemon/direct_stream.go
@@ -59,6 +59,9 @@
 	if empty && !r.Framed {
 		return interruptedAttempt(errors.New("no event arrived"))
 	}
+	if !r.outlived() {
+		return interruptedAttempt(errProcessEnded)
+	}
 	if err := r.part.EndStream(headOf(r.Response)); err != nil {
 		return interruptedAttempt(err)
 	}
