Configurations: a process that knows no others yet waits to hear from some

The list is read again up to 2.4 s after an outage.

The check now counts its 200 ms from when the members are known, and asks those from which the process hears before that, for 1.5 s at most.

--- a/internal/core/direct/platformpoll/drill_test.go
+++ b/internal/core/direct/platformpoll/drill_test.go
@@ -89,11 +89,14 @@
 }
 
 // The same for a daemon that starts while the store is away, or as it comes back, and for
-// one that starts alone: it has nobody to ask.
+// one that starts alone: it has nobody to ask. It may know the other daemons long after the
+// configuration.
 func TestStartedDaemonAsksPeersBeforeItBelievesStore(t *testing.T) {
 	for _, entries := range []int{1, 3, 4, 28} {
-		for _, before := range []time.Duration{1500 * time.Millisecond, 0} {
-			t.Run(fmt.Sprint(entries, " ", before), func(t *testing.T) {
+		for _, c := range []struct{ before, membersAfter time.Duration }{
+			{1500 * time.Millisecond, 8 * time.Millisecond}, {0, 8 * time.Millisecond}, {1500 * time.Millisecond, 2400 * time.Millisecond}, {0, 2400 * time.Millisecond},
+		} {
+			t.Run(fmt.Sprint(entries, " ", c), func(t *testing.T) {
 				f := newStartedFleet(t, entries)
 				f.era = 2
 				old, withdrawn := f.table, &msg.RouteTable{Version: 6}
@@ -101,17 +104,18 @@
 				f.table = withdrawn
 				f.run(t, 3*time.Second, 0, 0)
 				f.setAway(true)
-				f.run(t, 4500*time.Millisecond-before, 0, 0)
+				f.run(t, 4500*time.Millisecond-c.before, 0, 0)
 				host := f.hosts[0].Host
 				f.start(host)
-				f.run(t, before, 0, 0)
+				f.run(t, c.before, 0, 0)
 				f.rewind(old)
 				back := f.now
-				f.post(host, 8*time.Millisecond, msg.MembersChanged{Entries: f.hosts, Complete: true})
+				f.post(host, 0, msg.MembersChanged{Entries: f.hosts[:1]}) // itself
+				f.post(host, c.membersAfter, msg.MembersChanged{Entries: f.hosts, Complete: true})
 				if entries > 1 {
 					f.run(t, 3*time.Second, withdrawn.Version, back)
 				}
-				f.advance(time.Second)
+				f.advance(2 * time.Second)
 				f.is.True(f.confirmed[host] > back)
 			})
 		}
--- a/internal/core/direct/platformpoll/peercheck.go
+++ b/internal/core/direct/platformpoll/peercheck.go
@@ -1,7 +1,6 @@
 package platformpoll
 
 import (
-	"maps"
 	"slices"
 	"strconv"
 	"time"
@@ -18,13 +17,16 @@
 // writes lately, so that it asks too. In the first era a store has lost nothing.
 
 const (
-	// checkedPeers is the number of daemons that are asked. What a daemon knows it has
+	// checkedPeers is the number of members that are asked. What a daemon knows it has
 	// from the readers, so that not all have to be asked in a large fleet.
 	checkedPeers = 9
-	// checkTimeout is how long the check waits for daemons that do not reply, and
-	// checkInterval the time between two questions to each of them. Messages may be lost.
+	// checkTimeout is how long the check waits for members that do not reply, and
+	// checkInterval the time between two questions to each daemon. Messages may be lost.
 	checkTimeout  = 200 * time.Millisecond
 	checkInterval = 80 * time.Millisecond
+	// lonelyTimeout is how long the check of a process that has just started waits until
+	// it knows other daemons. Each of them sends it something within a second.
+	lonelyTimeout = 1500 * time.Millisecond
 )
 
 // peerCheck is the check of the first configuration that the store shows in an era.
@@ -34,16 +36,17 @@
 	finished bool
 	// read is the last read. It counts when the check has finished.
 	read *msg.RoutesRead
-	// open holds the daemons that have yet to reply. It is nil until some daemons are
-	// known.
-	open    map[msg.HostID]bool
+	// replied holds the daemons that are asked, and whether they have replied.
+	replied map[msg.HostID]bool
+	// knownAt is when the members were first known. It is zero before.
+	knownAt msg.Time
 	nextAsk msg.Time
 }
 
 // checkRead applies a read of the configuration once other daemons have been asked.
 func (c *Component) checkRead(now msg.Time, ev msg.RoutesRead) []msg.Effect {
 	if ev.Era > c.check.era {
-		c.check = peerCheck{era: ev.Era, begunAt: now}
+		c.check = peerCheck{era: ev.Era, begunAt: now, replied: make(map[msg.HostID]bool)}
 	}
 	if ev.Era <= msg.FirstStoreEra || c.check.finished {
 		return c.applyRead(now, ev)
@@ -59,31 +62,62 @@
 	if k.finished || k.read == nil {
 		return nil
 	}
-	if members := c.transfer.members.Entries; k.open == nil && len(members) > 0 {
-		k.open = make(map[msg.HostID]bool)
-		for _, h := range rendezvous.Spread("platform-readers", members, checkedPeers) {
-			k.open[h.Host] = true
+	if members := c.transfer.members; k.knownAt == 0 && (members.Complete || len(members.Entries) > 1) {
+		k.knownAt = now
+		for _, h := range rendezvous.Spread("platform-readers", members.Entries, checkedPeers) {
+			k.replied[h.Host] = k.replied[h.Host] || h.Host == c.cfg.Self.Host
 		}
-		delete(k.open, c.cfg.Self.Host)
 	}
-	if k.open != nil && len(k.open) == 0 || now-k.begunAt >= checkTimeout {
+	open := k.open()
+	if k.over(now, len(open)) {
 		read := *k.read
 		k.finished, k.read = true, nil
 		return c.applyRead(now, read)
 	}
-	if now < k.nextAsk {
+	if now < k.nextAsk || len(open) == 0 {
 		return nil
 	}
 	k.nextAsk = now + checkInterval
-	return c.readers.question(now, slices.Sorted(maps.Keys(k.open)))
+	return c.readers.question(now, open)
+}
+
+// open returns the daemons that have yet to reply.
+func (k *peerCheck) open() []msg.HostID {
+	var hosts []msg.HostID
+	for h, replied := range k.replied {
+		if !replied {
+			hosts = append(hosts, h)
+		}
+	}
+	slices.Sort(hosts)
+	return hosts
+}
+
+// over reports whether the check ends, with some daemons that have yet to reply.
+func (k *peerCheck) over(now msg.Time, open int) bool {
+	if k.knownAt == 0 {
+		return now-k.begunAt >= lonelyTimeout
+	}
+	return open == 0 || now-k.knownAt >= checkTimeout
+}
+
+// noteHeard has a daemon asked from which a process hears that does not know the members yet.
+func (c *Component) noteHeard(now msg.Time, from msg.HostID) []msg.Effect {
+	k := &c.check
+	if _, asked := k.replied[from]; asked || k.finished || k.read == nil || k.knownAt != 0 {
+		return nil
+	}
+	k.replied[from] = false
+	k.nextAsk = now
+	return c.advanceCheck(now)
 }
 
 // onCheckReply notes that a daemon has told which configuration it knows.
 func (c *Component) onCheckReply(now msg.Time, from msg.HostID, askedAt msg.Time) []msg.Effect {
-	if askedAt < c.check.begunAt {
+	if _, asked := c.check.replied[from]; !asked || askedAt < c.check.begunAt {
 		return nil
 	}
-	delete(c.check.open, from)
+	c.check.replied[from] = true
 	return c.advanceCheck(now)
 }
 
--- a/internal/core/direct/platformpoll/readers.go
+++ b/internal/core/direct/platformpoll/readers.go
@@ -135,6 +135,7 @@
 	case msg.StateReply:
 		return c.onStateReply(now, ev.From, m)
 	}
+	effs = append(effs, c.noteHeard(now, ev.From)...)
 	return append(effs, c.askForState(now, ev.From)...)
 }
 
