after-a-cut: what is believed and on its way, by what bounds it; soak of cut holders

The soak's proxies hold up bytes on open connections in a partition, deliver them when a kernel would send them again, and drop them if their sender has reset.

--- a/internal/core/direct/request/limitwait_test.go
+++ b/internal/core/direct/request/limitwait_test.go
@@ -42,3 +42,30 @@
 	h.is.Equal(len(h.m.attempts), 1)
 	h.is.Equal(len(h.m.held), 0)
 }
+
+// A daemon that was cut off for long must not hold a target to a limit of before, and must not
+// tell it to others.
+func TestLimitIsForgottenWithoutConfirmation(t *testing.T) {
+	h := newLimitedHarness(t)
+	h.now += limitRetention
+	h.step(msg.RoutesConfirmed{At: h.now})
+	h.step(msg.MembersChanged{Entries: []msg.Host{{Host: "entry-1"}, {Host: "entry-2"}}, Complete: true})
+	digests := 0
+	for range 20 {
+		h.advance(100 * time.Millisecond)
+		for _, eff := range h.effects {
+			if p, ok := eff.(msg.SendPeer); ok {
+				if d, ok := p.Message.(msg.LoadDigest); ok {
+					digests++
+					h.is.Equal(len(d.Limits), 0)
+				}
+			}
+		}
+	}
+	h.is.True(digests > 0)
+	open := len(h.m.attempts)
+	for range 3 { // of which the limit had let one pass
+		h.arrive("/lookup/y")
+	}
+	h.is.Equal(len(h.m.attempts), open+3)
+}
--- a/internal/soak/proxy_test.go
+++ b/internal/soak/proxy_test.go
@@ -19,6 +19,8 @@
 	delay atomic.Int64
 	// refusing makes the proxy reset new connections.
 	refusing atomic.Bool
+	// partition holds up what is sent.
+	partition partition
 
 	mu    sync.Mutex
 	conns map[*connection]bool
@@ -56,6 +58,11 @@
 		closeWithReset(caller)
 		return
 	}
+	if p.partition.active() {
+		_, _ = io.Copy(io.Discard, caller) // A connection is never established; what is sent is lost.
+		_ = caller.Close()
+		return
+	}
 	target, err := net.Dial("tcp", p.target)
 	if err != nil {
 		closeWithReset(caller)
@@ -89,6 +96,10 @@
 		if d := p.delay.Load(); d > 0 {
 			time.Sleep(time.Duration(d))
 		}
+		if n > 0 && !p.partition.pass(src, buf[:n]) {
+			closeWithReset(dst)
+			return
+		}
 		if n > 0 {
 			if _, werr := dst.Write(buf[:n]); werr != nil {
 				err = werr
