--- a/internal/core/direct/platformpoll/peercheck.go
+++ b/internal/core/direct/platformpoll/peercheck.go
@@ -64,7 +64,7 @@
 	}
 	if members := c.transfer.members; k.knownAt == 0 && (members.Complete || len(members.Entries) > 1) {
 		k.knownAt = now
-		for _, h := range rendezvous.Spread("platform-readers", members.Entries, checkedPeers) {
+		for _, h := range rendezvous.Spread(readersKey, members.Entries, checkedPeers) {
 			k.replied[h.Host] = k.replied[h.Host] || h.Host == c.cfg.Self.Host
 		}
 	}
--- a/internal/core/direct/platformpoll/readers.go
+++ b/internal/core/direct/platformpoll/readers.go
@@ -22,6 +22,8 @@
 // that the platform's state was as stated at the resulting instant or later, however
 // long the reply took and whichever process was suspended meanwhile.
 const (
+	// readersKey orders the daemons by how likely they are readers.
+	readersKey = "platform-readers"
 	// maxReaders is the number of readers. They are in different failure domains
 	// where there are that many.
 	maxReaders = 3
@@ -56,7 +58,7 @@
 // chooseReaders returns the readers among the live entry daemons. All daemons with the
 // same list choose the same ones.
 func chooseReaders(entries []msg.Host) []msg.Host {
-	ordered := rendezvous.Order("platform-readers", entries)
+	ordered := rendezvous.Order(readersKey, entries)
 	var chosen []msg.Host
 	for _, h := range ordered {
 		if len(chosen) == maxReaders {
