--- a/internal/soak/cut_test.go
+++ b/internal/soak/cut_test.go
@@ -2,8 +2,8 @@
 
 import (
 	"bytes"
+	"fmt"
 	"net"
-	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -184,9 +184,8 @@
 		if len(r) == before {
 			continue
 		}
-		holder := r[len(r)-1].Holder
-		for i, e := range d.entries {
-			if strings.HasSuffix(holder, "-"+string(rune('0'+i))) && e.process() != nil {
+		for i := range d.entries {
+			if r[len(r)-1].Holder == fmt.Sprint("entry-", i) {
 				return i
 			}
 		}
