--- a/internal/core/direct.go
+++ b/internal/core/direct.go
@@ -28,6 +28,9 @@
 	// UsageCollectTimeout is how long after the end of a window the holder of
 	// the usage lease waits for the counts of daemons that can't be reached.
 	UsageCollectTimeout time.Duration
+	// UsageReportDeadline is the time after the end of a window by which its report is
+	// due.
+	UsageReportDeadline time.Duration
 	// LeaseTurn is the shortest time after which a daemon that has acted under
 	// a lease may act under it again, if another daemon has acted under it in
 	// between.
@@ -83,7 +86,7 @@
 	if cfg.UsageWindow > 0 {
 		meter := usage.New(usage.Config{
 			Self: cfg.Self.Host, Incarnation: cfg.Incarnation,
-			Window: cfg.UsageWindow, CollectTimeout: cfg.UsageCollectTimeout,
+			Window: cfg.UsageWindow, CollectTimeout: cfg.UsageCollectTimeout, ReportDeadline: cfg.UsageReportDeadline,
 		})
 		components = append(components, meter)
 		flushers = append(flushers, meter)
--- a/internal/core/direct/usage/era.go
+++ b/internal/core/direct/usage/era.go
@@ -41,21 +41,29 @@
 	return m.windowOf(last.Add(-collectDelay)) - 1
 }
 
-// tellCandidates tells the daemons that may follow as holder which windows are frozen.
+// tellCandidates tells the daemons that may follow as holder which windows are frozen, and
+// whether a report is unconfirmed. It tells the counts once.
 func (m *Meter) tellCandidates() []msg.Effect {
-	notice := msg.WindowsFrozen{Windows: make(map[int64]map[msg.AccountID]int64, len(m.frozen.Windows)), Last: m.frozen.Last}
-	for w, c := range m.frozen.Windows {
-		notice.Windows[w] = c
+	notice := msg.WindowsFrozen{Last: m.frozen.Last, UnconfirmedMS: m.frozen.UnconfirmedMS}
+	if m.toldLast != m.frozen.Last {
+		m.toldLast = m.frozen.Last
+		notice.Windows = make(map[int64]map[msg.AccountID]int64, len(m.frozen.Windows))
+		for w, c := range m.frozen.Windows {
+			notice.Windows[w] = c
+		}
 	}
 	return m.tell(notice)
 }
 
 // remember records the windows that the holder has frozen.
 func (m *Meter) remember(f msg.WindowsFrozen) {
-	if f.Last <= m.remembered.Last {
+	if f.Last == m.remembered.Last {
+		m.remembered.UnconfirmedMS = f.UnconfirmedMS
+	}
+	if f.Last <= m.remembered.Last || len(f.Windows) == 0 {
 		return
 	}
-	m.remembered = frozenWindows{Windows: make(map[int64]runCounts, len(f.Windows)), Last: f.Last}
+	m.remembered = frozenWindows{Windows: make(map[int64]runCounts, len(f.Windows)), Last: f.Last, UnconfirmedMS: f.UnconfirmedMS}
 	for w, c := range f.Windows {
 		m.remembered.Windows[w] = c
 	}
@@ -66,7 +74,7 @@
 // the era, those that it gave up first are all that holders before the loss may have
 // reported.
 func (m *Meter) restoreLost() frozenWindows {
-	rec := frozenWindows{Windows: maps.Clone(m.remembered.Windows), Last: m.remembered.Last}
+	rec := frozenWindows{Windows: maps.Clone(m.remembered.Windows), Last: m.remembered.Last, UnconfirmedMS: m.remembered.UnconfirmedMS}
 	if rec.Windows == nil {
 		rec.Windows = make(map[int64]runCounts)
 	}
--- a/internal/core/direct/usage/meter.go
+++ b/internal/core/direct/usage/meter.go
@@ -81,6 +81,8 @@
 	// CollectTimeout is how long after a window's end the holder of the usage
 	// lease waits for complete counts of daemons that can't be reached.
 	CollectTimeout time.Duration
+	// ReportDeadline is the time after a window's end by which its report is due.
+	ReportDeadline time.Duration
 }
 
 // Meter counts the runs of this daemon, and freezes and reports windows while
--- a/internal/core/direct/usage/meter_test.go
+++ b/internal/core/direct/usage/meter_test.go
@@ -11,7 +11,10 @@
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
 )
 
-const testWindow = 5 * time.Second
+const (
+	testWindow         = 5 * time.Second
+	testReportDeadline = 10 * time.Second
+)
 
 // daemon is an entry daemon with a meter.
 type daemon struct {
@@ -26,11 +29,21 @@
 	objects *coretest.Objects
 	daemons map[msg.HostID]*daemon
 	hosts   []msg.HostID
-	reports []msg.ReportWindow
+	reports []sentReport
+	// silent holds the hosts whose reports get no answer. messagesLost loses all messages
+	// between daemons.
+	silent       map[msg.HostID]bool
+	messagesLost bool
+}
+
+// sentReport is a report, and when it was sent.
+type sentReport struct {
+	msg.ReportWindow
+	at time.Duration
 }
 
 func newCluster(t *testing.T, hosts ...msg.HostID) *cluster {
-	c := &cluster{is: is.New(t), objects: coretest.NewObjects(), daemons: make(map[msg.HostID]*daemon), hosts: hosts}
+	c := &cluster{is: is.New(t), objects: coretest.NewObjects(), daemons: make(map[msg.HostID]*daemon), hosts: hosts, silent: make(map[msg.HostID]bool)}
 	for _, h := range hosts {
 		c.start(h)
 	}
@@ -39,7 +52,7 @@
 }
 
 func (c *cluster) start(h msg.HostID) {
-	c.daemons[h] = &daemon{connected: true, meter: New(Config{Self: h, Incarnation: msg.Incarnation(c.wall().String()), Window: testWindow, CollectTimeout: 7 * time.Second})}
+	c.daemons[h] = &daemon{connected: true, meter: New(Config{Self: h, Incarnation: msg.Incarnation(c.wall().String()), Window: testWindow, CollectTimeout: 7 * time.Second, ReportDeadline: testReportDeadline})}
 	c.step(h, msg.Started{Wall: c.wall()})
 }
 
@@ -60,10 +73,14 @@
 	for _, eff := range d.meter.Step(c.now, ev) {
 		switch eff := eff.(type) {
 		case msg.ReportWindow:
-			c.reports = append(c.reports, eff)
-			c.step(h, msg.WindowReported{Call: eff.Call})
+			c.reports = append(c.reports, sentReport{eff, c.now})
+			result := msg.WindowReported{Call: eff.Call}
+			if c.silent[h] {
+				result.Status = msg.CallUnknown
+			}
+			c.step(h, result)
 		case msg.SendPeer:
-			if c.daemons[eff.To] != nil {
+			if c.daemons[eff.To] != nil && !c.messagesLost {
 				c.step(eff.To, msg.PeerReceived{From: h, Message: eff.Message})
 			}
 		default:
--- a/internal/core/direct/usage/reporter.go
+++ b/internal/core/direct/usage/reporter.go
@@ -33,6 +33,9 @@
 	// Reported is the window up to which all windows were reported when the
 	// object was written.
 	Reported int64 `json:"reported"`
+	// UnconfirmedMS is when the last report was begun that may have got no answer, in Unix
+	// milliseconds. It is zero if there is none.
+	UnconfirmedMS int64 `json:"unconfirmedMs,omitempty"`
 }
 
 // reporter is the state with which the holder of the usage lease freezes and
@@ -59,7 +62,10 @@
 
 	lastCall        msg.CallID
 	reportingWindow int64
+	unconfirmed
 
+	// toldLast is the last frozen window whose counts the candidates were told.
+	toldLast int64
 	// remembered holds the frozen windows that this process knows of, also if the store
 	// has lost them.
 	remembered frozenWindows
@@ -106,6 +112,7 @@
 	if m.lease.Update(ev) {
 		m.frozenLoaded = false
 		m.reported = make(map[int64]bool)
+		m.known = false
 	}
 }
 
@@ -120,9 +127,32 @@
 		m.callPending = true
 		return []msg.Effect{m.frozenStore.Get(tagFrozenRead, msg.KindWindow, m.era.Name(frozenName))}
 	}
-	if w, ok := m.oldestUnreported(); ok {
-		return []msg.Effect{m.report(w)}
+	effs := m.updateHold()
+	if effect, ok := m.nextReport(now); ok {
+		return append(effs, effect)
 	}
+	return append(effs, m.collect()...)
+}
+
+// nextReport returns the next report of a frozen window, or the write that has to
+// precede or to follow the reports.
+func (m *Meter) nextReport(now msg.Time) (msg.Effect, bool) {
+	w, ok := m.nextUnreported()
+	switch {
+	case m.held:
+		return nil, false
+	case ok && !m.announced:
+		return m.writeUnconfirmed(now, m.nextUnconfirmedMS()), true
+	case ok:
+		return m.report(w), true
+	case m.frozen.UnconfirmedMS > m.unansweredMS:
+		return m.writeUnconfirmed(now, m.unansweredMS), true
+	}
+	return nil, false
+}
+
+// collect reads the daemons' counts if a window may be due to be frozen.
+func (m *Meter) collect() []msg.Effect {
 	if m.wall.Before(m.endOf(m.nextWindow()).Add(collectDelay)) {
 		return nil
 	}
@@ -139,21 +169,46 @@
 	return m.windowOf(m.startWall)
 }
 
-// oldestUnreported returns the oldest frozen window that this holder has not yet
-// reported, and whether there is one.
-func (m *Meter) oldestUnreported() (int64, bool) {
-	var oldest int64
+// nextUnreported returns the frozen window to report next, and whether there is one. It is
+// the oldest whose report is not overdue, or the oldest if all are.
+func (m *Meter) nextUnreported() (int64, bool) {
+	unreported := m.unreported()
+	if len(unreported) == 0 {
+		return 0, false
+	}
+	for _, w := range unreported {
+		if m.wall.Before(m.reportDue(w)) {
+			return w, true
+		}
+	}
+	return unreported[0], true
+}
+
+// unreported returns the frozen windows that this holder has not reported yet, in
+// ascending order.
+func (m *Meter) unreported() []int64 {
+	var out []int64
 	for w := range m.frozen.Windows {
-		if w > m.frozen.Reported && !m.reported[w] && (oldest == 0 || w < oldest) {
-			oldest = w
+		if w > m.frozen.Reported && !m.reported[w] {
+			out = append(out, w)
 		}
 	}
-	return oldest, oldest != 0
+	slices.Sort(out)
+	return out
+}
+
+// reportedThrough returns the window up to which all windows were reported.
+func (m *Meter) reportedThrough() int64 {
+	if unreported := m.unreported(); len(unreported) > 0 {
+		return unreported[0] - 1
+	}
+	return m.frozen.Last
 }
 
 func (m *Meter) report(window int64) msg.Effect {
 	m.lastCall++
 	m.callPending = true
+	m.announced = false
 	m.reportingWindow = window
 	return msg.ReportWindow{
 		Call: m.lastCall, Holder: m.cfg.Self, Epoch: m.lease.Epoch,
@@ -171,8 +226,11 @@
 		text = "usage window could not be reported"
 		level = msg.LogWarn
 		m.retryAt = now + retryInterval
-		if ev.Status == msg.CallRejected {
+		switch ev.Status {
+		case msg.CallRejected:
 			m.reported[m.reportingWindow] = true
+		case msg.CallUnknown:
+			m.unansweredMS = max(m.unansweredMS, m.frozen.UnconfirmedMS)
 		}
 	}
 	return []msg.Effect{msg.LogLine{Component: logComponent, Level: level, Text: text, Attrs: []msg.Attr{
@@ -212,6 +270,7 @@
 	}
 	m.frozenVersion = r.Object.Version
 	m.remembered = m.frozen
+	m.inherit()
 }
 
 func (m *Meter) onRecordsListed(now msg.Time, r store.Result) []msg.Effect {
@@ -280,10 +339,13 @@
 	})
 }
 
-// freeze writes the counts of the windows from first to last in one write. A window is
-// frozen only after all earlier ones were reported, see advanceReport.
+// freeze writes the counts of the windows from first to last in one write. Their reports
+// follow at once unless they have to wait.
 func (m *Meter) freeze(now msg.Time, first, last int64, records map[msg.HostID]daemonRecord) []msg.Effect {
-	next := frozenWindows{Windows: make(map[int64]runCounts), Last: last, Reported: m.frozen.Last}
+	next := frozenWindows{Windows: make(map[int64]runCounts), Last: last, Reported: m.reportedThrough(), UnconfirmedMS: m.nextUnconfirmedMS()}
+	if m.held {
+		next.UnconfirmedMS = m.frozen.UnconfirmedMS
+	}
 	for w, c := range m.frozen.Windows {
 		if w > last-keptFrozen {
 			next.Windows[w] = c
@@ -303,9 +365,15 @@
 			{Key: "daemons", Value: runsByDaemon(records, w)},
 		}})
 	}
+	return append(effs, m.writeFrozen(now, next))
+}
+
+// writeFrozen writes the object with the frozen windows.
+func (m *Meter) writeFrozen(now msg.Time, next frozenWindows) msg.Effect {
 	m.frozen = next
 	m.callPending = true
-	return append(effs, m.frozenStore.Put(now, tagFreeze, msg.KindWindow, m.era.Name(frozenName), next, m.frozenVersion, m.lease.Until))
+	m.announced = false
+	return m.frozenStore.Put(now, tagFreeze, msg.KindWindow, m.era.Name(frozenName), next, m.frozenVersion, m.lease.Until)
 }
 
 // runsByDaemon returns the numbers of runs that each daemon counted in a window,
@@ -323,6 +391,7 @@
 	if r.Status == msg.CallOK && !r.Superseded {
 		m.frozenVersion = r.Object.Version
 		m.remembered = m.frozen
+		m.announced = !m.held && m.frozen.UnconfirmedMS > m.unansweredMS
 		return m.tellCandidates()
 	}
 	m.frozenLoaded = false
--- a/internal/core/direct_duties_test.go
+++ b/internal/core/direct_duties_test.go
@@ -98,6 +98,29 @@
 	}
 }
 
+// TestDutiesWithReportsHeldUp guards against a report that is held up in a partition and passes
+// after one of the next holder: something between has acknowledged it, so that its sender
+// can't recall it.
+func TestDutiesWithReportsHeldUp(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		sim := newDirectSimulation(t)
+		sim.advance(2 * time.Second)
+		t.Repeat(map[string]func(*rapid.T){
+			"pass":    func(t *rapid.T) { sim.t = t; sim.advance(sim.duration(t)) },
+			"hold up": func(t *rapid.T) { sim.t = t; sim.holdUpFor = sim.duration(t) + 5*time.Second },
+			"kill":    func(t *rapid.T) { sim.t = t; sim.startProcess(sim.pick(t)) },
+			"stop": func(t *rapid.T) {
+				sim.t = t
+				n := sim.pick(t)
+				sim.step(n, msg.StopRequested{})
+				sim.advance(3 * time.Second)
+				sim.startProcess(n)
+			},
+			"count": func(t *rapid.T) { sim.t = t; sim.count(sim.pick(t), rapid.IntRange(1, 9).Draw(t, "runs")) },
+		})
+	})
+}
+
 // TestDutiesUnderAnyFault kills and pauses daemons, cuts them off from the
 // store, loses its responses and makes it continue from an older copy, at any time.
 func TestDutiesUnderAnyFault(t *testing.T) {
--- a/internal/core/direct_simulation_test.go
+++ b/internal/core/direct_simulation_test.go
@@ -50,6 +50,8 @@
 	reportedAt   map[int64]time.Duration
 	lastReporter *directNode
 	storeOutage  outage
+	// holdUpFor is how long a partition lasts that begins at the next report; zero for none.
+	holdUpFor time.Duration
 	// prompt is set if no call or message is slow.
 	prompt bool
 }
@@ -73,6 +75,8 @@
 	// pausedUntil and cutUntil are when a pause or a network cut ends.
 	pausedUntil, cutUntil time.Duration
 	responsesLostUntil    time.Duration // responses of the store are lost until then
+	// reportsHeldUntil is until when reports are held up between node and platform.
+	reportsHeldUntil time.Duration
 	// era is the latest era of the store that the process has seen.
 	era msg.StoreEra
 }
@@ -108,7 +112,7 @@
 		Self: self, Incarnation: inc, PeerAddr: string(n.host) + ":1",
 		Limits:       msg.DirectLimits{AcceptMaxAge: 4 * time.Second, RejectMaxAge: 2 * time.Second, RetryWindow: 10 * time.Second},
 		PlatformPoll: platformpoll.Config{RoutesInterval: time.Second, InstancesInterval: time.Second},
-		UsageWindow:  fuzzWindow, UsageCollectTimeout: 7 * time.Second, LeaseTurn: fuzzTurn,
+		UsageWindow:  fuzzWindow, UsageCollectTimeout: 7 * time.Second, UsageReportDeadline: 10 * time.Second, LeaseTurn: fuzzTurn,
 	})
 	sim.step(n, msg.Started{Self: self, Incarnation: inc, Seed: uint64(n.processID), Wall: sim.wall()})
 }
@@ -156,6 +160,15 @@
 		list := slices.Clone(sim.engines)
 		sim.respond(n, msg.InstancesRead{Call: eff.Call, Sent: sim.now - n.start, Revision: msg.Revision(sim.now + 1), Instances: list}, msg.InstancesRead{Call: eff.Call, Status: msg.CallUnavailable})
 	case msg.ReportWindow:
+		if sim.holdUpFor > 0 {
+			n.cutUntil, n.reportsHeldUntil = sim.now+sim.holdUpFor, sim.now+sim.holdUpFor
+			sim.holdUpFor = 0
+		}
+		if sim.now < n.reportsHeldUntil {
+			sim.afterDelay(n.reportsHeldUntil-sim.now+sim.delay()/6, nil, func() { sim.onReport(n, eff) })
+			sim.after(n, func() { sim.step(n, msg.WindowReported{Call: eff.Call, Status: msg.CallUnknown}) })
+			return
+		}
 		sim.after(nil, func() { sim.onReport(n, eff) })
 		sim.respond(n, msg.WindowReported{Call: eff.Call}, msg.WindowReported{Call: eff.Call, Status: msg.CallUnknown})
 	case msg.ChangeRole:
--- a/internal/core/msg/direct_peer.go
+++ b/internal/core/msg/direct_peer.go
@@ -88,10 +88,14 @@
 }
 
 // WindowsFrozen reports the usage windows whose counts no longer change to the daemons
-// that may have to report them next. Last is the last such window.
+// that may have to report them next. Last is the last such window. Windows is empty if only
+// UnconfirmedMS has changed.
 type WindowsFrozen struct {
 	Windows map[int64]map[AccountID]int64 `cbor:"1,keyasint"`
 	Last    int64                         `cbor:"2,keyasint"`
+	// UnconfirmedMS is when the last report was begun that may have got no answer, in Unix
+	// milliseconds. It is zero if there is none, or if the sender's build does not tell.
+	UnconfirmedMS int64 `cbor:"3,keyasint,omitempty"`
 }
 
 // WindowRuns counts the runs of a usage window by client account.
--- a/internal/daemon/direct_run.go
+++ b/internal/daemon/direct_run.go
@@ -162,6 +162,7 @@
 	}
 	if s.UsageAddr != "" {
 		cfg.UsageWindow = s.Bounds.UsageWindow
+		cfg.UsageReportDeadline = s.Bounds.UsageReportDeadline
 		cfg.UsageCollectTimeout = time.Duration(usageCollectRatio * float64(s.Bounds.UsageReportDeadline))
 	}
 	return cfg
