A status below 200 is an answer only if it is interim and has no body

Callers got an answer with status 000, and answers that stood in the body of another one. Cause: statuses below 200 were passed over, 000 to 099 too, and bytes that such an answer announced as its body were read as the next answer.

The client looks at the head before it is parsed (head.go): a status outside 100 to 599, 101, an interim answer or a 204 that announces a body, and a status line in another form are no answer. Interim answers without a body are passed over as before.

--- a/internal/httpclient/exchange.go
+++ b/internal/httpclient/exchange.go
@@ -54,6 +54,8 @@
 	// process is the start time of the target's process at the other end, or 0 as long as
 	// it is not known.
 	process int64
+	// oversized reports that a head did not fit into the buffer of r.
+	oversized bool
 	// patient reports that keep-alive probes are off.
 	patient bool
 	// written is closed when the write of the request in progress has finished or
@@ -148,13 +150,9 @@
 func (c *conn) readResponse(req *Request) (*Response, error) {
 	httpReq := &http.Request{Method: req.Method}
 	for range maxMismatched {
-		c.input.left = maxHeadBytes
-		resp, err := http.ReadResponse(c.r, httpReq) //nolint:bodyclose // Response.Close ends the exchange
-		if c.input.left <= 0 {
-			return nil, ErrTooLong
-		}
+		resp, err := c.readHead(httpReq) //nolint:bodyclose // Response.Close ends the exchange
 		if err != nil {
-			return nil, errors.Wrap(err, "kept: no answer")
+			return nil, err
 		}
 		if resp.StatusCode < http.StatusOK {
 			continue
@@ -173,6 +171,25 @@
 	return nil, ErrResponseMismatch
 }
 
+// readHead reads the head of the next response.
+func (c *conn) readHead(req *http.Request) (*http.Response, error) {
+	c.input.left = maxHeadBytes
+	var resp *http.Response
+	err := c.checkHead()
+	if err == nil {
+		resp, err = http.ReadResponse(c.r, req)
+	}
+	switch {
+	case errors.Is(err, ErrMalformed):
+		return nil, err
+	case c.input.left <= 0:
+		return nil, ErrTooLong
+	case err != nil:
+		return nil, errors.Wrap(err, "kept: no answer")
+	}
+	return resp, nil
+}
+
 func isFramed(resp *http.Response) bool {
 	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
 }
@@ -211,5 +228,5 @@
 	c := r.conn
 	idle, ok := idleTime(r.Header)
 	c.expires = time.Now().Add(idle)
-	return ok && r.Framed && !r.Response.Close && c.requestWritten() && c.r.Buffered() == 0
+	return ok && r.Framed && !r.Response.Close && !c.oversized && c.requestWritten() && c.r.Buffered() == 0
 }
