A head with a field whose name or value is none is no answer

Callers got answers in whose head the name of a field held a blank, with that line passed on, or with a body that was not the target's where the line said how long it is. Cause: the parser of net/http keeps a name with a blank, joins a line that begins with one to the line before, and drops an empty name; nothing behind it asked.

Sound ones stay whole.

--- a/internal/httpclient/exchange.go
+++ b/internal/httpclient/exchange.go
@@ -187,6 +187,7 @@
 	case err != nil:
 		return nil, errors.Wrap(err, "kept: no answer")
 	}
+	resp.Body = &checkedBody{resp.Body, resp}
 	return resp, nil
 }
 
--- a/internal/httpclient/head.go
+++ b/internal/httpclient/head.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"io"
 	"net/http"
 	"strings"
 
@@ -115,8 +116,8 @@
 // would continue the one before, which is obsolete (RFC 9112, section 5.2).
 func (h *responseHead) scanField(line string) bool {
 	name, value, ok := strings.Cut(line, ":")
-	if !ok {
-		return true
+	if !ok || !httpguts.ValidHeaderFieldName(name) || !httpguts.ValidHeaderFieldValue(value) {
+		return false
 	}
 	switch {
 	case strings.EqualFold(name, "Content-Length"):
@@ -139,3 +140,22 @@
 	}
 	return nil
 }
+
+// checkedBody is the body of a response. At its end, it checks the names in the trailer.
+type checkedBody struct {
+	io.ReadCloser
+	resp *http.Response
+}
+
+// Read implements [io.Reader].
+func (b *checkedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) {
+		for name := range b.resp.Trailer {
+			if !httpguts.ValidHeaderFieldName(name) {
+				return n, errors.Wrapf(ErrMalformed, "field %.40q", name)
+			}
+		}
+	}
+	return n, err
+}
--- a/internal/httpclient/head_test.go
+++ b/internal/httpclient/head_test.go
@@ -77,3 +77,31 @@
 		"long head":            "HTTP/1.1 200 OK\r\nX-A: " + strings.Repeat("a", 3*bufferSize) + "\r\nX-Id: 1\r\nContent-Length: 2\r\n\r\nok",
 	})
 }
+
+// A target in trouble sent a name with a blank or a control byte in its head. Callers got the
+// line, or a body that was not the target's where the line said how long it is.
+func TestFieldThatIsNoneIsMalformed(t *testing.T) {
+	answers := make(map[string]string)
+	for _, field := range []string{
+		"X Bad: v", "X-Bad : v", "X-Bad\t: v", "Content-Length : 2", "Content Length: 2", " X-Bad: v", "\tX-Bad: v", ": v", "X-Bad",
+		"X\x01Bad: v", "X\x00Bad: v", "X\x7fBad: v", "X-B\u00e4d: v", "X(Bad): v", "X-Bad: a\x00b", "X-Bad: a\x01b", "X-Bad: a\rb", "X-Bad: a\x7fb",
+	} {
+		for _, status := range []string{"200 OK", "500 Internal Server Error"} {
+			answers[fmt.Sprintf("%s %q", status, field)] = "HTTP/1.1 " + status + "\r\nX-Id: 1\r\n" + field + "\r\nContent-Length: 2\r\n\r\nok"
+		}
+		answers[fmt.Sprintf("interim %q", field)] = "HTTP/1.1 103 x\r\nX-A: b\r\n" + field + "\r\n\r\n" + responseFor("1")
+	}
+	checkOutcomes(t, ErrMalformed.Error(), answers)
+	checkOutcomes(t, "200 ok", map[string]string{
+		"blanks around a value": "HTTP/1.1 200 OK\r\nX-Id: \t 1 \r\nContent-Length:2 \r\n\r\nok",
+		"empty value":           "HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-Empty:\r\nContent-Length: 2\r\n\r\nok",
+		"bytes above ASCII":     "HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-A: \xe4\r\nContent-Length: 2\r\n\r\nok",
+	})
+}
+
+// The trailer of a chunked answer is a head too.
+func TestTrailerThatIsNoneIsMalformed(t *testing.T) {
+	const chunked = "HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n"
+	checkOutcomes(t, ErrMalformed.Error(), map[string]string{"name": chunked + "X Bad: v\r\n\r\n"})
+	checkOutcomes(t, "200 ok", map[string]string{"sound": chunked + "X-A: v\r\n\r\n"})
+}
