A head that says in two ways how long its body is, or whose, is no answer

Found while looking for the same cause: a Transfer-Encoding under HTTP/1.0 was dropped by the parser, so that the frames of the chunks reached the caller as a body; beside a Content-Length it hid that; an answer with the IDs of two requests passed for that of the first.

The check of heads sees these fields before the parser drops them (RFC 9112, section 6), and an answer has to repeat the request's ID in all of its fields of that name.

TestAmbiguousLengthIsMalformed, TestAnswerWithTwoIDsIsOfNoRequest: each shape brought a 200 before.

--- a/internal/httpclient/exchange.go
+++ b/internal/httpclient/exchange.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"cmp"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -157,7 +158,7 @@
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
-		if req.EchoName == "" || resp.Header.Get(req.EchoName) == req.EchoID {
+		if echoes(resp, req) {
 			c.input.left = maxBodyBytes
 			return &Response{Response: resp, conn: c, Framed: isFramed(resp)}, nil
 		}
@@ -191,6 +192,18 @@
 	return resp, nil
 }
 
+// echoes reports whether the response belongs to the request, by the ID that it repeats.
+func echoes(resp *http.Response, req *Request) bool {
+	if req.EchoName == "" {
+		return true
+	}
+	ids := resp.Header.Values(req.EchoName)
+	if len(ids) == 0 {
+		return req.EchoID == ""
+	}
+	return !slices.ContainsFunc(ids, func(id string) bool { return id != req.EchoID })
+}
+
 func isFramed(resp *http.Response) bool {
 	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
 }
--- a/internal/httpclient/head.go
+++ b/internal/httpclient/head.go
@@ -137,6 +137,8 @@
 		return errors.Wrap(ErrMalformed, "another protocol, which was not asked for")
 	case bodyless && (h.coded || h.lengths > 0 && h.length != "0"):
 		return errors.Wrapf(ErrMalformed, "status %d announces a body", h.status)
+	case h.coded && (h.lengths > 0 || h.minor == '0'):
+		return errors.Wrap(ErrMalformed, "ambiguous length")
 	}
 	return nil
 }
--- a/internal/httpclient/head_test.go
+++ b/internal/httpclient/head_test.go
@@ -105,3 +105,24 @@
 	checkOutcomes(t, ErrMalformed.Error(), map[string]string{"name": chunked + "X Bad: v\r\n\r\n"})
 	checkOutcomes(t, "200 ok", map[string]string{"sound": chunked + "X-A: v\r\n\r\n"})
 }
+
+// Fields that say in two ways how long the body is let its end be taken from the wrong one.
+func TestAmbiguousLengthIsMalformed(t *testing.T) {
+	const chunks = "2\r\nok\r\n0\r\n\r\n"
+	checkOutcomes(t, ErrMalformed.Error(), map[string]string{
+		"length and chunks":  "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks,
+		"chunks and length":  "HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\nContent-Length: 12\r\n\r\n" + chunks,
+		"chunks before them": "HTTP/1.0 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks,
+	})
+	checkOutcomes(t, "200 ok", map[string]string{
+		"chunks":     "HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks,
+		"same twice": "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 2\r\nContent-Length: 2\r\n\r\nok",
+	})
+}
+
+// An answer with the IDs of two requests passed for that of the first.
+func TestAnswerWithTwoIDsIsOfNoRequest(t *testing.T) {
+	checkOutcomes(t, ErrResponseMismatch.Error(), map[string]string{
+		"two": "HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-Id: 2\r\n\r\nok",
+	})
+}
