Responses without a body by their status are written without a length

Found while looking at what the product writes itself: a 204 and a 304 of a target reached callers with a Content-Length of 0, which a 204 must not have, and which of a 304 says that the resource is empty. TestStatusWithoutBodyHasNoLength fails before.

--- a/internal/response/response.go
+++ b/internal/response/response.go
@@ -114,7 +114,9 @@
 
 func (w *Writer) writeHead(h Head, state msg.ResponseState) {
 	w.copyHeader(w.w.Header(), h.Header)
-	if h.Length >= 0 {
+	// A response of these statuses ends with its head; a length there says something else.
+	bodyless := h.Status == http.StatusNoContent || h.Status == http.StatusNotModified
+	if h.Length >= 0 && !bodyless {
 		w.w.Header().Set("Content-Length", strconv.FormatInt(h.Length, 10))
 	}
 	w.state = state
--- a/internal/response/response_test.go
+++ b/internal/response/response_test.go
@@ -146,3 +146,14 @@
 		})
 	})
 }
+
+// Responses without a body by their status had a length of 0, which of a 304 says that the
+// resource is empty.
+func TestStatusWithoutBodyHasNoLength(t *testing.T) {
+	is := is.New(t)
+	for status, want := range map[int]string{http.StatusOK: "0", http.StatusNoContent: "", http.StatusNotModified: ""} {
+		w, rec := newTestWriter(0)
+		is.NoErr(w.Attempt(&Permit{}).Whole(Head{Status: status}, nil))
+		is.Equal(rec.Header().Get("Content-Length"), want) // status
+	}
+}
