A request whose parts would end its line is not sent

Found while looking for the same cause: a handle that an engine names, and the name of an entry in the list of targets, went into requests as they were. With a line break in it, the rest was a field or a request of its own, with the key of no caller and under another ID.

--- a/internal/httpclient/exchange.go
+++ b/internal/httpclient/exchange.go
@@ -5,7 +5,6 @@
 	"cmp"
 	"net/http"
 	"slices"
-	"strconv"
 	"sync"
 	"time"
 
@@ -15,30 +14,6 @@
 	"github.com/verbenaspur/verbenaspur/internal/tcpreset"
 )
 
-// Request is one HTTP request to a target.
-type Request struct {
-	Method, URI, Host string
-	// Header holds the header fields in the order in which they are written.
-	Header []Field
-	Body   []byte
-	// EchoName is the response header in which the target must repeat EchoID. If EchoID is
-	// empty, it must not be set: a response with an ID is a late one to an earlier request
-	// on the connection. Responses are not checked if EchoName is empty.
-	EchoName, EchoID string
-	// Patient keeps the connection open however long the target's host is silent. It is
-	// of use if the exchange may last longer than [SilenceLimit].
-	Patient bool
-	// Confirm names the process of the target that the request is meant for. Nil means
-	// any.
-	Confirm *Confirmation
-	// Allowed is called right before the first byte is sent. The request is not
-	// sent if it returns false. Nil always allows.
-	Allowed func() bool
-}
-
-// Field is one header field.
-type Field struct{ Name, Value string }
-
 // conn is a connection to a target, with the state of the exchange in progress.
 type conn struct {
 	*tcpreset.Conn
@@ -123,29 +98,6 @@
 	}
 }
 
-func (r *Request) encode() []byte {
-	b := make([]byte, 0, 512+len(r.Body))
-	b = append(b, r.Method...)
-	b = append(b, ' ')
-	b = append(b, r.URI...)
-	b = append(b, " HTTP/1.1\r\nHost: "...)
-	b = append(b, r.Host...)
-	b = append(b, "\r\n"...)
-	for _, f := range r.Header {
-		b = append(b, f.Name...)
-		b = append(b, ": "...)
-		b = append(b, f.Value...)
-		b = append(b, "\r\n"...)
-	}
-	if len(r.Body) > 0 || r.Method != http.MethodGet {
-		b = append(b, "Content-Length: "...)
-		b = strconv.AppendInt(b, int64(len(r.Body)), 10)
-		b = append(b, "\r\n"...)
-	}
-	b = append(b, "\r\n"...)
-	return append(b, r.Body...)
-}
-
 // readResponse reads the head of the response to the request. It skips complete
 // responses to earlier requests.
 func (c *conn) readResponse(req *Request) (*Response, error) {
--- a/internal/httpclient/httpclient.go
+++ b/internal/httpclient/httpclient.go
@@ -97,6 +97,9 @@
 // context at any point of the exchange closes the connection. After an error
 // other than [ErrNotSent], the target may or may not have received the request.
 func (p *Pool) Do(ctx context.Context, addr string, req *Request) (*Response, error) {
+	if err := req.check(); err != nil {
+		return nil, errors.Mark(err, ErrNotSent)
+	}
 	c, err := p.acquireConfirmed(ctx, addr, req)
 	if err != nil {
 		return nil, errors.Mark(err, ErrNotSent)
