Side daemons read the answers of targets by the strict client

httpclient.Transport lets an http.Client send through a Pool, so that there is one reader of targets' answers, and a call is sent at most once. https targets keep the transport of net/http.

An answer without a length that is reset during the upload was cut before too: net/http notices the error of its write.

--- a/internal/daemon/service.go
+++ b/internal/daemon/service.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
+	"github.com/verbenaspur/verbenaspur/internal/httpclient"
 	"github.com/verbenaspur/verbenaspur/internal/link"
 )
 
@@ -93,10 +94,13 @@
 // newTargetHTTPClient returns an HTTP client for a target. It sets no timeout of
 // its own; the contexts of requests limit their duration.
 func newTargetHTTPClient(keepAlive bool) *http.Client {
-	return &http.Client{Transport: &http.Transport{
-		MaxIdleConnsPerHost: 256,
-		IdleConnTimeout:     30 * time.Second,
-		DisableCompression:  true,
-		DisableKeepAlives:   !keepAlive,
+	return &http.Client{Transport: &httpclient.Transport{
+		Pool: httpclient.NewPool(), Close: !keepAlive,
+		TLS: &http.Transport{
+			MaxIdleConnsPerHost: 256,
+			IdleConnTimeout:     30 * time.Second,
+			DisableCompression:  true,
+			DisableKeepAlives:   !keepAlive,
+		},
 	}}
 }
