Side daemons pass a target's redirect on instead of following it

Found beside the readers: an http.Client follows redirects, and repeats the body for 307 and 308. A call that must run once at most ran at the target and at the place that the redirect named, which need not be a target. The response now goes to the caller as it is. TestSidePassesOnWholeAnswersOnly/redirect fails before.

--- a/internal/daemon/service.go
+++ b/internal/daemon/service.go
@@ -92,9 +92,11 @@
 }
 
 // newTargetHTTPClient returns an HTTP client for a target. It sets no timeout of
-// its own; the contexts of requests limit their duration.
+// its own; the contexts of requests limit their duration. It follows no redirects: a call
+// would run a second time, and elsewhere.
 func newTargetHTTPClient(keepAlive bool) *http.Client {
-	return &http.Client{Transport: &httpclient.Transport{
+	refuseRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	return &http.Client{CheckRedirect: refuseRedirect, Transport: &httpclient.Transport{
 		Pool: httpclient.NewPool(), Close: !keepAlive,
 		TLS: &http.Transport{
 			MaxIdleConnsPerHost: 256,
--- a/internal/daemon/service_test.go
+++ b/internal/daemon/service_test.go
@@ -60,6 +60,7 @@
 		"answer in an interim one":  {fmt.Sprintf("HTTP/1.1 103 x\r\nContent-Length: %d\r\n\r\n%s", len(forged), forged), "{}", inOrder, msg.AttemptCrashed},
 		"blank in a name":           {"HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\nok" + forged, "{}", inOrder, msg.AttemptCrashed},
 		"chunks before HTTP/1.1":    {"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", "{}", inOrder, msg.AttemptCrashed},
+		"redirect":                  {"HTTP/1.1 307 x\r\nLocation: /b\r\nContent-Length: 2\r\n\r\nok", "{}", inOrder, msg.AttemptDone},
 		"line that begins by blank": {"HTTP/1.1 200 OK\r\nX-A: b\r\n Content-Length: 2\r\n\r\nok", "{}", inOrder, msg.AttemptCrashed},
 	} {
 		t.Run(name, func(t *testing.T) {
