--- a/internal/tcpreset/tcpreset.go
+++ b/internal/tcpreset/tcpreset.go
@@ -80,7 +80,8 @@
 	}
 	c.writeMu.Lock()
 	defer c.writeMu.Unlock()
-	return c.writeErr != nil && !(known && errors.Is(c.writeErr, syscall.EPIPE))
+	inOrder := known && errors.Is(c.writeErr, syscall.EPIPE)
+	return c.writeErr != nil && !inOrder
 }
 
 // state returns the state of the connection, and whether the system tells it.
