Soak: links that acknowledge what they hold up; fuzzing of answers

TestCutsOfLeaseHolderBehindProxy: real holders are cut off while a report is on its way, by a link that passes the report on after the cut though its sender has reset.

The buffers have a set size now.

--- a/Makefile
+++ b/Makefile
@@ -55,6 +55,7 @@
 	go test -run '^$$' -fuzz FuzzUnmarshalEvent -fuzztime $(FUZZ_TIME) ./internal/wire
 	go test -run '^$$' -fuzz FuzzUnmarshalPeer -fuzztime $(FUZZ_TIME) ./internal/wire
 	go test -run '^$$' -fuzz FuzzReadFrame -fuzztime $(FUZZ_TIME) ./internal/link
+	go test -run '^$$' -fuzz FuzzResponse -fuzztime $(FUZZ_TIME) ./internal/httpclient
 	go test -run '^$$' -fuzz FuzzParseOpenAI -fuzztime $(FUZZ_TIME) ./internal/daemon
 
 # Counts in how many of 40 cases the tests detect each mutant of docs/PROMISES.md.
--- a/internal/soak/cut_test.go
+++ b/internal/soak/cut_test.go
@@ -21,6 +21,10 @@
 // are held up until their sender's kernel sends them again after the partition has healed.
 // They are dropped if the sender has reset the connection.
 type partition struct {
+	// acknowledged lets them pass all the same, soon after the partition has healed, as
+	// something between does that has acknowledged them.
+	acknowledged bool
+
 	mu sync.Mutex
 	// healed is closed when the partition heals. It is nil without one.
 	healed chan struct{}
@@ -75,6 +79,10 @@
 		return true
 	}
 	<-healed
+	if p.acknowledged {
+		time.Sleep(passedOnAfter)
+		return true
+	}
 	for _, d := range retransmissions {
 		if wait := time.Until(sentAt.Add(d)); wait > 0 {
 			time.Sleep(wait)
@@ -112,7 +120,21 @@
 // its successor: real holders are cut off, some while a report is on its way, and are killed
 // or paused meanwhile.
 func TestCutsOfLeaseHolder(t *testing.T) {
-	forSeeds(t, nil, (*deployment).runCuts)
+	forSeeds(t, nil, shortWindows, (*deployment).runCuts)
+}
+
+// passedOnAfter is how long after a partition has healed bytes pass that were acknowledged.
+const passedOnAfter = time.Second
+
+// TestCutsOfLeaseHolderBehindProxy guards against the same where something between the holder
+// and the platform has acknowledged the report, so that its sender can't recall it.
+func TestCutsOfLeaseHolderBehindProxy(t *testing.T) {
+	forSeeds(t, nil, ordinaryWindows, func(d *deployment) {
+		for _, p := range d.storeProxies {
+			p.partition.acknowledged = true
+		}
+		d.runCuts()
+	})
 }
 
 // cutCycles is the number of partitions for each seed.
@@ -162,7 +184,7 @@
 		time.Sleep(time.Duration(d.rand.IntN(3000)) * time.Millisecond)
 		e.process().signal(syscall.SIGCONT)
 	}
-	time.Sleep(4 * time.Second)
+	time.Sleep(time.Duration(d.usage.window+2) * time.Second)
 	d.t.Logf("entry %d was cut off (%s): %d reports before, %d after", i, [...]string{"killed", "paused", "running"}[fault], before, len(d.store.Reports()))
 }
 
--- a/internal/soak/deployment_test.go
+++ b/internal/soak/deployment_test.go
@@ -32,6 +32,7 @@
 	t     *testing.T
 	rand  *rand.Rand
 	store *platformtest.Store
+	usage usageBounds
 	// storeProxies are the proxies between each entry and the platform.
 	storeProxies []*proxy
 	runners      []*platformtest.Runner
@@ -45,6 +46,17 @@
 	violations []string
 }
 
+// usageBounds are the length of a usage window and the time after its end by which it has to
+// be reported, in seconds.
+type usageBounds struct{ window, deadline int }
+
+// Short windows bring many reports. Ordinary ones let a holder wait for a report that has been
+// held up for as long as a partition lasts here.
+var (
+	shortWindows    = usageBounds{window: 2, deadline: 4}
+	ordinaryWindows = usageBounds{window: 5, deadline: 10}
+)
+
 // entry is an entry daemon with its settings file, listening addresses and log.
 type entry struct {
 	bin, settings         string
@@ -91,15 +103,15 @@
 listen: {front: %q, ready: %q}
 internal_ports: [%d]
 limits: {memory_mb: 80}
-bounds: {config_ms: 2000, revoke_ms: 5000, drain_ms: 2000, grace_s: 8, retry_ratio: 0.2, budget_window_s: 10, budget_slack: 50, lease_ms: 3000, window_s: 2, usage_late_s: 4}
+bounds: {config_ms: 2000, revoke_ms: 5000, drain_ms: 2000, grace_s: 8, retry_ratio: 0.2, budget_window_s: 10, budget_slack: 50, lease_ms: 3000, window_s: %d, usage_late_s: %d}
 provider: {addr: %q}
 cloud: {addr: %q, duties: [metering]}
 `
 
 // newDeployment starts three instances of the plain service, two decode targets,
 // one prefill target and two entry daemons.
-func newDeployment(t *testing.T, bin string, seed uint64) *deployment {
-	d := &deployment{t: t, rand: newRand(seed, 0), store: platformtest.NewStore(t), responses: make(map[string]response)}
+func newDeployment(t *testing.T, bin string, seed uint64, usage usageBounds) *deployment {
+	d := &deployment{t: t, usage: usage, rand: newRand(seed, 0), store: platformtest.NewStore(t), responses: make(map[string]response)}
 	route := func(name, mode, service string, attempts int) map[string]any {
 		return map[string]any{
 			"name": name, "hostname": "h", "path_prefix": "/" + name + "/", "mode": mode, "service": service,
@@ -149,7 +161,7 @@
 	e.link = newCallerLink(d.t, e.callerAddr, newRand(d.rand.Uint64(), 0))
 	dir := d.t.TempDir()
 	e.settings = filepath.Join(dir, "node.yaml")
-	text := fmt.Sprintf(settingsText, i, ip, i, e.callerAddr, e.readyAddr, peerPort, p.addr, p.addr)
+	text := fmt.Sprintf(settingsText, i, ip, i, e.callerAddr, e.readyAddr, peerPort, d.usage.window, d.usage.deadline, p.addr, p.addr)
 	if err := os.WriteFile(e.settings, []byte(text), 0o600); err != nil {
 		d.t.Fatal(err)
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -27,18 +27,18 @@
 // sequence of faults, but not which requests they affect, because that depends on
 // the timing of the processes.
 func TestSoak(t *testing.T) {
-	forSeeds(t, regressions, (*deployment).run)
+	forSeeds(t, regressions, shortWindows, (*deployment).run)
 }
 
 // forSeeds runs a test on a new deployment for each seed, the given ones first.
-func forSeeds(t *testing.T, seeds []uint64, run func(*deployment)) {
+func forSeeds(t *testing.T, seeds []uint64, usage usageBounds, run func(*deployment)) {
 	bin := buildDaemon(t)
 	seeds = slices.Clone(seeds)
 	for i := range *seedsFlag {
 		seeds = append(seeds, *seedFlag+uint64(i))
 	}
 	for _, seed := range seeds {
-		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) { run(newDeployment(t, bin, seed)) })
+		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) { run(newDeployment(t, bin, seed, usage)) })
 	}
 }
 
--- a/internal/soak/stop_test.go
+++ b/internal/soak/stop_test.go
@@ -17,7 +17,7 @@
 // slow links use kept and new connections until the processes have ended. Nothing
 // fails meanwhile, so each response must also be complete.
 func TestStopAnswersEveryRequestRead(t *testing.T) {
-	forSeeds(t, nil, (*deployment).runStops)
+	forSeeds(t, nil, shortWindows, (*deployment).runStops)
 }
 
 // runStops stops the entries several times while callers send requests, first both at
--- a/internal/soak/supervisor_test.go
+++ b/internal/soak/supervisor_test.go
@@ -119,7 +119,7 @@
 // An entry stayed down for the rest of a run, since SIGHUP had ended it right after its
 // start and nobody started it again.
 func TestEntryIsBackAfterHangupAtStart(t *testing.T) {
-	d := newDeployment(t, buildDaemon(t), 1)
+	d := newDeployment(t, buildDaemon(t), 1, shortWindows)
 	d.awaitReady()
 	for _, e := range d.entries {
 		e.kill()
--- a/internal/tcpreset/tcpreset_test.go
+++ b/internal/tcpreset/tcpreset_test.go
@@ -12,8 +12,12 @@
 	"github.com/matryer/is"
 )
 
-// uploadBytes is more than the buffers of both ends hold, so that a write is in progress.
-const uploadBytes = 4 << 20
+// uploadBytes is far more than the buffers of both ends hold, which grow up to some MB unless
+// their size is set, so that a write is in progress when the connection ends.
+const (
+	uploadBytes = 4 << 20
+	bufferBytes = 32 << 10
+)
 
 // plainConn hides that a connection is one of the system.
 type plainConn struct{ net.Conn }
@@ -60,12 +64,14 @@
 		if err != nil {
 			return
 		}
+		_ = c.(*net.TCPConn).SetReadBuffer(bufferBytes)
 		_, _ = io.ReadFull(c, make([]byte, min(upload, 100)))
 		_, _ = io.WriteString(c, "begin")
 		end(c.(*net.TCPConn))
 	}()
 	raw, err := net.Dial("tcp", l.Addr().String())
 	is.NoErr(err)
+	is.NoErr(raw.(*net.TCPConn).SetWriteBuffer(bufferBytes))
 	c := NewConn(wrap(raw))
 	defer func() { _ = c.Close() }()
 	written := make(chan struct{})
