The clients that read by net/http refuse what is no answer

CheckedTransport refuses them after net/http has parsed them. What the parser hides (folded lines, a Transfer-Encoding under HTTP/1.0) stays open there.

TestCheckedTransportRefusesWhatIsNoAnswer: each of the 8 shapes that are no answer brought one by the transport of net/http alone.

--- a/internal/httpclient/head.go
+++ b/internal/httpclient/head.go
@@ -112,11 +112,16 @@
 
 func isDigit(b byte) bool { return '0' <= b && b <= '9' }
 
-// scanField notes a field and reports whether it is valid. A line that begins with a blank
+// scanField notes the field of a line and reports whether it is valid. A line that begins with a blank
 // would continue the one before, which is obsolete (RFC 9112, section 5.2).
 func (h *responseHead) scanField(line string) bool {
 	name, value, ok := strings.Cut(line, ":")
-	if !ok || !httpguts.ValidHeaderFieldName(name) || !httpguts.ValidHeaderFieldValue(value) {
+	return ok && h.note(name, value)
+}
+
+// note notes a field and reports whether its name and its value are valid.
+func (h *responseHead) note(name, value string) bool {
+	if !httpguts.ValidHeaderFieldName(name) || !httpguts.ValidHeaderFieldValue(value) {
 		return false
 	}
 	switch {
--- a/internal/httpclient/head_test.go
+++ b/internal/httpclient/head_test.go
@@ -126,3 +126,27 @@
 		"two": "HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-Id: 2\r\n\r\nok",
 	})
 }
+
+// The clients of the product's own platform and of operators read by net/http.
+func TestCheckedTransportRefusesWhatIsNoAnswer(t *testing.T) {
+	client := &http.Client{Transport: &CheckedTransport{Base: &http.Transport{DisableKeepAlives: true}}}
+	for answer, sound := range map[string]bool{
+		inside("000 x"): false, inside("100 x"): false, inside("103 x"): false, inside("204 x"): false, inside("600 x"): false,
+		"HTTP/1.1 200 OK\r\nX Bad: v\r\nContent-Length: 2\r\n\r\nok": false,
+		"HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\nok":            false,
+		"HTTP/1.1 103 x\r\nX Bad: v\r\n\r\n" + responseFor("1"):      false,
+		"HTTP/1.1 103 x\r\nLink: </a>\r\n\r\n" + responseFor("1"):    true,
+		"HTTP/1.1 500 x\r\nX-A: \xe4\r\nContent-Length: 2\r\n\r\nok": true,
+	} {
+		t.Run(fmt.Sprintf("%.40q", answer), func(t *testing.T) {
+			is := is.New(t)
+			tg := startTarget(t, func(c net.Conn, _ int64, _ *http.Request) { write(c, answer); _ = c.Close() })
+			resp, err := client.Get("http://" + tg.addr)
+			if err == nil {
+				_ = resp.Body.Close()
+			}
+			is.Equal(err == nil, sound)
+			is.Equal(errors.Is(err, ErrMalformed), !sound)
+		})
+	}
+}
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/verbenaspur/verbenaspur/internal/httpclient"
 )
 
 // Options configures a load run.
@@ -54,7 +56,7 @@
 		keys[s.Account] = key
 	}
 	return &runner{
-		client:   &client{http: &http.Client{Transport: o.Transport}, servers: o.Servers, keys: keys, verify: w.Verify == verifyStandin},
+		client:   &client{http: &http.Client{Transport: &httpclient.CheckedTransport{Base: o.Transport}}, servers: o.Servers, keys: keys, verify: w.Verify == verifyStandin},
 		options:  o,
 		recorder: newRecorder(w),
 		slots:    make(chan struct{}, o.MaxInFlight),
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/verbenaspur/verbenaspur/internal/httpclient"
 )
 
 const (
@@ -46,7 +48,7 @@
 // NewClient returns a client of the servers with the given base URLs, such as
 // http://10.0.0.1:8080.
 func NewClient(servers []string, token string, transport http.RoundTripper) *Client {
-	return &Client{servers: servers, token: token, http: &http.Client{Transport: transport}}
+	return &Client{servers: servers, token: token, http: &http.Client{Transport: &httpclient.CheckedTransport{Base: transport}}}
 }
 
 // Config returns the manifest in force.
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -32,6 +32,7 @@
 
 	"github.com/verbenaspur/verbenaspur/internal/callmetrics"
 	"github.com/verbenaspur/verbenaspur/internal/core/msg"
+	"github.com/verbenaspur/verbenaspur/internal/httpclient"
 	"github.com/verbenaspur/verbenaspur/internal/tcpabort"
 	"github.com/verbenaspur/verbenaspur/internal/tcpreset"
 )
@@ -80,7 +81,7 @@
 	}
 	return &Client{
 		cfg:   cfg,
-		http:  &http.Client{Transport: newTransport(max(cfg.Timeout-unackedMargin, cfg.Timeout/2)), CheckRedirect: refuseRedirect},
+		http:  &http.Client{Transport: &httpclient.CheckedTransport{Base: newTransport(max(cfg.Timeout-unackedMargin, cfg.Timeout/2))}, CheckRedirect: refuseRedirect},
 		calls: callmetrics.New(),
 	}
 }
