Heads are checked line by line as they arrive, each line once

The check of a head began anew with each part of it that arrived. A head that comes byte by byte took a time with the square of its length; it takes one that grows with it now.

--- a/internal/httpclient/head.go
+++ b/internal/httpclient/head.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"io"
 	"net/http"
 	"strings"
@@ -39,10 +40,11 @@
 // The parser of net/http is lenient: it joins folded lines, drops empty names, keeps names with
 // blanks, and hides conflicting fields for the length. A line that is wrong ends the wait.
 func (c *conn) checkHead() error {
+	var scanner headScanner
 	for n := 1; ; {
 		_, err := c.r.Peek(n)
 		b, _ := c.r.Peek(c.r.Buffered()) // can't fail for as many bytes as are buffered
-		if complete, malformed := scanHead(string(b)); complete || malformed != nil {
+		if complete, malformed := scanner.scan(b); complete || malformed != nil {
 			return malformed
 		}
 		if len(b) == c.r.Size() {
@@ -56,40 +58,39 @@
 	}
 }
 
-// scanHead checks the lines of the head that b begins with, and reports whether b holds all
-// of them.
-func scanHead(b string) (complete bool, err error) {
-	if !strings.HasPrefix(b, protocol[:min(len(protocol), len(b))]) {
+// headScanner checks the lines of a head as they arrive.
+type headScanner struct {
+	head responseHead
+	// scanned is the number of bytes of the lines that have been checked.
+	scanned int
+}
+
+// scan checks the lines of b that are new since the last call, and reports whether b holds the
+// whole head. It is given all that has arrived of the head each time.
+func (s *headScanner) scan(b []byte) (complete bool, err error) {
+	if s.scanned == 0 && !bytes.HasPrefix(b, []byte(protocol)[:min(len(protocol), len(b))]) {
 		return false, errors.Wrapf(ErrMalformed, "begins with %.20q", b)
 	}
-	line, rest, ok := cutLine(b)
-	if !ok {
-		return false, nil
-	}
-	h, ok := scanStatusLine(line)
-	if !ok {
-		return false, errors.Wrapf(ErrMalformed, "status line %.40q", line)
-	}
 	for {
-		line, rest, ok = cutLine(rest)
-		switch {
-		case !ok:
+		text, _, ok := bytes.Cut(b[s.scanned:], []byte("\n"))
+		if !ok {
 			return false, nil
+		}
+		line := string(bytes.TrimSuffix(text, []byte("\r")))
+		switch {
+		case s.scanned == 0:
+			if s.head, ok = scanStatusLine(line); !ok {
+				return false, errors.Wrapf(ErrMalformed, "status line %.40q", line)
+			}
 		case line == "":
-			return true, h.check()
-		case !h.scanField(line):
+			return true, s.head.check()
+		case !s.head.scanField(line):
 			return false, errors.Wrapf(ErrMalformed, "field %.40q", line)
 		}
+		s.scanned += len(text) + 1
 	}
 }
 
-// cutLine returns the first line of b without its end, and what follows. It returns false if
-// the line is not complete.
-func cutLine(b string) (line, rest string, ok bool) {
-	line, rest, ok = strings.Cut(b, "\n")
-	return strings.TrimSuffix(line, "\r"), rest, ok
-}
-
 // scanStatusLine reads a status line that begins with [protocol], such as "HTTP/1.1 200 OK".
 // The reason may be missing.
 func scanStatusLine(line string) (h responseHead, ok bool) {
