usage: reports wait 13.8 s behind an unconfirmed one, not 12.7

The wait now leaves room for one write and one call before the window behind it is due (0.6 s), without a retry: a rule is not traded for a window that is missed if that call fails.

--- a/internal/core/direct/usage/unconfirmed.go
+++ b/internal/core/direct/usage/unconfirmed.go
@@ -17,8 +17,9 @@
 // Builds that do not write the field leave it empty. Behind them, reports do not wait.
 
 // reportReserve is the time for the reports that have waited to be sent before they are due:
-// one call, and the write that precedes it.
-const reportReserve = 1700 * time.Millisecond
+// one write and one call, without a retry. More would let a late report pass them, which is
+// worse than a window that is missed because a second call fails.
+const reportReserve = 600 * time.Millisecond
 
 // unconfirmed is the state of a holder that concerns reports without an answer.
 type unconfirmed struct {
