--- a/internal/core/direct/usage/reporter.go
+++ b/internal/core/direct/usage/reporter.go
@@ -112,9 +112,9 @@
 	}
 }
 
-// advanceReport makes the lease holder's next call: it reads the frozen windows,
-// reports the oldest unreported one, or reads the daemons' counts to freeze the
-// windows that are due.
+// advanceReport makes the lease holder's next call: it reads the frozen windows, reports
+// one of them or writes that a report is unconfirmed, or reads the daemons' counts to freeze
+// the windows that are due.
 func (m *Meter) advanceReport(now msg.Time) []msg.Effect {
 	if !m.lease.Valid(now) || now < m.retryAt || m.callPending {
 		return nil
