Test: orders that are held up pass after those of the next holder (red)

In virtual time an order that something between has acknowledged arrives after an order of the next holder to the same engine, in the sixth case. A holder that spares the engines of which another daemon's digest tells was tried, not kept: it fails the same test where it has heard of none yet.

--- a/internal/core/direct_duties_test.go
+++ b/internal/core/direct_duties_test.go
@@ -122,6 +122,19 @@
 	})
 }
 
+// TestDutiesWithOrdersHeldUp guards against the same for orders to engines.
+func TestDutiesWithOrdersHeldUp(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		sim := newDirectSimulation(t)
+		t.Repeat(map[string]func(*rapid.T){
+			"pass":    func(t *rapid.T) { sim.t = t; sim.advance(sim.duration(t)) },
+			"hold up": func(t *rapid.T) { sim.t = t; sim.holdOrdersFor = sim.duration(t) + 6*time.Second },
+			"kill":    func(t *rapid.T) { sim.t = t; sim.startProcess(sim.pick(t)) },
+			"stop":    func(t *rapid.T) { sim.t = t; sim.restart(sim.pick(t)) },
+		})
+	})
+}
+
 // TestDutiesUnderAnyFault kills and pauses daemons, cuts them off from the
 // store, loses its responses and makes it continue from an older copy, at any time.
 func TestDutiesUnderAnyFault(t *testing.T) {
--- a/internal/core/direct_simulation_test.go
+++ b/internal/core/direct_simulation_test.go
@@ -50,8 +50,9 @@
 	reportedAt   map[int64]time.Duration
 	lastReporter *directNode
 	storeOutage  outage
-	// holdUpFor is how long a partition lasts that begins at the next report; zero for none.
-	holdUpFor time.Duration
+	// holdUpFor is how long a partition lasts that begins at the next report, and
+	// holdOrdersFor one that begins at the next order; zero for none.
+	holdUpFor, holdOrdersFor time.Duration
 	// prompt is set if no call or message is slow.
 	prompt bool
 }
@@ -75,8 +76,9 @@
 	// pausedUntil and cutUntil are when a pause or a network cut ends.
 	pausedUntil, cutUntil time.Duration
 	responsesLostUntil    time.Duration // responses of the store are lost until then
-	// reportsHeldUntil is until when reports are held up between node and platform.
-	reportsHeldUntil time.Duration
+	// reportsHeldUntil is until when reports are held up between node and platform, and
+	// ordersHeldUntil until when orders are between node and engines.
+	reportsHeldUntil, ordersHeldUntil time.Duration
 	// era is the latest era of the store that the process has seen.
 	era msg.StoreEra
 }
@@ -172,6 +174,15 @@
 		sim.after(nil, func() { sim.onReport(n, eff) })
 		sim.respond(n, msg.WindowReported{Call: eff.Call}, msg.WindowReported{Call: eff.Call, Status: msg.CallUnknown})
 	case msg.ChangeRole:
+		if sim.holdOrdersFor > 0 {
+			n.cutUntil, n.ordersHeldUntil = sim.now+sim.holdOrdersFor, sim.now+sim.holdOrdersFor
+			sim.holdOrdersFor = 0
+		}
+		if sim.now < n.ordersHeldUntil {
+			sim.afterDelay(n.ordersHeldUntil-sim.now+sim.delay()/6, nil, func() { sim.onRoleChange(n.host, eff) })
+			sim.after(n, func() { sim.step(n, msg.RoleChangeDone{Call: eff.Call, Status: msg.OrderUnknown}) })
+			return
+		}
 		sim.after(nil, func() { sim.onRoleChange(n.host, eff) })
 		sim.respond(n, msg.RoleChangeDone{Call: eff.Call}, msg.RoleChangeDone{Call: eff.Call, Status: msg.OrderUnknown})
 	case msg.SendPeer:
