relay: the kernel keeps few unread bytes of each caller

What callers saw: none refused, but 60 bodies of 4 MB in chunks held 96 MB in the kernel's queues and 40 bodies without an end 68 MB, beyond the whole memory_mb of 80. What has been received and not read counts as memory of the process.

Cause: the kernel lets a receive buffer grow up to its own limit, 6 MB a connection, while the server reads slowly, waits for a target, or lingers after a refusal. Nothing counts it.

Change: the listeners ask for buffers of 32 kB, which accepted connections inherit.

The largest body of the configuration is served in calm, in one piece and in chunks.

--- a/internal/daemon/direct_sockets.go
+++ b/internal/daemon/direct_sockets.go
@@ -1,10 +1,12 @@
 package daemon
 
 import (
+	"context"
 	"net"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/verbenaspur/verbenaspur/internal/relay"
 	"github.com/verbenaspur/verbenaspur/platform"
 )
 
@@ -34,10 +36,10 @@
 
 func (d *directSockets) open(s *platform.Settings, metricsAddr string) error {
 	var err error
-	if d.callers, err = net.Listen("tcp", s.CallersAddr); err != nil {
+	if d.callers, err = listen(s.CallersAddr); err != nil {
 		return err
 	}
-	if d.ready, err = net.Listen("tcp", s.ReadyAddr); err != nil {
+	if d.ready, err = listen(s.ReadyAddr); err != nil {
 		return err
 	}
 	peerAddr, err := net.ResolveUDPAddr("udp4", s.PeerAddr())
@@ -50,10 +52,14 @@
 	if metricsAddr == "" {
 		return nil
 	}
-	d.metrics, err = net.Listen("tcp", metricsAddr)
+	d.metrics, err = listen(metricsAddr)
 	return err
 }
 
+func listen(addr string) (net.Listener, error) {
+	return relay.ListenConfig().Listen(context.Background(), "tcp", addr)
+}
+
 // close closes the sockets that are open. A server may have closed its listener
 // before.
 func (d *directSockets) close() {
