relay: a request that stalls gives its room to one that needs it

What callers saw: while 250 clients sent bodies of 64 kB and stopped a byte short, at a route or none, ordinary requests with 2 kB of body got 503 at each of 4 tries.

Cause: a body reserved its announced size before it was read and held it until its end or a limit of 10 s; half of the budget, 10 MB of 80, is 160 such bodies. Nobody gave way, and who came again each 10 s kept all uploads out.

Change: a receipt holds what one request holds. It takes room as the body arrives, with the copies by which it grows, and loses it to a later request that needs it: of requests that have not arrived whole, the one that began first. A caller that sends what it has is done sooner than a crowd can come again. Requests that have arrived keep their room. The one that loses gets the refusal (503, not run) that a lack of room always brought. Log lines about a lack of room come once a second at most.

Weighed: to look at route and key before the body; it would not help against a crowd with a key.

Tests: TestBodiesDrawOnTheBudget is replaced by TestRequestsDrawOnTheBudget, as strict: a body of 20 kB of unknown size fitted into 40 kB only because its copies were not counted, so the budget is 120 kB now. platform.ErrTooLarge moved to relay with the reading of bodies.

--- a/internal/daemon/direct_body.go
+++ b/internal/daemon/direct_body.go
@@ -27,27 +27,35 @@
 	unreadBodyTimeout = time.Second
 )
 
-// readCallerRequest reads a caller's request, whose body must arrive within bodyTimeout
-// and find room in the budget. The returned function frees the room.
+// readCallerRequest reads a caller's request, whose body must arrive within bodyTimeout and
+// find room in the budget. The returned function frees the room.
 func (d *directDriver) readCallerRequest(w http.ResponseWriter, r *http.Request, limit int64) (*platform.CallerRequest, func(), error) {
-	if r.ContentLength == 0 || r.ContentLength > limit {
-		callerRequest, err := platform.ReadCallerRequest(r, limit)
-		return callerRequest, func() {}, err
+	controller := http.NewResponseController(w)
+	receipt := d.budget.Receipt(func() { _ = controller.SetReadDeadline(time.Unix(1, 0)) })
+	var body []byte
+	if r.ContentLength != 0 {
+		var err error
+		if body, err = receiveBody(controller, receipt, r, limit); err != nil {
+			return nil, receipt.Release, err
+		}
 	}
-	body, ok := d.budget.Body(r.Body, r.ContentLength)
-	if !ok {
-		return nil, body.Release, relay.ErrNoRoom
+	if !receipt.Arrived() {
+		return nil, receipt.Release, relay.ErrNoRoom
 	}
-	r.Body = body
-	controller := http.NewResponseController(w)
+	callerRequest, err := platform.ReadCallerRequest(r, body)
+	return callerRequest, receipt.Release, err
+}
+
+// receiveBody reads the body of a request.
+func receiveBody(controller *http.ResponseController, receipt *relay.Receipt, r *http.Request, limit int64) ([]byte, error) {
 	if err := controller.SetReadDeadline(time.Now().Add(bodyTimeout)); err != nil {
-		return nil, body.Release, err
+		return nil, err
 	}
-	callerRequest, err := platform.ReadCallerRequest(r, limit)
+	body, err := receipt.ReadAll(r.Body, r.ContentLength, limit)
 	if err != nil {
-		return nil, body.Release, err
+		return nil, err
 	}
-	return callerRequest, body.Release, controller.SetReadDeadline(time.Time{})
+	return body, controller.SetReadDeadline(time.Time{})
 }
 
 // rejectCallerRequest responds to a request that could not be read, and has not run.
@@ -56,7 +64,7 @@
 	case errors.Is(err, relay.ErrNoRoom):
 		closeUnread(w)
 		platform.RefuseUnread(w, r, "memory", memoryRetryAfter)
-	case errors.Is(err, platform.ErrTooLarge):
+	case errors.Is(err, relay.ErrTooLarge):
 		closeUnread(w)
 		platform.WriteError(w, http.StatusRequestEntityTooLarge, "body-too-large", 0)
 	case errors.Is(err, platform.ErrMalformed):
--- a/internal/daemon/direct_driver_test.go
+++ b/internal/daemon/direct_driver_test.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"net/http/httptest"
 	"slices"
-	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -87,9 +86,9 @@
 // newCallerRequestWith returns a request with the given body.
 func newCallerRequestWith(t *testing.T, id, body string) *platform.CallerRequest {
 	t.Helper()
-	r := httptest.NewRequest(http.MethodPost, "/a", strings.NewReader(body))
+	r := httptest.NewRequest(http.MethodPost, "/a", nil)
 	r.Header.Set("X-Request-Id", id)
-	callerRequest, err := platform.ReadCallerRequest(r, int64(len(body)))
+	callerRequest, err := platform.ReadCallerRequest(r, []byte(body))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/metrics/relay.go
+++ b/internal/metrics/relay.go
@@ -46,7 +46,7 @@
 		ch <- prometheus.MustNewConstMetric(d, prometheus.CounterValue, float64(v), labels...)
 	}
 	gauge(r.held, s.ResponseBytes, "response")
-	gauge(r.held, s.BodyBytes, "request")
+	gauge(r.held, s.RequestBytes, "request")
 	gauge(r.peak, s.PeakBytes)
 	gauge(r.behind, int64(s.Behind))
 	counter(r.heldBack, s.HeldBack)
--- a/internal/metrics/relay_test.go
+++ b/internal/metrics/relay_test.go
@@ -15,7 +15,7 @@
 	is := is.New(t)
 	reg := prometheus.NewRegistry()
 	reg.MustRegister(NewRelay(func() relay.Stats {
-		return relay.Stats{ResponseBytes: 1, BodyBytes: 2, Behind: 4, GivenUp: map[relay.Reason]int64{relay.ReasonStalled: 5}}
+		return relay.Stats{ResponseBytes: 1, RequestBytes: 2, Behind: 4, GivenUp: map[relay.Reason]int64{relay.ReasonStalled: 5}}
 	}))
 	const want = `
 # HELP verbenaspur_relay_callers_behind Callers that have not yet taken all that was written to them.
--- a/internal/relay/budget.go
+++ b/internal/relay/budget.go
@@ -1,10 +1,13 @@
 package relay
 
 import (
+	"container/list"
 	"context"
 	"log/slog"
 	"sync"
 	"time"
+
+	"golang.org/x/time/rate"
 )
 
 const (
@@ -21,13 +24,16 @@
 	// tightShare is the fraction 1/tightShare of the budget: with less than that left,
 	// callers that take nothing are given up sooner.
 	tightShare = 4
-	// bodyShare is the fraction 1/bodyShare of the budget that bodies of requests may
-	// hold. The rest is left for responses, which free memory as they are sent.
-	bodyShare = 2
+	// requestShare is the fraction 1/requestShare of the budget that requests may hold. The
+	// rest is left for responses, which free memory as they are sent.
+	requestShare = 2
 	// defaultLingerTimeout is how long a closed connection is read on at most, and
 	// maxLingering is the number of such connections.
 	defaultLingerTimeout = 5 * time.Second
 	maxLingering         = 256
+	// logInterval is the time between two log lines about the same that any number of
+	// callers may cause.
+	logInterval = time.Second
 )
 
 // Reason states why a caller was given up.
@@ -55,10 +61,15 @@
 
 	limit int64
 	log   *slog.Logger
+	// refusals limits the log lines about requests without room.
+	refusals rate.Sometimes
 
 	mu sync.Mutex
-	// responses and bodies are the bytes held of responses and of requests.
-	responses, bodies int64
+	// responses and requests are the bytes held of responses and of requests.
+	responses, requests int64
+	// arriving holds the receipts of requests that hold something and have not arrived
+	// whole, in the order in which they began to hold.
+	arriving list.List
 	// behind is the number of callers that have not yet taken all that was written.
 	behind int
 	// lingering is the number of closed connections that are read on.
@@ -71,15 +82,16 @@
 
 // Stats is a snapshot of a budget. The counts are those since the start.
 type Stats struct {
-	// ResponseBytes and BodyBytes are held at the moment, and PeakBytes were held at most.
-	ResponseBytes, BodyBytes, PeakBytes int64
+	// ResponseBytes and RequestBytes are held at the moment, and PeakBytes were held at
+	// most.
+	ResponseBytes, RequestBytes, PeakBytes int64
 	// Behind is the number of callers that have not yet taken all that was written.
 	Behind int
 	// Lingering is the number of closed connections that are read until their callers
 	// have received the response.
 	Lingering int
 	// HeldBack counts the times at which a writer had to wait for a caller, Refused the
-	// bodies that were refused, and GivenUp the callers that were given up.
+	// requests for which there was no room, and GivenUp the callers that were given up.
 	HeldBack, Refused int64
 	GivenUp           map[Reason]int64
 }
@@ -89,7 +101,8 @@
 	return &Budget{
 		StallTimeout: defaultStallTimeout, TightTimeout: defaultTightTimeout,
 		LingerTimeout: defaultLingerTimeout,
-		limit:         bytes, log: log, stats: Stats{GivenUp: make(map[Reason]int64)},
+		limit:         bytes, log: log, refusals: rate.Sometimes{Interval: logInterval},
+		stats: Stats{GivenUp: make(map[Reason]int64)},
 	}
 }
 
@@ -98,7 +111,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.stats
-	s.ResponseBytes, s.BodyBytes, s.Behind, s.Lingering = b.responses, b.bodies, b.behind, b.lingering
+	s.ResponseBytes, s.RequestBytes, s.Behind, s.Lingering = b.responses, b.requests, b.behind, b.lingering
 	s.GivenUp = make(map[Reason]int64, len(b.stats.GivenUp))
 	for reason, n := range b.stats.GivenUp {
 		s.GivenUp[reason] = n
@@ -106,33 +119,6 @@
 	return s
 }
 
-// ReserveBody reserves room for n bytes of a request's body. It returns false if there
-// is none. The room is freed by ReleaseBody.
-func (b *Budget) ReserveBody(n int64) bool {
-	b.mu.Lock()
-	ok := b.bodies+n <= b.limit/bodyShare && n <= b.free()-b.limit/reserveShare
-	if ok {
-		b.bodies += n
-		b.notePeak()
-	} else {
-		b.stats.Refused++
-	}
-	bodies, responses := b.bodies, b.responses
-	b.mu.Unlock()
-	// Every write to a caller that is behind needs the lock. It must not wait for the log.
-	if !ok {
-		b.log.Info("relay: no room for the body of a request", "bytes", n, "held_bodies", bodies, "held_responses", responses, "limit", b.limit)
-	}
-	return ok
-}
-
-// ReleaseBody frees n bytes that were reserved by ReserveBody.
-func (b *Budget) ReleaseBody(n int64) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.bodies -= n
-}
-
 // Wait returns when no caller is behind and no connection lingers, or when ctx ends.
 func (b *Budget) Wait(ctx context.Context) error {
 	b.mu.Lock()
@@ -153,10 +139,10 @@
 	}
 }
 
-func (b *Budget) free() int64 { return b.limit - b.responses - b.bodies }
+func (b *Budget) free() int64 { return b.limit - b.responses - b.requests }
 
 func (b *Budget) notePeak() {
-	b.stats.PeakBytes = max(b.stats.PeakBytes, b.responses+b.bodies)
+	b.stats.PeakBytes = max(b.stats.PeakBytes, b.responses+b.requests)
 }
 
 // tight reports whether the budget is nearly used up.
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -279,31 +279,80 @@
 	is.Equal(b.free(), int64(limit))
 }
 
-// Bodies hold half of the budget at most. One of unknown length reserves as it arrives.
-func TestBodiesDrawOnTheBudget(t *testing.T) {
-	is := is.New(t)
-	b := NewBudget(80<<10, slog.New(slog.DiscardHandler))
-	known := func(n int64) (*Body, bool) {
-		return b.Body(io.NopCloser(strings.NewReader(strings.Repeat("x", int(n)))), n)
+// receive reads a body of n bytes into a receipt, of known size or not.
+func receive(r *Receipt, n int, sized bool) ([]byte, error) {
+	size := int64(-1)
+	if sized {
+		size = int64(n)
 	}
-	first, ok := known(20 << 10)
-	is.True(ok)
-	_, ok = known(24 << 10)
-	is.True(!ok)
-	chunked, ok := b.Body(io.NopCloser(strings.NewReader(strings.Repeat("x", 20<<10))), -1)
-	is.True(ok)
-	_, err := io.ReadAll(chunked)
+	return r.ReadAll(bytes.NewReader(response(n)), size, 1<<20)
+}
+
+// newReceipt returns a receipt, and the number of times at which its request was
+// interrupted.
+func newReceipt(b *Budget) (*Receipt, *int) {
+	interrupted := 0
+	return b.Receipt(func() { interrupted++ }), &interrupted
+}
+
+// Requests that have arrived keep their room, which is half of the budget at most. Copies of
+// a body of unknown size count while it grows.
+func TestRequestsDrawOnTheBudget(t *testing.T) {
+	is := is.New(t)
+	b := NewBudget(120<<10, slog.New(slog.DiscardHandler))
+	first, _ := newReceipt(b)
+	_, err := receive(first, 20<<10, true)
+	is.NoErr(err)
+	is.True(first.Arrived())
+	second, _ := newReceipt(b)
+	_, err = receive(second, 44<<10, true)
 	is.True(errors.Is(err, ErrNoRoom))
-	chunked.Release()
+	_, err = receive(second, 20<<10, false)
+	is.True(errors.Is(err, ErrNoRoom)) // with the copy
+	second.Release()
 	first.Release()
-	chunked, _ = b.Body(io.NopCloser(strings.NewReader(strings.Repeat("x", 20<<10))), -1)
-	got, err := io.ReadAll(chunked)
+	got, err := receive(second, 20<<10, false)
 	is.NoErr(err)
-	is.Equal(len(got), 20<<10)
-	is.True(b.Stats().BodyBytes >= 20<<10)
-	chunked.Release()
-	is.Equal(b.Stats().BodyBytes, int64(0))
-	is.True(b.Stats().PeakBytes <= 40<<10)
+	is.True(bytes.Equal(got, response(20<<10)))
+	is.Equal(b.Stats().RequestBytes, int64(32<<10))
+	second.Release()
+	is.Equal(b.Stats().RequestBytes, int64(0))
+	is.True(b.Stats().PeakBytes <= 60<<10)
+	_, err = second.ReadAll(bytes.NewReader(response(101)), -1, 100)
+	is.True(errors.Is(err, ErrTooLarge))
+	_, err = second.ReadAll(bytes.NewReader(response(99)), 100, 100)
+	is.True(errors.Is(err, io.ErrUnexpectedEOF))
+}
+
+// The request that has waited the longest for its end loses its room to one that needs it.
+// One that has arrived does not, and none takes the room of later ones.
+func TestStalledRequestLosesItsRoom(t *testing.T) {
+	is := is.New(t)
+	b := NewBudget(128<<10, slog.New(slog.DiscardHandler))
+	whole, _ := newReceipt(b)
+	is.True(whole.Reserve(16 << 10))
+	is.True(whole.Arrived())
+	stalled, interrupted := newReceipt(b)
+	is.True(stalled.Reserve(24 << 10))
+	later, untouched := newReceipt(b)
+	is.True(later.Reserve(16 << 10))
+	is.True(!stalled.Reserve(24 << 10)) // it would need the room of a later one
+	newest, _ := newReceipt(b)
+	is.True(newest.Reserve(32 << 10))
+	is.Equal(*interrupted, 1)
+	is.True(stalled.Lost())
+	is.True(!stalled.Arrived())
+	is.True(!stalled.Reserve(1))
+	is.True(!later.Lost())
+	is.Equal(*untouched, 0)
+	is.True(!newest.Reserve(64 << 10)) // more than requests may hold takes nobody's room
+	is.True(!later.Lost())
+	is.Equal(b.Stats().RequestBytes, int64(64<<10))
+	for _, r := range []*Receipt{whole, stalled, later, newest} {
+		r.Release()
+	}
+	is.Equal(b.Stats().RequestBytes, int64(0))
+	is.True(stalled.Reserve(1)) // for the next request
 }
 
 // ReadAll returns what was read when the account may not grow, so that it can be
@@ -338,18 +387,18 @@
 	is.New(t).True(b.Wait(ctx) != nil)
 }
 
-// A body of known size needs no room beyond it, also if its end shows only after its last
-// byte.
+// A body of known size needs no room beyond it, and a large one little more while it grows.
 func TestBodyOfKnownSizeNeedsNoMoreRoom(t *testing.T) {
-	is := is.New(t)
-	const size = 24 << 10
-	b := NewBudget(2*size, slog.New(slog.DiscardHandler))
-	held, ok := b.Body(io.NopCloser(bytes.NewReader(response(size))), size)
-	is.True(ok)
-	got, err := io.ReadAll(held)
-	is.NoErr(err)
-	is.Equal(len(got), size)
-	is.Equal(b.Stats().BodyBytes, int64(size))
-	held.Release()
-	is.Equal(b.Stats().BodyBytes, int64(0))
+	for size, peak := range map[int64]int64{24 << 10: 24 << 10, 1 << 20: 5 << 18} {
+		is := is.New(t)
+		b := NewBudget(2*peak, slog.New(slog.DiscardHandler))
+		r, _ := newReceipt(b)
+		got, err := r.ReadAll(bytes.NewReader(response(int(size))), size, size)
+		is.NoErr(err)
+		is.True(bytes.Equal(got, response(int(size))))
+		is.Equal(b.Stats().RequestBytes, size)
+		is.True(b.Stats().PeakBytes <= peak)
+		r.Release()
+		is.Equal(b.Stats().RequestBytes, int64(0))
+	}
 }
