relay: ports bound their connections; who has waited the longest gives way

What callers saw: 700 silent connections, or heads at a byte per half second, held 712 sockets with max_fds 400, of which the platform leaves 200 to sockets and pipes. On a host that enforces that, calls to the store and to targets fail, and the next ordinary caller finds no descriptor. The ports of readiness and metrics were as open.

Cause: nothing read max_fds; listeners accepted whatever came, and time limits (10 s for a head or a body, 2 minutes idle) were the only end.

Change: each listener is a relay.Port with a limit of connections, from max_fds and memory_mb. One place is kept free: at the limit the connection is closed that has waited the longest for a request or the rest of one, whatever it waits in (silent, head, body, idle, lingering), and if there is none the one whose caller has been behind the longest. A request that has arrived whole is never cut for another; the next connection then waits in the kernel. A connection with unread bytes, or not yet read, is passed over, so that a burst of new ones can't evict a request that is just being read.

--- a/cmd/verbenaspurd/direct.go
+++ b/cmd/verbenaspurd/direct.go
@@ -37,10 +37,13 @@
 		}
 	}
 	if cmd.Bool("check") {
-		if _, err := platform.LoadSettings(path); err != nil {
+		s, err := platform.LoadSettings(path)
+		if err != nil {
 			return err
 		}
+		limits := daemon.NewCallerLimits(s)
 		fmt.Println("settings are valid")
+		fmt.Printf("connections (0: any): callers %d, ready %d, metrics %d; held for callers: %d bytes\n", limits.Callers, limits.Ready, limits.Metrics, limits.Bytes)
 		return nil
 	}
 	out := jsonlog.New(os.Stdout)
--- a/internal/daemon/direct_body.go
+++ b/internal/daemon/direct_body.go
@@ -31,7 +31,11 @@
 // find room in the budget. The returned function frees the room.
 func (d *directDriver) readCallerRequest(w http.ResponseWriter, r *http.Request, limit int64) (*platform.CallerRequest, func(), error) {
 	controller := http.NewResponseController(w)
-	receipt := d.budget.Receipt(func() { _ = controller.SetReadDeadline(time.Unix(1, 0)) })
+	nc := httpdrain.Conn(r)
+	receipt := relay.ReceiptOf(nc)
+	if receipt == nil {
+		receipt = d.budget.Receipt(func() { _ = controller.SetReadDeadline(time.Unix(1, 0)) })
+	}
 	var body []byte
 	if r.ContentLength != 0 {
 		var err error
@@ -39,7 +43,7 @@
 			return nil, receipt.Release, err
 		}
 	}
-	if !receipt.Arrived() {
+	if !relay.Arrived(nc) {
 		return nil, receipt.Release, relay.ErrNoRoom
 	}
 	callerRequest, err := platform.ReadCallerRequest(r, body)
--- a/internal/daemon/direct_run.go
+++ b/internal/daemon/direct_run.go
@@ -28,16 +28,13 @@
 	// memoryLimitRatio is the fraction of the memory limit up to which the garbage
 	// collector lets the heap grow.
 	memoryLimitRatio = 0.7
-	// callerMemoryRatio is the fraction of the memory limit that may be held for callers.
-	// The garbage collector may need as much again.
-	callerMemoryRatio = 0.25
-	// defaultCallerMemory is held for callers at most if no memory limit is set.
-	defaultCallerMemory = 128 << 20
 	// callerIdleTimeout is how long a caller's connection may be idle at least. It is extended
 	// to the configured limit.
 	callerIdleTimeout = 2 * time.Minute
 	headerTimeout     = 10 * time.Second
 	maxHeaderBytes    = 64 << 10
+	// maxScrapes is the number of requests for metrics that are served at once.
+	maxScrapes = 4
 	// A revoked key must be refused within a time limit. keyAgeRatio is the fraction
 	// of that limit for which keys are accepted after a confirmation of the
 	// configuration.
@@ -113,7 +110,7 @@
 	observer := metrics.NewDirect(d.registry)
 	client := platform.NewClient(s)
 	pool := httpclient.NewPool()
-	d.budget = relay.NewBudget(callerMemory(s.MemoryBytes), log)
+	d.budget = relay.NewBudget(NewCallerLimits(s).Bytes, log)
 	d.registry.MustRegister(client, openedConnectionsCounter(pool), metrics.NewRelay(d.budget.Stats))
 	reducer := core.NewDirect(reducerConfig(s, d.startedEvent, observer))
 	d.driver = &directDriver{
@@ -131,15 +128,6 @@
 	return d
 }
 
-// callerMemory returns the number of bytes that may be held for callers under a memory
-// limit of the process. Zero is no limit.
-func callerMemory(limit int64) int64 {
-	if limit <= 0 {
-		return defaultCallerMemory
-	}
-	return int64(callerMemoryRatio * float64(limit))
-}
-
 // wallClock returns a clock that starts at the wall time of the daemon's start and
 // advances with the boot clock. Unlike the system's wall clock, the boot clock is
 // never adjusted, so a step of the wall clock does not move a usage window.
@@ -205,17 +193,42 @@
 
 // serve serves callers, the load balancer and metrics.
 func (d *directProcess) serve() {
-	ops := mux.NewRouter()
-	ops.Handle("/metrics", promhttp.HandlerFor(d.registry, promhttp.HandlerOpts{}))
+	limits := NewCallerLimits(d.settings)
+	callers := d.budget.Port("callers", d.sockets.callers, limits.Callers)
+	d.serveOn(callers, d.driver.callers)
 	ready := mux.NewRouter()
 	ready.HandleFunc(platform.ReadyPath, d.driver.serveReady)
-	d.serveOn(d.budget.Listener(d.sockets.callers), d.driver.callers)
-	d.serveOn(d.sockets.ready, &http.Server{Handler: ready, ReadHeaderTimeout: headerTimeout})
+	d.serveOps("ready", d.sockets.ready, limits.Ready, ready)
 	if d.sockets.metrics != nil {
-		d.serveOn(d.sockets.metrics, &http.Server{Handler: ops, ReadHeaderTimeout: headerTimeout})
+		ops := mux.NewRouter()
+		ops.Handle("/metrics", promhttp.HandlerFor(d.registry, promhttp.HandlerOpts{MaxRequestsInFlight: maxScrapes}))
+		d.serveOps("metrics", d.sockets.metrics, limits.Metrics, ops)
 	}
 }
 
+// serveOps serves operations on a listener, of which limit connections may be open.
+func (d *directProcess) serveOps(name string, l net.Listener, limit int, h http.Handler) {
+	port := d.budget.Port(name, l, limit)
+	d.serveOn(port, httpdrain.New(&http.Server{
+		Handler: withoutBody(h), ReadHeaderTimeout: headerTimeout, ReadTimeout: headerTimeout, IdleTimeout: callerIdleTimeout,
+		ErrorLog: slog.NewLogLogger(d.log.Handler(), slog.LevelDebug),
+	}))
+}
+
+// withoutBody returns a handler that responds to a request without reading its body.
+func withoutBody(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !relay.Arrived(httpdrain.Conn(r)) {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		if r.ContentLength != 0 {
+			closeUnread(w)
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
 // server is an HTTP server.
 type server interface {
 	Serve(l net.Listener) error
--- a/internal/httpdrain/announce.go
+++ b/internal/httpdrain/announce.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net"
 	"net/http"
 )
 
@@ -76,3 +77,12 @@
 	}
 	return http.MaxBytesReader(w, r, n)
 }
+
+// Conn returns the connection of a request as the listener of its [Server] has accepted it,
+// or nil for requests of other servers.
+func Conn(r *http.Request) net.Conn {
+	if c, ok := r.Context().Value(connKey{}).(*conn); ok {
+		return c.Conn
+	}
+	return nil
+}
--- a/internal/httpdrain/conn.go
+++ b/internal/httpdrain/conn.go
@@ -17,6 +17,8 @@
 type listener struct {
 	net.Listener
 	server *Server
+	// encrypted reports that the connections carry TLS.
+	encrypted bool
 }
 
 // Accept implements [net.Listener].
@@ -26,6 +28,9 @@
 		return nil, err
 	}
 	c := &conn{Conn: nc, server: l.server, idleSince: time.Now()}
+	if !l.encrypted {
+		c.requests, _ = nc.(requestConn)
+	}
 	l.server.add(c)
 	return c, nil
 }
@@ -44,6 +49,8 @@
 type conn struct {
 	net.Conn
 	server *Server
+	// requests is the accepted connection if it follows the requests on it, or nil.
+	requests requestConn
 
 	mu sync.Mutex
 	// serving reports whether the head of a request has been read whose response has not
@@ -111,13 +118,16 @@
 }
 
 // handOver records that a handler answers for what has been read.
-func (c *conn) handOver() { c.update(func() { c.unanswered = false }) }
+func (c *conn) handOver() { c.setUnanswered(false) }
 
 // release lets the connection be read like any other again.
 func (c *conn) release() { c.update(func() { c.draining = false }) }
 
 // setServing records that a request begins to be served, or that its response has ended.
 func (c *conn) setServing(serving bool) {
+	if c.requests != nil {
+		c.requests.SetServing(serving)
+	}
 	c.update(func() {
 		c.serving = serving
 		c.idleSince = time.Now()
@@ -125,11 +135,20 @@
 	})
 }
 
+// requestConn is an accepted connection that follows the requests on it.
+type requestConn interface {
+	// SetServing states that the head of a request has been read, or that its response has
+	// ended.
+	SetServing(serving bool)
+}
+
+func (c *conn) setUnanswered(unanswered bool) { c.update(func() { c.unanswered = unanswered }) }
+
 // Read implements [net.Conn].
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if n > 0 {
-		c.update(func() { c.unanswered = true })
+		c.setUnanswered(true)
 	}
 	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 		c.update(func() { c.left = true })
@@ -140,7 +159,7 @@
 // Write implements [net.Conn]. A caller sends its next request after the last bytes of
 // a response, so that what is read from here on belongs to it.
 func (c *conn) Write(p []byte) (int, error) {
-	c.update(func() { c.unanswered = false })
+	c.setUnanswered(false)
 	return c.Conn.Write(p)
 }
 
--- a/internal/httpdrain/server.go
+++ b/internal/httpdrain/server.go
@@ -72,7 +72,10 @@
 
 // ServeTLS is like Serve, with TLS by a certificate and key from files.
 func (s *Server) ServeTLS(l net.Listener, certFile, keyFile string) error {
-	return s.serve(l, func(l net.Listener) error { return s.http.ServeTLS(l, certFile, keyFile) })
+	return s.serve(l, func(l net.Listener) error {
+		l.(*listener).encrypted = true
+		return s.http.ServeTLS(l, certFile, keyFile)
+	})
 }
 
 func (s *Server) serve(l net.Listener, serve func(net.Listener) error) error {
@@ -81,7 +84,7 @@
 		return http.ErrServerClosed
 	}
 	defer s.serving.Done()
-	err := serve(&listener{l, s})
+	err := serve(&listener{Listener: l, server: s})
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.phase >= PhaseListenersClosed && errors.Is(err, net.ErrClosed) {
--- a/internal/relay/budget.go
+++ b/internal/relay/budget.go
@@ -67,6 +67,7 @@
 	mu sync.Mutex
 	// responses and requests are the bytes held of responses and of requests.
 	responses, requests int64
+	ports               []*Port
 	// arriving holds the receipts of requests that hold something and have not arrived
 	// whole, in the order in which they began to hold.
 	arriving list.List
@@ -94,6 +95,7 @@
 	// requests for which there was no room, and GivenUp the callers that were given up.
 	HeldBack, Refused int64
 	GivenUp           map[Reason]int64
+	Ports             []PortStats
 }
 
 // NewBudget returns a budget of the given number of bytes.
@@ -116,6 +118,9 @@
 	for reason, n := range b.stats.GivenUp {
 		s.GivenUp[reason] = n
 	}
+	for _, p := range b.ports {
+		s.Ports = append(s.Ports, p.stats())
+	}
 	return s
 }
 
--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -1,27 +1,39 @@
 package relay
 
 import (
+	"container/list"
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
 )
 
 // errCallerLeft means that the caller closed the connection while a writer was waiting
 // for it.
 var errCallerLeft = errors.New("relay: the caller has disconnected")
 
-// conn is the connection of a caller. Write returns as soon as all bytes are sent or
+// errGaveWay means that the connection was closed to make room for another.
+var errGaveWay = errors.New("relay: the connection gave way to another")
+
+// conn is the connection of a caller, with the request on it. Write returns as soon as all bytes are sent or
 // held. A write deadline limits only the time for which Write waits for room. Close and
 // CloseWrite take effect when all that is held has been sent. Close after CloseWrite reads
 // on for a while: see linger.
 type conn struct {
 	net.Conn
-	budget *Budget
-	raw    syscall.RawConn
+	port    *Port
+	budget  *Budget
+	raw     syscall.RawConn
+	receipt *Receipt
+	// reading reports that a read waits for bytes.
+	reading atomic.Bool
+
+	deadlines readDeadlines
 	// writeOnce and sendHeld are methods of this connection, for raw.Write.
 	writeOnce, sendHeld func(fd uintptr) bool
 
@@ -45,12 +57,24 @@
 	deadline time.Time
 	// err is the error after which nothing more is sent.
 	err error
-	// left reports that reading from the caller failed or ended.
-	left, closed, writeClosed bool
+	// left reports that reading from the caller failed or ended, closed that Close was
+	// called, and ended that the descriptor was closed.
+	left, closed, writeClosed, ended bool
+
+	// The following are guarded by the port's mutex. Serving reports that a request has
+	// arrived whole and its response has not ended, behind that the caller has not taken
+	// what was written, leaving that the connection gives way, and gone that it is closed.
+	serving, behind, leaving, gone bool
+	// list is the port's list that holds the connection, or nil, and element its place.
+	list    *list.List
+	element *list.Element
 }
 
-func newConn(c net.Conn, raw syscall.RawConn, b *Budget) *conn {
-	k := &conn{Conn: c, budget: b, raw: raw, progress: make(chan struct{}, 1)}
+func newConn(c net.Conn, raw syscall.RawConn, p *Port) *conn {
+	b := p.budget
+	k := &conn{Conn: c, port: p, budget: b, raw: raw, progress: make(chan struct{}, 1)}
+	k.deadlines.set = c.SetReadDeadline
+	k.receipt = b.Receipt(k.deadlines.expire)
 	k.queue.account = b.Account()
 	k.writeOnce = k.tryDirect
 	k.sendHeld = k.trySend
@@ -150,7 +174,9 @@
 
 // Read implements [net.Conn]. A caller that has gone is not waited for.
 func (c *conn) Read(p []byte) (int, error) {
+	c.reading.Store(true)
 	n, err := c.Conn.Read(p)
+	c.reading.Store(false)
 	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 		c.mu.Lock()
 		c.left = true
@@ -160,6 +186,61 @@
 	return n, err
 }
 
+// starving reports whether a read waits although all bytes that have arrived were read.
+func (c *conn) starving() bool {
+	if !c.reading.Load() {
+		return false
+	}
+	unread := 0
+	err := c.raw.Control(func(fd uintptr) { unread, _ = unix.IoctlGetInt(int(fd), unix.TIOCINQ) })
+	return err != nil || unread == 0
+}
+
+// SetServing records that the head of a request has been read, or that its response has
+// ended.
+func (c *conn) SetServing(serving bool) {
+	if serving {
+		return
+	}
+	c.receipt.Release()
+	c.port.await(c)
+}
+
+// arrived records that a request has arrived whole. It returns false if the request has lost
+// its room before.
+func (c *conn) arrived() bool {
+	if !c.receipt.Arrived() {
+		return false
+	}
+	c.port.serve(c)
+	return true
+}
+
+// giveWay closes the connection, so that another can be accepted.
+func (c *conn) giveWay() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.fail(errGaveWay)
+	_ = c.end()
+}
+
+// end closes the descriptor. The place of the connection is free once its server has closed
+// it too: until then a read may hold the descriptor. The caller holds mu.
+func (c *conn) end() error {
+	if c.ended {
+		return nil
+	}
+	c.ended = true
+	err := c.Conn.Close()
+	if c.closed {
+		c.port.leavePlace(c)
+	}
+	return err
+}
+
+// SetReadDeadline implements [net.Conn].
+func (c *conn) SetReadDeadline(t time.Time) error { return c.deadlines.setServer(t) }
+
 // SetWriteDeadline implements [net.Conn]. It does not affect a Write that waits.
 func (c *conn) SetWriteDeadline(t time.Time) error {
 	c.mu.Lock()
@@ -199,14 +280,18 @@
 	defer c.mu.Unlock()
 	first := !c.closed
 	c.closed = true
+	c.receipt.Release()
 	c.wake()
-	if c.sending {
-		return c.SetReadDeadline(time.Unix(1, 0))
-	}
-	if first && c.startLinger() {
+	switch {
+	case c.ended && first:
+		c.port.leavePlace(c)
+		return nil
+	case c.sending:
+		return c.SetReadDeadline(expired)
+	case first && c.startLinger():
 		return nil
 	}
-	return c.Conn.Close()
+	return c.end()
 }
 
 // writeFD writes to a descriptor without waiting. It returns no error if nothing can be
--- a/internal/relay/linger.go
+++ b/internal/relay/linger.go
@@ -20,6 +20,7 @@
 	if !c.writeClosed || c.left || c.err != nil || !c.budget.enterLinger() {
 		return false
 	}
+	c.port.await(c)
 	go c.linger()
 	return true
 }
@@ -28,7 +29,8 @@
 // connection. A caller that has received the end of the response closes soon.
 func (c *conn) linger() {
 	defer c.budget.leaveLinger()
-	_ = c.SetReadDeadline(time.Now().Add(c.budget.LingerTimeout))
+	defer c.endLater()
+	c.reading.Store(true)
+	_ = c.Conn.SetReadDeadline(time.Now().Add(c.budget.LingerTimeout))
 	_, _ = io.CopyN(io.Discard, c.Conn, maxLingerBytes)
-	_ = c.Conn.Close()
 }
--- /dev/null
+++ b/internal/relay/port.go
@@ -0,0 +1,250 @@
+package relay
+
+import (
+	"container/list"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
+	"golang.org/x/time/rate"
+)
+
+const (
+	// receiveBufferBytes is what the kernel keeps of the bytes that a caller has sent and
+	// nobody has read. They count as memory of the process.
+	receiveBufferBytes = 32 << 10
+	// ConnBytes is the memory of one connection beyond what receipts and accounts count:
+	// the stacks of its goroutines, the buffers of the HTTP server, an ordinary head, and
+	// unread bytes.
+	ConnBytes = 32<<10 + receiveBufferBytes
+	// roomCheckInterval is the time between two looks for a connection that can give way.
+	roomCheckInterval = time.Millisecond
+)
+
+// ListenConfig listens for connections of which the kernel keeps few unread bytes.
+func ListenConfig() *net.ListenConfig {
+	return &net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
+		var err error
+		// Connections inherit the size from their listener.
+		ctlErr := c.Control(func(fd uintptr) {
+			err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBufferBytes)
+		})
+		return errors.Wrap(errors.CombineErrors(ctlErr, err), "relay: receive buffer")
+	}}
+}
+
+// Port accepts the connections of callers at one listener. It implements [net.Listener].
+//
+// While as many are open as it may have, a connection that carries no request in progress
+// gives way to the next: the one that has waited the longest for a request, or for the rest
+// of one. If there is none, the one gives way whose caller has been behind the longest with
+// taking its response. Otherwise the next connection waits in the kernel.
+type Port struct {
+	net.Listener
+	name   string
+	budget *Budget
+	// limit is the number of connections that may be open; 0 means any.
+	limit int
+	log   rate.Sometimes
+	// left is signalled when a connection has been closed, and closed is closed with the
+	// listener.
+	left, closed chan struct{}
+	closeOnce    sync.Once
+
+	mu sync.Mutex
+	// open counts the connections that hold a descriptor, with the one that Accept waits
+	// for, and leaving those of them that have given way.
+	open, leaving int
+	// waiting holds the connections without a whole request, and behind those whose callers
+	// have not taken what was written, each in the order in which that began.
+	waiting, behind list.List
+	gaveWay         int64
+}
+
+// Listener returns a port without a limit on connections.
+func (b *Budget) Listener(l net.Listener) *Port { return b.Port("", l, 0) }
+
+// Port returns a port that accepts connections of a listener, of which limit may be open at
+// once, or any number if that is 0. The name stands in metrics and logs.
+func (b *Budget) Port(name string, l net.Listener, limit int) *Port {
+	p := &Port{
+		Listener: l, name: name, budget: b, limit: limit, log: rate.Sometimes{Interval: logInterval},
+		left: make(chan struct{}, 1), closed: make(chan struct{}),
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ports = append(b.ports, p)
+	return p
+}
+
+// PortStats is a snapshot of a port: its connections, their limit, which is 0 if there is
+// none, and how many have given way to others since the start.
+type PortStats struct {
+	Name        string
+	Open, Limit int
+	GaveWay     int64
+}
+
+func (p *Port) stats() PortStats {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return PortStats{Name: p.name, Open: p.open, Limit: p.limit, GaveWay: p.gaveWay}
+}
+
+// Accept implements [net.Listener].
+func (p *Port) Accept() (net.Conn, error) {
+	if err := p.takePlace(); err != nil {
+		return nil, err
+	}
+	c, err := p.Listener.Accept()
+	if err != nil {
+		p.leavePlace(nil)
+		return nil, err
+	}
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		p.leavePlace(nil)
+		return c, nil
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		_ = c.Close()
+		p.leavePlace(nil)
+		return nil, err
+	}
+	k := newConn(c, raw, p)
+	p.await(k)
+	return k, nil
+}
+
+// Close implements [net.Listener].
+func (p *Port) Close() error {
+	p.closeOnce.Do(func() { close(p.closed) })
+	return p.Listener.Close()
+}
+
+// takePlace counts a connection that is about to be accepted. It waits while there is no
+// place for it.
+func (p *Port) takePlace() error {
+	for {
+		c, ok := p.tryPlace()
+		switch {
+		case ok:
+			return nil
+		case c != nil:
+			p.log.Do(func() {
+				p.budget.log.Info("relay: a connection gave way to the next", "port", p.name, "limit", p.limit)
+			})
+			c.giveWay()
+			continue
+		}
+		select {
+		case <-p.left:
+		case <-p.closed:
+			return net.ErrClosed
+		case <-time.After(roomCheckInterval):
+		}
+	}
+}
+
+// tryPlace takes a place if there is one. Otherwise it returns the connection that gives
+// way, unless none can or one is just doing so.
+func (p *Port) tryPlace() (*conn, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.limit == 0 || p.open < p.limit {
+		p.open++
+		return nil, true
+	}
+	if p.open-p.leaving < p.limit {
+		return nil, false
+	}
+	for _, l := range []*list.List{&p.waiting, &p.behind} {
+		for e := l.Front(); e != nil; e = e.Next() {
+			if c := e.Value.(*conn); l == &p.behind || c.starving() {
+				p.unlist(c)
+				c.leaving = true
+				p.leaving++
+				p.gaveWay++
+				return c, false
+			}
+		}
+	}
+	return nil, false
+}
+
+// leavePlace counts a connection that is closed, or nil for one that was not accepted.
+func (p *Port) leavePlace(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.open--
+	if c != nil {
+		p.unlist(c)
+		c.gone = true
+	}
+	if c != nil && c.leaving {
+		p.leaving--
+	}
+	select {
+	case p.left <- struct{}{}:
+	default:
+	}
+}
+
+// await records that a connection carries no whole request from now on.
+func (p *Port) await(c *conn) { p.update(c, func() { c.serving = false }, true) }
+
+// serve records that a request on a connection has arrived whole.
+func (p *Port) serve(c *conn) { p.update(c, func() { c.serving = true }, false) }
+
+// setBehind records whether the caller of a connection is behind.
+func (p *Port) setBehind(c *conn, behind bool) { p.update(c, func() { c.behind = behind }, false) }
+
+// update changes the state of a connection and puts it at the end of the list that it then
+// belongs to. One that stays on a list keeps its place there unless anew is set.
+func (p *Port) update(c *conn, change func(), anew bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	change()
+	var l *list.List
+	switch {
+	case c.leaving || c.gone:
+	case c.behind:
+		l = &p.behind
+	case !c.serving:
+		l = &p.waiting
+	}
+	if l == c.list && (l == nil || !anew) {
+		return
+	}
+	p.unlist(c)
+	if l != nil {
+		c.list, c.element = l, l.PushBack(c)
+	}
+}
+
+func (p *Port) unlist(c *conn) {
+	if c.list != nil {
+		c.list.Remove(c.element)
+		c.list, c.element = nil, nil
+	}
+}
+
+// ReceiptOf returns the receipt of the request on a connection, or nil if the connection was
+// not accepted by a [Port].
+func ReceiptOf(nc net.Conn) *Receipt {
+	if c, ok := nc.(*conn); ok {
+		return c.receipt
+	}
+	return nil
+}
+
+// Arrived records that the request on a connection has arrived whole. From then on, it gives
+// way to no other. It returns false if the request has lost its room before.
+func Arrived(nc net.Conn) bool {
+	c, ok := nc.(*conn)
+	return !ok || c.arrived()
+}
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -24,6 +24,7 @@
 	}
 	c.sending = true
 	c.progressAt = time.Now()
+	c.port.setBehind(c, true)
 	c.budget.enter()
 	go c.send()
 }
@@ -89,6 +90,7 @@
 // Write sends directly.
 func (c *conn) stopSending() {
 	c.sending = false
+	c.port.setBehind(c, false)
 	// A deadline that has passed would make the next direct write fail.
 	_ = c.Conn.SetWriteDeadline(time.Time{})
 }
@@ -96,7 +98,10 @@
 // fail makes the connection unusable and frees what is held.
 func (c *conn) fail(err error) {
 	c.err = err
-	c.sending = false
+	if c.sending {
+		c.sending = false
+		c.port.setBehind(c, false)
+	}
 	c.queue.clear()
 	c.wake()
 }
@@ -106,7 +111,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.fail(err)
-	_ = c.Conn.Close()
+	_ = c.end()
 }
 
 // checkProgress returns why the caller has to be given up, or nothing.
@@ -149,6 +154,13 @@
 		_ = c.closeWrite()
 	}
 	if c.closed && !c.startLinger() {
-		time.AfterFunc(closeDelay, func() { _ = c.Conn.Close() })
+		c.port.await(c)
+		time.AfterFunc(closeDelay, c.endLater)
 	}
 }
+
+func (c *conn) endLater() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_ = c.end()
+}
