relay: a head is kept as it arrives, and parsed when there is room for its fields

What callers saw: 30 heads of 1 MB of short fields, left open at the readiness port, took 483 MB with memory_mb 80; 120 of 60 kB at the callers' port 139 MB, at any path and before any key.

Cause: net/http parses a head while it arrives and keeps each field as a map entry, a slice and two strings, some 15 times the size of a short one. MaxHeaderBytes of the readiness and metrics ports was the library's 1 MB, and header_bytes of the configuration was read and used nowhere.

Change: while the server awaits a head, the connection keeps what arrives as it is, counted in the request's receipt, until the head is whole (httpdrain tells it when that is). Then it takes room for what the server will make of the fields, or refuses: 503 with Retry-After without room, 431 beyond the limit; neither has run. The limit is header_bytes and 4 kB, 64 kB until a configuration is known, 8 kB at the ports of readiness and metrics. What came with the request before is looked at as well. An ordinary head, up to 16 kB of memory, costs neither a copy nor a lock of the budget. Connections under TLS keep net/http's own limit of 32 kB.

A head of 15 kB of short fields is served in calm, with a body of 4 MB too.

A head that is cut by its time limit gets no 400 any more: the connection ends.

--- a/internal/daemon/direct_driver.go
+++ b/internal/daemon/direct_driver.go
@@ -35,9 +35,10 @@
 	peers  *datagramTransport
 	log    *slog.Logger
 	ctx    context.Context
-	// callers is the server that calls this handler, and budget bounds what is held for its
-	// callers.
+	// callers is the server that calls this handler, port accepts its connections, and
+	// budget bounds what is held for its callers.
 	callers *httpdrain.Server
+	port    *relay.Port
 	budget  *relay.Budget
 	// onStopCompleted is called when the reducer has finished a graceful shutdown.
 	onStopCompleted func()
@@ -88,8 +89,7 @@
 	case msg.AcceptLonger:
 		d.acceptLonger.Store(true)
 	case msg.SetCallerLimits:
-		d.maxBody.Store(eff.Limits.BodyBytes)
-		d.callers.ExtendIdleTimeout(eff.Limits.IdleTimeout)
+		d.setCallerLimits(eff.Limits)
 	case msg.LogLine:
 		writeLog(d.log, eff)
 	case msg.StopCompleted:
@@ -99,6 +99,19 @@
 	}
 }
 
+// headSlack is added to the configured size of a head, which may be meant without the
+// request line or the ends of lines.
+const headSlack = 4 << 10
+
+// setCallerLimits sets the configured limits of callers' requests. Zero is no limit.
+func (d *directDriver) setCallerLimits(limits msg.CallerLimits) {
+	d.maxBody.Store(limits.BodyBytes)
+	d.callers.ExtendIdleTimeout(limits.IdleTimeout)
+	if limits.HeaderBytes > 0 {
+		d.port.SetHeadBytes(min(limits.HeaderBytes+headSlack, maxHeaderBytes))
+	}
+}
+
 // executeExternal executes the effects that concern the platform and the other
 // daemons.
 func (d *directDriver) executeExternal(eff msg.Effect) {
--- a/internal/daemon/direct_run.go
+++ b/internal/daemon/direct_run.go
@@ -31,8 +31,11 @@
 	// callerIdleTimeout is how long a caller's connection may be idle at least. It is extended
 	// to the configured limit.
 	callerIdleTimeout = 2 * time.Minute
-	headerTimeout     = 10 * time.Second
-	maxHeaderBytes    = 64 << 10
+	headerTimeout     = relay.DefaultHeadTimeout
+	// maxHeaderBytes is the largest head that may be configured, and opsHeadBytes the largest
+	// one of requests for readiness and metrics.
+	maxHeaderBytes = 1 << 20
+	opsHeadBytes   = 8 << 10
 	// maxScrapes is the number of requests for metrics that are served at once.
 	maxScrapes = 4
 	// A revoked key must be refused within a time limit. keyAgeRatio is the fraction
@@ -195,6 +198,7 @@
 func (d *directProcess) serve() {
 	limits := NewCallerLimits(d.settings)
 	callers := d.budget.Port("callers", d.sockets.callers, limits.Callers)
+	d.driver.port = callers
 	d.serveOn(callers, d.driver.callers)
 	ready := mux.NewRouter()
 	ready.HandleFunc(platform.ReadyPath, d.driver.serveReady)
@@ -209,6 +213,7 @@
 // serveOps serves operations on a listener, of which limit connections may be open.
 func (d *directProcess) serveOps(name string, l net.Listener, limit int, h http.Handler) {
 	port := d.budget.Port(name, l, limit)
+	port.SetHeadBytes(opsHeadBytes)
 	d.serveOn(port, httpdrain.New(&http.Server{
 		Handler: withoutBody(h), ReadHeaderTimeout: headerTimeout, ReadTimeout: headerTimeout, IdleTimeout: callerIdleTimeout,
 		ErrorLog: slog.NewLogLogger(d.log.Handler(), slog.LevelDebug),
--- a/internal/httpdrain/conn.go
+++ b/internal/httpdrain/conn.go
@@ -137,16 +137,34 @@
 
 // requestConn is an accepted connection that follows the requests on it.
 type requestConn interface {
+	// ReadHead is like Read while the head of a request is awaited. It may keep bytes until
+	// the head is complete, or respond to them itself: it calls unanswered with true once
+	// bytes have arrived, and with false after a response.
+	ReadHead(p []byte, unanswered func(bool)) (int, error)
 	// SetServing states that the head of a request has been read, or that its response has
 	// ended.
 	SetServing(serving bool)
 }
 
+// read reads from the accepted connection.
+func (c *conn) read(p []byte) (int, error) {
+	if c.requests != nil && !c.servingNow() {
+		return c.requests.ReadHead(p, c.setUnanswered)
+	}
+	return c.Conn.Read(p)
+}
+
+func (c *conn) servingNow() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.serving
+}
+
 func (c *conn) setUnanswered(unanswered bool) { c.update(func() { c.unanswered = unanswered }) }
 
 // Read implements [net.Conn].
 func (c *conn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
+	n, err := c.read(p)
 	if n > 0 {
 		c.setUnanswered(true)
 	}
--- a/internal/metrics/relay.go
+++ b/internal/metrics/relay.go
@@ -11,7 +11,8 @@
 	stats                              func() relay.Stats
 	held, peak                         *prometheus.Desc
 	behind, heldBack, refused, givenUp *prometheus.Desc
-	connections, limit, gaveWay        *prometheus.Desc
+	connections, limit                 *prometheus.Desc
+	gaveWay, largeHeads                *prometheus.Desc
 }
 
 // NewRelay returns a collector of the figures that stats returns.
@@ -31,12 +32,13 @@
 		connections: desc("relay_connections", "Connections that hold a place, with the one that is awaited, by port.", "port"),
 		limit:       desc("relay_connections_limit", "Connections that may be open at a port; 0 means any number.", "port"),
 		gaveWay:     desc("relay_gave_way_total", "Connections that were closed to make room for others, by port.", "port"),
+		largeHeads:  desc("relay_large_heads_total", "Requests that were refused because of the size of their head, by port.", "port"),
 	}
 }
 
 // Describe implements [prometheus.Collector].
 func (r *Relay) Describe(ch chan<- *prometheus.Desc) {
-	for _, d := range []*prometheus.Desc{r.held, r.peak, r.behind, r.heldBack, r.refused, r.givenUp, r.connections, r.limit, r.gaveWay} {
+	for _, d := range []*prometheus.Desc{r.held, r.peak, r.behind, r.heldBack, r.refused, r.givenUp, r.connections, r.limit, r.gaveWay, r.largeHeads} {
 		ch <- d
 	}
 }
@@ -63,5 +65,6 @@
 		gauge(r.connections, int64(p.Open), p.Name)
 		gauge(r.limit, int64(p.Limit), p.Name)
 		counter(r.gaveWay, p.GaveWay, p.Name)
+		counter(r.largeHeads, p.LargeHeads, p.Name)
 	}
 }
--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -30,6 +30,7 @@
 	budget  *Budget
 	raw     syscall.RawConn
 	receipt *Receipt
+	head    head
 	// reading reports that a read waits for bytes.
 	reading atomic.Bool
 
@@ -172,8 +173,16 @@
 	}
 }
 
-// Read implements [net.Conn]. A caller that has gone is not waited for.
+// Read implements [net.Conn].
 func (c *conn) Read(p []byte) (int, error) {
+	if n := c.head.take(p); n > 0 {
+		return n, nil
+	}
+	return c.receive(p)
+}
+
+// receive reads from the caller. A caller that has gone is not waited for.
+func (c *conn) receive(p []byte) (int, error) {
 	c.reading.Store(true)
 	n, err := c.Conn.Read(p)
 	c.reading.Store(false)
@@ -199,6 +208,7 @@
 // SetServing records that the head of a request has been read, or that its response has
 // ended.
 func (c *conn) SetServing(serving bool) {
+	c.head.reset(serving)
 	if serving {
 		return
 	}
--- a/internal/relay/port.go
+++ b/internal/relay/port.go
@@ -4,6 +4,7 @@
 	"container/list"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -13,6 +14,10 @@
 )
 
 const (
+	// DefaultHeadBytes is the largest head of a request unless it is configured.
+	DefaultHeadBytes = 64 << 10
+	// DefaultHeadTimeout is the time in which a head must arrive once it has begun.
+	DefaultHeadTimeout = 10 * time.Second
 	// receiveBufferBytes is what the kernel keeps of the bytes that a caller has sent and
 	// nobody has read. They count as memory of the process.
 	receiveBufferBytes = 32 << 10
@@ -47,8 +52,9 @@
 	name   string
 	budget *Budget
 	// limit is the number of connections that may be open; 0 means any.
-	limit int
-	log   rate.Sometimes
+	limit     int
+	headBytes atomic.Int64
+	log       rate.Sometimes
 	// left is signalled when a connection has been closed, and closed is closed with the
 	// listener.
 	left, closed chan struct{}
@@ -61,7 +67,8 @@
 	// waiting holds the connections without a whole request, and behind those whose callers
 	// have not taken what was written, each in the order in which that began.
 	waiting, behind list.List
-	gaveWay         int64
+	// gaveWay counts connections that have, and largeHeads heads beyond their limit.
+	gaveWay, largeHeads int64
 }
 
 // Listener returns a port without a limit on connections.
@@ -74,24 +81,40 @@
 		Listener: l, name: name, budget: b, limit: limit, log: rate.Sometimes{Interval: logInterval},
 		left: make(chan struct{}, 1), closed: make(chan struct{}),
 	}
+	p.headBytes.Store(DefaultHeadBytes)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.ports = append(b.ports, p)
 	return p
 }
 
+// SetHeadBytes sets the largest head of a request. Zero sets the default.
+func (p *Port) SetHeadBytes(n int64) {
+	if n <= 0 {
+		n = DefaultHeadBytes
+	}
+	p.headBytes.Store(n)
+}
+
 // PortStats is a snapshot of a port: its connections, their limit, which is 0 if there is
-// none, and how many have given way to others since the start.
+// none, how many have given way to others since the start, and how many heads were refused
+// because of their size.
 type PortStats struct {
-	Name        string
-	Open, Limit int
-	GaveWay     int64
+	Name                string
+	Open, Limit         int
+	GaveWay, LargeHeads int64
 }
 
 func (p *Port) stats() PortStats {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return PortStats{Name: p.name, Open: p.open, Limit: p.limit, GaveWay: p.gaveWay}
+	return PortStats{Name: p.name, Open: p.open, Limit: p.limit, GaveWay: p.gaveWay, LargeHeads: p.largeHeads}
+}
+
+func (p *Port) countLargeHead() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.largeHeads++
 }
 
 // Accept implements [net.Listener].
@@ -232,19 +255,3 @@
 		c.list, c.element = nil, nil
 	}
 }
-
-// ReceiptOf returns the receipt of the request on a connection, or nil if the connection was
-// not accepted by a [Port].
-func ReceiptOf(nc net.Conn) *Receipt {
-	if c, ok := nc.(*conn); ok {
-		return c.receipt
-	}
-	return nil
-}
-
-// Arrived records that the request on a connection has arrived whole. From then on, it gives
-// way to no other. It returns false if the request has lost its room before.
-func Arrived(nc net.Conn) bool {
-	c, ok := nc.(*conn)
-	return !ok || c.arrived()
-}
