Callers' and operators' API: connections and bodies are bounded

What callers saw: 120 clients that stop a byte short of a body of 2 MiB, sized or in chunks, held 299 MB; the key is looked at only when the body is whole. Nothing bounded connections either.

Cause: the other way to serve had no budget. Each body was read by io.ReadAll, for up to 30 s.

Change: it uses the same ports, receipts and heads as the daemon on the platform. limits in the settings (connections, default 4,096, and callerMB, default 128) bound what callers hold; requests take half. A request without room gets 503, outcome not-run, with Retry-After. Its figures are metrics there too. Requests of HTTP/2 have receipts of their own, and their connections give way to none, as they carry many requests.

--- a/internal/daemon/callers.go
+++ b/internal/daemon/callers.go
@@ -2,7 +2,6 @@
 
 import (
 	"crypto/sha256"
-	"io"
 	"log/slog"
 	"net/http"
 	"slices"
@@ -19,6 +18,7 @@
 	"github.com/verbenaspur/verbenaspur/internal/link"
 	"github.com/verbenaspur/verbenaspur/internal/manifest"
 	"github.com/verbenaspur/verbenaspur/internal/prefixhash"
+	"github.com/verbenaspur/verbenaspur/internal/relay"
 )
 
 // Limits of requests from callers and operators. Sizes are in bytes.
@@ -33,7 +33,8 @@
 
 // callerAPI serves the callers' interface of an entry daemon.
 type callerAPI struct {
-	e *entry
+	e      *entry
+	budget *relay.Budget
 }
 
 // routes adds the callers' routes to a router.
@@ -53,7 +54,7 @@
 // newServer returns the HTTP server for callers and operators.
 func newServer(h http.Handler, log *slog.Logger) *httpdrain.Server {
 	return httpdrain.New(&http.Server{
-		Handler:           h,
+		Handler:           arrivedWithoutBody(h),
 		ReadHeaderTimeout: readHeaderTimeout,
 		ReadTimeout:       readTimeout,
 		IdleTimeout:       idleTimeout,
@@ -62,27 +63,71 @@
 	})
 }
 
+// arrivedWithoutBody returns a handler that records that a request without a body has arrived
+// whole. Over HTTP/2 a connection carries many requests, and gives way for none of them.
+func arrivedWithoutBody(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.ContentLength == 0 || r.ProtoMajor > 1 {
+			relay.Arrived(httpdrain.Conn(r))
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
+// receiptOf returns the receipt of a request, which is that of its connection unless others
+// share the connection.
+func receiptOf(w http.ResponseWriter, r *http.Request, budget *relay.Budget) *relay.Receipt {
+	if receipt := relay.ReceiptOf(httpdrain.Conn(r)); receipt != nil && r.ProtoMajor == 1 {
+		return receipt
+	}
+	controller := http.NewResponseController(w)
+	return budget.Receipt(func() { _ = controller.SetReadDeadline(time.Unix(1, 0)) })
+}
+
 // badRequest returns a refusal of a request that did not run.
 func badRequest(id msg.RequestID, status int, code, reason string) msg.RefuseRequest {
 	return msg.RefuseRequest{Req: id, Status: status, Code: code, Reason: reason, Outcome: msg.OutcomeNotRun}
 }
 
+// received is a caller's request that has arrived whole.
+type received struct {
+	id   msg.RequestID
+	body []byte
+	// release frees the room of the request.
+	release func()
+}
+
 // readRequest assigns an ID to a request and reads its body. It returns false if it
 // has refused the request.
-func (c *callerAPI) readRequest(w http.ResponseWriter, req *http.Request) (msg.RequestID, []byte, bool) {
+func (c *callerAPI) readRequest(w http.ResponseWriter, req *http.Request) (received, bool) {
 	id := msg.RequestID(ulid.Make().String())
 	w.Header().Set("X-Request-Id", string(id))
-	body, err := io.ReadAll(httpdrain.MaxBytesReader(w, req.Body, maxBody))
-	var tooLarge *http.MaxBytesError
+	receipt := receiptOf(w, req, c.budget)
+	body, err := receipt.ReadAll(req.Body, req.ContentLength, maxBody)
+	arrived := err == nil && receipt.Arrived() && relay.Arrived(httpdrain.Conn(req))
+	if err == nil && !arrived {
+		err = relay.ErrNoRoom
+	}
+	if err != nil {
+		receipt.Release()
+		closeUnread(w)
+		writeRefusal(w, unreadRequest(id, err))
+		return received{}, false
+	}
+	return received{id, body, receipt.Release}, true
+}
+
+// unreadRequest returns the refusal of a request whose body could not be read.
+func unreadRequest(id msg.RequestID, err error) msg.RefuseRequest {
 	switch {
-	case errors.As(err, &tooLarge):
-		writeRefusal(w, badRequest(id, http.StatusRequestEntityTooLarge, "body-too-large", "the body is larger than 2 MiB"))
-		return id, nil, false
-	case err != nil:
-		writeRefusal(w, badRequest(id, http.StatusBadRequest, "body-unreadable", "the body did not arrive whole"))
-		return id, nil, false
+	case errors.Is(err, relay.ErrTooLarge):
+		return badRequest(id, http.StatusRequestEntityTooLarge, "body-too-large", "the body is larger than 2 MiB")
+	case errors.Is(err, relay.ErrNoRoom):
+		refusal := badRequest(id, http.StatusServiceUnavailable, "memory", "there is no room for the request")
+		refusal.RetryAfter = memoryRetryAfter
+		return refusal
 	}
-	return id, body, true
+	return badRequest(id, http.StatusBadRequest, "body-unreadable", "the body did not arrive whole")
 }
 
 // newRequestArrived returns the event of a request's arrival, with the fields that
@@ -100,10 +145,12 @@
 
 // generate serves a chat or text completion.
 func (c *callerAPI) generate(w http.ResponseWriter, req *http.Request, chat bool) {
-	id, body, ok := c.readRequest(w, req)
+	in, ok := c.readRequest(w, req)
 	if !ok {
 		return
 	}
+	defer in.release()
+	id, body := in.id, in.body
 	parsed, err := parseOpenAI(body, chat)
 	if err != nil {
 		writeRefusal(w, badRequest(id, http.StatusBadRequest, "invalid-request", err.Error()))
@@ -148,10 +195,12 @@
 
 // service serves a call of a plain service.
 func (c *callerAPI) service(w http.ResponseWriter, req *http.Request) {
-	id, body, ok := c.readRequest(w, req)
+	in, ok := c.readRequest(w, req)
 	if !ok {
 		return
 	}
+	defer in.release()
+	id, body := in.id, in.body
 	if len(req.Header.Get("Idempotency-Key")) > maxIdempotencyKey {
 		writeRefusal(w, badRequest(id, http.StatusBadRequest, "invalid-request", "Idempotency-Key is longer than 255 characters"))
 		return
--- a/internal/daemon/direct_limits.go
+++ b/internal/daemon/direct_limits.go
@@ -15,6 +15,8 @@
 	// load balancer and a collector of metrics need one or two each.
 	readyConns   = 32
 	metricsConns = 16
+	// opsConns is the same for the port for operations, which serves both.
+	opsConns = readyConns + metricsConns
 	// ownSockets is what the daemon opens itself, except for calls of targets: its listeners,
 	// the socket for peers, and calls of the platform.
 	ownSockets = 32
--- a/internal/daemon/operators.go
+++ b/internal/daemon/operators.go
@@ -18,6 +18,7 @@
 	"github.com/verbenaspur/verbenaspur/internal/core/pool/usage"
 	"github.com/verbenaspur/verbenaspur/internal/httpdrain"
 	"github.com/verbenaspur/verbenaspur/internal/manifest"
+	"github.com/verbenaspur/verbenaspur/internal/relay"
 	"github.com/verbenaspur/verbenaspur/internal/settings"
 )
 
@@ -265,7 +266,7 @@
 	err := dec.Decode(v)
 	if err == nil {
 		_, err = dec.Token()
-		if err == io.EOF {
+		if err == io.EOF && relay.Arrived(httpdrain.Conn(req)) {
 			return true
 		}
 	}
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -20,6 +20,7 @@
 	"github.com/verbenaspur/verbenaspur/internal/link"
 	"github.com/verbenaspur/verbenaspur/internal/metrics"
 	"github.com/verbenaspur/verbenaspur/internal/platform"
+	"github.com/verbenaspur/verbenaspur/internal/relay"
 	"github.com/verbenaspur/verbenaspur/internal/settings"
 	"github.com/verbenaspur/verbenaspur/internal/trace"
 )
@@ -51,8 +52,10 @@
 	platform     *platform.Client
 	registry     *prometheus.Registry
 	metrics      *metrics.Metrics
-	recorder     *trace.Recorder
-	traceFile    *os.File
+	// budget bounds what is held for callers and operators.
+	budget    *relay.Budget
+	recorder  *trace.Recorder
+	traceFile *os.File
 	// workCtx ends when the daemon's own goroutines must end.
 	workCtx  context.Context
 	stopWork context.CancelFunc
@@ -76,10 +79,11 @@
 			Usage: s.Platform.Usage, Hosts: s.Platform.Hosts, Token: token,
 		}),
 		registry:     prometheus.NewRegistry(),
+		budget:       relay.NewBudget(s.Limits.CallerBytes(), log),
 		shutdownDone: make(chan struct{}),
 	}
 	p.metrics = metrics.New(p.registry)
-	p.registry.MustRegister(p.platform, collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	p.registry.MustRegister(p.platform, metrics.NewRelay(p.budget.Stats), collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	p.workCtx, p.stopWork = context.WithCancel(context.Background())
 	return p, nil
 }
--- a/internal/daemon/run_entry.go
+++ b/internal/daemon/run_entry.go
@@ -41,9 +41,9 @@
 	r := mux.NewRouter()
 	p.healthRoutes(r, e.isReady)
 	(&operatorAPI{e: e, operators: p.settings.Operators}).routes(r)
-	(&callerAPI{e: e}).routes(r)
+	(&callerAPI{e: e, budget: p.budget}).routes(r)
 	srv := newServer(r, p.log)
-	if err := p.serve(p.settings.Listen.HTTP, srv, p.settings.TLS.HTTPCert, p.settings.TLS.HTTPKey); err != nil {
+	if err := p.serve(port{"callers", p.settings.Limits.MaxConnections()}, p.settings.Listen.HTTP, srv, p.settings.TLS.HTTPCert, p.settings.TLS.HTTPKey); err != nil {
 		return err
 	}
 	p.log.Info("daemon: started", "role", "entry", "host", p.settings.Host, "http", p.settings.Listen.HTTP, "link", p.settings.Listen.Link)
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"sync"
 
@@ -14,14 +13,24 @@
 	"github.com/verbenaspur/verbenaspur/internal/link"
 )
 
+// port is a listener of the daemon: its name in metrics and the number of connections that may
+// be open.
+type port struct {
+	name        string
+	connections int
+}
+
 // serve starts an HTTP server on an address. The server runs until it is shut
 // down.
-func (p *process) serve(addr string, srv *httpdrain.Server, tlsCert, tlsKey string) error {
-	ln, err := net.Listen("tcp", addr)
+func (p *process) serve(to port, addr string, srv *httpdrain.Server, tlsCert, tlsKey string) error {
+	l, err := listen(addr)
 	if err != nil {
 		return errors.Wrap(err, "listen")
 	}
+	ln := p.budget.Port(to.name, l, to.connections)
+	ln.SetHeadBytes(maxHeader)
 	go func() {
+		var err error
 		if tlsCert != "" {
 			err = srv.ServeTLS(ln, tlsCert, tlsKey)
 		} else {
@@ -43,7 +52,7 @@
 	if p.settings.Listen.Ops == "" {
 		return srv, nil
 	}
-	return srv, p.serve(p.settings.Listen.Ops, srv, "", "")
+	return srv, p.serve(port{"ops", opsConns}, p.settings.Listen.Ops, srv, "", "")
 }
 
 // healthRoutes adds the routes for health checks and metrics.
--- a/internal/httpdrain/conn.go
+++ b/internal/httpdrain/conn.go
@@ -27,10 +27,8 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{Conn: nc, server: l.server, idleSince: time.Now()}
-	if !l.encrypted {
-		c.requests, _ = nc.(requestConn)
-	}
+	c := &conn{Conn: nc, server: l.server, idleSince: time.Now(), encrypted: l.encrypted}
+	c.requests, _ = nc.(requestConn)
 	l.server.add(c)
 	return c, nil
 }
@@ -51,6 +49,8 @@
 	server *Server
 	// requests is the accepted connection if it follows the requests on it, or nil.
 	requests requestConn
+	// encrypted reports that the connection carries TLS, so that heads can't be seen here.
+	encrypted bool
 
 	mu sync.Mutex
 	// serving reports whether the head of a request has been read whose response has not
@@ -148,7 +148,7 @@
 
 // read reads from the accepted connection.
 func (c *conn) read(p []byte) (int, error) {
-	if c.requests != nil && !c.servingNow() {
+	if c.requests != nil && !c.encrypted && !c.servingNow() {
 		return c.requests.ReadHead(p, c.setUnanswered)
 	}
 	return c.Conn.Read(p)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -2,6 +2,7 @@
 package settings
 
 import (
+	"cmp"
 	"fmt"
 	"os"
 	"strings"
@@ -29,6 +30,7 @@
 	Listen        Listen   `yaml:"listen"`
 	Platform      Platform `yaml:"platform"`
 	TLS           TLS      `yaml:"tls"`
+	Limits        Limits   `yaml:"limits,omitempty"`
 	Log           Log      `yaml:"log"`
 	// Target is the target beside a side daemon.
 	Target *Target `yaml:"target,omitempty" validate:"required_if=Role side"`
@@ -83,6 +85,28 @@
 	HTTPKey  string `yaml:"httpKey,omitempty"`
 }
 
+// Limits bound what callers may hold of a daemon.
+type Limits struct {
+	// Connections is the number of connections that callers and operators may have open
+	// together. The default is 4,096.
+	Connections int `yaml:"connections,omitempty" validate:"omitempty,min=16"`
+	// CallerMB is how much may be held of their requests and responses, in MiB. Requests
+	// take half of it at most. The default is 128.
+	CallerMB int `yaml:"callerMB,omitempty" validate:"omitempty,min=16"`
+}
+
+// Defaults of [Limits].
+const (
+	defaultConnections = 4096
+	defaultCallerMB    = 128
+)
+
+// MaxConnections returns the number of connections that may be open.
+func (l Limits) MaxConnections() int { return cmp.Or(l.Connections, defaultConnections) }
+
+// CallerBytes returns the number of bytes that may be held for callers.
+func (l Limits) CallerBytes() int64 { return int64(cmp.Or(l.CallerMB, defaultCallerMB)) << 20 }
+
 // Log selects the format of log lines and the lowest level that is logged.
 type Log struct {
 	Format string `yaml:"format,omitempty" validate:"omitempty,oneof=text json"`
