--- a/internal/abuse/abuse_test.go
+++ b/internal/abuse/abuse_test.go
@@ -49,6 +49,9 @@
 		{"requests sent ahead at the metrics port", crowd{60, metricsPort, text(strings.Repeat(head("GET", "/metrics")+"\r\n", 300)), nil}},
 		{"long answers read a byte at a time", crowd{150, callersPort, text(strings.Repeat(lookup, 20)), readSlowly}},
 		{"long answers read a byte at a time each on its connection", crowd{250, callersPort, text(lookup), readSlowly}},
+		// Requests that are whole, and leave something behind if anything is kept by their names.
+		{"names that are no two alike", crowd{60, callersPort, unlike("/order/"), leaveSoon}},
+		{"names that are no two alike without a route", crowd{60, callersPort, unlike("/none/"), leaveSoon}},
 		// Connections.
 		{"silent connections", crowd{700, callersPort, nothing, readAll}},
 		{"silent connections at the readiness port", crowd{700, readyPort, nothing, readAll}},
--- a/internal/abuse/crowd_test.go
+++ b/internal/abuse/crowd_test.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -89,6 +90,9 @@
 // readAll reads until the connection ends.
 func readAll(c net.Conn, _ func(time.Duration) bool) { _, _ = io.Copy(io.Discard, c) }
 
+// leaveSoon reads nothing and leaves, to come again.
+func leaveSoon(_ net.Conn, pause func(time.Duration) bool) { pause(returnDelay) }
+
 // readSlowly reads a byte at a time.
 func readSlowly(c net.Conn, pause func(time.Duration) bool) {
 	for b := make([]byte, 1); pause(slowPause); {
@@ -131,6 +135,30 @@
 	}
 }
 
+// unlikeNumber makes names differ.
+var unlikeNumber atomic.Int64
+
+// unlike sends requests whose path, ID, key, stream and segments occur once each and are
+// long.
+func unlike(path string) sender {
+	const requests, nameBytes, segments = 50, 2000, 200
+	return func(c net.Conn, _ func(time.Duration) bool) {
+		for range requests {
+			n := unlikeNumber.Add(1)
+			name := strconv.FormatInt(n, 10) + strings.Repeat("n", nameBytes)
+			var prefix strings.Builder
+			for i := range segments {
+				fmt.Fprintf(&prefix, "%x%08x:9,", i, n)
+			}
+			_, err := fmt.Fprintf(c, "GET %s%s HTTP/1.1\r\nHost: h\r\nX-Request-Id: %s\r\nX-Api-Key: key\r\nResumes: %s\r\nX-Deadline-Ms: 4000\r\nX-Model: %s\r\nX-Token-Usage: 1800,9\r\nX-Prefix-Hash: %s\r\n\r\n",
+				path, name, name, name, name, prefix.String()+"f:1")
+			if err != nil {
+				return
+			}
+		}
+	}
+}
+
 // head returns the beginning of a request's head, without the empty line at its end.
 func head(method, path string, fields ...string) string {
 	return method + " " + path + " HTTP/1.1\r\nHost: h\r\nX-Request-Id: c\r\nX-Api-Key: key\r\nX-Deadline-Ms: 4000\r\n" + strings.Join(fields, "")
