relay: responses leave a quarter of the budget to requests

What callers would see: uploads refused (503) for as long as many callers read slowly. Found by reading; with 64 connections, as in the test at a process, the numbers don't reach it, but a host with 144 MB may have 576.

Cause: requests had to leave an eighth of the budget for first blocks of responses, while first blocks took all that was left, so that callers behind shut requests out.

Change: responses may not take the last quarter of the budget unless requests hold it, and requests may always hold that much. A quarter is a body of the largest size on the smallest host.

Evidence: TestCallersBehindLeaveRoomForRequests, 1,000 callers behind: requests could hold 0 bytes, now 1 of 4 MB. TestReadAllCountsWhatItTakes asks for 100 kB of one response under a budget of 1 MB, where one may hold 82 kB now; its budget is 2 MB, all its checks stay.

--- a/internal/relay/budget.go
+++ b/internal/relay/budget.go
@@ -27,6 +27,9 @@
 	// requestShare is the fraction 1/requestShare of the budget that requests may hold. The
 	// rest is left for responses, which free memory as they are sent.
 	requestShare = 2
+	// requestReserve is the fraction 1/requestReserve of the budget that responses leave to
+	// requests.
+	requestReserve = 4
 	// defaultLingerTimeout is how long a closed connection is read on at most, and
 	// maxLingering is the number of such connections.
 	defaultLingerTimeout = 5 * time.Second
@@ -227,7 +230,8 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	after := a.held + n
-	if n > b.free() || after > blockBytes && after*callerShare > b.free()-b.limit/reserveShare {
+	free := b.limit - b.responses - max(b.requests, b.limit/requestReserve)
+	if n > free || after > blockBytes && after*callerShare > free-b.limit/reserveShare {
 		return false
 	}
 	a.held = after
--- a/internal/relay/receipt.go
+++ b/internal/relay/receipt.go
@@ -83,7 +83,8 @@
 // fitsRequest reports whether requests may hold n more bytes once freed bytes of them are
 // free.
 func (b *Budget) fitsRequest(n, freed int64) bool {
-	return b.requests-freed+n <= b.limit/requestShare && n <= b.free()+freed-b.limit/reserveShare
+	after := b.requests - freed + n
+	return after <= b.limit/requestReserve || after <= b.limit/requestShare && n <= b.free()+freed-b.limit/reserveShare
 }
 
 // makeRoom takes the room of requests that began to arrive before r until n bytes fit, and
