relay: room that is given back is free; crowds that are bound by memory

What callers saw, with memory_mb 80 and max_fds 4100, so that memory binds: 1,500 heads of 15 kB of short fields with a byte of the body missing took 410 MB on and still 119 MB after heads were counted.

Cause: a request that lost its room, or was refused, was told so with 503. The server keeps its head, 0.3 MB, for half a second after a response that ends the connection; the room was free in the budget, and the next one took it.

Change: the room of a head is held until the server closes the connection or reads the next request; the handler returns only that of the body. A request with a large head that finds no room, or loses it, ends with its connection instead of a response.

--- a/internal/abuse/abuse_test.go
+++ b/internal/abuse/abuse_test.go
@@ -58,20 +58,37 @@
 		{"silent connections at the metrics port", crowd{700, metricsPort, nothing, readAll}},
 		{"connections kept after a request", crowd{700, callersPort, text(ask), readAll}},
 	} {
-		t.Run(tc.name, func(t *testing.T) {
-			d := newDaemon(t)
-			leave := d.gather(tc.crowd)
-			defer leave()
-			time.Sleep(stayTime / 2)
-			d.checkOrdinary(t, "beside the crowd")
-			time.Sleep(stayTime / 2)
-			leave()
-			d.checkOrdinary(t, "after the crowd")
-			d.checkBounds()
-		})
+		t.Run(tc.name, func(t *testing.T) { checkCrowd(t, tc.crowd, fewDescriptors) })
 	}
 }
 
+// TestCrowdsByMemory does the same where memory is what binds, not descriptors.
+func TestCrowdsByMemory(t *testing.T) {
+	const kB, clients = 1 << 10, 1500
+	ask := head("GET", "/order/1") + "\r\n"
+	for name, c := range map[string]crowd{
+		"silent connections":                     {clients, callersPort, nothing, readAll},
+		"heads of 15 kB and bodies a byte short": {clients, callersPort, text(sized("/order/1", 10, shortFields(15*kB))), readAll},
+		"bodies of 64 kB a byte short":           {clients, callersPort, text(sized("/order/1", 64*kB)), readAll},
+		"requests sent ahead":                    {clients, callersPort, text(strings.Repeat(ask, 600)), nil},
+	} {
+		t.Run(name, func(t *testing.T) { checkCrowd(t, c, manyDescriptors) })
+	}
+}
+
+func checkCrowd(t *testing.T, c crowd, maxDescriptors int64) {
+	t.Helper()
+	d := newDaemon(t, maxDescriptors)
+	leave := d.gather(c)
+	defer leave()
+	time.Sleep(stayTime / 2)
+	d.checkOrdinary(t, "beside the crowd")
+	time.Sleep(stayTime / 2)
+	leave()
+	d.checkOrdinary(t, "after the crowd")
+	d.checkBounds()
+}
+
 func (d *daemon) checkOrdinary(t *testing.T, when string) {
 	t.Helper()
 	d.checkAnswered(t, when+", with a body", ordinaryRequest)
@@ -82,7 +99,7 @@
 // A single request inside the limits of the configuration is served in calm.
 func TestLargestRequestsAreServed(t *testing.T) {
 	const bodyLimit, headLimit = 4 << 20, 15 << 10
-	d := newDaemon(t)
+	d := newDaemon(t, fewDescriptors)
 	for name, text := range map[string]string{
 		"body":           whole("/order/1", bodyLimit),
 		"body in chunks": chunked("/order/1", bodyLimit, 64<<10) + "0\r\n\r\n",
@@ -108,7 +125,7 @@
 		"at readiness": {700, readyPort, nothing, readAll},
 	} {
 		t.Run(name, func(t *testing.T) {
-			d := newDaemon(t)
+			d := newDaemon(t, fewDescriptors)
 			leave := d.gather(c)
 			defer leave()
 			time.Sleep(stayTime / 2)
--- a/internal/abuse/process_test.go
+++ b/internal/abuse/process_test.go
@@ -18,11 +18,13 @@
 )
 
 const (
-	// memoryMB and maxDescriptors are the limits in the settings of the process. Of the
-	// descriptors, reservedDescriptors are for files, and sockets and pipes share the rest
-	// (the page "How verbenaspur is run", section "Machines").
+	// memoryMB and fewDescriptors are the limits in the settings of the process, and
+	// manyDescriptors is one that leaves memory to bind. Of the descriptors,
+	// reservedDescriptors are for files, and sockets and pipes share the rest (the page "How
+	// verbenaspur is run", section "Machines").
 	memoryMB            = 80
-	maxDescriptors      = 400
+	fewDescriptors      = 400
+	manyDescriptors     = 4100
 	reservedDescriptors = 200
 
 	callersPort = 8368
@@ -55,6 +57,8 @@
 	// exited is closed when the process has ended.
 	exited chan struct{}
 	log    string
+	// maxDescriptors is the limit of descriptors in its settings.
+	maxDescriptors int64
 
 	mu   sync.Mutex
 	peak usage
@@ -79,7 +83,7 @@
 })
 
 // newDaemon starts an entry daemon and waits until it is ready.
-func newDaemon(t *testing.T) *daemon {
+func newDaemon(t *testing.T, maxDescriptors int64) *daemon {
 	t.Helper()
 	bin, err := buildDaemon()
 	if err != nil {
@@ -105,7 +109,7 @@
 		}
 		store.Put("servers", r.ID, r.Registration(service, "d0", "ready"))
 	}
-	d := &daemon{t: t, ip: loopback.IP(0), exited: make(chan struct{})}
+	d := &daemon{t: t, ip: loopback.IP(0), exited: make(chan struct{}), maxDescriptors: maxDescriptors}
 	d.start(bin, store.Addr)
 	d.awaitReady()
 	return d
@@ -114,7 +118,7 @@
 func (d *daemon) start(bin, storeAddr string) {
 	dir := d.t.TempDir()
 	settings := filepath.Join(dir, "node.yaml")
-	text := fmt.Sprintf(settingsText, d.ip, callersPort, readyPort, peerPort, memoryMB, maxDescriptors, storeAddr)
+	text := fmt.Sprintf(settingsText, d.ip, callersPort, readyPort, peerPort, memoryMB, d.maxDescriptors, storeAddr)
 	if err := os.WriteFile(settings, []byte(text), 0o600); err != nil {
 		d.t.Fatal(err)
 	}
@@ -238,11 +242,11 @@
 	if peak.memory > memoryMB<<20 {
 		d.t.Errorf("memory: %d MB, bound %d MB", peak.memory>>20, memoryMB)
 	}
-	if peak.sockets > maxDescriptors-reservedDescriptors {
-		d.t.Errorf("sockets and pipes: %d, bound %d", peak.sockets, maxDescriptors-reservedDescriptors)
+	if peak.sockets > d.maxDescriptors-reservedDescriptors {
+		d.t.Errorf("sockets and pipes: %d, bound %d", peak.sockets, d.maxDescriptors-reservedDescriptors)
 	}
-	if peak.descriptors > maxDescriptors {
-		d.t.Errorf("descriptors: %d, bound %d", peak.descriptors, maxDescriptors)
+	if peak.descriptors > d.maxDescriptors {
+		d.t.Errorf("descriptors: %d, bound %d", peak.descriptors, d.maxDescriptors)
 	}
 }
 
--- a/internal/daemon/callers.go
+++ b/internal/daemon/callers.go
@@ -109,12 +109,13 @@
 		err = relay.ErrNoRoom
 	}
 	if err != nil {
-		receipt.Release()
+		abortIfHeavy(receipt, err)
+		receipt.ReleaseBody()
 		closeUnread(w)
 		writeRefusal(w, unreadRequest(id, err))
 		return received{}, false
 	}
-	return received{id, body, receipt.Release}, true
+	return received{id, body, receipt.ReleaseBody}, true
 }
 
 // unreadRequest returns the refusal of a request whose body could not be read.
--- a/internal/daemon/direct_body.go
+++ b/internal/daemon/direct_body.go
@@ -28,7 +28,7 @@
 )
 
 // readCallerRequest reads a caller's request, whose body must arrive within bodyTimeout and
-// find room in the budget. The returned function frees the room.
+// find room in the budget. The returned function frees the room of the body.
 func (d *directDriver) readCallerRequest(w http.ResponseWriter, r *http.Request, limit int64) (*platform.CallerRequest, func(), error) {
 	controller := http.NewResponseController(w)
 	nc := httpdrain.Conn(r)
@@ -37,17 +37,28 @@
 		receipt = d.budget.Receipt(func() { _ = controller.SetReadDeadline(time.Unix(1, 0)) })
 	}
 	var body []byte
+	var err error
 	if r.ContentLength != 0 {
-		var err error
-		if body, err = receiveBody(controller, receipt, r, limit); err != nil {
-			return nil, receipt.Release, err
-		}
+		body, err = receiveBody(controller, receipt, r, limit)
 	}
-	if !relay.Arrived(nc) {
-		return nil, receipt.Release, relay.ErrNoRoom
+	if err == nil && !relay.Arrived(nc) {
+		err = relay.ErrNoRoom
+	}
+	if err != nil {
+		abortIfHeavy(receipt, err)
+		return nil, receipt.ReleaseBody, err
 	}
 	callerRequest, err := platform.ReadCallerRequest(r, body)
-	return callerRequest, receipt.Release, err
+	return callerRequest, receipt.ReleaseBody, err
+}
+
+// abortIfHeavy ends the connection of a request that found no room or lost it, if it holds
+// much: the server holds the head of a request to which it responds for half a second more.
+func abortIfHeavy(receipt *relay.Receipt, err error) {
+	if errors.Is(err, relay.ErrNoRoom) && receipt.Heavy() {
+		receipt.ReleaseBody()
+		panic(http.ErrAbortHandler)
+	}
 }
 
 // receiveBody reads the body of a request.
--- a/internal/relay/head.go
+++ b/internal/relay/head.go
@@ -138,6 +138,7 @@
 	case h.cost() > 0 && !c.receipt.Reserve(h.cost()):
 		return 0, ErrNoRoom
 	}
+	c.receipt.heavy.Store(h.cost() > 0)
 	return c.passHead(p, len(arrived)), nil
 }
 
--- a/internal/relay/receipt.go
+++ b/internal/relay/receipt.go
@@ -32,8 +32,11 @@
 	interrupt func()
 	lost      atomic.Bool
 
-	// The following are guarded by the budget's mutex.
-	held int64
+	// heavy reports that the head took more room than an ordinary one.
+	heavy atomic.Bool
+
+	// The following are guarded by the budget's mutex. Body is what of held is for the body.
+	held, body int64
 	// whole reports that the request has arrived, so that it keeps its room.
 	whole bool
 	// element is the place in the list of arriving requests, or nil.
@@ -113,9 +116,14 @@
 func (r *Receipt) free() {
 	b := r.budget
 	b.requests -= r.held
-	r.held = 0
+	r.held, r.body = 0, 0
+	r.leave()
+}
+
+// leave takes the request off the list. The caller holds the budget's mutex.
+func (r *Receipt) leave() {
 	if r.element != nil {
-		b.arriving.Remove(r.element)
+		r.budget.arriving.Remove(r.element)
 		r.element = nil
 	}
 }
@@ -132,27 +140,45 @@
 		return false
 	}
 	r.whole = true
-	if r.element != nil {
-		r.budget.arriving.Remove(r.element)
-		r.element = nil
-	}
+	r.leave()
 	return true
 }
 
-// Release returns all room when the request has ended. The receipt can then be used for the
-// next request.
+// Heavy reports whether the head of the request took more room than an ordinary one. The
+// server holds that until it has closed the connection or begins to read the next request.
+func (r *Receipt) Heavy() bool { return r.heavy.Load() }
+
+// ReleaseBody returns the room of the body when the handler of the request ends. That of the
+// head is held for as long as the server holds the head.
+func (r *Receipt) ReleaseBody() {
+	r.budget.mu.Lock()
+	defer r.budget.mu.Unlock()
+	r.give(r.body)
+	r.body = 0
+	r.whole = true
+	r.leave()
+}
+
+// Release returns all room when the server holds nothing of the request any more. The receipt
+// can then be used for the next one.
 func (r *Receipt) Release() {
 	r.budget.mu.Lock()
 	defer r.budget.mu.Unlock()
 	r.free()
 	r.whole = false
 	r.lost.Store(false)
+	r.heavy.Store(false)
 }
 
 // shrink returns n bytes, unless the room was lost.
 func (r *Receipt) shrink(n int64) {
 	r.budget.mu.Lock()
 	defer r.budget.mu.Unlock()
+	r.give(n)
+}
+
+// give is like shrink. The caller holds the budget's mutex.
+func (r *Receipt) give(n int64) {
 	n = min(n, r.held)
 	r.held -= n
 	r.budget.requests -= n
@@ -205,5 +231,13 @@
 	}
 	grown := append(make([]byte, 0, next), p...)
 	r.shrink(int64(cap(p)))
+	r.setBody(next)
 	return grown, nil
 }
+
+// setBody records how much of the room is for the body.
+func (r *Receipt) setBody(n int64) {
+	r.budget.mu.Lock()
+	defer r.budget.mu.Unlock()
+	r.body = n
+}
