Limits count the kernel's unread bytes in full

What a process held: the kernel makes 32 kB of a receive buffer of 16 and 64 of 32, as received and unread bytes in internal/abuse show (4 MB with 60 connections). Connections counted half of that, and the heap's soft limit none of it.

Change: buffers are 16 kB, of which connections count 32. The soft limit of the heap leaves room for the program and for what the kernel may hold: nearly unchanged on hosts of 144 MB and more, 46 MB in place of 56 with 80 MB and 384 connections.

Peak of heads and bodies a byte short in TestCrowdsByMemory 77 -> 75 MB, bound 80, with 384 connections in place of 320.

--- a/internal/daemon/direct_limits.go
+++ b/internal/daemon/direct_limits.go
@@ -9,6 +9,13 @@
 	// callerMemoryRatio is the fraction of the memory limit that may be held for callers.
 	// The garbage collector may need as much again.
 	callerMemoryRatio = 0.25
+	// connMemoryRatio is the fraction of the memory limit that connections may take beyond
+	// that.
+	connMemoryRatio = 0.3
+	// heapRatio is the fraction of the memory limit up to which the garbage collector lets
+	// the heap grow, if the kernel's part and residentBytes of program leave as much.
+	heapRatio     = 0.7
+	residentBytes = 20 << 20
 	// defaultCallerMemory is held for callers at most if no memory limit is set.
 	defaultCallerMemory = 128 << 20
 	// readyConns and metricsConns are the connections that may be open at these ports. The
@@ -34,6 +41,8 @@
 	Callers, Ready, Metrics int
 	// Bytes may be held of requests and responses.
 	Bytes int64
+	// Heap is the soft limit of the heap in bytes; 0 means none.
+	Heap int64
 }
 
 // NewCallerLimits returns the limits that keep a process within its settings' limits of
@@ -41,7 +50,7 @@
 func NewCallerLimits(s *platform.Settings) CallerLimits {
 	limits := CallerLimits{Ready: readyConns, Metrics: metricsConns, Bytes: callerMemory(s.MemoryBytes)}
 	if s.MemoryBytes > 0 {
-		limits.Callers = int(limits.Bytes / relay.ConnBytes)
+		limits.Callers = int(connMemoryRatio * float64(s.MemoryBytes) / relay.ConnBytes)
 	}
 	if s.MaxSockets > 0 {
 		bySockets := max((s.MaxSockets-readyConns-metricsConns-ownSockets)/socketsPerCaller, minCallerConns)
@@ -49,6 +58,10 @@
 			limits.Callers = bySockets
 		}
 	}
+	if s.MemoryBytes > 0 {
+		kernel := int64(limits.Callers+limits.Ready+limits.Metrics) * relay.KernelBytes
+		limits.Heap = min(int64(heapRatio*float64(s.MemoryBytes)), s.MemoryBytes-residentBytes-kernel)
+	}
 	return limits
 }
 
--- a/internal/daemon/direct_run.go
+++ b/internal/daemon/direct_run.go
@@ -25,9 +25,6 @@
 )
 
 const (
-	// memoryLimitRatio is the fraction of the memory limit up to which the garbage
-	// collector lets the heap grow.
-	memoryLimitRatio = 0.7
 	// callerIdleTimeout is how long a caller's connection may be idle at least. It is extended
 	// to the configured limit.
 	callerIdleTimeout = 2 * time.Minute
@@ -56,7 +53,9 @@
 	if err != nil {
 		return err
 	}
-	debug.SetMemoryLimit(int64(memoryLimitRatio * float64(s.MemoryBytes)))
+	if heap := NewCallerLimits(s).Heap; heap > 0 {
+		debug.SetMemoryLimit(heap)
+	}
 	sockets, err := openDirectSockets(s, metricsAddr)
 	if err != nil {
 		file.close()
--- a/internal/relay/port.go
+++ b/internal/relay/port.go
@@ -18,13 +18,16 @@
 	DefaultHeadBytes = 64 << 10
 	// DefaultHeadTimeout is the time in which a head must arrive once it has begun.
 	DefaultHeadTimeout = 10 * time.Second
-	// receiveBufferBytes is what the kernel keeps of the bytes that a caller has sent and
-	// nobody has read. They count as memory of the process.
-	receiveBufferBytes = 32 << 10
+	// receiveBufferBytes is the size of a connection's receive buffer that is asked for. The
+	// kernel takes twice that, for its own bookkeeping.
+	receiveBufferBytes = 16 << 10
+	// KernelBytes is what the kernel keeps at most of the bytes of a connection that have
+	// arrived and nobody has read. They count as memory of the process.
+	KernelBytes = 2 * receiveBufferBytes
 	// ConnBytes is the memory of one connection beyond what receipts and accounts count:
 	// the stacks of its goroutines, the buffers of the HTTP server, an ordinary head, and
 	// unread bytes.
-	ConnBytes = 32<<10 + receiveBufferBytes
+	ConnBytes = 32<<10 + KernelBytes
 	// roomCheckInterval is the time between two looks for a connection that can give way.
 	roomCheckInterval = time.Millisecond
 )
