relay: callers that send many requests ahead let others in

What callers saw: beside 1,500 clients that sent 600 requests ahead each (memory_mb 80, max_fds 4100) an ordinary request waited 10 s and more for a place, though it was served in the end.

Cause: a connection whose next request has arrived never waits for one, so none of them gave way before all its requests were served.

Change: while a new connection waits and no other can give way, the connection does whose response has just ended, with its next requests unread or not run. One whose caller is still behind with that response does not.

TestRequestsSentAheadGiveWay fails without the change.

--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -214,6 +214,9 @@
 	}
 	c.receipt.Release()
 	c.port.await(c)
+	if c.port.mustGiveWay(c) {
+		c.giveWay()
+	}
 }
 
 // arrived records that a request has arrived whole. It returns false if the request has lost
--- a/internal/relay/port.go
+++ b/internal/relay/port.go
@@ -49,7 +49,8 @@
 // While as many are open as it may have, a connection that carries no request in progress
 // gives way to the next: the one that has waited the longest for a request, or for the rest
 // of one. If there is none, the one gives way whose caller has been behind the longest with
-// taking its response. Otherwise the next connection waits in the kernel.
+// taking its response. Otherwise the next connection waits in the kernel until a response
+// ends: its connection gives way, also if its caller has sent more requests ahead.
 type Port struct {
 	net.Listener
 	name   string
@@ -67,6 +68,8 @@
 	// open counts the connections that hold a descriptor, with the one that Accept waits
 	// for, and leaving those of them that have given way.
 	open, leaving int
+	// wanted reports that a connection waits while none can give way.
+	wanted bool
 	// waiting holds the connections without a whole request, and behind those whose callers
 	// have not taken what was written, each in the order in which that began.
 	waiting, behind list.List
@@ -183,6 +186,7 @@
 	defer p.mu.Unlock()
 	if p.limit == 0 || p.open < p.limit {
 		p.open++
+		p.wanted = false
 		return nil, true
 	}
 	if p.open-p.leaving < p.limit {
@@ -191,17 +195,36 @@
 	for _, l := range []*list.List{&p.waiting, &p.behind} {
 		for e := l.Front(); e != nil; e = e.Next() {
 			if c := e.Value.(*conn); l == &p.behind || c.starving() {
-				p.unlist(c)
-				c.leaving = true
-				p.leaving++
-				p.gaveWay++
+				p.markLeaving(c)
 				return c, false
 			}
 		}
 	}
+	p.wanted = true
 	return nil, false
 }
 
+// markLeaving records that a connection gives way. The caller holds mu.
+func (p *Port) markLeaving(c *conn) {
+	p.unlist(c)
+	c.leaving = true
+	p.leaving++
+	p.gaveWay++
+}
+
+// mustGiveWay reports whether a connection gives way whose response has just ended, since all
+// others have requests in progress and a new one waits. It may have sent its next request.
+func (p *Port) mustGiveWay(c *conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.wanted || c.list != &p.waiting {
+		return false
+	}
+	p.wanted = false
+	p.markLeaving(c)
+	return true
+}
+
 // leavePlace counts a connection that is closed, or nil for one that was not accepted.
 func (p *Port) leavePlace(c *conn) {
 	p.mu.Lock()
--- a/internal/relay/port_test.go
+++ b/internal/relay/port_test.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -54,6 +55,8 @@
 	switch r.URL.Path {
 	case "/wait":
 		<-p.release
+	case "/short":
+		time.Sleep(5 * time.Millisecond)
 	case "/long":
 		_, _ = w.Write(make([]byte, longResponse))
 	}
@@ -139,6 +142,22 @@
 	p.is.True(third.answered())
 }
 
+// Callers that send many requests ahead keep no place for all of them while another waits.
+func TestRequestsSentAheadGiveWay(t *testing.T) {
+	const ahead = 200
+	p := newPortTest(t, 2)
+	text := strings.Repeat(get("/short"), ahead-1) + "GET /short HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
+	callers := []*client{p.dial(text), p.dial(text)}
+	p.is.True(p.dial(get("/")).answered())
+	served := 0
+	for _, c := range callers {
+		for c.answered() {
+			served++
+		}
+	}
+	p.is.True(served < len(callers)*ahead)
+}
+
 // Without others, the caller gives way that has been behind with its response the longest.
 func TestCallerBehindGivesWay(t *testing.T) {
 	p := newPortTest(t, 3)
