Ports: nobody gives way once the listener is closed; a request without room is refused

A port whose listener closed while a connection waited at it went on asking for a place, so that during a planned stop the next connection whose response ended was closed, with requests that its caller had sent ahead. TestFullPortCloses checks it. On the callers' API, a request without a body that had lost the room of its head was served, though its connection was about to end; it is refused now.

--- a/internal/daemon/callers.go
+++ b/internal/daemon/callers.go
@@ -64,11 +64,14 @@
 }
 
 // arrivedWithoutBody returns a handler that records that a request without a body has arrived
-// whole. Over HTTP/2 a connection carries many requests, and gives way for none of them.
+// whole, and refuses it if it has lost its room. Over HTTP/2 a connection carries many requests,
+// and gives way for none of them.
 func arrivedWithoutBody(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.ContentLength == 0 || r.ProtoMajor > 1 {
-			relay.Arrived(httpdrain.Conn(r))
+		whole := r.ContentLength == 0 || r.ProtoMajor > 1
+		if whole && !relay.Arrived(httpdrain.Conn(r)) {
+			writeRefusal(w, unreadRequest("", relay.ErrNoRoom))
+			return
 		}
 		h.ServeHTTP(w, r)
 	})
--- a/internal/relay/port.go
+++ b/internal/relay/port.go
@@ -173,6 +173,7 @@
 		select {
 		case <-p.left:
 		case <-p.closed:
+			p.stopWaiting()
 			return net.ErrClosed
 		case <-time.After(roomCheckInterval):
 		}
@@ -225,6 +226,13 @@
 	return true
 }
 
+// stopWaiting records that no connection waits any more.
+func (p *Port) stopWaiting() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.wanted = false
+}
+
 // leavePlace counts a connection that is closed, or nil for one that was not accepted.
 func (p *Port) leavePlace(c *conn) {
 	p.mu.Lock()
--- a/internal/relay/port_test.go
+++ b/internal/relay/port_test.go
@@ -168,12 +168,18 @@
 	p.is.True(slower.answered())
 }
 
-// A port that waits for a place ends with its listener.
+// A port that waits for a place ends with its listener. No connection gives way any more.
 func TestFullPortCloses(t *testing.T) {
 	p := newPortTest(t, 1)
-	p.dial(get("/wait"))
+	c := p.dial(get("/wait"))
+	p.dial(get("/"))
 	p.is.NoErr(p.port.Close())
 	_, err := p.port.Accept()
 	p.is.True(errors.Is(err, net.ErrClosed))
+	p.is.Equal(p.port.stats().GaveWay, int64(0))
 	close(p.release)
+	p.is.True(c.answered())
+	_, err = io.WriteString(c, get("/"))
+	p.is.NoErr(err)
+	p.is.True(c.answered())
 }
